Add the workspace, the shared model and the internal protocol

Cause: the fleet needs one frame that all parts build on: a workspace with shared versions and lints, the vocabulary (identifiers, configuration, directory, error kinds), the service registry and the calls between processes.

--- /dev/null
+++ b/crates/model/src/lib.rs
@@ -0,0 +1,11 @@
+//! Shared vocabulary of the fleet: identifiers, configuration, directory, control messages and error kinds.
+//!
+//! This crate does no I/O and reads no clock.
+
+pub mod config;
+pub mod control;
+pub mod directory;
+pub mod error;
+pub mod id;
+pub mod rank;
+pub mod version;
--- /dev/null
+++ b/crates/model/src/version.rs
@@ -0,0 +1,53 @@
+//! Versions of the replicated configuration.
+
+use std::fmt;
+use std::num::ParseIntError;
+use std::str::FromStr;
+
+use serde::{Deserialize, Serialize};
+
+/// Version of the replicated state; instances only move to greater versions.
+///
+/// The term comes first, so that a forced recovery, which raises the term, takes precedence over every revision accepted before.
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
+pub struct Version {
+    /// Term of the log entry that produced the revision.
+    pub term: u64,
+    /// Number of accepted changes so far.
+    pub revision: u64,
+}
+
+impl Version {
+    /// Version before the first change.
+    pub const ZERO: Self = Self {
+        term: 0,
+        revision: 0,
+    };
+}
+
+impl fmt::Display for Version {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}", self.term, self.revision)
+    }
+}
+
+/// Text that is not of the form `TERM.REVISION`.
+#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+#[error("version {0:?}: expected TERM.REVISION, for example 3.17")]
+pub struct Invalid(String);
+
+impl FromStr for Version {
+    type Err = Invalid;
+
+    fn from_str(text: &str) -> Result<Self, Invalid> {
+        let invalid = || Invalid(text.to_owned());
+        let (term, revision) = text.split_once('.').ok_or_else(invalid)?;
+        let number = |part: &str| part.parse().map_err(|_: ParseIntError| invalid());
+        Ok(Self {
+            term: number(term)?,
+            revision: number(revision)?,
+        })
+    }
+}
--- /dev/null
+++ b/crates/wire/src/client.rs
@@ -0,0 +1,140 @@
+//! Client side of unary calls: one connection to a peer, reopened when it breaks.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use chestnutvalve_model::error::Fault;
+use h2::client::SendRequest;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tokio::net::TcpStream;
+use tokio::sync::Mutex;
+use tokio::time::timeout;
+
+use crate::server::read;
+use crate::{Error, Frame};
+
+/// Time to open a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Flow-control window; a snapshot passes in few round trips.
+const WINDOW_BYTES: u32 = 4 * 1024 * 1024;
+
+/// Caller of one peer; clones share the connection.
+#[derive(Clone, Debug)]
+pub struct Client {
+    peer: SocketAddr,
+    connection: Arc<Mutex<Option<SendRequest<Bytes>>>>,
+}
+
+impl Client {
+    /// Creates a client; the first call opens the connection.
+    #[must_use]
+    pub fn new(peer: SocketAddr) -> Self {
+        Self {
+            peer,
+            connection: Arc::default(),
+        }
+    }
+
+    /// Returns the peer's address.
+    #[must_use]
+    pub fn peer(&self) -> SocketAddr {
+        self.peer
+    }
+
+    /// Calls `path` and waits for the answer for at most `limit`.
+    ///
+    /// # Errors
+    ///
+    /// Returns the peer's fault, or what went wrong on the way. After [`Error::Timeout`] and a broken connection the peer
+    /// may have handled the call.
+    pub async fn call<Q: Serialize, A: DeserializeOwned>(
+        &self,
+        path: &str,
+        message: &Q,
+        limit: Duration,
+    ) -> Result<A, Error> {
+        let frame = Frame::encode(message)?;
+        let outcome = timeout(limit, self.exchange(path, &frame)).await;
+        let Ok(outcome) = outcome else {
+            // A silent peer may be behind a broken path, so that the next call starts on a new connection.
+            self.reset().await;
+            return Err(Error::Timeout {
+                peer: self.peer.to_string(),
+                path: path.to_owned(),
+            });
+        };
+        let answer: Result<A, Fault> = outcome?.decode()?;
+        Ok(answer?)
+    }
+
+    async fn exchange(&self, path: &str, frame: &Frame) -> Result<Frame, Error> {
+        let sender = self.connected().await?;
+        let outcome = self.stream(sender, path, frame).await;
+        if let Err(Error::Connection { .. }) = &outcome {
+            self.reset().await;
+        }
+        outcome
+    }
+
+    async fn stream(
+        &self,
+        sender: SendRequest<Bytes>,
+        path: &str,
+        frame: &Frame,
+    ) -> Result<Frame, Error> {
+        let request = http::Request::post(format!("http://{}/{path}", self.peer)).body(());
+        let request = request.map_err(|_| Error::Malformed("path of the call"))?;
+        let mut sender = sender.ready().await.map_err(|e| self.broken(&e))?;
+        let sent = sender.send_request(request, false);
+        let (response, mut body) = sent.map_err(|e| self.broken(&e))?;
+        body.send_data(frame.to_bytes(), true)
+            .map_err(|e| self.broken(&e))?;
+        let response = response.await.map_err(|e| self.broken(&e))?;
+        Frame::from_bytes(&read(response.into_body()).await?)
+    }
+
+    async fn connected(&self) -> Result<SendRequest<Bytes>, Error> {
+        let mut connection = self.connection.lock().await;
+        if let Some(sender) = connection.as_ref() {
+            return Ok(sender.clone());
+        }
+        let opened = timeout(CONNECT_TIMEOUT, open(self.peer)).await;
+        let opened = opened.map_err(|_| self.broken(&"connect timed out"))?;
+        let sender = opened.map_err(|e| self.broken(&e))?;
+        *connection = Some(sender.clone());
+        Ok(sender)
+    }
+
+    async fn reset(&self) {
+        *self.connection.lock().await = None;
+    }
+
+    fn broken(&self, cause: &dyn std::fmt::Display) -> Error {
+        Error::Connection {
+            peer: self.peer.to_string(),
+            cause: cause.to_string(),
+        }
+    }
+}
+
+async fn open(peer: SocketAddr) -> std::io::Result<SendRequest<Bytes>> {
+    let socket = TcpStream::connect(peer).await?;
+    socket.set_nodelay(true)?;
+    let mut builder = h2::client::Builder::new();
+    builder
+        .initial_window_size(WINDOW_BYTES)
+        .initial_connection_window_size(WINDOW_BYTES);
+    let (sender, connection) = builder
+        .handshake(socket)
+        .await
+        .map_err(std::io::Error::other)?;
+    tokio::spawn(async move {
+        if let Err(error) = connection.await {
+            spdlog::debug!("internal connection to {peer}: {error}");
+        }
+    });
+    Ok(sender)
+}
--- /dev/null
+++ b/crates/wire/src/frame.rs
@@ -0,0 +1,99 @@
+//! Frame: length, checksum and bincode payload.
+
+use bincode::config::{Configuration, Limit};
+use bytes::{BufMut, Bytes, BytesMut};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::Error;
+
+/// Bytes before the payload: length and CRC32, both little-endian `u32`.
+pub const HEADER_BYTES: usize = 8;
+/// Largest payload. A snapshot of the configuration is the largest message.
+pub const MAX_PAYLOAD_BYTES: usize = 64 * 1024 * 1024;
+
+/// Bounds what a decoder allocates for a forged length prefix.
+const CODEC: Configuration<
+    bincode::config::LittleEndian,
+    bincode::config::Varint,
+    Limit<MAX_PAYLOAD_BYTES>,
+> = bincode::config::standard().with_limit::<MAX_PAYLOAD_BYTES>();
+
+/// A checked payload.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Frame {
+    payload: Bytes,
+}
+
+impl Frame {
+    /// Encodes a message.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the message can't be encoded or is larger than [`MAX_PAYLOAD_BYTES`].
+    pub fn encode<T: Serialize>(message: &T) -> Result<Self, Error> {
+        let payload = bincode::serde::encode_to_vec(message, CODEC)
+            .map_err(|_| Error::Malformed("message can't be encoded"))?;
+        if payload.len() > MAX_PAYLOAD_BYTES {
+            return Err(Error::TooLarge {
+                size: payload.len(),
+                limit: MAX_PAYLOAD_BYTES,
+            });
+        }
+        Ok(Self {
+            payload: payload.into(),
+        })
+    }
+
+    /// Decodes the message.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the payload is not exactly one message of type `T`.
+    pub fn decode<T: DeserializeOwned>(&self) -> Result<T, Error> {
+        let decoded = bincode::serde::decode_from_slice(&self.payload, CODEC);
+        let (message, used) = decoded.map_err(|_| Error::Malformed("payload does not decode"))?;
+        if used != self.payload.len() {
+            return Err(Error::Malformed("bytes after the message"));
+        }
+        Ok(message)
+    }
+
+    /// Returns the frame as bytes.
+    ///
+    /// # Panics
+    ///
+    /// Panics for a payload above [`MAX_PAYLOAD_BYTES`], which [`Frame::encode`] refuses.
+    #[must_use]
+    pub fn to_bytes(&self) -> Bytes {
+        let size = u32::try_from(self.payload.len()).expect("payload size is checked at encoding");
+        let mut bytes = BytesMut::with_capacity(HEADER_BYTES + self.payload.len());
+        bytes.put_u32_le(size);
+        bytes.put_u32_le(crc32fast::hash(&self.payload));
+        bytes.extend_from_slice(&self.payload);
+        bytes.freeze()
+    }
+
+    /// Checks bytes that hold exactly one frame.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when length or checksum don't match.
+    pub fn from_bytes(bytes: &Bytes) -> Result<Self, Error> {
+        let Some((header, rest)) = bytes.split_at_checked(HEADER_BYTES) else {
+            return Err(Error::Malformed("shorter than the header"));
+        };
+        let word = |at: usize| {
+            u32::from_le_bytes([header[at], header[at + 1], header[at + 2], header[at + 3]])
+        };
+        if word(0) as usize != rest.len() {
+            return Err(Error::Malformed("length does not match"));
+        }
+        if word(4) != crc32fast::hash(rest) {
+            return Err(Error::Malformed("checksum does not match"));
+        }
+        Ok(Self {
+            payload: bytes.slice(HEADER_BYTES..),
+        })
+    }
+}
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,11 @@
+//! Internal protocol: checked frames in unary calls over h2 streams.
+
+pub mod client;
+pub mod error;
+pub mod frame;
+pub mod server;
+
+pub use client::Client;
+pub use error::Error;
+pub use frame::Frame;
+pub use server::{Router, Server};
--- /dev/null
+++ b/crates/wire/src/server.rs
@@ -0,0 +1,186 @@
+//! Server side of unary calls.
+
+use std::collections::HashMap;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use chestnutvalve_model::error::{Fault, Kind};
+use h2::server::SendResponse;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::JoinSet;
+use tokio::time::timeout;
+
+use crate::frame::{HEADER_BYTES, MAX_PAYLOAD_BYTES};
+use crate::{Error, Frame};
+
+/// Time for a client to send its whole request.
+const REQUEST_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time for a client to finish the h2 handshake.
+const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(5);
+/// Calls in progress on one connection.
+const MAX_STREAMS: u32 = 1_024;
+/// Flow-control window; a snapshot passes in few round trips.
+const WINDOW_BYTES: u32 = 4 * 1024 * 1024;
+
+type Answer = Pin<Box<dyn Future<Output = Result<Frame, Error>> + Send>>;
+type Handler = Box<dyn Fn(Frame) -> Answer + Send + Sync>;
+
+/// Handlers by path.
+#[derive(Default)]
+pub struct Router {
+    handlers: HashMap<&'static str, Handler>,
+}
+
+impl Router {
+    /// Adds the handler of `path`, for example `ledger/claim`.
+    #[must_use]
+    pub fn route<Q, A, F, Fut>(mut self, path: &'static str, handler: F) -> Self
+    where
+        Q: DeserializeOwned + Send + 'static,
+        A: Serialize + Send + 'static,
+        F: Fn(Q) -> Fut + Clone + Send + Sync + 'static,
+        Fut: Future<Output = Result<A, Fault>> + Send + 'static,
+    {
+        let handler: Handler = Box::new(move |frame| {
+            let handler = handler.clone();
+            Box::pin(async move {
+                let answer = handler(frame.decode()?).await;
+                Frame::encode(&answer)
+            })
+        });
+        self.handlers.insert(path, handler);
+        self
+    }
+}
+
+/// Listener that answers calls.
+#[derive(Debug)]
+pub struct Server {
+    listener: TcpListener,
+}
+
+impl Server {
+    /// Binds the address.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the operating system.
+    pub async fn bind(address: SocketAddr) -> std::io::Result<Self> {
+        Ok(Self {
+            listener: TcpListener::bind(address).await?,
+        })
+    }
+
+    /// Returns the bound address.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the operating system.
+    pub fn address(&self) -> std::io::Result<SocketAddr> {
+        self.listener.local_addr()
+    }
+
+    /// Answers calls until the future is dropped.
+    pub async fn serve(self, router: Router) {
+        let router = Arc::new(router);
+        let mut connections = JoinSet::new();
+        loop {
+            tokio::select! {
+                accepted = self.listener.accept() => match accepted {
+                    Ok((socket, peer)) => {
+                        let router = Arc::clone(&router);
+                        connections.spawn(async move {
+                            if let Err(error) = connection(socket, router).await {
+                                spdlog::debug!("internal connection from {peer}: {error}");
+                            }
+                        });
+                    }
+                    Err(error) => {
+                        spdlog::warn!("accepting an internal connection: {error}");
+                        tokio::time::sleep(Duration::from_millis(50)).await;
+                    }
+                },
+                Some(_) = connections.join_next() => {}
+            }
+        }
+    }
+}
+
+async fn connection(socket: TcpStream, router: Arc<Router>) -> std::io::Result<()> {
+    socket.set_nodelay(true)?;
+    let mut builder = h2::server::Builder::new();
+    builder
+        .max_concurrent_streams(MAX_STREAMS)
+        .initial_window_size(WINDOW_BYTES)
+        .initial_connection_window_size(WINDOW_BYTES);
+    let handshake = timeout(HANDSHAKE_TIMEOUT, builder.handshake(socket)).await;
+    let Ok(connection) = handshake else {
+        return Ok(());
+    };
+    let mut connection = connection.map_err(std::io::Error::other)?;
+    let mut calls = JoinSet::new();
+    while let Some(accepted) = connection.accept().await {
+        let (request, respond) = accepted.map_err(std::io::Error::other)?;
+        let router = Arc::clone(&router);
+        calls.spawn(call(request, respond, router));
+        while calls.try_join_next().is_some() {}
+    }
+    Ok(())
+}
+
+async fn call(
+    request: http::Request<h2::RecvStream>,
+    mut respond: SendResponse<Bytes>,
+    router: Arc<Router>,
+) {
+    let path = request.uri().path().trim_start_matches('/').to_owned();
+    let answer = match timeout(REQUEST_TIMEOUT, read(request.into_body())).await {
+        Ok(Ok(bytes)) => dispatch(&router, &path, &bytes).await,
+        Ok(Err(error)) => Err(error),
+        Err(_) => Err(Error::Malformed("request not sent in time")),
+    };
+    let frame = answer.or_else(|error| Frame::encode(&Err::<(), Fault>(fault(error))));
+    let Ok(frame) = frame else { return };
+    let head = http::Response::new(());
+    // A peer that has gone away needs no answer.
+    if let Ok(mut stream) = respond.send_response(head, false) {
+        let _ = stream.send_data(frame.to_bytes(), true);
+    }
+}
+
+async fn dispatch(router: &Router, path: &str, bytes: &Bytes) -> Result<Frame, Error> {
+    let frame = Frame::from_bytes(bytes)?;
+    let handler = router.handlers.get(path);
+    let handler = handler.ok_or_else(|| Fault::new(Kind::NotFound, format!("call {path:?}")))?;
+    handler(frame).await
+}
+
+fn fault(error: Error) -> Fault {
+    match error {
+        Error::Fault(fault) => fault,
+        Error::TooLarge { .. } => Fault::new(Kind::TooLarge, error.to_string()),
+        error => Fault::new(Kind::BadRequest, error.to_string()),
+    }
+}
+
+/// Reads a whole body within the size limit.
+pub(crate) async fn read(mut body: h2::RecvStream) -> Result<Bytes, Error> {
+    let limit = HEADER_BYTES + MAX_PAYLOAD_BYTES;
+    let mut bytes = BytesMut::new();
+    while let Some(chunk) = body.data().await {
+        let chunk = chunk.map_err(|_| Error::Malformed("body was cut"))?;
+        let size = bytes.len() + chunk.len();
+        if size > limit {
+            return Err(Error::TooLarge { size, limit });
+        }
+        let _ = body.flow_control().release_capacity(chunk.len());
+        bytes.extend_from_slice(&chunk);
+    }
+    Ok(bytes.freeze())
+}
--- /dev/null
+++ b/tests/all/main.rs
@@ -0,0 +1,1 @@
+//! Whole-process tests.
