--- /dev/null
+++ b/crates/model/tests/config.rs
@@ -0,0 +1,143 @@
+//! Configuration: matching, validation and the difference of documents.
+
+use chestnutvalve_model::config::{Document, Edit, Exception, Match, Overrides, Target};
+use chestnutvalve_model::id::{Customer, Service};
+use chestnutvalve_model::rank::Rank;
+use proptest::prelude::*;
+use rstest::rstest;
+
+fn service(name: &str) -> Service {
+    Service::new(name).unwrap()
+}
+
+fn exception(id: &str, on: Match, set: Overrides) -> Exception {
+    Exception {
+        id: id.into(),
+        reason: "test".into(),
+        on,
+        set,
+    }
+}
+
+fn timeout(ms: u32) -> Overrides {
+    Overrides {
+        timeout_ms: Some(ms),
+        ..Overrides::default()
+    }
+}
+
+fn resolved(document: &Document, path: &str, customer: Option<&str>) -> u32 {
+    let service = service("rationdesk");
+    let customer = customer.map(|c| Customer::new(c).unwrap());
+    let customer = customer.as_ref();
+    let target = Target {
+        service: &service,
+        path: Some(path),
+        method: Some("GET"),
+        customer,
+    };
+    document.resolve(&target).timeout_ms
+}
+
+/// Guards against a general exception that overrides a more specific one.
+#[rstest]
+#[case::defaults("/other", None, 5_000)]
+#[case::prefix("/rations/7", None, 200)]
+#[case::longer_prefix("/rations/archive/7", None, 300)]
+#[case::whole_segments_only("/rationsheet", None, 5_000)]
+#[case::customer_wins("/rations/7", Some("acme"), 400)]
+fn most_specific_exception_wins(
+    #[case] path: &str,
+    #[case] customer: Option<&str>,
+    #[case] expected: u32,
+) {
+    let on_path = |p: &str| Match {
+        path: Some(p.into()),
+        ..Match::default()
+    };
+    let acme = Match {
+        customer: Some(Customer::new("acme").unwrap()),
+        ..Match::default()
+    };
+    let edits = [
+        exception("z-short", on_path("/rations"), timeout(200)),
+        exception("a-long", on_path("/rations/archive"), timeout(300)),
+        exception("a-customer", acme, timeout(400)),
+    ];
+    let document = Document::default()
+        .edited(&edits.map(Edit::PutException))
+        .unwrap();
+    assert_eq!(resolved(&document, path, customer), expected);
+}
+
+/// Guards against accepting a document that can't be in force everywhere, and against errors without the field's path.
+#[rstest]
+#[case::no_reason(Exception { reason: " ".into(), ..exception("x", Match::default(), timeout(100)) }, "exceptions.x.reason")]
+#[case::empty_set(
+    exception("x", Match::default(), Overrides::default()),
+    "exceptions.x.set"
+)]
+#[case::relative_path(
+    exception("x", Match { path: Some("rations".into()), ..Match::default() }, timeout(100)),
+    "exceptions.x.match.path"
+)]
+#[case::out_of_range(
+    exception("x", Match::default(), timeout(1)),
+    "exceptions.x.set.timeout_ms"
+)]
+#[case::service_wide_setting_on_a_path(
+    exception(
+        "x",
+        Match { path: Some("/a".into()), ..Match::default() },
+        Overrides { floor_percent: Some(50), ..Overrides::default() }
+    ),
+    "exceptions.x.set.floor_percent"
+)]
+fn invalid_exception_is_refused(#[case] exception: Exception, #[case] path: &str) {
+    let refused = Document::default()
+        .edited(&[Edit::PutException(exception)])
+        .unwrap_err();
+    assert_eq!(refused.path, path);
+}
+
+/// Guards against an edit list that is applied in part.
+#[test]
+fn failing_edit_leaves_the_document_unchanged() {
+    let document = Document::default();
+    let edits = [
+        Edit::SetDefaults(timeout(100)),
+        Edit::RemoveException("missing".into()),
+    ];
+    assert!(document.edited(&edits).is_err());
+    assert_eq!(document, Document::default());
+}
+
+fn any_document() -> impl Strategy<Value = Document> {
+    let exception =
+        ("[a-e]", 10_u32..1_000).prop_map(|(id, ms)| exception(&id, Match::default(), timeout(ms)));
+    let exceptions = prop::collection::vec(exception, 0..5);
+    (
+        10_u32..1_000,
+        prop::sample::select(vec![Rank::Top, Rank::Bottom]),
+        exceptions,
+    )
+        .prop_map(|(ms, rank, exceptions)| {
+            let defaults = Overrides {
+                rank: Some(rank),
+                ..timeout(ms)
+            };
+            let edits = exceptions.into_iter().map(Edit::PutException);
+            let edits: Vec<_> = std::iter::once(Edit::SetDefaults(defaults))
+                .chain(edits)
+                .collect();
+            Document::default().edited(&edits).unwrap()
+        })
+}
+
+proptest! {
+    /// Guards against a conflict report or a document upload that loses a difference.
+    #[test]
+    fn difference_leads_to_the_target(from in any_document(), to in any_document()) {
+        prop_assert_eq!(from.edited(&from.diff(&to)).unwrap(), to);
+    }
+}
