--- /dev/null
+++ b/crates/ledger/src/snapshot.rs
@@ -0,0 +1,58 @@
+//! Compact encoding of the whole state.
+
+use crate::command::Key;
+use crate::state::{Claim, Ledger};
+
+/// First byte of a snapshot; other formats are refused.
+const FORMAT: u8 = 1;
+
+/// A snapshot that can't be read.
+#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+pub enum Invalid {
+    /// The format is not known to this version.
+    #[error("ledger snapshot has format {0:?}, expected {FORMAT}")]
+    Format(Option<u8>),
+    /// The content is damaged.
+    #[error("ledger snapshot can't be decoded: {0}")]
+    Content(String),
+}
+
+impl Ledger {
+    /// Returns the whole state; equal states give equal bytes.
+    ///
+    /// # Panics
+    ///
+    /// Does not panic: the encoded types have no failing representation.
+    #[must_use]
+    pub fn save(&self) -> Vec<u8> {
+        let claims: Vec<(&Key, &Claim)> = self.claims.iter().map(|(k, c)| (&**k, c)).collect();
+        let mut bytes = vec![FORMAT];
+        let content = (self.now_ms, claims);
+        bincode::serde::encode_into_std_write(content, &mut bytes, bincode::config::standard())
+            .expect("names, numbers and bytes are always encodable");
+        bytes
+    }
+
+    /// Restores a state from [`Ledger::save`].
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Invalid`] for an unknown format or damaged content.
+    pub fn restore(bytes: &[u8]) -> Result<Self, Invalid> {
+        let Some((&FORMAT, content)) = bytes.split_first() else {
+            return Err(Invalid::Format(bytes.first().copied()));
+        };
+        let decoded = bincode::serde::decode_from_slice(content, bincode::config::standard());
+        let ((now_ms, claims), read): ((u64, Vec<(Key, Claim)>), usize) =
+            decoded.map_err(|e| Invalid::Content(e.to_string()))?;
+        if read != content.len() {
+            return Err(Invalid::Content("bytes left over".to_owned()));
+        }
+        let mut ledger = Self::new();
+        ledger.now_ms = now_ms;
+        for (key, claim) in claims {
+            ledger.insert(&key, claim);
+        }
+        Ok(ledger)
+    }
+}
