--- a/crates/membership/src/digest.rs
+++ b/crates/membership/src/digest.rs
@@ -6,6 +6,8 @@
 use chestnutvalve_model::id::{Incarnation, Service, Worker, Zone};
 use serde::{Deserialize, Serialize};
 
+use crate::worker::{Announcement, Record, is_fresh};
+
 /// Workers and withdrawals that an entry knows. Ages are counted at the sender and rounded up.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Digest {
@@ -63,3 +65,36 @@
 pub(crate) fn instant(asked_at: Instant, age_ms: u64) -> Option<Instant> {
     asked_at.checked_sub(Duration::from_millis(age_ms))
 }
+
+impl Record {
+    pub(crate) fn item(&self, now: Instant, service: &Service) -> Item {
+        let proof = self.proof.filter(|&p| is_fresh(now, p));
+        Item {
+            service: service.clone(),
+            worker: self.worker.clone(),
+            incarnation: self.incarnation,
+            address: self.address,
+            zone: self.zone.clone(),
+            slots: self.slots,
+            load: self.load,
+            proof_age_ms: proof.map(|p| age_ms(now, p)),
+            heard_age_ms: age_ms(now, self.last_heard),
+            seen_age_ms: age_ms(now, self.first_seen),
+        }
+    }
+}
+
+impl Item {
+    pub(crate) fn announcement(&self) -> Announcement {
+        Announcement {
+            service: self.service.clone(),
+            worker: self.worker.clone(),
+            incarnation: self.incarnation,
+            address: self.address,
+            zone: self.zone.clone(),
+            slots: self.slots,
+            load: self.load,
+            token: None,
+        }
+    }
+}
--- a/crates/membership/src/worker.rs
+++ b/crates/membership/src/worker.rs
@@ -174,6 +174,10 @@
         if known.is_some_and(|r| r.incarnation > a.incarnation) {
             return refused("a later incarnation is known");
         }
+        // The withdrawal itself may be missing when there was no room for it.
+        if known.is_some_and(|r| r.incarnation == a.incarnation && r.leaving) {
+            return refused("this incarnation has withdrawn");
+        }
         Ok(())
     }
 
@@ -379,39 +383,6 @@
 }
 
 /// Returns whether a proof is young enough to give its worker work.
-fn is_fresh(now: Instant, proof: Instant) -> bool {
+pub(crate) fn is_fresh(now: Instant, proof: Instant) -> bool {
     now.saturating_duration_since(proof) < PROOF_LIFETIME
 }
-
-impl Record {
-    fn item(&self, now: Instant, service: &Service) -> Item {
-        let proof = self.proof.filter(|&p| is_fresh(now, p));
-        Item {
-            service: service.clone(),
-            worker: self.worker.clone(),
-            incarnation: self.incarnation,
-            address: self.address,
-            zone: self.zone.clone(),
-            slots: self.slots,
-            load: self.load,
-            proof_age_ms: proof.map(|p| digest::age_ms(now, p)),
-            heard_age_ms: digest::age_ms(now, self.last_heard),
-            seen_age_ms: digest::age_ms(now, self.first_seen),
-        }
-    }
-}
-
-impl Item {
-    fn announcement(&self) -> Announcement {
-        Announcement {
-            service: self.service.clone(),
-            worker: self.worker.clone(),
-            incarnation: self.incarnation,
-            address: self.address,
-            zone: self.zone.clone(),
-            slots: self.slots,
-            load: self.load,
-            token: None,
-        }
-    }
-}
