Hold the ejection floor over entries with different views

Cause: grants to several entries, lost answers and renewals must together leave the floor.

Ruled out: sharing a granted worker with another entry without a new check.

Conclusion: only a holder renews without room; revoked grants count until they expire.

--- a/crates/membership/src/grant.rs
+++ b/crates/membership/src/grant.rs
@@ -64,14 +64,24 @@
         let group = self.groups.entry(ask.service.clone()).or_default();
         group.expire(now);
         group.report(now, ask);
+        if recovering {
+            for worker in ask.eject.iter().filter(|w| ask.held.contains(w)) {
+                group.eject(worker, &mut self.number);
+            }
+        }
         group.take_back();
         let mut workers = Vec::new();
         for worker in &ask.eject {
-            let held = recovering && ask.held.contains(worker);
-            if group.grant(now, worker, &ask.entry, &mut self.number, held, recovering) {
+            // A new holder needs room even for a granted worker, because the answer to the first holder may be lost.
+            let room = !recovering && group.has_room(worker);
+            if room {
+                group.eject(worker, &mut self.number);
+            }
+            if (room || ask.held.contains(worker)) && group.hold(now, worker, &ask.entry) {
                 workers.push(worker.clone());
             }
         }
+        group.ejections.retain(|_, e| !e.holders.is_empty());
         Granted {
             workers,
             ttl_ms: GRANT_MS,
@@ -149,33 +159,25 @@
         }
     }
 
-    fn grant(
-        &mut self,
-        now: Instant,
-        worker: &Worker,
-        entry: &Entry,
-        number: &mut u64,
-        held: bool,
-        recovering: bool,
-    ) -> bool {
-        let until = now + GRANT;
-        if let Some(ejection) = self.ejections.get_mut(worker) {
-            if !ejection.revoked {
-                ejection.holders.insert(entry.clone(), until);
-            }
-            return !ejection.revoked;
+    /// Adds an ejection without holders if the worker is registered and not ejected yet.
+    fn eject(&mut self, worker: &Worker, number: &mut u64) {
+        let registered = self.reports.values().any(|r| r.registered.contains(worker));
+        if registered && !self.ejections.contains_key(worker) {
+            *number += 1;
+            let ejection = Ejection {
+                number: *number,
+                revoked: false,
+                holders: BTreeMap::new(),
+            };
+            self.ejections.insert(worker.clone(), ejection);
         }
-        if !held && (recovering || !self.has_room(worker)) {
-            return false;
-        }
-        *number += 1;
-        let ejection = Ejection {
-            number: *number,
-            revoked: false,
-            holders: BTreeMap::from([(entry.clone(), until)]),
-        };
-        self.ejections.insert(worker.clone(), ejection);
-        true
+    }
+
+    /// Grants a present ejection to an entry, or renews its grant, unless it is taken back.
+    fn hold(&mut self, now: Instant, worker: &Worker, entry: &Entry) -> bool {
+        let ejection = self.ejections.get_mut(worker).filter(|e| !e.revoked);
+        let present = ejection.map(|e| e.holders.insert(entry.clone(), now + GRANT));
+        present.is_some()
     }
 
     /// Returns whether enough workers stay when `worker` is ejected too. Revoked grants still count as ejected.
