--- a/crates/ledger/src/command.rs
+++ b/crates/ledger/src/command.rs
@@ -9,6 +9,9 @@
 /// Largest recorded headers of an outcome, names and values together, in bytes.
 pub const MAX_HEADER_BYTES: usize = 8 * 1024;
 
+/// Longest idempotency key and longest attempt id, in bytes; a claim with a longer one is answered `Full`.
+pub const MAX_KEY_BYTES: usize = 256;
+
 /// What a claim is for.
 #[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct Key {
@@ -102,7 +105,7 @@
     Unknown,
     /// The key was claimed for a different request.
     Reused,
-    /// The ledger has no room for another claim; the request must not be dispatched.
+    /// The ledger has no room for another claim, or the key is too long; the request must not be dispatched.
     Full,
 }
 
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -7,6 +7,8 @@
 mod snapshot;
 mod state;
 
-pub use command::{Claimed, Command, Key, MAX_BODY_BYTES, MAX_HEADER_BYTES, Outcome, group};
+pub use command::{
+    Claimed, Command, Key, MAX_BODY_BYTES, MAX_HEADER_BYTES, MAX_KEY_BYTES, Outcome, group,
+};
 pub use snapshot::Invalid;
 pub use state::{Ledger, MAX_CLAIMS, MAX_OUTCOME_BYTES};
--- a/crates/ledger/src/state.rs
+++ b/crates/ledger/src/state.rs
@@ -5,7 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::command::{Claimed, Command, Key, Outcome};
+use crate::command::{Claimed, Command, Key, MAX_KEY_BYTES, Outcome};
 
 /// Most claims that are kept at the same time.
 pub const MAX_CLAIMS: usize = 2_000_000;
@@ -116,6 +116,11 @@
         None
     }
 
+    fn has_room(&self, key: &Key, attempt: &str) -> bool {
+        let longest = key.key.len().max(attempt.len());
+        self.claims.len() < MAX_CLAIMS && longest <= MAX_KEY_BYTES
+    }
+
     fn claim(&mut self, key: &Key, fingerprint: u64, attempt: &str, retention_s: u32) -> Claimed {
         match self.claims.get(key) {
             Some(claim) => {
@@ -123,7 +128,7 @@
                     return answer;
                 }
             }
-            None if self.claims.len() >= MAX_CLAIMS => return Claimed::Full,
+            None if !self.has_room(key, attempt) => return Claimed::Full,
             None => {}
         }
         let claim = Claim {
@@ -167,7 +172,7 @@
                 }
                 claim.clone()
             }
-            None if self.claims.len() >= MAX_CLAIMS => return,
+            None if !self.has_room(key, attempt) => return,
             // The release overtook its claim.
             None => Claim {
                 fingerprint: 0,
