Add the replicated log as a pure state machine

The control groups need elections, replication and membership that can be tested without sockets and disks. The replica takes messages and instants and returns messages, writes and committed entries. Messages that promise something are part of the write that makes the promise durable, so that a caller can't send them too early.

A replica is known by the identity of its data directory. After a restart it asks its peers what they remember of it before it takes part, and stops if its disk holds less.

--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -1,1 +1,19 @@
-//! Placeholder.
+//! Replicated log as a pure state machine: elections, replication, membership change and snapshots.
+//!
+//! [`Replica`] takes messages and instants, and returns messages to send, writes to make durable and committed entries to
+//! apply. It performs no I/O and reads no clock; the caller carries out its output in the order that
+//! [`Replica::take_write`] describes.
+
+pub mod entry;
+pub mod log;
+pub mod membership;
+pub mod message;
+pub mod progress;
+pub mod replica;
+pub mod settings;
+
+pub use entry::{Blob, Entry, HardState, Mark, Payload, Position, Snapshot};
+pub use membership::{Kind, Member, Membership, ReplicaId};
+pub use message::Message;
+pub use replica::{Change, Error, Receipt, Replica, Restored, Role, Write};
+pub use settings::Settings;
--- /dev/null
+++ b/crates/consensus/src/log.rs
@@ -0,0 +1,159 @@
+//! The part of the log that a replica holds in memory: a snapshot and the entries after a base position.
+
+use std::collections::VecDeque;
+
+use crate::entry::{Entry, Payload, Position, Snapshot};
+use crate::membership::Membership;
+
+/// Entries after a base position, and the latest snapshot.
+#[derive(Debug, Default)]
+pub struct Log {
+    base: Position,
+    entries: VecDeque<Entry>,
+    snapshot: Snapshot,
+    /// Memberships in force from an index on, oldest first. The first one belongs to the base or precedes it.
+    memberships: Vec<(u64, Membership)>,
+}
+
+impl Log {
+    /// Builds the log from what was stored; entries that the snapshot contains are kept only if they connect to it.
+    #[must_use]
+    pub fn new(snapshot: Snapshot, entries: Vec<Entry>) -> Self {
+        let position = snapshot.position;
+        let mut log = Self {
+            base: position,
+            memberships: vec![(position.index, snapshot.members.clone())],
+            snapshot,
+            entries: VecDeque::new(),
+        };
+        // A crash between the two renames of a snapshot leaves the older log file, whose tail may belong to another history.
+        let contained = entries.iter().find(|e| e.position.index == position.index);
+        let first = entries.first().map_or(0, |e| e.position.index);
+        let connects = contained.map_or(first == position.index + 1, |e| e.position == position);
+        if connects || position.index == 0 {
+            for entry in entries {
+                if entry.position.index > position.index {
+                    log.push(entry);
+                }
+            }
+        }
+        log
+    }
+
+    /// Returns the last position.
+    #[must_use]
+    pub fn last(&self) -> Position {
+        self.entries.back().map_or(self.base, |e| e.position)
+    }
+
+    /// Returns the position before the first entry in memory.
+    #[must_use]
+    pub fn base(&self) -> Position {
+        self.base
+    }
+
+    /// Returns the latest snapshot.
+    #[must_use]
+    pub fn snapshot(&self) -> &Snapshot {
+        &self.snapshot
+    }
+
+    /// Returns the term of the entry at `index`, if it is in memory or the base.
+    #[must_use]
+    pub fn term(&self, index: u64) -> Option<u64> {
+        if index == self.base.index {
+            return Some(self.base.term);
+        }
+        self.get(index).map(|entry| entry.position.term)
+    }
+
+    /// Returns the entry at `index`, if it is in memory.
+    #[must_use]
+    pub fn get(&self, index: u64) -> Option<&Entry> {
+        let offset = index.checked_sub(self.base.index + 1)?;
+        self.entries.get(usize::try_from(offset).ok()?)
+    }
+
+    /// Returns the entries from `first` to `last`, as far as they are in memory.
+    pub fn range(&self, first: u64, last: u64) -> impl Iterator<Item = &Entry> {
+        let first = first.max(self.base.index + 1);
+        (first..=last).map_while(|index| self.get(index))
+    }
+
+    /// Appends an entry that directly follows the last one.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the entry does not follow the last one.
+    pub fn push(&mut self, entry: Entry) {
+        assert_eq!(
+            entry.position.index,
+            self.last().index + 1,
+            "gap in the log"
+        );
+        if let Some(members) = entry.payload.members() {
+            self.memberships
+                .push((entry.position.index, members.clone()));
+        }
+        self.entries.push_back(entry);
+    }
+
+    /// Appends a new entry with this term and content and returns its index.
+    pub fn append(&mut self, term: u64, payload: Payload) -> u64 {
+        let index = self.last().index + 1;
+        self.push(Entry {
+            position: Position { term, index },
+            payload,
+        });
+        index
+    }
+
+    /// Removes the entries from `index` on.
+    pub fn truncate(&mut self, index: u64) {
+        let keep = index.saturating_sub(self.base.index + 1);
+        self.entries
+            .truncate(usize::try_from(keep).unwrap_or(usize::MAX));
+        self.memberships
+            .retain(|(from, _)| *from < index || *from <= self.base.index);
+    }
+
+    /// Returns the latest membership, committed or not, and the index that put it in force.
+    #[must_use]
+    pub fn membership(&self) -> (u64, &Membership) {
+        static NONE: Membership = Membership {
+            members: Vec::new(),
+        };
+        let latest = self.memberships.last();
+        latest.map_or((0, &NONE), |(from, members)| (*from, members))
+    }
+
+    /// Returns the membership in force at `index`.
+    #[must_use]
+    pub fn membership_at(&self, index: u64) -> Membership {
+        let mut before = self.memberships.iter().rev();
+        let found = before.find(|(from, _)| *from <= index);
+        found
+            .map(|(_, members)| members.clone())
+            .unwrap_or_default()
+    }
+
+    /// Replaces the snapshot and removes entries before it, but for the last `keep` of them.
+    pub fn compact(&mut self, snapshot: Snapshot, keep: u64) {
+        let base = snapshot.position.index.saturating_sub(keep);
+        while self.base.index < base
+            && let Some(entry) = self.entries.pop_front()
+        {
+            self.base = entry.position;
+        }
+        let base = self.base.index;
+        let older = self.memberships.iter().filter(|(from, _)| *from <= base);
+        let older = older.count().saturating_sub(1);
+        self.memberships.drain(..older);
+        self.snapshot = snapshot;
+    }
+
+    /// Replaces the whole log by a snapshot.
+    pub fn reset(&mut self, snapshot: Snapshot) {
+        *self = Self::new(snapshot, Vec::new());
+    }
+}
--- /dev/null
+++ b/crates/consensus/src/replica/change.rs
@@ -0,0 +1,199 @@
+//! Membership change, planned hand-over and forced recovery.
+
+use std::time::Instant;
+
+use super::{Error, RECOVERY_TERM_STEP, Replica, Role};
+use crate::entry::{Payload, Position};
+use crate::membership::{Kind, Member, Membership, ReplicaId};
+use crate::message::Message;
+
+/// Entries that a joining replica may lack when it becomes a voter.
+const PROMOTION_LAG: u64 = 64;
+
+/// Change of one member.
+#[derive(Clone, Debug)]
+pub enum Change {
+    /// Adds a member that does not vote.
+    Add(Member),
+    /// Makes a caught-up member a voter.
+    Promote(ReplicaId),
+    /// Removes a member.
+    Remove(ReplicaId),
+}
+
+impl Replica {
+    /// Appends a membership change, which is in force at once; returns where it is.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when this is not the leader, an earlier change is not committed, or the change is not possible.
+    pub fn change(&mut self, change: Change) -> Result<Position, Error> {
+        // A change before the first commit of the term could overlap with an uncommitted change of the previous leader.
+        if !self.takes_proposals() || self.hard.commit < self.leading.first {
+            return Err(Error::NotLeader);
+        }
+        let (members, committed) = self.membership();
+        if !committed {
+            return Err(Error::ChangeInProgress);
+        }
+        let members = match change {
+            Change::Add(member) => add(members, member)?,
+            Change::Promote(id) => self.promote(members, id)?,
+            Change::Remove(id) => remove(members, id)?,
+        };
+        let position = self.append_own(Payload::Members(members));
+        self.track_members();
+        Ok(position)
+    }
+
+    fn promote(&self, members: &Membership, id: ReplicaId) -> Result<Membership, Error> {
+        let member = members
+            .get(id)
+            .ok_or(Error::ChangeRefused("no such member"))?;
+        if member.kind == Kind::Voter {
+            return Err(Error::ChangeRefused("the member is a voter"));
+        }
+        if !self.is_caught_up(id) {
+            return Err(Error::ChangeRefused("the member is not caught up"));
+        }
+        Ok(members.with(Member {
+            kind: Kind::Voter,
+            ..member.clone()
+        }))
+    }
+
+    fn is_caught_up(&self, id: ReplicaId) -> bool {
+        let progress = self.leading.progress.get(&id);
+        progress
+            .is_some_and(|p| p.matched > 0 && p.matched + PROMOTION_LAG >= self.log.last().index)
+    }
+
+    /// Promotes joining replicas that are caught up. A voter of the same name, which the joining one replaces, is removed first,
+    /// once it has been silent for long enough.
+    pub(super) fn reconcile(&mut self, now: Instant) {
+        let members = self.log.membership().1;
+        let joining = members.members.iter().filter(|m| m.kind == Kind::Joining);
+        let change = joining
+            .filter(|member| self.is_caught_up(member.id))
+            .find_map(|member| {
+                let mut others = members.members.iter();
+                let replaced = others.find(|m| m.name == member.name && m.id != member.id);
+                match replaced {
+                    None => Some(Change::Promote(member.id)),
+                    Some(old) if self.is_silent(now, old.id) => Some(Change::Remove(old.id)),
+                    Some(_) => None,
+                }
+            });
+        if let Some(change) = change {
+            // A refused change is tried again at the next heartbeat.
+            let _ = self.change(change);
+        }
+    }
+
+    fn is_silent(&self, now: Instant, id: ReplicaId) -> bool {
+        let limit = self.settings.replace_after;
+        let heard = self.leading.progress.get(&id).and_then(|p| p.heard);
+        let heard = heard.map(|stamp| self.epoch + std::time::Duration::from_micros(stamp));
+        id != self.id && now >= heard.unwrap_or(self.leading.since) + limit
+    }
+
+    /// Steps down once the removal of this replica is committed.
+    pub(super) fn leave_if_removed(&mut self, now: Instant) {
+        let (members, committed) = self.membership();
+        if !committed || members.is_voter(self.id) {
+            return;
+        }
+        if let Some(successor) = self.best_successor() {
+            let term = self.hard.term;
+            self.output.send(successor, Message::TakeOver { term });
+        }
+        self.become_follower(now, self.hard.term);
+    }
+
+    fn best_successor(&self) -> Option<ReplicaId> {
+        let progress = self.leading.progress.iter();
+        let voters = progress.filter(|(id, _)| self.log.membership().1.is_voter(**id));
+        let best = voters.max_by_key(|(_, progress)| (progress.matched, progress.heard));
+        best.map(|(id, _)| *id)
+    }
+
+    /// Begins to hand the leadership to the voter that lacks least; no proposals are taken from here on.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::NotLeader`] when this is not the leader or no other voter exists.
+    pub fn hand_over(&mut self, now: Instant) -> Result<(), Error> {
+        if self.role != Role::Leader {
+            return Err(Error::NotLeader);
+        }
+        let successor = self.best_successor().ok_or(Error::NotLeader)?;
+        self.leading.successor = Some((successor, now));
+        self.pass_on(now);
+        Ok(())
+    }
+
+    /// Tells the successor to start an election once it has the whole log; gives up when it is too slow.
+    pub(super) fn pass_on(&mut self, now: Instant) {
+        let Some((successor, since)) = self.leading.successor else {
+            return;
+        };
+        if now >= since + self.settings.election_max {
+            self.leading.successor = None;
+            return;
+        }
+        let progress = self.leading.progress.get(&successor);
+        if progress.is_some_and(|p| p.matched == self.log.last().index) {
+            self.leading.released = true;
+            let term = self.hard.term;
+            self.output.send(successor, Message::TakeOver { term });
+        }
+    }
+
+    /// Makes this replica the only voter, after the others are lost for good. Entries that were not committed become committed;
+    /// committed entries that only lost replicas had are lost. The entry records the reason, and the term is raised by
+    /// [`RECOVERY_TERM_STEP`].
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::RecoveryRefused`] when the group works or this replica has no membership.
+    pub fn force_recovery(&mut self, now: Instant, reason: String) -> Result<Position, Error> {
+        if self.quorum_until(now).is_some() || self.has_leader(now) {
+            return Err(Error::RecoveryRefused("the group has a leader"));
+        }
+        let Some(own) = self.log.membership().1.get(self.id) else {
+            return Err(Error::RecoveryRefused("this replica is not a member"));
+        };
+        let members = Membership::default().with(Member {
+            kind: Kind::Voter,
+            ..own.clone()
+        });
+        self.fault = None;
+        self.inquiry = None;
+        self.become_follower(now, self.hard.term + RECOVERY_TERM_STEP);
+        let term = self.hard.term;
+        let index = self.log.append(term, Payload::Recovery { members, reason });
+        self.deadline = now;
+        Ok(Position { term, index })
+    }
+}
+
+fn add(members: &Membership, member: Member) -> Result<Membership, Error> {
+    if member.kind == Kind::Voter {
+        return Err(Error::ChangeRefused("a member joins without a vote"));
+    }
+    if members.get(member.id).is_some() {
+        return Err(Error::ChangeRefused("the replica is a member"));
+    }
+    Ok(members.with(member))
+}
+
+fn remove(members: &Membership, id: ReplicaId) -> Result<Membership, Error> {
+    if members.get(id).is_none() {
+        return Err(Error::ChangeRefused("no such member"));
+    }
+    let rest = members.without(id);
+    if rest.voters().next().is_none() {
+        return Err(Error::ChangeRefused("the last voter can't be removed"));
+    }
+    Ok(rest)
+}
--- /dev/null
+++ b/crates/consensus/src/replica/leader.rs
@@ -0,0 +1,339 @@
+//! Leading: replication, commit, lease.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use super::{Leading, Replica, Role};
+use crate::entry::{Entry, Mark, Payload, Position};
+use crate::membership::ReplicaId;
+use crate::message::Message;
+use crate::progress::{Mode, Progress};
+
+impl Replica {
+    pub(super) fn become_leader(&mut self, now: Instant) {
+        self.role = Role::Leader;
+        self.leader = Some(self.id);
+        self.deadline = now;
+        self.leading = Leading {
+            progress: BTreeMap::new(),
+            since: now,
+            first: self.log.last().index + 1,
+            successor: None,
+            released: false,
+            news: true,
+        };
+        self.append_own(Payload::Empty);
+        self.track_members();
+        self.advance(now);
+    }
+
+    /// Makes the followed replicas those of the membership in force.
+    pub(super) fn track_members(&mut self) {
+        let next = self.log.last().index.max(1);
+        let members = self.log.membership().1;
+        let progress = &mut self.leading.progress;
+        progress.retain(|id, _| members.get(*id).is_some());
+        for member in &members.members {
+            if member.id != self.id {
+                progress
+                    .entry(member.id)
+                    .or_insert_with(|| Progress::new(next));
+            }
+        }
+    }
+
+    pub(super) fn restart_progress(&mut self, id: ReplicaId) {
+        if let Some(progress) = self.leading.progress.get_mut(&id) {
+            progress.mode = Mode::Probe;
+            progress.next = progress.matched + 1;
+            progress.active = None;
+            self.leading.news = true;
+        }
+    }
+
+    /// Returns the instant of the latest message to which a quorum has replied.
+    pub(super) fn heard_quorum(&self, now: Instant) -> Option<Instant> {
+        let heard = self.log.membership().1.reached(|id| {
+            if id == self.id {
+                return Some(self.stamp(now));
+            }
+            self.leading.progress.get(&id).and_then(|p| p.heard)
+        });
+        Some(self.epoch + Duration::from_micros(heard??))
+    }
+
+    /// Returns until when no other replica can become leader, if this one is leader and its caller has taken an entry of its
+    /// term, so that the applied state is current.
+    #[must_use]
+    pub fn lease(&self, now: Instant) -> Option<Instant> {
+        let leads = self.role == Role::Leader && self.output.delivered() >= self.leading.first;
+        if !leads || self.leading.released || self.fault.is_some() {
+            return None;
+        }
+        let held = self
+            .settings
+            .election_min
+            .saturating_sub(self.settings.lease_margin);
+        let until = self.heard_quorum(now)? + held;
+        (until > now).then_some(until)
+    }
+
+    /// Returns until when the replica counts as in contact with a quorum, by its own or its leader's knowledge.
+    #[must_use]
+    pub fn quorum_until(&self, now: Instant) -> Option<Instant> {
+        match self.role {
+            Role::Leader => self.lease(now),
+            _ => self.quorum_until.filter(|until| *until > now),
+        }
+    }
+
+    /// Sends heartbeats, or steps down without a quorum.
+    pub(super) fn lead(&mut self, now: Instant) {
+        let heard = self.heard_quorum(now).unwrap_or(self.leading.since);
+        if now >= heard.max(self.leading.since) + self.settings.election_max {
+            return self.become_follower(now, self.hard.term);
+        }
+        self.deadline = now + self.settings.heartbeat;
+        self.reconcile(now);
+        self.pass_on(now);
+        let followers: Vec<_> = self.leading.progress.keys().copied().collect();
+        for id in followers {
+            self.send_heartbeat(now, id);
+            self.resend(now, id);
+        }
+    }
+
+    fn send_heartbeat(&mut self, now: Instant, to: ReplicaId) {
+        let Some(progress) = self.leading.progress.get(&to) else {
+            return;
+        };
+        let mut marks = self.hard.marks.clone();
+        marks.retain(|mark| mark.id != self.id);
+        marks.push(Mark {
+            id: self.id,
+            position: Position {
+                term: self.hard.term,
+                index: self.output.stable(),
+            },
+        });
+        let message = Message::Heartbeat {
+            term: self.hard.term,
+            commit: self.hard.commit.min(progress.matched),
+            quorum: self.lease(now).is_some(),
+            marks,
+            stamp: self.stamp(now),
+        };
+        self.output.send(to, message);
+    }
+
+    /// Sends again what was not acknowledged in time.
+    fn resend(&mut self, now: Instant, to: ReplicaId) {
+        let limit = self.settings.election_min;
+        let Some(progress) = self.leading.progress.get_mut(&to) else {
+            return;
+        };
+        if progress.active.is_some_and(|at| now >= at + limit) {
+            progress.active = None;
+            if progress.mode == Mode::Stream {
+                progress.mode = Mode::Probe;
+                progress.next = progress.matched + 1;
+            }
+        }
+        self.replicate(now, to);
+    }
+
+    /// Sends new entries and the new commit index.
+    pub(super) fn spread_news(&mut self, now: Instant) {
+        if self.role != Role::Leader || !std::mem::take(&mut self.leading.news) {
+            return;
+        }
+        let followers: Vec<_> = self.leading.progress.keys().copied().collect();
+        for id in followers {
+            if !self.replicate(now, id) {
+                self.send_heartbeat(now, id);
+            }
+        }
+    }
+
+    /// Sends what the follower lacks, as far as it may be sent now; returns whether anything was sent.
+    fn replicate(&mut self, now: Instant, to: ReplicaId) -> bool {
+        let mut sent = false;
+        while let Some(message) = self.next_message(now, to) {
+            self.output.send(to, message);
+            sent = true;
+        }
+        sent
+    }
+
+    fn next_message(&mut self, now: Instant, to: ReplicaId) -> Option<Message> {
+        let stamp = self.stamp(now);
+        let term = self.hard.term;
+        let last = self.log.last().index;
+        let progress = self.leading.progress.get_mut(&to)?;
+        let previous = progress.next - 1;
+        if !matches!(progress.mode, Mode::Snapshot { .. }) && self.log.term(previous).is_none() {
+            progress.mode = Mode::Snapshot {
+                snapshot: self.log.snapshot().clone(),
+                offset: 0,
+            };
+            progress.active = None;
+        }
+        let ahead = progress.next - progress.matched > self.settings.window;
+        match &progress.mode {
+            Mode::Snapshot { snapshot, offset } => {
+                if progress.active.is_some() {
+                    return None;
+                }
+                progress.active = Some(now);
+                let start = usize::try_from(*offset).unwrap_or(usize::MAX);
+                let end = start.saturating_add(self.settings.message_bytes);
+                let end = end.min(snapshot.data.len());
+                let done = end == snapshot.data.len();
+                return Some(Message::Snapshot {
+                    term,
+                    position: snapshot.position,
+                    members: snapshot.members.clone(),
+                    offset: *offset,
+                    size: done.then_some(end as u64),
+                    part: snapshot.data.get(start..end).unwrap_or_default().into(),
+                    stamp,
+                });
+            }
+            Mode::Probe if progress.active.is_some() => return None,
+            Mode::Stream if progress.next > last || ahead => return None,
+            Mode::Probe | Mode::Stream => {}
+        }
+        let entries = batch(
+            self.log.range(progress.next, last),
+            self.settings.message_bytes,
+        );
+        if progress.mode == Mode::Stream {
+            progress.next += entries.len() as u64;
+        }
+        progress.active.get_or_insert(now);
+        Some(Message::Append {
+            term,
+            previous: Position {
+                term: self.log.term(previous)?,
+                index: previous,
+            },
+            entries,
+            commit: self.hard.commit,
+            stamp,
+        })
+    }
+
+    fn heard(&mut self, from: ReplicaId, stamp: u64) -> Option<&mut Progress> {
+        if self.role != Role::Leader {
+            return None;
+        }
+        let progress = self.leading.progress.get_mut(&from)?;
+        progress.heard = progress.heard.max(Some(stamp));
+        Some(progress)
+    }
+
+    pub(super) fn acknowledged(
+        &mut self,
+        now: Instant,
+        from: ReplicaId,
+        matched: Result<u64, u64>,
+        stamp: u64,
+    ) {
+        let last = self.log.last().index;
+        let Some(progress) = self.heard(from, stamp) else {
+            return;
+        };
+        match matched {
+            Ok(matched) => {
+                let matched = matched.min(last);
+                progress.matched = progress.matched.max(matched);
+                progress.next = progress.next.max(progress.matched + 1);
+                let waits = match &progress.mode {
+                    Mode::Snapshot { snapshot, .. } => snapshot.position.index > matched,
+                    Mode::Probe | Mode::Stream => false,
+                };
+                if !waits {
+                    progress.mode = Mode::Stream;
+                    let open = progress.next > progress.matched + 1;
+                    progress.active = open.then_some(now);
+                }
+                let term = self.hard.term;
+                self.remember(
+                    from,
+                    Position {
+                        term,
+                        index: matched,
+                    },
+                );
+                self.advance(now);
+                self.pass_on(now);
+            }
+            // A hint at or after the probed place belongs to an earlier message.
+            Err(hint) if hint + 1 < progress.next => {
+                if matches!(progress.mode, Mode::Snapshot { .. }) {
+                    return;
+                }
+                progress.next = (hint + 1).max(progress.matched + 1);
+                progress.mode = Mode::Probe;
+                progress.active = None;
+            }
+            Err(_) => return,
+        }
+        self.replicate(now, from);
+    }
+
+    pub(super) fn heartbeat_answered(&mut self, now: Instant, from: ReplicaId, stamp: u64) {
+        if self.heard(from, stamp).is_some() {
+            self.replicate(now, from);
+        }
+    }
+
+    pub(super) fn part_received(
+        &mut self,
+        now: Instant,
+        from: ReplicaId,
+        position: Position,
+        received: u64,
+        stamp: u64,
+    ) {
+        let Some(progress) = self.heard(from, stamp) else {
+            return;
+        };
+        if let Mode::Snapshot { snapshot, offset } = &mut progress.mode
+            && snapshot.position == position
+            && *offset != received
+        {
+            *offset = received;
+            progress.active = None;
+            self.replicate(now, from);
+        }
+    }
+
+    /// Commits what a quorum has stored, if the last of it is of the current term.
+    pub(super) fn advance(&mut self, now: Instant) {
+        let members = self.log.membership().1;
+        let reached = members.reached(|id| {
+            if id == self.id {
+                return self.output.stable();
+            }
+            self.leading.progress.get(&id).map_or(0, |p| p.matched)
+        });
+        let reached = reached.unwrap_or(0);
+        if reached > self.hard.commit && self.log.term(reached) == Some(self.hard.term) {
+            self.hard.commit = reached;
+            self.leading.news = true;
+            self.leave_if_removed(now);
+        }
+    }
+}
+
+/// Returns copies of the first entries, up to a size but at least one.
+fn batch<'a>(entries: impl Iterator<Item = &'a Entry>, limit: usize) -> Vec<Entry> {
+    let mut size = 0;
+    let fitting = entries.take_while(|entry| {
+        let first = size == 0;
+        size += 32 + entry.payload.size();
+        first || size <= limit
+    });
+    fitting.cloned().collect()
+}
--- /dev/null
+++ b/crates/consensus/src/settings.rs
@@ -0,0 +1,36 @@
+//! Timing and limits of a replica.
+
+use std::time::Duration;
+
+/// Timing and limits, the same at every replica of a group.
+#[derive(Clone, Copy, Debug)]
+pub struct Settings {
+    /// Time between a leader's heartbeats.
+    pub heartbeat: Duration,
+    /// Least time without a leader before an election. A replica that heard a leader more recently grants no vote.
+    pub election_min: Duration,
+    /// Greatest time without a leader before an election; also the time after which a leader without quorum steps down.
+    pub election_max: Duration,
+    /// Subtracted from [`Settings::election_min`] for the leader's lease, for clocks that run at different rates.
+    pub lease_margin: Duration,
+    /// Greatest size of the entries in one message, and of one part of a snapshot, in bytes.
+    pub message_bytes: usize,
+    /// Entries that a leader sends ahead of a follower's acknowledgement.
+    pub window: u64,
+    /// Time after which a joining replica may take the place of a silent voter of the same name.
+    pub replace_after: Duration,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            heartbeat: Duration::from_millis(75),
+            election_min: Duration::from_millis(300),
+            election_max: Duration::from_millis(600),
+            lease_margin: Duration::from_millis(50),
+            message_bytes: 1024 * 1024,
+            window: 4_096,
+            replace_after: Duration::from_secs(5),
+        }
+    }
+}
