--- /dev/null
+++ b/crates/storage/src/store.rs
@@ -0,0 +1,103 @@
+//! Stored state of one replica: a snapshot and the log after it.
+
+use std::path::{Path, PathBuf};
+
+use chestnutvalve_consensus::Write;
+
+use crate::disk::Disk;
+use crate::error::Error;
+use crate::snapshot;
+use crate::wal::{Batch, Wal};
+
+pub use chestnutvalve_consensus::Restored;
+
+/// Stored state of one replica.
+#[derive(Debug)]
+pub struct Store {
+    path: PathBuf,
+    wal: Wal,
+    disk: Disk,
+    failed: bool,
+}
+
+impl Store {
+    /// Opens or creates the stored state in the folder `path`.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Corrupt`] for a damaged file, and errors of the operating system.
+    pub fn open(path: &Path, mut disk: Disk) -> Result<(Self, Restored), Error> {
+        let snapshot = snapshot::load(&path.join("snapshot"))?;
+        let log = path.join("log");
+        let exists = log.try_exists().map_err(Error::io("opening", &log))?;
+        if !exists && snapshot.position.index > 0 {
+            return Err(Error::Corrupt {
+                file: log,
+                offset: 0,
+                what: "the log of the snapshot is missing",
+            });
+        }
+        let (wal, batches) = if exists {
+            Wal::open(&log, &mut disk)?
+        } else {
+            (
+                Wal::replace(&log, &Batch::default(), &mut disk)?,
+                Vec::new(),
+            )
+        };
+        let mut restored = Restored {
+            snapshot,
+            ..Restored::default()
+        };
+        for batch in batches {
+            if let Some(hard) = batch.hard {
+                restored.hard = hard;
+            }
+            if let Some(first) = batch.entries.first() {
+                let index = first.position.index;
+                let kept = restored
+                    .entries
+                    .partition_point(|entry| entry.position.index < index);
+                restored.entries.truncate(kept);
+                restored.entries.extend(batch.entries);
+            }
+        }
+        let store = Self {
+            path: path.to_owned(),
+            wal,
+            disk,
+            failed: false,
+        };
+        Ok((store, restored))
+    }
+
+    /// Makes a write durable.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the operating system. Every later write fails too, because a failed sync may have dropped data
+    /// that a later sync would report as durable.
+    pub fn write(&mut self, write: Write) -> Result<(), Error> {
+        if self.failed {
+            return Err(Error::Failed(self.path.clone()));
+        }
+        let outcome = self.store(write);
+        self.failed = outcome.is_err();
+        outcome
+    }
+
+    fn store(&mut self, write: Write) -> Result<(), Error> {
+        let batch = Batch {
+            hard: write.hard,
+            entries: write.entries,
+        };
+        match write.snapshot {
+            Some(snapshot) => {
+                snapshot::save(&self.path.join("snapshot"), &snapshot, &mut self.disk)?;
+                self.wal = Wal::replace(&self.path.join("log"), &batch, &mut self.disk)?;
+                Ok(())
+            }
+            None => self.wal.append(&batch, &mut self.disk),
+        }
+    }
+}
