Run replicas over the internal protocol

replica::start takes the network, the data directory, disk operations and options besides the machine. The group forms when all first voters answer; the one with the smallest name writes the first membership, so that two differing ones can't exist. Followers pass proposals on to the leader.

--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -1,7 +1,20 @@
 //! Driver of one replica of a replicated log: it carries out the actions of the consensus state machine.
 
-use chestnutvalve_model::error::{Fault, Kind};
-use tokio::sync::{mpsc, oneshot};
+mod driver;
+mod handle;
+mod join;
+mod link;
+pub mod network;
+pub mod options;
+
+use std::sync::Arc;
+
+use chestnutvalve_model::error::Fault;
+use chestnutvalve_storage::{Directory, Disk, Error};
+
+pub use handle::Handle;
+pub use network::Network;
+pub use options::Options;
 
 /// A committed command, as the state machine sees it.
 #[derive(Clone, Copy, Debug)]
@@ -59,63 +72,30 @@
     pub quorum: bool,
 }
 
-struct Proposal {
-    command: Vec<u8>,
-    done: oneshot::Sender<Vec<u8>>,
-}
-
-/// Handle of a running replica.
-#[derive(Clone, Debug)]
-pub struct Handle {
-    proposals: mpsc::Sender<Proposal>,
-}
-
-impl Handle {
-    /// Proposes a command, on any replica, and waits until it is committed and applied; returns the machine's result.
-    ///
-    /// # Errors
-    ///
-    /// Returns [`Kind::NoQuorum`] when the command was certainly not appended, and [`Kind::ChangeUnconfirmed`] when that is
-    /// not known.
-    pub async fn propose(&self, command: Vec<u8>) -> Result<Vec<u8>, Fault> {
-        let (done, result) = oneshot::channel();
-        let sent = self.proposals.send(Proposal { command, done }).await;
-        sent.map_err(|_| Fault::new(Kind::NoQuorum, "replica has stopped"))?;
-        result
-            .await
-            .map_err(|_| Fault::new(Kind::ChangeUnconfirmed, "replica has stopped"))
-    }
-
-    /// Returns what the replica knows of its group.
-    #[must_use]
-    pub fn status(&self) -> Status {
-        Status {
-            role: Role::Leader,
-            term: 1,
-            leader: None,
-            commit: 0,
-            applied: 0,
-            quorum: true,
-        }
-    }
-}
-
-/// Starts a replica that is alone in its group and keeps its log in memory.
-#[must_use]
-pub fn start(mut machine: Machine) -> Handle {
-    let (proposals, mut received) = mpsc::channel::<Proposal>(1_024);
-    tokio::spawn(async move {
-        let mut index = 0;
-        while let Some(proposal) = received.recv().await {
-            index += 1;
-            let committed = Committed {
-                index,
-                term: 1,
-                command: &proposal.command,
-            };
-            // A proposer that has gone away needs no result.
-            let _ = proposal.done.send((machine.apply)(committed));
-        }
-    });
-    Handle { proposals }
+/// Starts a replica. Its group forms once all first voters run; a replica with an empty data directory joins a group that
+/// exists. The replica stops when [`Handle::stop`] is called or all handles are dropped.
+///
+/// # Errors
+///
+/// Returns the error of the stored state.
+///
+/// # Panics
+///
+/// Panics outside a `tokio` runtime.
+pub fn start(
+    network: &Network,
+    directory: &Arc<Directory>,
+    disk: Disk,
+    options: Options,
+    machine: Machine,
+) -> Result<Handle, Error> {
+    let (store, restored) = directory.group(&options.group, disk)?;
+    driver::spawn(
+        network,
+        Arc::clone(directory),
+        store,
+        restored,
+        options,
+        machine,
+    )
 }
--- /dev/null
+++ b/crates/control/tests/replica/cluster.rs
@@ -0,0 +1,191 @@
+//! A group of replicas in one process, each with its own listener and data directory.
+
+use std::path::PathBuf;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use chestnutvalve_control::replica::options::Peer;
+use chestnutvalve_control::replica::{self, Handle, Machine, Network, Options, Role};
+use chestnutvalve_storage::{Directory, Disk};
+use chestnutvalve_wire::{Router, Server};
+use tokio::task::JoinHandle;
+use tokio::time::Instant;
+
+pub type Commands = Arc<Mutex<Vec<Vec<u8>>>>;
+
+/// One running instance; its machine keeps all commands.
+pub struct Instance {
+    pub handle: Handle,
+    pub commands: Commands,
+    server: JoinHandle<()>,
+}
+
+pub struct Cluster {
+    pub folder: tempfile::TempDir,
+    pub peers: Vec<Peer>,
+    pub instances: Vec<Option<Instance>>,
+}
+
+pub fn machine() -> (Machine, Commands) {
+    let commands = Commands::default();
+    let (apply, save, restore) = (commands.clone(), commands.clone(), commands.clone());
+    let machine = Machine {
+        apply: Box::new(move |committed| {
+            let mut commands = apply.lock().unwrap();
+            commands.push(committed.command.to_vec());
+            commands.len().to_le_bytes().to_vec()
+        }),
+        save: Box::new(move || {
+            let commands = save.lock().unwrap();
+            let mut bytes = Vec::new();
+            for command in commands.iter() {
+                bytes.extend_from_slice(&u32::try_from(command.len()).unwrap().to_le_bytes());
+                bytes.extend_from_slice(command);
+            }
+            bytes
+        }),
+        restore: Box::new(move |mut bytes| {
+            let mut commands = restore.lock().unwrap();
+            commands.clear();
+            while let Some((size, rest)) = bytes.split_first_chunk::<4>() {
+                let (command, rest) = rest.split_at(u32::from_le_bytes(*size) as usize);
+                commands.push(command.to_vec());
+                bytes = rest;
+            }
+            Ok(())
+        }),
+    };
+    (machine, commands)
+}
+
+impl Cluster {
+    pub async fn start(size: usize) -> Self {
+        let folder = tempfile::tempdir().unwrap();
+        let mut servers = Vec::new();
+        let mut peers = Vec::new();
+        for number in 0..size {
+            let server = Server::bind("127.0.0.1:0".parse().unwrap()).await.unwrap();
+            peers.push(Peer {
+                name: format!("c{number}"),
+                address: server.address().unwrap(),
+            });
+            servers.push(server);
+        }
+        let mut cluster = Self {
+            folder,
+            peers,
+            instances: Vec::new(),
+        };
+        for (number, server) in servers.into_iter().enumerate() {
+            let instance = cluster.launch(number, server, Disk::default(), |options| options);
+            cluster.instances.push(Some(instance.unwrap()));
+        }
+        cluster
+    }
+
+    pub fn path(&self, number: usize) -> PathBuf {
+        self.folder.path().join(format!("c{number}"))
+    }
+
+    fn launch(
+        &self,
+        number: usize,
+        server: Server,
+        disk: Disk,
+        adapt: impl Fn(Options) -> Options,
+    ) -> Result<Instance, chestnutvalve_storage::Error> {
+        let directory = Directory::open(&self.path(number), &mut Disk::default())?;
+        let address = server.address().unwrap();
+        let options = Options::new("test", &format!("c{number}"), address);
+        let options = adapt(options.with_members(self.peers.clone()));
+        let network = Network::default();
+        let (machine, commands) = machine();
+        let handle = replica::start(&network, &Arc::new(directory), disk, options, machine)?;
+        let server = tokio::spawn(server.serve(network.route(Router::default())));
+        Ok(Instance {
+            handle,
+            commands,
+            server,
+        })
+    }
+
+    /// Starts an instance again, or a further one.
+    pub async fn restart_with(
+        &mut self,
+        number: usize,
+        disk: Disk,
+        adapt: impl Fn(Options) -> Options,
+    ) -> Result<(), chestnutvalve_storage::Error> {
+        let known = self.peers.get(number).map(|peer| peer.address);
+        let address = known.unwrap_or_else(|| "127.0.0.1:0".parse().unwrap());
+        let server = Server::bind(address).await.unwrap();
+        let instance = self.launch(number, server, disk, adapt)?;
+        self.instances
+            .resize_with(self.instances.len().max(number + 1), || None);
+        self.instances[number] = Some(instance);
+        Ok(())
+    }
+
+    pub async fn restart(&mut self, number: usize) {
+        self.restart_with(number, Disk::default(), |options| options)
+            .await
+            .unwrap();
+    }
+
+    /// Ends an instance without a hand-over.
+    pub async fn crash(&mut self, number: usize) {
+        let instance = self.instances[number].take().unwrap();
+        instance.server.abort();
+        instance.handle.abort().await;
+        let _ = instance.server.await;
+    }
+
+    /// Ends an instance as a planned stop does.
+    pub async fn stop(&mut self, number: usize) {
+        let instance = self.instances[number].take().unwrap();
+        instance.handle.stop().await;
+        instance.server.abort();
+        let _ = instance.server.await;
+    }
+
+    pub fn handle(&self, number: usize) -> &Handle {
+        &self.instances[number].as_ref().unwrap().handle
+    }
+
+    pub fn commands(&self, number: usize) -> Vec<Vec<u8>> {
+        let instance = self.instances[number].as_ref().unwrap();
+        instance.commands.lock().unwrap().clone()
+    }
+
+    pub fn leader(&self) -> Option<usize> {
+        self.instances.iter().position(|instance| {
+            let handle = instance.as_ref().map(|instance| &instance.handle);
+            handle.is_some_and(|h| h.status().role == Role::Leader && h.lease())
+        })
+    }
+
+    pub async fn wait_leader(&self) -> usize {
+        wait("a leader with a lease", || self.leader()).await
+    }
+
+    /// Waits until an instance has applied as many commands as given.
+    pub async fn wait_commands(&self, number: usize, count: usize) {
+        let instance = self.instances[number].as_ref().unwrap();
+        wait("commands at a replica", || {
+            (instance.commands.lock().unwrap().len() >= count).then_some(())
+        })
+        .await;
+    }
+}
+
+/// Polls until there is a value, for at most 10 s.
+pub async fn wait<T>(what: &str, poll: impl Fn() -> Option<T>) -> T {
+    let end = Instant::now() + Duration::from_secs(10);
+    loop {
+        if let Some(value) = poll() {
+            return value;
+        }
+        assert!(Instant::now() < end, "waited too long for {what}");
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
--- /dev/null
+++ b/crates/control/tests/replica/main.rs
@@ -0,0 +1,4 @@
+//! Replicas over loopback connections and real files.
+
+mod cluster;
+mod failover;
