Add the control daemon and the first operator commands

Cause: entries need a control instance to follow, and operators a way to change the configuration, before the replicated log is finished.

Ruled out: a strict comparison of the expected version with that of the whole state, because every entry that joins or leaves raises it and would refuse an operator's change that conflicts with nothing; the comparison is with the last accepted change. Storing the results of refused changes, because a refused change stays refused while versions grow.

Conclusion: the daemon serves changes, watches, heartbeats and status on the in-memory replica; the replicated log replaces it behind the same handle.

--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -1,1 +1,53 @@
-//! Placeholder.
+//! Operators' command line.
+
+use std::ffi::OsString;
+use std::process::ExitCode;
+
+pub mod arguments;
+pub mod config;
+pub mod edits;
+pub mod error;
+pub mod http;
+pub mod output;
+pub mod status;
+pub mod wait;
+
+pub use error::Error;
+
+/// Runs the command line and returns the exit code of the process.
+pub async fn run<I>(arguments: I) -> ExitCode
+where
+    I: IntoIterator<Item = OsString>,
+{
+    let matches = match arguments::command().try_get_matches_from(arguments) {
+        Ok(matches) => matches,
+        Err(error) => {
+            // A closed standard output leaves nothing to report to.
+            let _ = error.print();
+            let code = if error.use_stderr() { error::USAGE } else { 0 };
+            return ExitCode::from(code);
+        }
+    };
+    match dispatch(&matches).await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            output::problem(&error);
+            ExitCode::from(error.code())
+        }
+    }
+}
+
+async fn dispatch(matches: &clap::ArgMatches) -> Result<(), Error> {
+    let client = http::Client::new(matches)?;
+    match matches.subcommand() {
+        Some(("config", config)) => match config.subcommand() {
+            Some(("show", show)) => config::show(&client, show).await,
+            Some(("diff", diff)) => config::diff(&client, diff).await,
+            Some(("apply", apply)) => config::apply(&client, apply).await,
+            Some(("history", history)) => config::history(&client, history).await,
+            _ => Err(Error::Usage("expected a subcommand of config".to_owned())),
+        },
+        Some(("status", show)) => status::show(&client, show).await,
+        _ => Err(Error::Usage("expected a subcommand".to_owned())),
+    }
+}
--- /dev/null
+++ b/crates/control/src/codec.rs
@@ -0,0 +1,34 @@
+//! Encoding of commands, results and snapshots of the replicated state machines.
+
+use bincode::config::{Configuration, Limit, LittleEndian, Varint};
+use chestnutvalve_model::error::{Fault, Kind};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+/// Largest encoded value; it bounds what a decoder allocates for a forged length.
+const MAX_BYTES: usize = 256 * 1024 * 1024;
+
+const CODEC: Configuration<LittleEndian, Varint, Limit<MAX_BYTES>> =
+    bincode::config::standard().with_limit::<MAX_BYTES>();
+
+/// Encodes a value.
+///
+/// # Panics
+///
+/// Panics for a type that bincode can't represent; the types of the state machines have none.
+pub fn encode<T: Serialize>(value: &T) -> Vec<u8> {
+    bincode::serde::encode_to_vec(value, CODEC).expect("state machine types can be encoded")
+}
+
+/// Decodes exactly one value.
+///
+/// # Errors
+///
+/// Returns [`Kind::Internal`] when the bytes are not one value of type `T`.
+pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, Fault> {
+    match bincode::serde::decode_from_slice(bytes, CODEC) {
+        Ok((value, used)) if used == bytes.len() => Ok(value),
+        Ok(_) => Err(Fault::new(Kind::Internal, "bytes after the encoded value")),
+        Err(error) => Err(Fault::new(Kind::Internal, format!("decoding: {error}"))),
+    }
+}
--- /dev/null
+++ b/crates/control/src/daemon.rs
@@ -0,0 +1,106 @@
+//! The daemon: kernel services around one [`Instance`].
+
+use std::sync::Arc;
+
+use chestnutvalve_kernel::{Registry, Service, Shutdown, registry, service::Failure, shutdown};
+
+use crate::settings::Settings;
+
+pub mod directory;
+pub mod heartbeats;
+pub mod instance;
+pub mod internal;
+pub mod operators;
+pub mod peers;
+pub mod replicas;
+pub mod status;
+pub mod token;
+pub mod watch;
+
+pub use instance::Instance;
+pub use token::Token;
+
+/// A daemon that could not start or run.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// A wrong field of the settings.
+    #[error(transparent)]
+    Settings(#[from] chestnutvalve_model::config::Invalid),
+    /// The token file can't be used.
+    #[error(transparent)]
+    Token(#[from] token::Error),
+    /// The metrics can't be set up.
+    #[error(transparent)]
+    Metrics(#[from] chestnutvalve_telemetry::metrics::Error),
+    /// A service failed to start or stop.
+    #[error(transparent)]
+    Registry(#[from] registry::Error),
+    /// The signal handlers can't be installed.
+    #[error("signals: {0}")]
+    Signals(std::io::Error),
+}
+
+/// Runs a control instance until SIGTERM or SIGINT.
+///
+/// # Errors
+///
+/// Returns the first error; running services are stopped before.
+pub async fn run(settings: Settings) -> Result<(), Error> {
+    let mut registry = Registry::default();
+    register(&mut registry, settings)?;
+    registry.start().await?;
+    spdlog::info!("control instance serves");
+    let signal = shutdown::signal_received().await;
+    spdlog::info!("control instance stops");
+    registry.stop().await?;
+    signal.map_err(Error::Signals)
+}
+
+/// Registers the services of a control instance, in the order in which they must start.
+///
+/// # Errors
+///
+/// Returns an error for wrong settings, an unusable token file or a name that is taken.
+pub fn register(registry: &mut Registry, settings: Settings) -> Result<Arc<Instance>, Error> {
+    settings.check()?;
+    let token = Token::read(&settings.token_file)?;
+    let instance = Arc::new(Instance::new(settings, token)?);
+    registry.register(replicas::service(&instance))?;
+    registry.register(internal::service(&instance))?;
+    registry.register(operators::service(&instance))?;
+    registry.register(directory::service(&instance))?;
+    Ok(instance)
+}
+
+/// Builds a service whose task runs until the shutdown is requested.
+///
+/// `prepare` returns when the service is usable, for example when its address is bound; the task does the rest.
+fn task<F, Fut, Run>(name: &'static str, instance: &Arc<Instance>, prepare: F) -> Service
+where
+    F: FnOnce(Arc<Instance>, Shutdown) -> Fut + Send + 'static,
+    Fut: Future<Output = Result<Run, Failure>> + Send + 'static,
+    Run: Future<Output = ()> + Send + 'static,
+{
+    let shutdown = Shutdown::default();
+    let running = Arc::new(tokio::sync::Mutex::new(None));
+    let start = {
+        let (instance, shutdown) = (Arc::clone(instance), shutdown.clone());
+        let running = Arc::clone(&running);
+        move || async move {
+            let run = prepare(instance, shutdown).await?;
+            *running.lock().await = Some(tokio::spawn(run));
+            Ok(())
+        }
+    };
+    let stop = move || async move {
+        shutdown.request();
+        let task = running.lock().await.take();
+        match task {
+            Some(task) => task.await.map_err(|e| Failure(e.to_string())),
+            None => Ok(()),
+        }
+    };
+    Service::new(name, Arc::clone(instance))
+        .on_start(start)
+        .on_stop(stop)
+}
--- /dev/null
+++ b/crates/control/src/daemon/instance.rs
@@ -0,0 +1,194 @@
+//! What the services of a control instance share.
+
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError, RwLock, RwLockReadGuard};
+use std::time::Duration;
+
+use chestnutvalve_model::config::Change;
+use chestnutvalve_model::error::{Fault, Kind};
+use chestnutvalve_model::version::Version;
+use chestnutvalve_telemetry::metrics::Metrics;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tokio::sync::watch;
+use tokio::time::timeout;
+
+use super::heartbeats::Heartbeats;
+use super::peers::Peers;
+use super::{Error, Token};
+use crate::codec;
+use crate::replica::{Committed, Handle, Machine, Role, Status};
+use crate::settings::Settings;
+use crate::state::{Command, Outcome, Store};
+
+/// Time for a proposal to be committed and applied.
+const PROPOSE_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Shared state of one control instance.
+#[derive(Debug)]
+pub struct Instance {
+    /// Settings, checked.
+    pub settings: Settings,
+    /// Token of the operators.
+    pub token: Token,
+    /// Metrics of the process.
+    pub metrics: Metrics,
+    /// The other control instances.
+    pub peers: Peers,
+    store: Arc<RwLock<Store>>,
+    versions: watch::Sender<Version>,
+    heartbeats: Mutex<Heartbeats>,
+    config: OnceLock<Handle>,
+}
+
+impl Instance {
+    /// Creates the instance; its services are not started yet.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the metrics can't be set up.
+    pub fn new(settings: Settings, token: Token) -> Result<Self, Error> {
+        Ok(Self {
+            peers: Peers::new(&settings.members),
+            settings,
+            token,
+            metrics: Metrics::new()?,
+            store: Arc::default(),
+            versions: watch::Sender::new(Version::ZERO),
+            heartbeats: Mutex::default(),
+            config: OnceLock::new(),
+        })
+    }
+
+    /// Returns the replicated state as far as this instance has applied it.
+    pub fn store(&self) -> RwLockReadGuard<'_, Store> {
+        self.store.read().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns the heartbeats that this instance keeps while it leads the config group.
+    pub fn heartbeats(&self) -> MutexGuard<'_, Heartbeats> {
+        let heartbeats = self.heartbeats.lock();
+        heartbeats.unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns a receiver of the applied version.
+    pub fn versions(&self) -> watch::Receiver<Version> {
+        self.versions.subscribe()
+    }
+
+    /// Returns the state machine of the config group over this instance's state.
+    pub fn machine(&self) -> Machine {
+        let (applied, saved) = (Arc::clone(&self.store), Arc::clone(&self.store));
+        let restored = Arc::clone(&self.store);
+        let (after_apply, after_restore) = (self.versions.clone(), self.versions.clone());
+        let announce = |versions: &watch::Sender<Version>, version: Version| {
+            versions.send_if_modified(|v| std::mem::replace(v, version) != version);
+        };
+        Machine {
+            apply: Box::new(move |committed: Committed<'_>| {
+                let mut store = applied.write().unwrap_or_else(PoisonError::into_inner);
+                let result = store.apply(committed);
+                announce(&after_apply, store.state().version);
+                result
+            }),
+            save: Box::new(move || saved.read().unwrap_or_else(PoisonError::into_inner).save()),
+            restore: Box::new(move |snapshot| {
+                let mut store = restored.write().unwrap_or_else(PoisonError::into_inner);
+                store.restore(snapshot)?;
+                announce(&after_restore, store.state().version);
+                Ok(())
+            }),
+        }
+    }
+
+    /// Sets the running replica of the config group.
+    pub fn set_config(&self, handle: Handle) {
+        // The service that starts the replica runs once, so that the cell is empty.
+        let _ = self.config.set(handle);
+    }
+
+    /// Returns the replica of the config group.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Kind::NoQuorum`] before the replica has started.
+    pub fn config(&self) -> Result<&Handle, Fault> {
+        let missing = || Fault::new(Kind::NoQuorum, "the replica has not started yet");
+        self.config.get().ok_or_else(missing)
+    }
+
+    /// Returns what this instance knows of the config group, `None` before its replica has started.
+    #[must_use]
+    pub fn status(&self) -> Option<Status> {
+        self.config.get().map(Handle::status)
+    }
+
+    /// Returns whether this instance is out of contact with a quorum.
+    #[must_use]
+    pub fn is_stale(&self) -> bool {
+        self.status().is_none_or(|s| !s.quorum)
+    }
+
+    /// Returns the term in which this instance leads the config group with a quorum behind it.
+    #[must_use]
+    pub fn leads(&self) -> Option<u64> {
+        let status = self.status()?;
+        (status.role == Role::Leader && status.quorum).then_some(status.term)
+    }
+
+    /// Proposes a command of the config group.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Kind::NoQuorum`] when it was certainly not appended and [`Kind::ChangeUnconfirmed`] when that is not known.
+    pub async fn propose<A: DeserializeOwned>(&self, command: &Command) -> Result<A, Fault> {
+        let proposed = self.config()?.propose(codec::encode(command));
+        let unconfirmed = |_| Fault::new(Kind::ChangeUnconfirmed, "not committed in time");
+        let result = timeout(PROPOSE_TIMEOUT, proposed).await;
+        codec::decode(&result.map_err(unconfirmed)??)
+    }
+
+    /// Applies a change of the configuration.
+    ///
+    /// What this instance already knows to be refused is not proposed. It may lag behind, so that everything else is
+    /// checked when the change is applied.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal with its kind.
+    pub async fn change(&self, change: Change) -> Outcome {
+        {
+            let store = self.store();
+            match store.check(&change) {
+                Ok(Some(first)) => return Ok(first),
+                Ok(None) => {
+                    let edited = store.state().document.edited(&change.edits);
+                    edited.map_err(|e| Fault::new(Kind::InvalidChange, e.to_string()))?;
+                }
+                Err(refusal) if change.expected <= store.changed() => return Err(refusal),
+                Err(refusal) if refusal.fault.kind == Kind::InvalidChange => return Err(refusal),
+                Err(_) => {}
+            }
+        }
+        self.propose::<Outcome>(&Command::Change(change)).await?
+    }
+
+    /// Calls the leader of the config group.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Kind::NoQuorum`] when no leader is known or it can't be reached.
+    pub async fn call_leader<Q: Serialize, A: DeserializeOwned>(
+        &self,
+        path: &str,
+        message: &Q,
+        limit: Duration,
+    ) -> Result<A, Fault> {
+        let unknown = || Fault::new(Kind::NoQuorum, "no leader of the config group is known");
+        let leader = self.status().and_then(|s| s.leader).ok_or_else(unknown)?;
+        if leader == self.settings.control.as_str() {
+            let context = "this instance leads, but has no quorum yet";
+            return Err(Fault::new(Kind::NoQuorum, context));
+        }
+        self.peers.call(&leader, path, message, limit).await
+    }
+}
--- /dev/null
+++ b/crates/control/src/daemon/operators.rs
@@ -0,0 +1,198 @@
+//! Service of the operators' HTTP interface.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use chestnutvalve_kernel::Service;
+use chestnutvalve_kernel::service::Failure;
+use chestnutvalve_model::config::Change;
+use chestnutvalve_model::error::{Fault, Kind};
+use poem::endpoint::make;
+use poem::http::{StatusCode, header};
+use poem::listener::TcpAcceptor;
+use poem::{Endpoint, IntoEndpoint, Request, Response, Route, get, post};
+use serde::Serialize;
+use serde_json::{Value, json};
+use tokio::net::TcpListener;
+use tokio::time::timeout;
+
+use super::{Instance, status, task};
+use crate::state::Refusal;
+
+/// Name of the service.
+pub const NAME: &str = "operators";
+/// Largest body of a request.
+pub const MAX_BODY_BYTES: usize = 4 * 1024 * 1024;
+/// Time for an operator to send the whole body.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time after which an idle connection is closed.
+const IDLE_TIMEOUT: Duration = Duration::from_mins(1);
+/// Time for requests in progress when the service stops.
+const STOP_TIMEOUT: Duration = Duration::from_secs(2);
+/// Changes that a history answer lists unless the request states a limit.
+const HISTORY_LIMIT: usize = 50;
+
+type Answer = Result<Value, Refusal>;
+
+/// Builds the service.
+#[must_use]
+pub fn service(instance: &Arc<Instance>) -> Service {
+    task(NAME, instance, |instance, shutdown| async move {
+        let address = instance.settings.operators;
+        let failed = |e: std::io::Error| Failure(format!("operators {address}: {e}"));
+        let listener = TcpListener::bind(address).await.map_err(failed)?;
+        let acceptor = TcpAcceptor::from_tokio(listener).map_err(failed)?;
+        let server = poem::Server::new_with_acceptor(acceptor).idle_timeout(IDLE_TIMEOUT);
+        Ok(async move {
+            let requested = async move { shutdown.requested().await };
+            let limit = Some(STOP_TIMEOUT);
+            let ended = server.run_with_graceful_shutdown(routes(&instance), requested, limit);
+            if let Err(error) = ended.await {
+                spdlog::error!("operators: {error}");
+            }
+        })
+    })
+}
+
+fn routes(instance: &Arc<Instance>) -> impl IntoEndpoint<Endpoint: 'static> + use<> {
+    Route::new()
+        .at("/v1/config", get(endpoint(instance, config)))
+        .at("/v1/changes", post(endpoint(instance, change)))
+        .at("/v1/history", get(endpoint(instance, history)))
+        .at("/v1/status", get(endpoint(instance, overview)))
+        .at("/metrics", get(metrics(instance)))
+}
+
+fn endpoint<F, Fut>(instance: &Arc<Instance>, handler: F) -> impl Endpoint + 'static + use<F, Fut>
+where
+    F: Fn(Arc<Instance>, Request) -> Fut + Send + Sync + 'static,
+    Fut: Future<Output = Answer> + Send + 'static,
+{
+    let instance = Arc::clone(instance);
+    make(move |request| {
+        let answer = handler(Arc::clone(&instance), request);
+        async move {
+            match answer.await {
+                Ok(value) => response(StatusCode::OK, &value),
+                Err(refusal) => refused(&refusal),
+            }
+        }
+    })
+}
+
+fn response(status: StatusCode, value: &Value) -> Response {
+    Response::builder()
+        .status(status)
+        .content_type("application/json")
+        .body(value.to_string())
+}
+
+fn refused(refusal: &Refusal) -> Response {
+    let answer = refusal.fault.kind.answer();
+    let mut body = json!({
+        "code": answer.code,
+        "executed": answer.executed,
+        "retry": answer.retry,
+        "context": refusal.fault.context,
+    });
+    if let Some(current) = &refusal.current {
+        body["current"] = json!(current);
+        body["difference"] = json!(refusal.difference);
+    }
+    let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    response(status, &body)
+}
+
+fn value<T: Serialize>(body: &T) -> Answer {
+    let value = serde_json::to_value(body);
+    value.map_err(|e| Fault::new(Kind::Internal, e.to_string()).into())
+}
+
+async fn config(instance: Arc<Instance>, _request: Request) -> Answer {
+    let stale = instance.is_stale();
+    let store = instance.store();
+    let document = &store.state().document;
+    value(&json!({ "version": store.changed(), "document": document, "stale": stale }))
+}
+
+async fn change(instance: Arc<Instance>, request: Request) -> Answer {
+    authorize(&instance, &request)?;
+    let change: Change = read(request).await?;
+    let (id, author) = (change.id.clone(), change.author.clone());
+    let outcome = instance.change(change).await;
+    match &outcome {
+        Ok(version) => spdlog::info!("change {id:?} of {author:?} accepted at {version}"),
+        Err(refusal) => spdlog::info!("change {id:?} of {author:?} refused: {refusal}"),
+    }
+    Ok(json!({ "version": outcome? }))
+}
+
+fn authorize(instance: &Instance, request: &Request) -> Result<(), Fault> {
+    let given = request.headers().get(header::AUTHORIZATION);
+    if given.is_some_and(|g| instance.token.admits(g.as_bytes())) {
+        return Ok(());
+    }
+    let context = "expected the header authorization: Bearer TOKEN with the operators' token";
+    Err(Fault::new(Kind::Unauthorized, context))
+}
+
+async fn read<T: serde::de::DeserializeOwned>(request: Request) -> Result<T, Fault> {
+    let body = request.into_body().into_bytes_limit(MAX_BODY_BYTES);
+    let late = |_| Fault::new(Kind::BadRequest, "the body was not sent in time");
+    let body = timeout(BODY_TIMEOUT, body).await.map_err(late)?;
+    let body = body.map_err(|e| match e {
+        poem::error::ReadBodyError::PayloadTooLarge => {
+            Fault::new(Kind::TooLarge, format!("body above {MAX_BODY_BYTES} bytes"))
+        }
+        e => Fault::new(Kind::BadRequest, e.to_string()),
+    })?;
+    let text = std::str::from_utf8(&body);
+    let text = text.map_err(|e| Fault::new(Kind::BadRequest, e.to_string()))?;
+    let parsed = chestnutvalve_telemetry::settings::parse(text, std::path::Path::new("body"));
+    parsed.map_err(|e| Fault::new(Kind::BadRequest, e.to_string()))
+}
+
+async fn history(instance: Arc<Instance>, request: Request) -> Answer {
+    let limit = limit(request.uri().query().unwrap_or_default())?;
+    let store = instance.store();
+    let newest = store.history().accepted().iter().rev().take(limit);
+    let listed = newest.map(|accepted| {
+        let change = &accepted.change;
+        json!({
+            "version": accepted.version,
+            "id": change.id,
+            "author": change.author,
+            "reason": change.reason,
+            "edits": change.edits,
+        })
+    });
+    Ok(listed.collect())
+}
+
+fn limit(query: &str) -> Result<usize, Fault> {
+    if query.is_empty() {
+        return Ok(HISTORY_LIMIT);
+    }
+    let limit = query.strip_prefix("limit=").and_then(|l| l.parse().ok());
+    let context = || format!("query {query:?}: expected limit=N");
+    limit.ok_or_else(|| Fault::new(Kind::BadRequest, context()))
+}
+
+async fn overview(instance: Arc<Instance>, _request: Request) -> Answer {
+    value(&status::overview(&instance).await)
+}
+
+fn metrics(instance: &Arc<Instance>) -> impl Endpoint + 'static + use<> {
+    let instance = Arc::clone(instance);
+    make(move |_request| {
+        let rendered = instance.metrics.render();
+        async move {
+            match rendered {
+                Ok(text) => Response::builder()
+                    .content_type("text/plain; version=0.0.4")
+                    .body(text),
+                Err(error) => refused(&Fault::new(Kind::Internal, error.to_string()).into()),
+            }
+        }
+    })
+}
--- /dev/null
+++ b/crates/control/src/daemon/status.rs
@@ -0,0 +1,154 @@
+//! What operators see of control instances and entries.
+
+use std::time::Duration;
+
+use chestnutvalve_model::directory::Member;
+use chestnutvalve_model::version::Version;
+use serde::{Deserialize, Serialize};
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+
+use super::Instance;
+use crate::replica::Status;
+
+/// Time for another control instance to answer.
+const TIMEOUT: Duration = Duration::from_millis(800);
+
+/// One control instance.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Control {
+    /// Name of the instance.
+    pub control: String,
+    /// Version that it has applied.
+    pub version: Version,
+    /// Its replicas, by group.
+    pub replicas: Vec<Replica>,
+}
+
+/// One replica of a control instance.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Replica {
+    /// Group of the replica.
+    pub group: String,
+    /// What the replica knows.
+    pub status: Status,
+}
+
+/// One entry of the directory.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Entry {
+    /// The instance and its addresses.
+    pub member: Member,
+    /// Version in force, if the leader has heard from the instance.
+    pub in_force: Option<Version>,
+    /// Time for which that version was in force when the instance told, in milliseconds.
+    pub in_force_ms: Option<u64>,
+    /// Time since the last heartbeat, in milliseconds.
+    pub heartbeat_ms: Option<u64>,
+}
+
+/// Answer of `GET /v1/status`.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Overview {
+    /// Name of the answering instance.
+    pub control: String,
+    /// Whether the answering instance is out of contact with a quorum.
+    pub stale: bool,
+    /// Version of the last accepted change.
+    pub changed: Version,
+    /// Version of the replicated state, including the directory.
+    pub version: Version,
+    /// The control instances that answered.
+    pub controls: Vec<Control>,
+    /// Names of those that did not.
+    pub unreachable: Vec<String>,
+    /// Whether the heartbeats of the entries are known, that is, whether the leader answered.
+    pub heartbeats: bool,
+    /// The entries of the directory.
+    pub entries: Vec<Entry>,
+}
+
+/// Returns the status of this instance.
+#[must_use]
+pub fn own(instance: &Instance) -> Control {
+    let replica = |status| Replica {
+        group: "config".to_owned(),
+        status,
+    };
+    Control {
+        control: instance.settings.control.to_string(),
+        version: instance.store().state().version,
+        replicas: instance.status().map(replica).into_iter().collect(),
+    }
+}
+
+/// Returns the directory with the heartbeats that this instance knows.
+#[must_use]
+pub fn entries(instance: &Instance) -> Vec<Entry> {
+    let store = instance.store();
+    let heartbeats = instance.heartbeats();
+    let now = Instant::now().into_std();
+    let entry = |member: &Member| {
+        let last = heartbeats.last(&member.entry);
+        let last = last.filter(|l| l.heartbeat.member.incarnation == member.incarnation);
+        Entry {
+            member: member.clone(),
+            in_force: last.map(|l| l.heartbeat.in_force),
+            in_force_ms: last.map(|l| l.heartbeat.in_force_ms),
+            heartbeat_ms: last.map(|l| millis(now - l.at)),
+        }
+    };
+    store
+        .state()
+        .directory
+        .members
+        .values()
+        .map(entry)
+        .collect()
+}
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
+/// Asks all control instances and returns the overview.
+pub async fn overview(instance: &std::sync::Arc<Instance>) -> Overview {
+    let own = own(instance);
+    let mut asked = JoinSet::new();
+    for (name, _) in instance.peers.all() {
+        if name != own.control {
+            let instance = std::sync::Arc::clone(instance);
+            asked.spawn(async move {
+                let call = instance.peers.call(&name, "control/status", &(), TIMEOUT);
+                call.await.map_err(|_| name)
+            });
+        }
+    }
+    let (entries, heartbeats) = if instance.leads().is_some() {
+        (entries(instance), true)
+    } else {
+        let asked = instance.call_leader("leader/entries", &(), TIMEOUT).await;
+        asked.map_or_else(|_| (entries(instance), false), |entries| (entries, true))
+    };
+    let mut controls = vec![own];
+    let mut unreachable = Vec::new();
+    for answer in asked.join_all().await {
+        match answer {
+            Ok(control) => controls.push(control),
+            Err(name) => unreachable.push(name),
+        }
+    }
+    controls.sort_by(|a: &Control, b: &Control| a.control.cmp(&b.control));
+    unreachable.sort();
+    let store = instance.store();
+    Overview {
+        control: instance.settings.control.to_string(),
+        stale: instance.is_stale(),
+        changed: store.changed(),
+        version: store.state().version,
+        controls,
+        unreachable,
+        heartbeats,
+        entries,
+    }
+}
--- /dev/null
+++ b/crates/control/src/daemon/token.rs
@@ -0,0 +1,85 @@
+//! The operators' bearer token.
+
+use std::fmt;
+use std::hint::black_box;
+use std::path::{Path, PathBuf};
+
+/// Shortest accepted token, in bytes.
+pub const MIN_BYTES: usize = 8;
+/// Longest accepted token, in bytes.
+pub const MAX_BYTES: usize = 512;
+
+/// A token file that can't be used.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The file can't be read.
+    #[error("token_file {path}: {cause}")]
+    Read {
+        /// Path of the file.
+        path: PathBuf,
+        /// Error of the operating system.
+        cause: std::io::Error,
+    },
+    /// The content is not a token.
+    #[error(
+        "token_file {path}: expected one line of {MIN_BYTES} to {MAX_BYTES} visible ASCII characters"
+    )]
+    Content {
+        /// Path of the file.
+        path: PathBuf,
+    },
+}
+
+/// Secret that changes must carry.
+#[derive(Clone)]
+pub struct Token(Vec<u8>);
+
+impl Token {
+    /// Reads the token from the first and only line of a file.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the file can't be read or holds something else.
+    pub fn read(path: &Path) -> Result<Self, Error> {
+        let text = std::fs::read_to_string(path);
+        let text = text.map_err(|cause| Error::Read {
+            path: path.to_owned(),
+            cause,
+        })?;
+        Self::new(text.trim_end()).ok_or_else(|| Error::Content {
+            path: path.to_owned(),
+        })
+    }
+
+    /// Wraps a token; `None` when it is too short, too long or has other than visible ASCII characters.
+    #[must_use]
+    pub fn new(text: &str) -> Option<Self> {
+        let accepted = (MIN_BYTES..=MAX_BYTES).contains(&text.len())
+            && text.bytes().all(|b| b.is_ascii_graphic());
+        accepted.then(|| Self(text.as_bytes().to_owned()))
+    }
+
+    /// Returns whether an `authorization` header carries this token.
+    #[must_use]
+    pub fn admits(&self, header: &[u8]) -> bool {
+        header
+            .strip_prefix(b"Bearer ")
+            .is_some_and(|given| self.equals(given))
+    }
+
+    /// Compares all bytes whatever the first difference is, so that the time tells nothing about the token.
+    fn equals(&self, given: &[u8]) -> bool {
+        let mut difference = u8::from(self.0.len() != given.len());
+        for (at, expected) in self.0.iter().enumerate() {
+            let found = given.get(at).copied().unwrap_or(0);
+            difference = black_box(difference | (expected ^ found));
+        }
+        difference == 0
+    }
+}
+
+impl fmt::Debug for Token {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Token")
+    }
+}
--- /dev/null
+++ b/crates/control/src/daemon/watch.rs
@@ -0,0 +1,70 @@
+//! Long polls for configuration and directory records.
+
+use std::time::Duration;
+
+use chestnutvalve_model::control::{Content, State, Update, Watch};
+use chestnutvalve_model::version::Version;
+use tokio::time::{Instant, timeout_at};
+
+use super::Instance;
+use crate::state::Store;
+
+/// Longest time for which a poll is held open.
+pub const MAX_WAIT: Duration = Duration::from_secs(30);
+/// Interval at which a held poll checks that this instance still hears from a quorum.
+const QUORUM_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Answers a poll when there is something after the entry's version, when this instance is stale, or when the time is up.
+pub async fn watch(instance: &Instance, watch: &Watch) -> Update {
+    let wait = Duration::from_millis(watch.wait_ms.into()).min(MAX_WAIT);
+    let deadline = Instant::now() + wait;
+    let mut versions = instance.versions();
+    loop {
+        versions.borrow_and_update();
+        let stale = instance.is_stale();
+        let update = update(&instance.store(), watch, stale);
+        if stale || update.content != Content::Unchanged || Instant::now() >= deadline {
+            return update;
+        }
+        let check = deadline.min(Instant::now() + QUORUM_INTERVAL);
+        // Passing the time without a change is the usual case; the sender lives as long as the instance.
+        let _ = timeout_at(check, versions.changed()).await;
+    }
+}
+
+/// Returns what a watcher lacks.
+#[must_use]
+pub fn update(store: &Store, watch: &Watch, stale: bool) -> Update {
+    Update {
+        stale,
+        version: store.state().version,
+        content: content(store, watch),
+    }
+}
+
+fn content(store: &Store, watch: &Watch) -> Content {
+    let state = store.state();
+    // An instance that lags behind or was restored must not lead its watchers back.
+    if watch.have >= state.version {
+        return Content::Unchanged;
+    }
+    let services = watch.services.as_deref();
+    let records = match watch.have {
+        // A watcher without a state needs the snapshot: the records hold no defaults.
+        Version::ZERO => None,
+        have => store.records().part(have, services),
+    };
+    records.map_or_else(
+        || {
+            Content::Snapshot(State {
+                version: state.version,
+                document: services.map_or_else(
+                    || state.document.clone(),
+                    |services| state.document.part(services),
+                ),
+                directory: state.directory.clone(),
+            })
+        },
+        Content::Records,
+    )
+}
--- /dev/null
+++ b/crates/control/src/settings.rs
@@ -0,0 +1,94 @@
+//! Settings of a control instance.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use chestnutvalve_model::config::Invalid;
+use chestnutvalve_model::id::{Control, Zone};
+use chestnutvalve_telemetry::log::Threshold;
+
+/// Most ledger groups of one fleet; each costs a log and a heartbeat stream.
+pub const MAX_LEDGER_GROUPS: u32 = 64;
+/// Most first voters; larger groups only slow every commit down.
+pub const MAX_VOTERS: usize = 7;
+
+/// One of the first voters.
+#[derive(Clone, Debug, serde::Deserialize, serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Voter {
+    /// Name of the control instance.
+    pub control: Control,
+    /// Reachable address of its internal protocol.
+    pub peers: SocketAddr,
+}
+
+/// Settings file of a control instance.
+#[derive(Clone, Debug, serde::Deserialize, serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// Name of this instance.
+    pub control: Control,
+    /// Availability zone of this instance.
+    pub zone: Zone,
+    /// Address to bind for the internal protocol.
+    pub peers: SocketAddr,
+    /// Address to bind for operators.
+    pub operators: SocketAddr,
+    /// Data directory.
+    pub data: PathBuf,
+    /// File with the operators' token.
+    pub token_file: PathBuf,
+    /// First voters of every group.
+    pub members: Vec<Voter>,
+    /// Number of ledger groups.
+    #[serde(default = "one")]
+    pub ledger_groups: u32,
+    /// Level below which log messages are dropped.
+    #[serde(default)]
+    pub log: Threshold,
+}
+
+fn one() -> u32 {
+    1
+}
+
+impl Settings {
+    /// Checks the values that the types don't.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first wrong field.
+    pub fn check(&self) -> Result<(), Invalid> {
+        let voters = self.members.len();
+        if voters == 0 || voters > MAX_VOTERS {
+            let expected = format!("1 to {MAX_VOTERS} members");
+            return Err(Invalid::new("members", voters, expected));
+        }
+        let mut names = BTreeSet::new();
+        let mut addresses = BTreeSet::new();
+        for (at, voter) in self.members.iter().enumerate() {
+            if !names.insert(&voter.control) {
+                let field = format!("members[{at}].control");
+                return Err(Invalid::new(field, &voter.control, "each name once"));
+            }
+            if voter.peers.ip().is_unspecified() || voter.peers.port() == 0 {
+                let field = format!("members[{at}].peers");
+                return Err(Invalid::new(field, voter.peers, "a reachable address"));
+            }
+            if !addresses.insert(voter.peers) {
+                let field = format!("members[{at}].peers");
+                return Err(Invalid::new(field, voter.peers, "each address once"));
+            }
+        }
+        if self.peers == self.operators && self.peers.port() != 0 {
+            let expected = "an address other than that of peers";
+            return Err(Invalid::new("operators", self.operators, expected));
+        }
+        if !(1..=MAX_LEDGER_GROUPS).contains(&self.ledger_groups) {
+            let expected = format!("1 to {MAX_LEDGER_GROUPS}");
+            return Err(Invalid::new("ledger_groups", self.ledger_groups, expected));
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/control/src/state.rs
@@ -0,0 +1,195 @@
+//! State machine of the configuration and the entry directory.
+
+use std::collections::VecDeque;
+
+use chestnutvalve_model::config::{Change, Edit};
+use chestnutvalve_model::control::{Record, State, Step};
+use chestnutvalve_model::directory::Member;
+use chestnutvalve_model::error::{Fault, Kind};
+use chestnutvalve_model::version::Version;
+use serde::{Deserialize, Serialize};
+
+use crate::codec;
+use crate::replica::Committed;
+
+pub mod change;
+pub mod history;
+pub mod records;
+
+pub use change::Refusal;
+pub use history::{Accepted, History};
+pub use records::Records;
+
+/// Command in the log of the config group.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum Command {
+    /// A change of the configuration by an operator.
+    Change(Change),
+    /// Steps of the entry directory, in order.
+    Directory(Vec<Step>),
+}
+
+/// Result of a [`Command::Change`].
+pub type Outcome = Result<Version, Refusal>;
+
+/// The replicated state with the records and results that are kept for resends and late watchers.
+#[derive(Clone, Debug, Default)]
+pub struct Store {
+    state: State,
+    /// Version of the last accepted change of the configuration.
+    changed: Version,
+    records: Records,
+    history: History,
+}
+
+#[derive(Deserialize, Serialize)]
+struct Saved {
+    state: State,
+    changed: Version,
+    records: Records,
+    accepted: VecDeque<Accepted>,
+    ids: VecDeque<history::Known>,
+}
+
+impl Store {
+    /// Returns the state that entries follow.
+    #[must_use]
+    pub fn state(&self) -> &State {
+        &self.state
+    }
+
+    /// Returns the version of the last accepted change of the configuration.
+    #[must_use]
+    pub fn changed(&self) -> Version {
+        self.changed
+    }
+
+    /// Returns the kept records.
+    #[must_use]
+    pub fn records(&self) -> &Records {
+        &self.records
+    }
+
+    /// Returns the accepted changes and their ids.
+    #[must_use]
+    pub fn history(&self) -> &History {
+        &self.history
+    }
+
+    /// Applies a committed command and returns the encoded result.
+    ///
+    /// The result depends only on the state and the command, so that it is the same at every replica.
+    pub fn apply(&mut self, committed: Committed<'_>) -> Vec<u8> {
+        match codec::decode(committed.command) {
+            Ok(Command::Change(change)) => codec::encode(&self.change(committed.term, change)),
+            Ok(Command::Directory(steps)) => {
+                for step in steps {
+                    self.direct(committed.term, step);
+                }
+                codec::encode(&self.state.version)
+            }
+            Err(fault) => codec::encode::<Outcome>(&Err(fault.into())),
+        }
+    }
+
+    fn change(&mut self, term: u64, change: Change) -> Outcome {
+        if let Some(first) = self.check(&change)? {
+            return Ok(first);
+        }
+        let document = self.state.document.edited(&change.edits);
+        let document = document.map_err(|e| Fault::new(Kind::InvalidChange, e.to_string()))?;
+        let scopes = records::scopes(&self.state.document, &change.edits);
+        self.state.document = document;
+        let version = self.push(term, Step::Edits(change.edits.clone()), scopes);
+        self.changed = version;
+        self.history.push(version, change);
+        Ok(version)
+    }
+
+    fn direct(&mut self, term: u64, mut step: Step) {
+        let entry = match &step {
+            Step::Edits(_) => return,
+            Step::Join(member) => member.entry.clone(),
+            Step::Leave { entry, .. } => entry.clone(),
+        };
+        let directory = &mut self.state.directory;
+        let before = directory.members.get(&entry).cloned();
+        match &mut step {
+            Step::Edits(_) => return,
+            Step::Join(member) => {
+                keep_draining(before.as_ref(), member);
+                directory.join(member);
+            }
+            Step::Leave { entry, incarnation } => directory.leave(entry, *incarnation),
+        }
+        if directory.members.get(&entry) != before.as_ref() {
+            self.push(term, step, Vec::new());
+        }
+    }
+
+    fn push(&mut self, term: u64, step: Step, scopes: Vec<records::Scope>) -> Version {
+        let version = Version {
+            term,
+            revision: self.state.version.revision + 1,
+        };
+        let record = Record { version, step };
+        self.records.push(self.state.version, record, scopes);
+        self.state.version = version;
+        version
+    }
+
+    /// Returns the edits of the kept changes after `version`, or `None` when they are no longer all kept.
+    #[must_use]
+    pub fn edits_after(&self, version: Version) -> Option<Vec<Edit>> {
+        let after = self.records.after(version)?;
+        let steps = after.filter_map(|record| match &record.step {
+            Step::Edits(edits) => Some(edits.clone()),
+            Step::Join(_) | Step::Leave { .. } => None,
+        });
+        Some(steps.flatten().collect())
+    }
+
+    /// Returns a snapshot.
+    #[must_use]
+    pub fn save(&self) -> Vec<u8> {
+        codec::encode(&Saved {
+            state: self.state.clone(),
+            changed: self.changed,
+            records: self.records.clone(),
+            accepted: self.history.accepted().clone(),
+            ids: self.history.known().clone(),
+        })
+    }
+
+    /// Replaces the state by a snapshot.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Kind::Internal`] for a snapshot that does not decode or is older than the present state.
+    pub fn restore(&mut self, snapshot: &[u8]) -> Result<(), Fault> {
+        let saved: Saved = codec::decode(snapshot)?;
+        if saved.state.version < self.state.version {
+            let context = format!(
+                "snapshot of version {} is older than {}",
+                saved.state.version, self.state.version
+            );
+            return Err(Fault::new(Kind::Internal, context));
+        }
+        *self = Self {
+            state: saved.state,
+            changed: saved.changed,
+            records: saved.records,
+            history: History::from_parts(saved.accepted, saved.ids),
+        };
+        Ok(())
+    }
+}
+
+/// Keeps the draining flag of one incarnation, because heartbeats may arrive out of order.
+fn keep_draining(present: Option<&Member>, member: &mut Member) {
+    if let Some(present) = present
+        && present.incarnation == member.incarnation
+    {
+        member.draining |= present.draining;
+    }
+}
--- /dev/null
+++ b/crates/control/src/state/change.rs
@@ -0,0 +1,98 @@
+//! Checks of a change against the state.
+
+use chestnutvalve_model::config::{Change, Edit, validate};
+use chestnutvalve_model::error::{Fault, Kind};
+use chestnutvalve_model::version::Version;
+use serde::{Deserialize, Serialize};
+
+use super::Store;
+
+/// Most edits of one change.
+pub const MAX_EDITS: usize = 10_000;
+
+/// Why a change was refused.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize, thiserror::Error)]
+#[error("{fault}")]
+pub struct Refusal {
+    /// Kind and context.
+    pub fault: Fault,
+    /// Version of the last accepted change, for a conflict.
+    pub current: Option<Version>,
+    /// Edits between the expected and the current version, while they are kept.
+    pub difference: Option<Vec<Edit>>,
+}
+
+impl From<Fault> for Refusal {
+    fn from(fault: Fault) -> Self {
+        Self {
+            fault,
+            current: None,
+            difference: None,
+        }
+    }
+}
+
+/// Checks the parts of a change that don't depend on the state.
+///
+/// # Errors
+///
+/// Returns [`Kind::InvalidChange`] with the wrong field.
+pub fn check_form(change: &Change) -> Result<(), Fault> {
+    for (field, text) in [
+        ("id", &change.id),
+        ("author", &change.author),
+        ("reason", &change.reason),
+    ] {
+        if text.trim().is_empty() || text.len() > validate::MAX_TEXT_BYTES {
+            let limit = validate::MAX_TEXT_BYTES;
+            let context = format!("{field}: expected 1 to {limit} bytes of text");
+            return Err(Fault::new(Kind::InvalidChange, context));
+        }
+    }
+    if change.edits.is_empty() || change.edits.len() > MAX_EDITS {
+        let found = change.edits.len();
+        let context = format!("edits: {found} edits; expected 1 to {MAX_EDITS}");
+        return Err(Fault::new(Kind::InvalidChange, context));
+    }
+    Ok(())
+}
+
+impl Store {
+    /// Returns the first result of a resent change, `None` for a change that may be applied now.
+    ///
+    /// A change is applied when no other change was accepted since its expected version. Records of the directory in
+    /// between don't conflict: entries join and leave all the time, and an operator's edits don't depend on them.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal: a wrong field, a reused id or a version conflict. A refused change stays refused, because
+    /// versions only grow.
+    pub fn check(&self, change: &Change) -> Result<Option<Version>, Refusal> {
+        check_form(change)?;
+        if let Some(known) = self.history.find(&change.id) {
+            if known.is(change) {
+                return Ok(Some(known.version));
+            }
+            let context = format!("change id {:?} was used for another change", change.id);
+            return Err(Fault::new(Kind::InvalidChange, context).into());
+        }
+        if change.expected == self.changed || self.is_unchanged_since(change.expected) {
+            return Ok(None);
+        }
+        Err(self.conflict(change.expected))
+    }
+
+    fn is_unchanged_since(&self, expected: Version) -> bool {
+        expected >= self.changed && self.records.after(expected).is_some()
+    }
+
+    fn conflict(&self, expected: Version) -> Refusal {
+        let current = self.changed;
+        let context = format!("expected version {expected}, but the current one is {current}");
+        Refusal {
+            fault: Fault::new(Kind::VersionConflict, context),
+            current: Some(current),
+            difference: self.edits_after(expected),
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/state/records.rs
@@ -0,0 +1,159 @@
+//! Recent records, from which late watchers catch up.
+
+use std::collections::VecDeque;
+
+use chestnutvalve_model::config::{Document, Edit, Exception};
+use chestnutvalve_model::control::{Record, Step};
+use chestnutvalve_model::id::Service;
+use chestnutvalve_model::version::Version;
+use serde::{Deserialize, Serialize};
+
+use crate::codec;
+
+/// Most records that are kept.
+pub const MAX_RECORDS: usize = 4_096;
+/// Most encoded bytes of records that are kept.
+pub const MAX_BYTES: usize = 8 * 1024 * 1024;
+
+/// Requests that the replaced or removed exception of an edit applied to, before the edit.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum Scope {
+    /// There was no such exception.
+    Absent,
+    /// It applied to all services.
+    All,
+    /// It applied to one service.
+    One(Service),
+}
+
+impl Scope {
+    fn of(exception: Option<&Exception>) -> Self {
+        match exception.map(|e| &e.on.service) {
+            None => Self::Absent,
+            Some(None) => Self::All,
+            Some(Some(service)) => Self::One(service.clone()),
+        }
+    }
+
+    fn concerns(&self, services: &[Service]) -> bool {
+        match self {
+            Self::Absent => false,
+            Self::All => true,
+            Self::One(service) => services.contains(service),
+        }
+    }
+}
+
+/// Returns what each edit's exception applied to when the edit was made.
+#[must_use]
+pub fn scopes(document: &Document, edits: &[Edit]) -> Vec<Scope> {
+    let mut latest = std::collections::BTreeMap::new();
+    let mut before = |id: &str, after: Scope| {
+        let present = || Scope::of(document.exceptions.get(id));
+        let replaced = latest.insert(id.to_owned(), after);
+        replaced.unwrap_or_else(present)
+    };
+    let scope = |edit: &Edit| match edit {
+        Edit::SetDefaults(_) => Scope::Absent,
+        Edit::PutException(e) => before(&e.id, Scope::of(Some(e))),
+        Edit::RemoveException(id) => before(id, Scope::Absent),
+    };
+    edits.iter().map(scope).collect()
+}
+
+#[derive(Clone, Debug, Deserialize, Serialize)]
+struct Kept {
+    record: Record,
+    scopes: Vec<Scope>,
+    bytes: usize,
+}
+
+/// Bounded sequence of records without gaps.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+pub struct Records {
+    /// Version before the first kept record.
+    base: Version,
+    kept: VecDeque<Kept>,
+    bytes: usize,
+}
+
+impl Records {
+    /// Adds the record that follows version `before` and drops the oldest above the limits.
+    pub(super) fn push(&mut self, before: Version, record: Record, scopes: Vec<Scope>) {
+        if self.kept.is_empty() {
+            self.base = before;
+        }
+        let bytes = codec::encode(&record).len();
+        self.bytes += bytes;
+        self.kept.push_back(Kept {
+            record,
+            scopes,
+            bytes,
+        });
+        while self.kept.len() > MAX_RECORDS || self.bytes > MAX_BYTES {
+            let Some(oldest) = self.kept.pop_front() else {
+                break;
+            };
+            self.bytes -= oldest.bytes;
+            self.base = oldest.record.version;
+        }
+    }
+
+    /// Returns the records after `version`, or `None` when it is not the version of a kept record.
+    ///
+    /// The version must match exactly: after a forced recovery an instance may hold a version that no longer exists.
+    #[must_use]
+    pub fn after(&self, version: Version) -> Option<impl Iterator<Item = &Record>> {
+        let kept = self.position(version)?;
+        Some(self.kept.range(kept..).map(|k| &k.record))
+    }
+
+    /// Returns the records after `version` with only the edits that concern `services`.
+    #[must_use]
+    pub fn part(&self, version: Version, services: Option<&[Service]>) -> Option<Vec<Record>> {
+        let position = self.position(version)?;
+        let kept = self.kept.range(position..);
+        Some(match services {
+            None => kept.map(|k| k.record.clone()).collect(),
+            Some(services) => kept.map(|k| k.part(services)).collect(),
+        })
+    }
+
+    fn position(&self, version: Version) -> Option<usize> {
+        if version == self.base {
+            return Some(0);
+        }
+        let found = self
+            .kept
+            .binary_search_by_key(&version, |k| k.record.version);
+        found.ok().map(|at| at + 1)
+    }
+}
+
+impl Kept {
+    fn part(&self, services: &[Service]) -> Record {
+        let Step::Edits(edits) = &self.record.step else {
+            return self.record.clone();
+        };
+        let edits = edits.iter().zip(&self.scopes);
+        let edits = edits.filter_map(|(edit, scope)| part(edit, scope, services));
+        Record {
+            version: self.record.version,
+            step: Step::Edits(edits.collect()),
+        }
+    }
+}
+
+/// Returns what an edit means for a holder of the part of `services`.
+///
+/// An exception that moves to another service is a removal for the holder of the former one, and a removal is only sent
+/// to those that hold the exception, because removing an absent one is an error.
+fn part(edit: &Edit, before: &Scope, services: &[Service]) -> Option<Edit> {
+    let held = before.concerns(services);
+    match edit {
+        Edit::SetDefaults(_) => Some(edit.clone()),
+        Edit::PutException(e) if Scope::of(Some(e)).concerns(services) => Some(edit.clone()),
+        Edit::PutException(e) => held.then(|| Edit::RemoveException(e.id.clone())),
+        Edit::RemoveException(_) => held.then(|| edit.clone()),
+    }
+}
--- /dev/null
+++ b/src/bin/chestnutvalve.rs
@@ -0,0 +1,8 @@
+//! Operators' command line.
+
+use std::process::ExitCode;
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    chestnutvalve_cli::run(std::env::args_os()).await
+}
