--- /dev/null
+++ b/crates/control/tests/all/heartbeats.rs
@@ -0,0 +1,163 @@
+//! Expiry of entries at the leader.
+
+use std::time::{Duration, Instant};
+
+use chestnutvalve_control::daemon::heartbeats::Heartbeats;
+use chestnutvalve_model::control::{Heartbeat, Registered, Step};
+use chestnutvalve_model::directory::Directory;
+use chestnutvalve_model::id::Incarnation;
+use chestnutvalve_model::version::Version;
+
+use crate::support::{entry, member};
+
+fn beat(name: &str, incarnation: u64) -> Heartbeat {
+    Heartbeat {
+        member: member(name, incarnation),
+        in_force: Version::ZERO,
+        in_force_ms: 0,
+    }
+}
+
+/// A leader with a directory, on a clock that the test moves.
+struct Leader {
+    start: Instant,
+    directory: Directory,
+    heartbeats: Heartbeats,
+}
+
+impl Leader {
+    fn new(names: &[&str]) -> Self {
+        let mut directory = Directory::default();
+        for name in names {
+            directory.join(&member(name, 1));
+        }
+        Self {
+            start: Instant::now(),
+            directory,
+            heartbeats: Heartbeats::default(),
+        }
+    }
+
+    fn at(&self, ms: u64) -> Instant {
+        self.start + Duration::from_millis(ms)
+    }
+
+    /// Lets time pass from `from` to `to` with a tick every 100 ms; returns the steps and their time.
+    fn run(&mut self, from: u64, to: u64, term: Option<u64>, beats: &[&str]) -> Vec<(u64, Step)> {
+        let mut all = Vec::new();
+        for ms in (from..to).step_by(100) {
+            let now = self.at(ms);
+            self.heartbeats.observe(now, term);
+            if ms % 1_000 == 0 {
+                for name in beats {
+                    self.heartbeats.beat(now, &self.directory, beat(name, 1));
+                }
+            }
+            let steps = self.heartbeats.steps(now, &self.directory);
+            for step in steps {
+                match &step {
+                    Step::Join(member) => self.directory.join(member),
+                    Step::Leave { entry, incarnation } => {
+                        self.directory.leave(entry, *incarnation);
+                    }
+                    Step::Edits(_) => {}
+                }
+                all.push((ms, step));
+            }
+        }
+        all
+    }
+}
+
+fn leaves(steps: &[(u64, Step)]) -> Vec<u64> {
+    let leaves = steps
+        .iter()
+        .filter(|(_, s)| matches!(s, Step::Leave { .. }));
+    leaves.map(|(ms, _)| *ms).collect()
+}
+
+/// Guards against a new leader that removes entries because it has not heard them yet.
+#[test]
+fn new_leader_waits_for_the_expiry_time() {
+    let mut leader = Leader::new(&["e1", "e2"]);
+    let steps = leader.run(0, 20_000, Some(1), &["e1"]);
+    assert_eq!(leaves(&steps), [5_100]);
+    assert!(leader.directory.members.contains_key(&entry("e1")));
+}
+
+/// Guards against expiry by an instance that does not lead, or that led in an earlier term.
+#[test]
+fn only_a_leader_expires() {
+    let mut leader = Leader::new(&["e1"]);
+    assert!(leader.run(0, 20_000, None, &[]).is_empty());
+    assert!(leader.run(20_000, 24_000, Some(1), &[]).is_empty());
+    assert!(leader.run(24_000, 28_000, None, &[]).is_empty());
+    assert_eq!(leaves(&leader.run(28_000, 40_000, Some(2), &[])), [33_100]);
+}
+
+/// Guards against a leader that was frozen and then removes all entries, whose heartbeats wait in its sockets.
+#[test]
+fn pause_of_the_leader_does_not_expire_entries() {
+    let mut leader = Leader::new(&["e1", "e2"]);
+    assert!(leader.run(0, 10_000, Some(1), &["e1", "e2"]).is_empty());
+    assert!(
+        leader
+            .run(30_000, 40_000, Some(1), &["e1", "e2"])
+            .is_empty()
+    );
+}
+
+/// Guards against one proposal per entry when a rack or an availability zone is lost.
+#[test]
+fn mass_loss_is_one_list_of_steps() {
+    let names: Vec<String> = (0..400).map(|n| format!("e{n}")).collect();
+    let names: Vec<&str> = names.iter().map(String::as_str).collect();
+    let mut leader = Leader::new(&names);
+    leader.run(0, 3_000, Some(1), &names);
+    let steps = leader.run(3_000, 20_000, Some(1), &names[..100]);
+    let leaves = leaves(&steps);
+    assert_eq!(leaves.len(), 300);
+    assert!(
+        leaves.iter().all(|ms| *ms == leaves[0]),
+        "one list at one time"
+    );
+    assert_eq!(leaves[0], 7_100, "5 s after the last heartbeat");
+}
+
+/// Guards against a restarted entry that its predecessor's late heartbeats push out, and against two live processes
+/// under one name.
+#[test]
+fn earlier_incarnation_is_superseded() {
+    let mut leader = Leader::new(&[]);
+    let now = leader.at(0);
+    leader.heartbeats.observe(now, Some(1));
+    let directory = Directory::default();
+    let mut send = |incarnation| {
+        leader
+            .heartbeats
+            .beat(now, &directory, beat("e1", incarnation))
+    };
+    assert_eq!(send(1), Registered::Accepted);
+    assert_eq!(send(2), Registered::Accepted);
+    assert_eq!(send(1), Registered::Superseded);
+    let steps = leader.heartbeats.steps(now, &directory);
+    assert_eq!(steps, [Step::Join(member("e1", 2))]);
+}
+
+/// Guards against an entry that has left and comes back by a heartbeat that was on its way.
+#[test]
+fn late_heartbeat_does_not_undo_a_leave() {
+    let mut leader = Leader::new(&[]);
+    leader.run(0, 2_000, Some(1), &["e1"]);
+    let now = leader.at(2_000);
+    leader.heartbeats.leave(now, &entry("e1"), Incarnation(1));
+    let steps = leader.run(2_000, 4_000, Some(1), &["e1"]);
+    assert_eq!(leaves(&steps), [2_000]);
+    assert!(leader.directory.members.is_empty());
+    let restarted = leader
+        .heartbeats
+        .beat(leader.at(4_000), &leader.directory, beat("e1", 2));
+    assert_eq!(restarted, Registered::Accepted);
+    let steps = leader.heartbeats.steps(leader.at(4_000), &leader.directory);
+    assert_eq!(steps, [Step::Join(member("e1", 2))]);
+}
--- /dev/null
+++ b/crates/control/tests/all/main.rs
@@ -0,0 +1,5 @@
+//! Tests of the control daemon.
+
+mod heartbeats;
+mod state;
+mod support;
--- /dev/null
+++ b/crates/control/tests/all/state.rs
@@ -0,0 +1,299 @@
+//! State machine of the configuration and the directory.
+
+use crate::support::{Log, change, entry, exception, member, service, timeout};
+use chestnutvalve_control::daemon::watch::update;
+use chestnutvalve_control::state::history::MAX_IDS;
+use chestnutvalve_control::state::records::MAX_RECORDS;
+use chestnutvalve_control::state::{Command, Outcome, Store};
+use chestnutvalve_model::config::Edit;
+use chestnutvalve_model::control::{Content, State, Step, Watch};
+use chestnutvalve_model::error::Kind;
+use chestnutvalve_model::id::Incarnation;
+use chestnutvalve_model::version::Version;
+use rstest::rstest;
+
+fn watch(have: Version, services: Option<&[&str]>) -> Watch {
+    Watch {
+        entry: entry("e1"),
+        incarnation: Incarnation(1),
+        have,
+        services: services.map(|names| names.iter().map(|n| service(n)).collect()),
+        wait_ms: 0,
+    }
+}
+
+fn kind(outcome: &Outcome) -> Option<Kind> {
+    outcome.as_ref().err().map(|refusal| refusal.fault.kind)
+}
+
+/// Guards against two operators who both believe that their change is in force.
+#[test]
+fn one_of_two_changes_with_one_expected_version_is_accepted() {
+    let mut log = Log::default();
+    let base = log
+        .change(&change("base", Version::ZERO, timeout(900)))
+        .unwrap();
+    let first = log.change(&change("amy", base, timeout(1_000)));
+    let second = log.change(&change("bob", base, timeout(2_000)));
+    assert_eq!(
+        first,
+        Ok(Version {
+            term: 1,
+            revision: 2
+        })
+    );
+    assert_eq!(kind(&second), Some(Kind::VersionConflict));
+    let refusal = second.unwrap_err();
+    assert_eq!(refusal.current, first.ok());
+    assert_eq!(refusal.difference, Some(timeout(1_000)));
+    assert_eq!(log.store.state().document.defaults.timeout_ms, 1_000);
+}
+
+/// Guards against a change that is applied twice, or reported as a conflict with itself, after a lost answer.
+#[test]
+fn resend_gets_the_first_result() {
+    let mut log = Log::default();
+    let sent = change("amy", Version::ZERO, timeout(1_000));
+    let first = log.change(&sent).unwrap();
+    let other = log.change(&change("bob", first, timeout(2_000))).unwrap();
+    log.term = 7;
+    assert_eq!(log.change(&sent), Ok(first));
+    assert_eq!(log.store.state().version, other);
+    assert_eq!(log.store.state().document.defaults.timeout_ms, 2_000);
+    let mut restored = Store::default();
+    restored.restore(&log.store.save()).unwrap();
+    log.store = restored;
+    assert_eq!(log.change(&sent), Ok(first));
+}
+
+/// Guards against a change that is reported as accepted because another one used its id.
+#[test]
+fn reused_id_with_other_content_is_refused() {
+    let mut log = Log::default();
+    log.change(&change("id", Version::ZERO, timeout(1_000)))
+        .unwrap();
+    let reused = log.change(&change("id", Version::ZERO, timeout(2_000)));
+    assert_eq!(kind(&reused), Some(Kind::InvalidChange));
+}
+
+/// Guards against entries that keep operators from changing anything by joining and leaving all the time.
+#[test]
+fn directory_steps_do_not_conflict_with_a_change() {
+    let mut log = Log::default();
+    let base = log
+        .change(&change("base", Version::ZERO, timeout(900)))
+        .unwrap();
+    log.direct(vec![Step::Join(member("e1", 1))]);
+    let seen = log.store.state().version;
+    log.direct(vec![Step::Join(member("e2", 1))]);
+    log.change(&change("amy", base, timeout(1_000))).unwrap();
+    let late = log.change(&change("bob", seen, timeout(2_000)));
+    assert_eq!(kind(&late), Some(Kind::VersionConflict));
+}
+
+/// Guards against a change that is based on a version that a forced recovery has discarded.
+#[test]
+fn version_of_a_lost_branch_is_a_conflict() {
+    let mut log = Log::default();
+    log.change(&change("base", Version::ZERO, timeout(900)))
+        .unwrap();
+    log.direct(vec![Step::Join(member("e1", 1))]);
+    log.term = 3;
+    log.direct(vec![Step::Join(member("e2", 1))]);
+    let lost = Version {
+        term: 2,
+        revision: 2,
+    };
+    let outcome = log.change(&change("amy", lost, timeout(1_000)));
+    assert_eq!(kind(&outcome), Some(Kind::VersionConflict));
+}
+
+/// Guards against an invalid configuration in force, whatever an instance checked before it proposed the change.
+#[rstest]
+#[case::out_of_range(timeout(1))]
+#[case::no_reason(vec![Edit::PutException(exception("x", " ", Some("kasa")))])]
+#[case::absent(vec![Edit::RemoveException("absent".to_owned())])]
+#[case::no_edits(Vec::new())]
+#[case::second_edit(vec![timeout(1_000).remove(0), timeout(1).remove(0)])]
+fn invalid_change_has_no_effect(#[case] edits: Vec<Edit>) {
+    let mut log = Log::default();
+    let before = log.store.state().clone();
+    let outcome = log.change(&change("amy", Version::ZERO, edits));
+    assert_eq!(kind(&outcome), Some(Kind::InvalidChange));
+    assert_eq!(log.store.state(), &before);
+}
+
+/// Guards against a command that does not decode and stops the replica.
+#[test]
+fn malformed_command_has_no_effect() {
+    let mut log = Log::default();
+    let outcome: Outcome = log.apply(&[0xff; 40]);
+    assert_eq!(kind(&outcome), Some(Kind::Internal));
+    assert_eq!(log.store.state(), &State::default());
+}
+
+/// Guards against replicas that differ because a result depends on something else than the log.
+#[test]
+fn same_log_gives_same_snapshot() {
+    let run = || {
+        let mut log = Log::default();
+        for n in 0..50_u32 {
+            let expected = log.store.changed();
+            let put = Edit::PutException(exception(&format!("x{}", n % 7), "why", Some("kasa")));
+            let _ = log.change(&change(&format!("c{n}"), expected, vec![put]));
+            log.direct(vec![Step::Join(member("e1", n.into()))]);
+        }
+        log.store.save()
+    };
+    assert_eq!(run(), run());
+}
+
+/// Guards against a watcher that is led back by an instance that lags, was partitioned away or was restored.
+#[test]
+fn older_instance_delivers_nothing() {
+    let mut log = Log::default();
+    let first = log
+        .change(&change("a", Version::ZERO, timeout(1_000)))
+        .unwrap();
+    let old = log.store.save();
+    let second = log.change(&change("b", first, timeout(2_000))).unwrap();
+    let mut lagging = Store::default();
+    lagging.restore(&old).unwrap();
+    let delivered = update(&lagging, &watch(second, None), true);
+    assert_eq!(delivered.content, Content::Unchanged);
+    assert!(delivered.stale);
+    let fault = log.store.restore(&old).unwrap_err();
+    assert_eq!(fault.kind, Kind::Internal);
+    assert_eq!(log.store.state().version, second);
+}
+
+/// Guards against a watcher that holds a version of a lost branch and is given records that don't follow it.
+#[test]
+fn unknown_version_gets_a_snapshot() {
+    let mut log = Log::default();
+    let first = log
+        .change(&change("a", Version::ZERO, timeout(1_000)))
+        .unwrap();
+    log.term = 3;
+    log.change(&change("b", first, timeout(2_000))).unwrap();
+    let records = update(&log.store, &watch(first, None), false).content;
+    assert!(matches!(records, Content::Records(r) if r.len() == 1));
+    let lost = Version {
+        term: 2,
+        revision: 2,
+    };
+    let snapshot = update(&log.store, &watch(lost, None), false).content;
+    assert_eq!(snapshot, Content::Snapshot(log.store.state().clone()));
+}
+
+/// Guards against a part that differs between an entry that follows records and one that loads a snapshot.
+#[test]
+fn records_and_snapshot_give_the_same_part() {
+    let services = ["kasa", "arhiv"];
+    let mut log = Log::default();
+    log.change(&change("base", Version::ZERO, timeout(900)))
+        .unwrap();
+    let Content::Snapshot(mut followed) =
+        update(&log.store, &watch(Version::ZERO, Some(&services)), false).content
+    else {
+        panic!("expected a snapshot");
+    };
+    let scopes = [
+        Some("kasa"),
+        Some("dokumenti"),
+        None,
+        Some("arhiv"),
+        Some("dokumenti"),
+    ];
+    for n in 0..60_usize {
+        let id = format!("x{}", n % 4);
+        let scope = scopes[n * 7 % scopes.len()];
+        let mut edits = vec![Edit::PutException(exception(&id, "why", scope))];
+        if n % 3 == 0 && log.store.state().document.exceptions.contains_key(&id) {
+            edits.insert(0, Edit::RemoveException(id.clone()));
+        }
+        if n % 5 == 0 {
+            edits.push(Edit::RemoveException(id));
+        }
+        let expected = log.store.changed();
+        log.change(&change(&format!("c{n}"), expected, edits))
+            .unwrap();
+        let have = followed.version;
+        let Content::Records(records) =
+            update(&log.store, &watch(have, Some(&services)), false).content
+        else {
+            panic!("expected records after {have}");
+        };
+        for record in &records {
+            followed.apply(record).unwrap();
+        }
+        let names: Vec<_> = services.iter().map(|n| service(n)).collect();
+        assert_eq!(
+            followed.document,
+            log.store.state().document.part(&names),
+            "change {n}"
+        );
+    }
+}
+
+/// Guards against unbounded growth of the state and against a gap after old records are dropped.
+#[test]
+fn kept_records_and_ids_are_bounded() {
+    let mut log = Log::default();
+    let mut early = Version::ZERO;
+    for n in 0..MAX_IDS + 50 {
+        let expected = log.store.changed();
+        let edits = timeout(1_000 + u32::try_from(n % 100).unwrap());
+        let version = log
+            .change(&change(&format!("c{n}"), expected, edits))
+            .unwrap();
+        if n == 10 {
+            early = version;
+        }
+    }
+    assert_eq!(log.store.history().known().len(), MAX_IDS);
+    assert!(log.store.history().find("c10").is_none());
+    let late = update(&log.store, &watch(early, None), false).content;
+    assert!(matches!(late, Content::Snapshot(_)));
+    let revision = log.store.state().version.revision - MAX_RECORDS as u64;
+    let oldest = update(
+        &log.store,
+        &watch(Version { term: 1, revision }, None),
+        false,
+    );
+    assert!(matches!(oldest.content, Content::Records(r) if r.len() == MAX_RECORDS));
+    // A resend whose id is forgotten is still not applied a second time.
+    let resent = log.change(&change("c10", early, timeout(1_010)));
+    assert_eq!(kind(&resent), Some(Kind::VersionConflict));
+}
+
+/// Guards against a heartbeat that arrives late and takes an entry out of its shutdown, or brings back an old process.
+#[test]
+fn directory_keeps_later_incarnations_and_draining() {
+    let mut log = Log::default();
+    let mut draining = member("e1", 2);
+    draining.draining = true;
+    log.direct(vec![Step::Join(draining.clone())]);
+    let version = log.store.state().version;
+    log.direct(vec![
+        Step::Join(member("e1", 2)),
+        Step::Join(member("e1", 1)),
+    ]);
+    log.direct(vec![Step::Leave {
+        entry: entry("e1"),
+        incarnation: Incarnation(1),
+    }]);
+    assert_eq!(log.store.state().directory.members[&entry("e1")], draining);
+    assert_eq!(
+        log.store.state().version,
+        version,
+        "steps without effect add no version"
+    );
+    let command = Command::Directory(vec![Step::Edits(timeout(1_000))]);
+    log.propose::<Version>(&command);
+    assert_eq!(
+        log.store.state().version,
+        version,
+        "edits need a change with author and reason"
+    );
+}
