--- /dev/null
+++ b/crates/entry/src/addresses.rs
@@ -0,0 +1,47 @@
+//! Answers to callers that ask which entries serve a service.
+
+use chestnutvalve_model::config::Target;
+use chestnutvalve_model::error::Kind;
+use chestnutvalve_model::id::Service;
+use http::Response;
+use rand::seq::SliceRandom;
+use serde_json::json;
+
+use crate::answer::{Body, Refusal, json as respond};
+use crate::instance::Instance;
+
+/// Path of the question.
+pub const PATH: &str = "/_chestnutvalve/addresses";
+
+/// Answers the question in `query`.
+///
+/// # Errors
+///
+/// Refuses a question without a valid service name, and one that no instance serves.
+pub fn answer(instance: &Instance, query: Option<&str>) -> Result<Response<Body>, Refusal> {
+    let mut pairs = query.unwrap_or_default().split('&');
+    let service = pairs.find_map(|p| p.strip_prefix("service="));
+    let service = Service::new(service.unwrap_or_default());
+    let service = service.map_err(|e| Refusal::new(Kind::BadRequest, e.to_string()))?;
+    let mut owners = instance.owners(&service);
+    if owners.is_empty() {
+        return Err(Refusal::new(Kind::Draining, "no instance takes new work"));
+    }
+    // Callers try the first address first, so that the order spreads them.
+    owners.shuffle(&mut rand::rng());
+    let owners = instance.reachable_first(owners);
+    let addresses: Vec<String> = owners.iter().map(|o| o.callers.to_string()).collect();
+    let target = Target {
+        service: &service,
+        path: None,
+        method: None,
+        customer: None,
+    };
+    let state = instance.follow.state();
+    let ttl = state.document.resolve(&target).address_ttl_ms;
+    Ok(respond(&json!({
+        "service": service,
+        "addresses": addresses,
+        "ttl_ms": ttl,
+    })))
+}
--- /dev/null
+++ b/crates/entry/src/callers.rs
@@ -0,0 +1,118 @@
+//! Listener for callers: HTTP/1.1 and HTTP/2 in cleartext on one port.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::{HeaderValue, Request, Response, Version, header};
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use hyper_util::server::conn::auto::Builder;
+use hyper_util::server::graceful::GracefulShutdown;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+
+use crate::answer::Body;
+use crate::instance::Instance;
+use crate::proxy;
+
+/// Connections that are served at the same time; further ones wait in the listener's backlog.
+const MAX_CONNECTIONS: usize = 20_000;
+/// Largest request head, in bytes.
+const MAX_HEAD_BYTES: usize = 32 * 1024;
+/// Most headers of a request.
+const MAX_HEADERS: usize = 128;
+/// Requests in progress on one HTTP/2 connection.
+const MAX_STREAMS: u32 = 256;
+/// Time for a caller to send a request head.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(30);
+/// Pause after a failure to accept, such as no free file descriptor.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Period and time of the check that an HTTP/2 connection is alive.
+const PING_PERIOD: Duration = Duration::from_secs(20);
+const PING_TIMEOUT: Duration = Duration::from_secs(10);
+
+fn builder() -> Builder<TokioExecutor> {
+    let mut builder = Builder::new(TokioExecutor::new());
+    builder
+        .http1()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEAD_TIMEOUT)
+        .max_buf_size(MAX_HEAD_BYTES)
+        .max_headers(MAX_HEADERS);
+    builder
+        .http2()
+        .timer(TokioTimer::new())
+        .max_concurrent_streams(MAX_STREAMS)
+        .max_header_list_size(u32::try_from(MAX_HEAD_BYTES).unwrap_or(u32::MAX))
+        .keep_alive_interval(PING_PERIOD)
+        .keep_alive_timeout(PING_TIMEOUT);
+    builder
+}
+
+/// Serves callers until `stop` completes, then finishes the requests in progress, however long they take.
+pub async fn serve(instance: Arc<Instance>, listener: TcpListener, stop: impl Future<Output = ()>) {
+    let builder = builder();
+    let graceful = GracefulShutdown::new();
+    let places = Arc::new(Semaphore::new(MAX_CONNECTIONS));
+    tokio::pin!(stop);
+    loop {
+        let accepted = async {
+            let place = Arc::clone(&places).acquire_owned().await;
+            (place, listener.accept().await)
+        };
+        let (place, accepted) = tokio::select! {
+            accepted = accepted => accepted,
+            () = &mut stop => break,
+        };
+        match (place, accepted) {
+            (Ok(place), Ok((socket, _))) => {
+                connection(&instance, &builder, &graceful, socket, place);
+            }
+            (Err(_), _) => break,
+            (_, Err(error)) => {
+                spdlog::warn!("accepting a caller's connection: {error}");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+    drop(listener);
+    graceful.shutdown().await;
+}
+
+fn connection(
+    instance: &Arc<Instance>,
+    builder: &Builder<TokioExecutor>,
+    graceful: &GracefulShutdown,
+    socket: TcpStream,
+    place: OwnedSemaphorePermit,
+) {
+    if let Err(error) = socket.set_nodelay(true) {
+        spdlog::debug!("caller's connection: {error}");
+    }
+    let instance = Arc::clone(instance);
+    let service = service_fn(move |request| respond(Arc::clone(&instance), request));
+    let connection = builder.serve_connection(TokioIo::new(socket), service);
+    let connection = graceful.watch(connection.into_owned());
+    tokio::spawn(async move {
+        if let Err(error) = connection.await {
+            spdlog::debug!("caller's connection: {error}");
+        }
+        drop(place);
+    });
+}
+
+async fn respond(
+    instance: Arc<Instance>,
+    request: Request<Incoming>,
+) -> Result<Response<Body>, Infallible> {
+    let closable = request.version() == Version::HTTP_11;
+    let mut response = proxy::handle(&instance, request).await;
+    if closable && instance.is_draining() {
+        // The caller's next request opens a connection to another instance.
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+    }
+    Ok(response)
+}
--- /dev/null
+++ b/crates/entry/src/daemon.rs
@@ -0,0 +1,213 @@
+//! Start and graceful shutdown of the daemon.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use chestnutvalve_kernel::service::Failure;
+use chestnutvalve_kernel::{Registry, Service, Shutdown};
+use chestnutvalve_model::config::Target;
+use chestnutvalve_wire::Server;
+use poem::listener::{Acceptor, Listener};
+use tokio::net::TcpListener;
+use tokio::sync::{Mutex, oneshot};
+use tokio::task::JoinHandle;
+use tokio::time::{MissedTickBehavior, interval, sleep};
+
+use crate::clock;
+use crate::instance::Instance;
+use crate::settings::{Advertise, Settings};
+use crate::{callers, link, peers, platform};
+
+/// Time between two looks at queues, proofs and connections.
+const HOUSEKEEPING_PERIOD: Duration = Duration::from_millis(100);
+/// Time for control instances and callers to learn of the drain beyond the time that addresses are kept.
+const DRAIN_MARGIN: Duration = Duration::from_millis(500);
+
+/// A listener that can't be opened, or a service that fails to start or stop.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// A listening address can't be bound.
+    #[error("listening on {address} for {purpose}: {cause}")]
+    Listen {
+        /// Purpose of the listener.
+        purpose: &'static str,
+        /// Address of the listener.
+        address: SocketAddr,
+        /// Error of the operating system.
+        cause: std::io::Error,
+    },
+    /// A service failed to start or to stop.
+    #[error(transparent)]
+    Service(#[from] chestnutvalve_kernel::registry::Error),
+}
+
+/// A running entry instance.
+#[derive(Debug)]
+pub struct Daemon {
+    instance: Arc<Instance>,
+    registry: Registry,
+}
+
+impl Daemon {
+    /// Opens the listeners and starts all services.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when a listener can't be opened.
+    pub async fn start(settings: Settings, shutdown: Shutdown) -> Result<Self, Error> {
+        let listen = |purpose, address| {
+            move |cause| Error::Listen {
+                purpose,
+                address,
+                cause,
+            }
+        };
+        let (for_callers, for_platform, for_peers) =
+            (settings.callers, settings.platform, settings.peers);
+        let callers = TcpListener::bind(for_callers).await;
+        let callers = callers.map_err(listen("callers", for_callers))?;
+        let platform = poem::listener::TcpListener::bind(for_platform.to_string());
+        let platform = platform.into_acceptor().await;
+        let platform = platform.map_err(listen("platform", for_platform))?;
+        let peers = Server::bind(for_peers).await;
+        let peers = peers.map_err(listen("peers", for_peers))?;
+        let bound = Advertise {
+            callers: callers.local_addr().unwrap_or(for_callers),
+            platform: platform
+                .local_addr()
+                .first()
+                .and_then(|a| a.as_socket_addr().copied())
+                .unwrap_or(for_platform),
+            peers: peers.address().unwrap_or(for_peers),
+        };
+        let advertise = settings.advertise.unwrap_or(bound);
+        let instance = Arc::new(Instance::new(settings, advertise, shutdown));
+        let mut registry = Registry::default();
+        registry.register(background("peers", {
+            let router = peers::router(&instance);
+            async move { peers.serve(router).await }
+        }))?;
+        registry.register(platform_service(&instance, platform))?;
+        registry.register(background("watch", link::watch(Arc::clone(&instance))))?;
+        registry.register(background("pulls", peers::pull(Arc::clone(&instance))))?;
+        registry.register(background(
+            "housekeeping",
+            housekeeping(Arc::clone(&instance)),
+        ))?;
+        registry.register(background(
+            "heartbeats",
+            link::heartbeats(Arc::clone(&instance)),
+        ))?;
+        registry.register(callers_service(&instance, callers))?;
+        registry.start().await?;
+        let entry = &instance.settings.entry;
+        spdlog::info!("entry {entry} serves callers on {}", bound.callers);
+        Ok(Self { instance, registry })
+    }
+
+    /// Returns the shared state.
+    #[must_use]
+    pub fn instance(&self) -> &Arc<Instance> {
+        &self.instance
+    }
+
+    /// Waits for the request to shut down, then finishes all requests in progress.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first service that failed to stop.
+    pub async fn run(mut self) -> Result<(), Error> {
+        self.instance.shutdown.requested().await;
+        spdlog::info!("shutting down");
+        self.registry.stop().await?;
+        spdlog::info!("all requests are finished");
+        Ok(())
+    }
+}
+
+/// A service that runs a future until it is stopped.
+fn background(name: &'static str, run: impl Future<Output = ()> + Send + 'static) -> Service {
+    let task: Arc<Mutex<Option<JoinHandle<()>>>> = Arc::default();
+    let started = Arc::clone(&task);
+    Service::new(name, Arc::new(()))
+        .on_start(move || async move {
+            *started.lock().await = Some(tokio::spawn(run));
+            Ok(())
+        })
+        .on_stop(move || async move {
+            if let Some(task) = task.lock().await.take() {
+                task.abort();
+            }
+            Ok(())
+        })
+}
+
+fn platform_service(instance: &Arc<Instance>, acceptor: impl Acceptor + 'static) -> Service {
+    let routes = platform::routes(Arc::clone(instance));
+    background("platform", async move {
+        let server = poem::Server::new_with_acceptor(acceptor);
+        if let Err(error) = server.run(routes).await {
+            spdlog::error!("platform listener: {error}");
+        }
+    })
+}
+
+/// The callers' listener, which is stopped first and takes as long as the requests in progress.
+fn callers_service(instance: &Arc<Instance>, listener: TcpListener) -> Service {
+    let (stop, stopped) = oneshot::channel::<()>();
+    let task: Arc<Mutex<Option<JoinHandle<()>>>> = Arc::default();
+    let started = Arc::clone(&task);
+    let serving = Arc::clone(instance);
+    let draining = Arc::clone(instance);
+    Service::new("callers", Arc::clone(instance))
+        .on_start(move || async move {
+            let stop = async {
+                let _ = stopped.await;
+            };
+            let run = callers::serve(serving, listener, stop);
+            *started.lock().await = Some(tokio::spawn(run));
+            Ok(())
+        })
+        .on_stop(move || async move {
+            draining.drain();
+            sleep(drain_time(&draining)).await;
+            let _ = stop.send(());
+            if let Some(task) = task.lock().await.take() {
+                task.await.map_err(|e| Failure(e.to_string()))?;
+            }
+            draining.jobs.finished().await;
+            Ok(())
+        })
+}
+
+/// Returns the time for which callers may still use an address answer from before the drain.
+fn drain_time(instance: &Instance) -> Duration {
+    let state = instance.follow.state();
+    let service_ttl = |serving: Arc<crate::serving::Serving>| {
+        let target = Target {
+            service: &serving.name,
+            path: None,
+            method: None,
+            customer: None,
+        };
+        state.document.resolve(&target).address_ttl_ms
+    };
+    let services = instance.services.all().into_iter().map(service_ttl);
+    let longest = services.max().unwrap_or(0);
+    let longest = longest.max(state.document.defaults.address_ttl_ms);
+    Duration::from_millis(longest.into()) + DRAIN_MARGIN
+}
+
+async fn housekeeping(instance: Arc<Instance>) {
+    let mut ticks = interval(HOUSEKEEPING_PERIOD);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        let now = clock::now();
+        instance.registry().expire(now);
+        instance.sync_all();
+        instance.services.forget_unused(now);
+        instance.pool.close_idle();
+    }
+}
--- /dev/null
+++ b/crates/entry/src/dispatch.rs
@@ -0,0 +1,245 @@
+//! Attempts of a request at the workers of a service.
+
+use std::collections::HashSet;
+use std::sync::Arc;
+
+use chestnutvalve_membership::worker::Record;
+use chestnutvalve_model::error::{Executed, Kind};
+use chestnutvalve_model::id::Worker;
+use chestnutvalve_routing::evidence::{self, Stage};
+use chestnutvalve_routing::retry;
+use chestnutvalve_routing::sample::Verdict;
+use http::{HeaderMap, HeaderValue};
+use tokio::time::Instant;
+
+use crate::answer::Refusal;
+use crate::call::Call;
+use crate::clock;
+use crate::exchange::{Failed, Received, exchange, is_shed};
+use crate::header as name;
+use crate::instance::Instance;
+use crate::passed::Answer;
+use crate::peers::Withdrawal;
+use crate::place::Place;
+use crate::serving::Serving;
+
+/// A request that got no response.
+#[derive(Debug)]
+pub struct Unanswered {
+    /// Answer for the caller.
+    pub refusal: Refusal,
+    /// What is known about execution, over all attempts.
+    pub executed: Executed,
+}
+
+/// Attempts of one request.
+pub struct Attempts<'a> {
+    /// The instance.
+    pub instance: &'a Arc<Instance>,
+    /// Service of the request.
+    pub serving: &'a Arc<Serving>,
+    /// The request.
+    pub call: &'a Call,
+    tried: HashSet<Worker>,
+    stages: Vec<Stage>,
+}
+
+impl<'a> Attempts<'a> {
+    /// Prepares the attempts.
+    #[must_use]
+    pub fn new(instance: &'a Arc<Instance>, serving: &'a Arc<Serving>, call: &'a Call) -> Self {
+        Self {
+            instance,
+            serving,
+            call,
+            tried: HashSet::new(),
+            stages: Vec::new(),
+        }
+    }
+
+    /// Makes attempts until one is answered or no further one is allowed.
+    ///
+    /// # Errors
+    ///
+    /// Returns the caller's error, with what is known about execution.
+    pub async fn run(mut self) -> Result<Answer, Unanswered> {
+        self.serving.deposit();
+        let Some(mut place) = self.pick() else {
+            let failed = self.no_worker();
+            return Err(self.unanswered(failed));
+        };
+        loop {
+            let outcome = self.attempt(place).await;
+            match outcome {
+                Ok(answer) => {
+                    self.stages.push(Stage::Answered);
+                    let next = answer.parts.status.is_server_error().then(|| self.next());
+                    match next.flatten() {
+                        Some(next) => place = next,
+                        None => return Ok(answer),
+                    }
+                }
+                Err(failed) => {
+                    self.stages.push(failed.stage);
+                    match self.next() {
+                        Some(next) => place = next,
+                        None => return Err(self.unanswered(failed)),
+                    }
+                }
+            }
+        }
+    }
+
+    fn pick(&mut self) -> Option<Place> {
+        let place = self.serving.pick(&self.call.route, &self.tried)?;
+        self.tried.insert(place.worker.clone());
+        Some(place)
+    }
+
+    /// Returns the place for a further attempt, if one is allowed.
+    fn next(&mut self) -> Option<Place> {
+        let executed = evidence::combined(&self.stages);
+        let (left, typical) = (self.call.left(), self.serving.typical());
+        if !retry::allowed(self.call.idempotent, executed, left, typical) {
+            return None;
+        }
+        let place = self.pick()?;
+        self.serving.withdraw().then_some(place)
+    }
+
+    async fn attempt(&self, place: Place) -> Result<Answer, Failed> {
+        let started = Instant::now();
+        let outcome = self.send(&place).await;
+        let received = match outcome {
+            Ok(received) => received,
+            Err(failed) => {
+                if place.finish(failed.verdict, started.elapsed()) {
+                    self.instance.suspects.notify_one();
+                }
+                return Err(failed);
+            }
+        };
+        if is_shed(&received.parts) {
+            // Shedding is not an error of the worker, so that it raises no suspicion.
+            let _ = place.finish(Verdict::Shed, received.latency);
+            let context = "the worker refused the request";
+            return Err(Failed {
+                stage: Stage::ShedByWorker,
+                verdict: Verdict::Shed,
+                kind: Kind::RefusedByUpstream,
+                context: context.to_owned(),
+            });
+        }
+        let mut answer = Answer::new(self.instance, self.call, received, Some(place));
+        strip(&mut answer.parts.headers);
+        Ok(answer)
+    }
+
+    async fn send(&self, place: &Place) -> Result<Received, Failed> {
+        let attempt = self.instance.attempt_id();
+        let Some(body) = self.call.source.replay() else {
+            let context = "the request body is not kept";
+            return Err(Failed::unsent(Kind::Internal, context));
+        };
+        let request = self.call.request(&attempt, body);
+        let check = || self.check(place);
+        let (pool, address) = (&self.instance.pool, place.address);
+        let received = exchange(pool, address, self.call, request, check).await?;
+        let headers = &received.parts.headers;
+        let echoed = headers.get(name::ATTEMPT);
+        if echoed.is_some_and(|e| e.as_bytes() != attempt.as_bytes()) {
+            return Err(Failed {
+                stage: Stage::Sent,
+                verdict: Verdict::Truncated,
+                kind: Kind::UpstreamBroken,
+                context: "the response belongs to another attempt".to_owned(),
+            });
+        }
+        self.note(place, headers, received.dispatched);
+        Ok(received)
+    }
+
+    /// Checks right before dispatch that the worker may still be given work.
+    fn check(&self, place: &Place) -> Result<(), Failed> {
+        let service = &self.serving.name;
+        let registry = self.instance.registry();
+        let records = registry.workers(service);
+        let same = |r: &&Record| r.worker == place.worker && r.incarnation == place.incarnation;
+        // The proof of a restarted worker says nothing about its predecessor.
+        let present = records.into_iter().any(|r| same(&r));
+        if present && registry.has_proof(clock::now(), service, &place.worker) {
+            return Ok(());
+        }
+        let context = format!("worker {} may be leaving", place.worker);
+        Err(Failed::unsent(Kind::NoEligibleWorker, context))
+    }
+
+    /// Takes note of what the worker says about itself.
+    fn note(&self, place: &Place, headers: &HeaderMap, dispatched: Instant) {
+        let service = &self.serving.name;
+        let state = headers.get(name::WORKER).map(HeaderValue::as_bytes);
+        match state {
+            Some(b"accepting") => self.instance.registry().witness(
+                service,
+                &place.worker,
+                place.incarnation,
+                dispatched.into_std(),
+            ),
+            Some(b"leaving") => {
+                let message = Withdrawal {
+                    service: service.clone(),
+                    worker: place.worker.clone(),
+                    incarnation: place.incarnation,
+                };
+                self.instance.spread_withdrawal(message);
+                self.instance.sync(self.serving);
+            }
+            _ => {}
+        }
+        let load = headers.get(name::LOAD).and_then(|l| l.to_str().ok());
+        if let Some(load) = load.and_then(|l| l.parse().ok()) {
+            self.serving.report(&place.worker, load);
+        }
+    }
+
+    fn no_worker(&self) -> Failed {
+        if self.serving.is_unknown() {
+            let context = format!("no worker of {} is known", self.serving.name);
+            return Failed::unsent(Kind::UnknownService, context);
+        }
+        let context = format!("no worker of {} may take work", self.serving.name);
+        Failed::unsent(Kind::NoEligibleWorker, context)
+    }
+
+    fn unanswered(&self, failed: Failed) -> Unanswered {
+        let executed = evidence::combined(&self.stages);
+        Unanswered {
+            refusal: refusal(failed, executed),
+            executed,
+        }
+    }
+}
+
+/// Returns the caller's error; it never says "not executed" when an attempt may have run.
+#[must_use]
+pub fn refusal(failed: Failed, executed: Executed) -> Refusal {
+    let mut kind = failed.kind;
+    if kind.answer().executed == Executed::No && executed != Executed::No {
+        kind = Kind::UpstreamBroken;
+    }
+    Refusal::new(kind, failed.context)
+}
+
+/// Removes what concerns only the worker and the entry.
+fn strip(headers: &mut HeaderMap) {
+    name::remove_hop_by_hop(headers);
+    for name in [
+        name::ATTEMPT,
+        name::ERROR,
+        name::EXECUTED,
+        name::LOAD,
+        name::WORKER,
+    ] {
+        headers.remove(name);
+    }
+}
--- /dev/null
+++ b/crates/entry/src/follow.rs
@@ -0,0 +1,114 @@
+//! The replicated state as this instance has it in force.
+
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Instant;
+
+use chestnutvalve_model::config::validate;
+use chestnutvalve_model::control::{Content, State};
+use chestnutvalve_model::version::Version;
+use tokio::sync::watch;
+
+use crate::clock;
+
+/// Content that can't be adopted.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The state is not valid for this software.
+    #[error("state {version}: {cause}")]
+    Invalid {
+        /// Version of the state.
+        version: Version,
+        /// The wrong field.
+        cause: validate::Invalid,
+    },
+}
+
+/// State in force.
+#[derive(Debug)]
+pub struct Follow {
+    state: watch::Sender<Arc<State>>,
+    since: Mutex<Instant>,
+}
+
+impl Default for Follow {
+    fn default() -> Self {
+        Self {
+            state: watch::Sender::new(Arc::default()),
+            since: Mutex::new(clock::now()),
+        }
+    }
+}
+
+impl Follow {
+    /// Returns the state in force.
+    #[must_use]
+    pub fn state(&self) -> Arc<State> {
+        Arc::clone(&self.state.borrow())
+    }
+
+    /// Returns the version in force.
+    #[must_use]
+    pub fn version(&self) -> Version {
+        self.state.borrow().version
+    }
+
+    /// Returns since when the version is in force.
+    #[must_use]
+    pub fn since(&self) -> Instant {
+        *self.since.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns a receiver that sees every new state.
+    #[must_use]
+    pub fn subscribe(&self) -> watch::Receiver<Arc<State>> {
+        self.state.subscribe()
+    }
+
+    /// Adopts what a control instance delivered, if it is newer; returns whether it was.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when a record or snapshot is not valid.
+    pub fn adopt(&self, content: Content) -> Result<bool, Error> {
+        match content {
+            Content::Unchanged => Ok(false),
+            Content::Snapshot(state) => self.replace(state),
+            Content::Records(records) => {
+                let mut state = (*self.state()).clone();
+                for record in &records {
+                    let applied = state.apply(record);
+                    applied.map_err(|cause| Error::Invalid {
+                        version: record.version,
+                        cause,
+                    })?;
+                }
+                Ok(self.put(state))
+            }
+        }
+    }
+
+    /// Adopts a whole state, if it is valid and newer; returns whether it was newer.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the configuration is not valid.
+    pub fn replace(&self, state: State) -> Result<bool, Error> {
+        let checked = validate::document(&state.document);
+        checked.map_err(|cause| Error::Invalid {
+            version: state.version,
+            cause,
+        })?;
+        Ok(self.put(state))
+    }
+
+    /// Versions only grow, whatever order deliveries arrive in.
+    fn put(&self, state: State) -> bool {
+        let mut since = self.since.lock().unwrap_or_else(PoisonError::into_inner);
+        if state.version <= self.version() {
+            return false;
+        }
+        *since = clock::now();
+        self.state.send_replace(Arc::new(state));
+        true
+    }
+}
--- /dev/null
+++ b/crates/entry/src/header.rs
@@ -0,0 +1,51 @@
+//! Header names of the system and the treatment of headers between connections.
+
+use http::header::{self, HeaderMap, HeaderName};
+
+/// Service of the request.
+pub const SERVICE: HeaderName = HeaderName::from_static("chestnutvalve-service");
+/// Customer of the request.
+pub const CUSTOMER: HeaderName = HeaderName::from_static("chestnutvalve-customer");
+/// Time left for the request, in milliseconds.
+pub const DEADLINE: HeaderName = HeaderName::from_static("chestnutvalve-deadline-ms");
+/// Key under which a request runs at most once.
+pub const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
+/// Id of one attempt.
+pub const ATTEMPT: HeaderName = HeaderName::from_static("chestnutvalve-attempt");
+/// Number of entries that have forwarded the request.
+pub const FORWARDED: HeaderName = HeaderName::from_static("chestnutvalve-forwarded");
+/// Code of an error.
+pub const ERROR: HeaderName = HeaderName::from_static("chestnutvalve-error");
+/// Whether the request was executed.
+pub const EXECUTED: HeaderName = HeaderName::from_static("chestnutvalve-executed");
+/// Time after which another try makes sense, in milliseconds.
+pub const RETRY_AFTER: HeaderName = HeaderName::from_static("retry-after-ms");
+/// Whether the worker takes work.
+pub const WORKER: HeaderName = HeaderName::from_static("chestnutvalve-worker");
+/// Requests in progress at the worker.
+pub const LOAD: HeaderName = HeaderName::from_static("chestnutvalve-load");
+
+const HOP_BY_HOP: [HeaderName; 8] = [
+    header::CONNECTION,
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+    header::TE,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+    HeaderName::from_static("keep-alive"),
+    HeaderName::from_static("proxy-connection"),
+];
+
+/// Removes the headers that concern one connection only.
+pub fn remove_hop_by_hop(headers: &mut HeaderMap) {
+    let listed: Vec<HeaderName> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in listed.iter().chain(&HOP_BY_HOP) {
+        headers.remove(name);
+    }
+}
--- /dev/null
+++ b/crates/entry/src/instance.rs
@@ -0,0 +1,279 @@
+//! Shared state of one entry instance.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Instant;
+
+use chestnutvalve_kernel::Shutdown;
+use chestnutvalve_membership::worker::{Announcement, Record, Registry};
+use chestnutvalve_model::config::Target;
+use chestnutvalve_model::directory::Member;
+use chestnutvalve_model::id::{Incarnation, Service, Worker};
+use chestnutvalve_routing::placement;
+use tokio::sync::{Notify, watch};
+
+use crate::clock;
+use crate::follow::Follow;
+use crate::link::Link;
+use crate::peers::{Peers, Withdrawal, push};
+use crate::pool::Pool;
+use crate::serving::{Candidate, Services, Serving};
+use crate::settings::{Advertise, Settings};
+
+/// One entry instance.
+#[derive(Debug)]
+pub struct Instance {
+    /// Settings of the process.
+    pub settings: Settings,
+    /// Start counter of the process: the time of its start, because an entry has no disk.
+    pub incarnation: Incarnation,
+    /// Replicated state in force.
+    pub follow: Follow,
+    /// Control instances.
+    pub link: Link,
+    /// Other entries.
+    pub peers: Peers,
+    /// Services for which this instance routes.
+    pub services: Services,
+    /// Connections to workers and other entries.
+    pub pool: Arc<Pool>,
+    /// Request to stop the process.
+    pub shutdown: Shutdown,
+    /// Asks for a heartbeat at once.
+    pub beat: Notify,
+    /// Asks for ejection grants at once.
+    pub suspects: Notify,
+    /// Work that must finish before the process ends, besides callers' connections.
+    pub jobs: Jobs,
+    registry: Mutex<Registry>,
+    advertise: Advertise,
+    draining: AtomicBool,
+    attempts: AtomicU64,
+}
+
+impl Instance {
+    /// Creates the instance; `advertise` are the addresses under which it is reached.
+    #[must_use]
+    pub fn new(settings: Settings, advertise: Advertise, shutdown: Shutdown) -> Self {
+        let since_epoch = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+        let started = since_epoch.unwrap_or_default().as_millis();
+        let incarnation = Incarnation(u64::try_from(started).unwrap_or(u64::MAX));
+        Self {
+            incarnation,
+            follow: Follow::default(),
+            link: Link::new(&settings.control),
+            peers: Peers::default(),
+            services: Services::new(settings.zone.clone()),
+            pool: Arc::default(),
+            shutdown,
+            beat: Notify::new(),
+            suspects: Notify::new(),
+            jobs: Jobs::default(),
+            registry: Mutex::new(Registry::new(settings.entry.clone(), incarnation)),
+            advertise,
+            draining: AtomicBool::new(false),
+            attempts: AtomicU64::new(0),
+            settings,
+        }
+    }
+
+    /// Locks the registry of workers; never held across an await or together with a service's state.
+    pub fn registry(&self) -> MutexGuard<'_, Registry> {
+        self.registry.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns whether the instance is shutting down.
+    #[must_use]
+    pub fn is_draining(&self) -> bool {
+        self.draining.load(Ordering::Relaxed)
+    }
+
+    /// Marks the instance as shutting down and announces it.
+    pub fn drain(&self) {
+        self.draining.store(true, Ordering::Relaxed);
+        self.beat.notify_one();
+    }
+
+    /// Returns the instance as a directory member.
+    #[must_use]
+    pub fn member(&self) -> Member {
+        Member {
+            entry: self.settings.entry.clone(),
+            incarnation: self.incarnation,
+            zone: self.settings.zone.clone(),
+            callers: self.advertise.callers,
+            platform: self.advertise.platform,
+            peers: self.advertise.peers,
+            draining: self.is_draining(),
+        }
+    }
+
+    /// Returns an id that no other attempt has.
+    #[must_use]
+    pub fn attempt_id(&self) -> String {
+        let number = self.attempts.fetch_add(1, Ordering::Relaxed);
+        let Self {
+            settings,
+            incarnation,
+            ..
+        } = self;
+        format!("{}-{:x}-{number:x}", settings.entry, incarnation.0)
+    }
+
+    /// Returns the owners of a service, best first.
+    ///
+    /// With an empty directory, before the first contact with a control instance, the instance owns every service.
+    #[must_use]
+    pub fn owners(&self, service: &Service) -> Vec<Member> {
+        let state = self.follow.state();
+        if state.directory.members.is_empty() {
+            let alone = (!self.is_draining()).then(|| self.member());
+            return alone.into_iter().collect();
+        }
+        let target = Target {
+            service,
+            path: None,
+            method: None,
+            customer: None,
+        };
+        let size = match self.services.get(service) {
+            Some(serving) => serving.document(&state).resolve(&target),
+            None => state.document.resolve(&target),
+        };
+        let size = usize::from(size.entries_per_service);
+        let owners = placement::owners(service, size, &state.directory);
+        let members = owners
+            .iter()
+            .filter_map(|o| state.directory.members.get(o).cloned());
+        // The directory learns of the drain later than the instance itself.
+        let leaving = |m: &Member| self.is_draining() && m.entry == self.settings.entry;
+        members.filter(|m| !leaving(m)).collect()
+    }
+
+    /// Returns whether this instance owns a service.
+    #[must_use]
+    pub fn owns(&self, service: &Service) -> bool {
+        self.owners(service).iter().any(|o| self.is_me(o))
+    }
+
+    /// Returns the owners of a service other than this instance.
+    #[must_use]
+    pub fn other_owners(&self, service: &Service) -> Vec<Member> {
+        let owners = self.owners(service).into_iter();
+        owners.filter(|o| !self.is_me(o)).collect()
+    }
+
+    fn is_me(&self, member: &Member) -> bool {
+        member.entry == self.settings.entry
+    }
+
+    /// Returns the owners with those first that have answered lately.
+    #[must_use]
+    pub fn reachable_first(&self, mut owners: Vec<Member>) -> Vec<Member> {
+        let now = clock::now();
+        owners.sort_by_key(|o| self.peers.is_silent(now, o.peers));
+        owners
+    }
+
+    /// Returns the platform address at which a worker renews.
+    #[must_use]
+    pub fn home(&self, announcement: &Announcement) -> SocketAddr {
+        let owners = self.owners(&announcement.service);
+        let now = clock::now();
+        let heard: Vec<&Member> = owners
+            .iter()
+            .filter(|o| self.is_me(o) || !self.peers.is_silent(now, o.peers))
+            .collect();
+        let home = placement::home(&announcement.worker, &announcement.zone, &heard);
+        let home = home.and_then(|home| heard.iter().find(|o| o.entry == home).copied());
+        home.map_or(self.advertise.platform, |m| m.platform)
+    }
+
+    /// Records that a worker is leaving.
+    pub fn withdraw(&self, message: &Withdrawal) {
+        let Withdrawal {
+            service,
+            worker,
+            incarnation,
+        } = message;
+        self.registry()
+            .withdraw(clock::now(), service, worker, *incarnation);
+    }
+
+    /// Records that a worker is leaving and tells the other owners.
+    pub fn spread_withdrawal(self: &Arc<Self>, message: Withdrawal) {
+        self.withdraw(&message);
+        let job = self.jobs.start();
+        let instance = Arc::clone(self);
+        tokio::spawn(async move {
+            push(instance, message).await;
+            drop(job);
+        });
+    }
+
+    /// Brings a service's balancing in line with the registered workers and the configuration.
+    pub fn sync(&self, serving: &Serving) {
+        let now = clock::now();
+        let records = self.candidates(now, &serving.name);
+        let entries = self.owners(&serving.name).len().max(1);
+        serving.sync(now, &self.follow.state(), records, entries);
+    }
+
+    fn candidates(&self, now: Instant, service: &Service) -> HashMap<Worker, Candidate> {
+        let registry = self.registry();
+        let present = registry.workers(service).into_iter().filter(|r| !r.leaving);
+        let candidate = |r: &Record| Candidate {
+            incarnation: r.incarnation,
+            address: r.address,
+            zone: r.zone.clone(),
+            slots: r.slots,
+            fresh: registry.has_proof(now, service, &r.worker),
+            load: r.load,
+        };
+        present.map(|r| (r.worker.clone(), candidate(r))).collect()
+    }
+
+    /// Brings all services in line.
+    pub fn sync_all(&self) {
+        for serving in self.services.all() {
+            self.sync(&serving);
+        }
+    }
+}
+
+/// Counter of tasks in the background.
+#[derive(Debug)]
+pub struct Jobs(watch::Sender<usize>);
+
+impl Default for Jobs {
+    fn default() -> Self {
+        Self(watch::Sender::new(0))
+    }
+}
+
+/// A task in the background, until dropped.
+#[derive(Debug)]
+pub struct Job(watch::Sender<usize>);
+
+impl Jobs {
+    /// Counts a task.
+    #[must_use]
+    pub fn start(&self) -> Job {
+        self.0.send_modify(|n| *n += 1);
+        Job(self.0.clone())
+    }
+
+    /// Waits until no task is left.
+    pub async fn finished(&self) {
+        let mut receiver = self.0.subscribe();
+        let _ = receiver.wait_for(|n| *n == 0).await;
+    }
+}
+
+impl Drop for Job {
+    fn drop(&mut self) {
+        self.0.send_modify(|n| *n -= 1);
+    }
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -1,1 +1,30 @@
-//! Placeholder.
+//! Entry daemon: proxy between callers and workers.
+//!
+//! An instance takes announcements of workers, tells callers which instances serve a service, and routes requests.
+
+pub mod addresses;
+pub mod answer;
+pub mod call;
+pub mod callers;
+pub mod clock;
+pub mod daemon;
+pub mod dispatch;
+pub mod exchange;
+pub mod follow;
+pub mod forward;
+pub mod header;
+pub mod instance;
+pub mod link;
+pub mod passed;
+pub mod peers;
+pub mod place;
+pub mod platform;
+pub mod pool;
+pub mod proxy;
+pub mod replay;
+pub mod serving;
+pub mod settings;
+pub mod status;
+
+pub use daemon::Daemon;
+pub use settings::Settings;
--- /dev/null
+++ b/crates/entry/src/link.rs
@@ -0,0 +1,203 @@
+//! Connection to the control instances: watch, heartbeats and calls to any reachable instance.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use chestnutvalve_model::control::{Heartbeat, Registered, State, Update, Watch};
+use chestnutvalve_model::version::Version;
+use chestnutvalve_wire::{Client, Error};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tokio::time::{Instant, MissedTickBehavior, interval, sleep, timeout};
+
+use crate::clock;
+use crate::instance::Instance;
+
+/// Longest time that a control instance holds a watch open.
+///
+/// With [`WATCH_MARGIN`], an instance that is silently partitioned away is left after 2.5 s, half of the time in which a
+/// change must be in effect.
+const WATCH_WAIT: Duration = Duration::from_millis(1_500);
+/// Time that an answer to a watch may take beyond [`WATCH_WAIT`].
+const WATCH_MARGIN: Duration = Duration::from_secs(1);
+/// Pause after a failed watch, so that a fleet without control doesn't flood the network.
+const WATCH_PAUSE: Duration = Duration::from_millis(200);
+/// Time between heartbeats; a member expires after 5 s.
+const HEARTBEAT_PERIOD: Duration = Duration::from_secs(1);
+/// Time for one heartbeat at one control instance.
+const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(700);
+/// Time for a peer entry to send the state.
+const FETCH_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Clients of the control instances.
+#[derive(Debug)]
+pub struct Link {
+    clients: Vec<Client>,
+    current: AtomicUsize,
+}
+
+impl Link {
+    /// Creates the clients, starting at a random instance so that entries spread over all of them.
+    #[must_use]
+    pub fn new(control: &[std::net::SocketAddr]) -> Self {
+        let clients: Vec<Client> = control.iter().map(|a| Client::new(*a)).collect();
+        let start = rand::random_range(0..clients.len().max(1));
+        Self {
+            clients,
+            current: AtomicUsize::new(start),
+        }
+    }
+
+    fn at(&self, index: usize) -> Option<&Client> {
+        self.clients.get(index % self.clients.len().max(1))
+    }
+
+    fn current(&self) -> usize {
+        self.current.load(Ordering::Relaxed)
+    }
+
+    /// Moves on from the instance at `index`, unless another task has done so.
+    fn leave(&self, index: usize) {
+        let next = (index + 1) % self.clients.len().max(1);
+        let _ = self
+            .current
+            .compare_exchange(index, next, Ordering::Relaxed, Ordering::Relaxed);
+    }
+
+    /// Calls the current control instance, and the others in turn while `repeat` allows the error.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the last instance asked.
+    pub async fn call<Q: Serialize, A: DeserializeOwned>(
+        &self,
+        path: &str,
+        message: &Q,
+        limit: Duration,
+    ) -> Result<A, Error> {
+        let first = self.current();
+        let mut outcome = Err(Error::Malformed("no control instance is configured"));
+        for offset in 0..self.clients.len() {
+            let Some(client) = self.at(first + offset) else {
+                break;
+            };
+            outcome = client.call(path, message, limit).await;
+            if outcome.is_ok() {
+                break;
+            }
+        }
+        outcome
+    }
+}
+
+/// Follows the replicated state until dropped.
+pub async fn watch(instance: Arc<Instance>) {
+    let mut failures = 0;
+    loop {
+        let index = instance.link.current();
+        match poll(&instance, index).await {
+            Ok(()) => failures = 0,
+            Err(cause) => {
+                spdlog::debug!("watch: {cause}");
+                instance.link.leave(index);
+                failures += 1;
+                if failures % instance.settings.control.len() == 0 {
+                    fetch(&instance).await;
+                    sleep(WATCH_PAUSE).await;
+                }
+            }
+        }
+    }
+}
+
+async fn poll(instance: &Instance, index: usize) -> Result<(), String> {
+    let client = instance.link.at(index).ok_or("no control instance")?;
+    let message = Watch {
+        entry: instance.settings.entry.clone(),
+        incarnation: instance.incarnation,
+        have: instance.follow.version(),
+        services: None,
+        wait_ms: u32::try_from(WATCH_WAIT.as_millis()).unwrap_or(u32::MAX),
+    };
+    let asked = Instant::now();
+    let update: Result<Update, Error> = client
+        .call("config/watch", &message, WATCH_WAIT + WATCH_MARGIN)
+        .await;
+    let update = update.map_err(|e| e.to_string())?;
+    let version = update.version;
+    let adopted = instance.follow.adopt(update.content);
+    if adopted.map_err(|e| e.to_string())? {
+        spdlog::info!("state {version} is in force");
+    } else if !update.stale && asked.elapsed() < WATCH_WAIT / 10 {
+        // An instance that answers at once without news is behind this entry.
+        sleep(WATCH_PAUSE).await;
+        if version < message.have {
+            return Err(format!("control instance is at {version}, behind"));
+        }
+    }
+    if update.stale {
+        return Err("control instance has lost its quorum".to_owned());
+    }
+    Ok(())
+}
+
+/// Gets the state from a peer entry when the instance has none.
+async fn fetch(instance: &Instance) {
+    if instance.follow.version() > Version::ZERO {
+        return;
+    }
+    for peer in &instance.settings.peers_hint {
+        let client = instance.peers.client(*peer);
+        let state: Result<State, Error> = client.call("config/fetch", &(), FETCH_TIMEOUT).await;
+        let adopted = match state {
+            Ok(state) => instance.follow.replace(state).map_err(|e| e.to_string()),
+            Err(error) => Err(error.to_string()),
+        };
+        match adopted {
+            Ok(true) => {
+                let version = instance.follow.version();
+                spdlog::warn!("no control instance is reachable; state {version} is from {peer}");
+                return;
+            }
+            Ok(false) => {}
+            Err(cause) => spdlog::warn!("state from peer {peer}: {cause}"),
+        }
+    }
+}
+
+/// Sends heartbeats until dropped; the first one joins the directory.
+pub async fn heartbeats(instance: Arc<Instance>) {
+    let mut ticks = interval(HEARTBEAT_PERIOD);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            _ = ticks.tick() => {}
+            // Leaving the directory must not wait for the next tick.
+            () = instance.beat.notified() => {}
+        }
+        heartbeat(&instance).await;
+    }
+}
+
+async fn heartbeat(instance: &Instance) {
+    let in_force = clock::now().saturating_duration_since(instance.follow.since());
+    let message = Heartbeat {
+        member: instance.member(),
+        in_force: instance.follow.version(),
+        in_force_ms: u64::try_from(in_force.as_millis()).unwrap_or(u64::MAX),
+    };
+    let call = instance
+        .link
+        .call("directory/heartbeat", &message, HEARTBEAT_TIMEOUT);
+    let total = HEARTBEAT_TIMEOUT * 3;
+    match timeout(total, call).await {
+        Ok(Ok(Registered::Accepted)) => {}
+        Ok(Ok(Registered::Superseded)) => {
+            spdlog::error!("a later incarnation of this instance is running; shutting down");
+            instance.shutdown.request();
+        }
+        Ok(Err(error)) => spdlog::debug!("heartbeat: {error}"),
+        Err(_) => spdlog::debug!("heartbeat: no control instance answered in time"),
+    }
+}
--- /dev/null
+++ b/crates/entry/src/peers.rs
@@ -0,0 +1,175 @@
+//! Exchange with the other entries: digests of workers, withdrawals and the state.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use chestnutvalve_membership::digest::Digest;
+use chestnutvalve_model::directory::Member;
+use chestnutvalve_model::error::Fault;
+use chestnutvalve_model::id::{Incarnation, Service, Worker};
+use chestnutvalve_wire::{Client, Error, Router};
+use futures_util::future::join_all;
+use serde::{Deserialize, Serialize};
+use tokio::time::{MissedTickBehavior, interval};
+
+use crate::clock;
+use crate::instance::Instance;
+
+/// Time between pulls of digests.
+const PULL_PERIOD: Duration = Duration::from_millis(600);
+/// Time for a sibling to answer a pull; later answers would carry proofs of little worth.
+const PULL_TIMEOUT: Duration = Duration::from_millis(1_200);
+/// Time for a sibling to take a withdrawal, and number of tries.
+const PUSH_TIMEOUT: Duration = Duration::from_millis(500);
+const PUSH_TRIES: u32 = 3;
+/// Time without an answer after which a sibling is not named as a home owner.
+const SILENCE: Duration = Duration::from_secs(2);
+
+/// Message of a worker that is leaving.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Withdrawal {
+    /// Service of the worker.
+    pub service: Service,
+    /// The worker.
+    pub worker: Worker,
+    /// Its incarnation, which can't come back.
+    pub incarnation: Incarnation,
+}
+
+/// Clients of other entries, and when they last answered.
+#[derive(Debug, Default)]
+pub struct Peers {
+    clients: Mutex<HashMap<SocketAddr, Client>>,
+    silent_since: Mutex<HashMap<SocketAddr, Instant>>,
+}
+
+impl Peers {
+    /// Returns the client of a peer.
+    #[must_use]
+    pub fn client(&self, peer: SocketAddr) -> Client {
+        let mut clients = self.clients.lock().unwrap_or_else(PoisonError::into_inner);
+        let client = clients.entry(peer).or_insert_with(|| Client::new(peer));
+        client.clone()
+    }
+
+    fn heard(&self, now: Instant, peer: SocketAddr, answered: bool) {
+        let silent = self.silent_since.lock();
+        let mut silent = silent.unwrap_or_else(PoisonError::into_inner);
+        if answered {
+            silent.remove(&peer);
+        } else {
+            silent.entry(peer).or_insert(now);
+        }
+    }
+
+    /// Returns whether a peer has not answered for a while.
+    #[must_use]
+    pub fn is_silent(&self, now: Instant, peer: SocketAddr) -> bool {
+        let silent = self.silent_since.lock();
+        let silent = silent.unwrap_or_else(PoisonError::into_inner);
+        let since = silent.get(&peer);
+        since.is_some_and(|since| now.saturating_duration_since(*since) >= SILENCE)
+    }
+
+    /// Forgets peers that are not in the directory any more.
+    fn retain(&self, live: &[SocketAddr]) {
+        let clients = self.clients.lock();
+        clients
+            .unwrap_or_else(PoisonError::into_inner)
+            .retain(|a, _| live.contains(a));
+        let silent = self.silent_since.lock();
+        silent
+            .unwrap_or_else(PoisonError::into_inner)
+            .retain(|a, _| live.contains(a));
+    }
+}
+
+/// Returns the handlers of internal calls.
+pub fn router(instance: &Arc<Instance>) -> Router {
+    let digest = Arc::clone(instance);
+    let withdraw = Arc::clone(instance);
+    let fetch = Arc::clone(instance);
+    Router::default()
+        .route("workers/digest", move |services: Vec<Service>| {
+            let answer = serve_digest(&digest, &services);
+            async move { Ok::<Digest, Fault>(answer) }
+        })
+        .route("workers/withdraw", move |message: Withdrawal| {
+            withdraw.withdraw(&message);
+            async { Ok::<(), Fault>(()) }
+        })
+        .route("config/fetch", move |(): ()| {
+            let state = fetch.follow.state();
+            async move { Ok::<_, Fault>((*state).clone()) }
+        })
+}
+
+fn serve_digest(instance: &Instance, services: &[Service]) -> Digest {
+    // A sibling asks for what this instance owns too, although it may not have heard of the service yet.
+    for service in services {
+        if instance.owns(service) {
+            instance.services.get_or_create(service);
+        }
+    }
+    instance.registry().digest(clock::now(), services)
+}
+
+/// Pulls digests from the other owners until dropped.
+pub async fn pull(instance: Arc<Instance>) {
+    let mut ticks = interval(PULL_PERIOD);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        let mut questions: BTreeMap<SocketAddr, Vec<Service>> = BTreeMap::new();
+        for service in instance.services.names() {
+            for owner in instance.other_owners(&service) {
+                questions
+                    .entry(owner.peers)
+                    .or_default()
+                    .push(service.clone());
+            }
+        }
+        let state = instance.follow.state();
+        let members = state.directory.members.values();
+        let live: Vec<SocketAddr> = members.map(|m| m.peers).collect();
+        instance.peers.retain(&live);
+        let asked = questions
+            .iter()
+            .map(|(peer, services)| ask(&instance, *peer, services));
+        join_all(asked).await;
+        instance.sync_all();
+    }
+}
+
+async fn ask(instance: &Instance, peer: SocketAddr, services: &Vec<Service>) {
+    let client = instance.peers.client(peer);
+    let asked_at = clock::now();
+    let digest: Result<Digest, Error> = client.call("workers/digest", services, PULL_TIMEOUT).await;
+    let now = clock::now();
+    instance.peers.heard(now, peer, digest.is_ok());
+    match digest {
+        Ok(digest) => instance.registry().merge(asked_at, now, &digest),
+        Err(error) => spdlog::debug!("digest from {peer}: {error}"),
+    }
+}
+
+/// Tells the other owners that a worker is leaving.
+pub async fn push(instance: Arc<Instance>, message: Withdrawal) {
+    let owners = instance.other_owners(&message.service);
+    let told = owners.iter().map(|o| push_to(&instance, o, &message));
+    join_all(told).await;
+}
+
+async fn push_to(instance: &Instance, owner: &Member, message: &Withdrawal) {
+    let client = instance.peers.client(owner.peers);
+    for _ in 0..PUSH_TRIES {
+        let told: Result<(), Error> = client.call("workers/withdraw", message, PUSH_TIMEOUT).await;
+        match told {
+            Ok(()) => return,
+            Err(error) => spdlog::debug!("withdrawal to {}: {error}", owner.entry),
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/platform.rs
@@ -0,0 +1,145 @@
+//! HTTP interface for workers and operators.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use chestnutvalve_membership::worker::Announcement;
+use chestnutvalve_model::error::{Fault, Kind};
+use poem::http::StatusCode;
+use poem::web::Data;
+use poem::{Body, EndpointExt, IntoEndpoint, Response, Route, get, handler, post};
+use serde::de::DeserializeOwned;
+use serde_json::{Value, json};
+
+use crate::clock;
+use crate::instance::Instance;
+use crate::peers::Withdrawal;
+
+/// Largest body of an announcement, in bytes.
+const MAX_BODY_BYTES: usize = 16 * 1024;
+/// Time between two renewals of a worker, in milliseconds.
+const RENEW_MS: u64 = 800;
+/// Announcements and withdrawals that one instance takes per second. At target scale an instance is the home of about
+/// 50 workers, and of 500 when a zone is lost.
+const MAX_PER_SECOND: u64 = 5_000;
+
+/// Bound on the rate of announcements.
+#[derive(Debug)]
+struct Rate {
+    second: Mutex<Instant>,
+    taken: AtomicU64,
+}
+
+impl Rate {
+    fn take(&self) -> bool {
+        let now = clock::now();
+        let mut second = self.second.lock().unwrap_or_else(PoisonError::into_inner);
+        if now.saturating_duration_since(*second) >= Duration::from_secs(1) {
+            *second = now;
+            self.taken.store(0, Ordering::Relaxed);
+        }
+        self.taken.fetch_add(1, Ordering::Relaxed) < MAX_PER_SECOND
+    }
+}
+
+#[derive(Clone)]
+struct Context {
+    instance: Arc<Instance>,
+    rate: Arc<Rate>,
+}
+
+/// Returns the interface.
+pub fn routes(instance: Arc<Instance>) -> impl IntoEndpoint {
+    let rate = Rate {
+        second: Mutex::new(clock::now()),
+        taken: AtomicU64::new(0),
+    };
+    let context = Context {
+        instance,
+        rate: Arc::new(rate),
+    };
+    Route::new()
+        .at("/v1/workers", post(take_announcement))
+        .at("/v1/workers/withdraw", post(take_withdrawal))
+        .at("/v1/status", get(show_status))
+        .data(context)
+}
+
+fn answer(value: &Value) -> Response {
+    Response::builder()
+        .content_type("application/json")
+        .body(value.to_string())
+}
+
+fn refusal(fault: &Fault) -> Response {
+    let entry = fault.kind.answer();
+    let status = StatusCode::from_u16(entry.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let body = json!({
+        "code": entry.code,
+        "executed": entry.executed.name(),
+        "retry": entry.retry,
+        "context": fault.context,
+    });
+    Response::builder()
+        .status(status)
+        .content_type("application/json")
+        .body(body.to_string())
+}
+
+async fn read<T: DeserializeOwned>(context: &Context, body: Body) -> Result<T, Fault> {
+    if !context.rate.take() {
+        let text = format!("more than {MAX_PER_SECOND} announcements per second");
+        return Err(Fault::new(Kind::Overloaded, text));
+    }
+    let bytes = body.into_bytes_limit(MAX_BODY_BYTES).await;
+    let bytes = bytes.map_err(|e| Fault::new(Kind::TooLarge, e.to_string()))?;
+    serde_json::from_slice(&bytes).map_err(|e| Fault::new(Kind::BadRequest, e.to_string()))
+}
+
+#[handler]
+async fn take_announcement(Data(context): Data<&Context>, body: Body) -> Response {
+    let outcome = match read::<Announcement>(context, body).await {
+        Ok(announcement) => register(&context.instance, &announcement),
+        Err(fault) => Err(fault),
+    };
+    outcome.map_or_else(|fault| refusal(&fault), |value| answer(&value))
+}
+
+fn register(instance: &Arc<Instance>, announcement: &Announcement) -> Result<Value, Fault> {
+    let now = clock::now();
+    let token = instance.registry().announce(now, announcement)?;
+    let owners = instance.reachable_first(instance.owners(&announcement.service));
+    if instance.owns(&announcement.service) || instance.is_draining() {
+        let serving = instance.services.get_or_create(&announcement.service);
+        let full = || Fault::new(Kind::Overloaded, "too many services at this entry");
+        instance.sync(&*serving.ok_or_else(full)?);
+    }
+    let owners: Vec<String> = owners.iter().map(|o| o.platform.to_string()).collect();
+    Ok(json!({
+        "token": token,
+        "home": instance.home(announcement).to_string(),
+        "owners": owners,
+        "renew_ms": RENEW_MS,
+    }))
+}
+
+#[handler]
+async fn take_withdrawal(Data(context): Data<&Context>, body: Body) -> Response {
+    match read::<Withdrawal>(context, body).await {
+        Ok(message) => {
+            let service = context.instance.services.get(&message.service);
+            context.instance.spread_withdrawal(message);
+            if let Some(serving) = service {
+                context.instance.sync(&serving);
+            }
+            answer(&json!({}))
+        }
+        Err(fault) => refusal(&fault),
+    }
+}
+
+#[handler]
+fn show_status(Data(context): Data<&Context>) -> Response {
+    answer(&crate::status::report(&context.instance))
+}
--- /dev/null
+++ b/crates/entry/src/pool.rs
@@ -0,0 +1,184 @@
+//! HTTP/1.1 connections to workers and other entries.
+//!
+//! A connection returns to the pool only after a complete exchange; every other one is closed.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use http::{Request, Response};
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
+use tokio::time::{Instant, timeout, timeout_at};
+
+use crate::replay::Replay;
+
+/// Unused connections kept for one address.
+const MAX_IDLE: usize = 64;
+/// Time for which an unused connection is kept; servers commonly close theirs after 5 s or more.
+const IDLE_TIME: Duration = Duration::from_secs(4);
+/// Time for a connection to become ready after a complete exchange.
+const READY_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time to open a connection; a worker opens one in about 1 ms.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Largest head of a response, in bytes.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
+/// Most headers of a response.
+const MAX_HEADERS: usize = 128;
+
+/// Unused connections by address.
+#[derive(Debug, Default)]
+pub struct Pool {
+    idle: Mutex<HashMap<SocketAddr, Vec<Idle>>>,
+}
+
+#[derive(Debug)]
+struct Idle {
+    sender: SendRequest<Replay>,
+    driver: Driver,
+    since: Instant,
+}
+
+/// Closes the connection when dropped.
+#[derive(Debug)]
+struct Driver(AbortHandle);
+
+impl Drop for Driver {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+/// A connection in use by one exchange; closed when dropped.
+#[derive(Debug)]
+pub struct Lease {
+    address: SocketAddr,
+    sender: SendRequest<Replay>,
+    driver: Driver,
+    /// Whether the connection has served an exchange before.
+    pub reused: bool,
+}
+
+/// Why there is no response.
+#[derive(Debug)]
+pub enum Failure {
+    /// The connection was gone before any byte of the request was written.
+    NotSent(Box<Request<Replay>>),
+    /// The connection broke after the request may have been sent.
+    Broken(hyper::Error),
+}
+
+impl Pool {
+    /// Returns a kept connection or opens one.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the connection attempt, of kind `TimedOut` when it took too long.
+    pub async fn lease(&self, address: SocketAddr, deadline: Instant) -> std::io::Result<Lease> {
+        if let Some(lease) = self.kept(address) {
+            return Ok(lease);
+        }
+        let limit = deadline.min(Instant::now() + CONNECT_TIMEOUT);
+        match timeout_at(limit, open(address)).await {
+            Ok(opened) => opened,
+            Err(_) => Err(std::io::ErrorKind::TimedOut.into()),
+        }
+    }
+
+    fn kept(&self, address: SocketAddr) -> Option<Lease> {
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        let list = idle.get_mut(&address)?;
+        while let Some(Idle {
+            sender,
+            driver,
+            since,
+        }) = list.pop()
+        {
+            if since.elapsed() < IDLE_TIME && sender.is_ready() {
+                return Some(Lease {
+                    address,
+                    sender,
+                    driver,
+                    reused: true,
+                });
+            }
+        }
+        idle.remove(&address);
+        None
+    }
+
+    /// Closes connections that were not used for long.
+    pub fn close_idle(&self) {
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        idle.retain(|_, list| {
+            list.retain(|i| i.since.elapsed() < IDLE_TIME && !i.sender.is_closed());
+            !list.is_empty()
+        });
+    }
+
+    /// Takes back a connection after a complete exchange.
+    pub fn give_back(self: &Arc<Self>, lease: Lease) {
+        let pool = Arc::clone(self);
+        let Lease {
+            address,
+            mut sender,
+            driver,
+            ..
+        } = lease;
+        tokio::spawn(async move {
+            // The connection becomes ready when its driver has seen the end of the exchange.
+            if !matches!(timeout(READY_TIMEOUT, sender.ready()).await, Ok(Ok(()))) {
+                return;
+            }
+            let mut idle = pool.idle.lock().unwrap_or_else(PoisonError::into_inner);
+            let list = idle.entry(address).or_default();
+            if list.len() < MAX_IDLE {
+                list.push(Idle {
+                    sender,
+                    driver,
+                    since: Instant::now(),
+                });
+            }
+        });
+    }
+}
+
+impl Lease {
+    /// Sends a request and waits for the head of the response.
+    ///
+    /// # Errors
+    ///
+    /// Returns whether anything of the request may have been sent.
+    pub async fn send(&mut self, request: Request<Replay>) -> Result<Response<Incoming>, Failure> {
+        let sent = self.sender.try_send_request(request).await;
+        sent.map_err(|mut error| match error.take_message() {
+            Some(request) => Failure::NotSent(Box::new(request)),
+            None => Failure::Broken(error.into_error()),
+        })
+    }
+}
+
+async fn open(address: SocketAddr) -> std::io::Result<Lease> {
+    let socket = TcpStream::connect(address).await?;
+    socket.set_nodelay(true)?;
+    let handshake = http1::Builder::new()
+        .max_buf_size(MAX_HEAD_BYTES)
+        .max_headers(MAX_HEADERS)
+        .handshake(TokioIo::new(socket));
+    let (sender, connection) = handshake.await.map_err(std::io::Error::other)?;
+    let task = tokio::spawn(async move {
+        if let Err(error) = connection.await {
+            spdlog::debug!("connection to {address}: {error}");
+        }
+    });
+    Ok(Lease {
+        address,
+        sender,
+        driver: Driver(task.abort_handle()),
+        reused: false,
+    })
+}
--- /dev/null
+++ b/crates/entry/src/replay.rs
@@ -0,0 +1,213 @@
+//! Request bodies that are streamed once and kept, within a bound, for further attempts.
+
+use std::pin::Pin;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::task::{Context, Poll, ready};
+
+use bytes::Bytes;
+use http_body::{Body, Frame, SizeHint};
+use hyper::body::Incoming;
+
+use crate::answer::Broken;
+
+/// Largest request body that is kept for another attempt or for a fingerprint, in bytes.
+pub const KEPT_BYTES: usize = 64 * 1024;
+
+/// Body of a caller's request.
+#[derive(Clone, Debug)]
+pub struct Source(Arc<Mutex<State>>);
+
+#[derive(Debug)]
+struct State {
+    incoming: Incoming,
+    declared: SizeHint,
+    kept: Vec<Bytes>,
+    kept_bytes: usize,
+    complete: bool,
+    failed: bool,
+    /// Part of the body was passed on without being kept.
+    dropped: bool,
+    /// Number of the attempt that may read.
+    reader: u64,
+}
+
+impl State {
+    fn poll_incoming(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, Broken>>> {
+        loop {
+            let Some(frame) = ready!(Pin::new(&mut self.incoming).poll_frame(cx)) else {
+                self.complete = true;
+                return Poll::Ready(None);
+            };
+            match frame {
+                // Trailers of requests are not passed on.
+                Ok(frame) => {
+                    self.complete = self.incoming.is_end_stream();
+                    if let Ok(data) = frame.into_data() {
+                        return Poll::Ready(Some(Ok(data)));
+                    }
+                }
+                Err(error) => {
+                    self.failed = true;
+                    return Poll::Ready(Some(Err(error.into())));
+                }
+            }
+        }
+    }
+
+    fn keep(&mut self, data: &Bytes) {
+        self.kept_bytes += data.len();
+        self.kept.push(data.clone());
+    }
+}
+
+impl Source {
+    /// Wraps the body of a request.
+    #[must_use]
+    pub fn new(incoming: Incoming) -> Self {
+        Self(Arc::new(Mutex::new(State {
+            declared: incoming.size_hint(),
+            complete: incoming.is_end_stream(),
+            incoming,
+            kept: Vec::new(),
+            kept_bytes: 0,
+            failed: false,
+            dropped: false,
+            reader: 0,
+        })))
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns the body from its start, or `None` when a part of it is no longer kept.
+    ///
+    /// Bodies returned before can't be read any more.
+    #[must_use]
+    pub fn replay(&self) -> Option<Replay> {
+        let mut state = self.lock();
+        if state.dropped {
+            return None;
+        }
+        state.reader += 1;
+        Some(Replay {
+            reader: state.reader,
+            source: self.clone(),
+            position: 0,
+            sent: 0,
+        })
+    }
+
+    /// Returns whether the caller has sent the whole body.
+    #[must_use]
+    pub fn is_complete(&self) -> bool {
+        self.lock().complete
+    }
+
+    /// Returns whether a part of the body is no longer kept, so that there can be no further attempt.
+    #[must_use]
+    pub fn is_dropped(&self) -> bool {
+        self.lock().dropped
+    }
+
+    /// Returns whether the caller's connection broke within the body.
+    #[must_use]
+    pub fn has_failed(&self) -> bool {
+        self.lock().failed
+    }
+
+    /// Reads until the body is complete or the bound is reached; returns whether it is complete.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the caller's connection.
+    pub async fn prefetch(&self) -> Result<bool, Broken> {
+        std::future::poll_fn(|cx| {
+            let mut state = self.lock();
+            while !state.complete && state.kept_bytes <= KEPT_BYTES {
+                match ready!(state.poll_incoming(cx)) {
+                    Some(Ok(data)) => state.keep(&data),
+                    Some(Err(error)) => return Poll::Ready(Err(error)),
+                    None => {}
+                }
+            }
+            Poll::Ready(Ok(state.complete))
+        })
+        .await
+    }
+
+    /// Calls `each` for every kept part of the body, in order.
+    pub fn for_each_kept(&self, mut each: impl FnMut(&[u8])) {
+        for part in &self.lock().kept {
+            each(part);
+        }
+    }
+
+    /// Returns the size that the caller declared.
+    #[must_use]
+    pub fn declared(&self) -> Option<u64> {
+        self.lock().declared.exact()
+    }
+}
+
+/// Body of one attempt.
+#[derive(Debug)]
+pub struct Replay {
+    source: Source,
+    reader: u64,
+    position: usize,
+    sent: u64,
+}
+
+impl Body for Replay {
+    type Data = Bytes;
+    type Error = Broken;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Broken>>> {
+        let this = self.get_mut();
+        let mut state = this.source.lock();
+        if state.reader != this.reader {
+            let error = "another attempt has taken over the body";
+            return Poll::Ready(Some(Err(error.into())));
+        }
+        let data = if let Some(kept) = state.kept.get(this.position) {
+            this.position += 1;
+            kept.clone()
+        } else if state.complete {
+            return Poll::Ready(None);
+        } else {
+            match ready!(state.poll_incoming(cx)) {
+                None => return Poll::Ready(None),
+                Some(Err(error)) => return Poll::Ready(Some(Err(error))),
+                Some(Ok(data)) => {
+                    if !state.dropped && state.kept_bytes + data.len() <= KEPT_BYTES {
+                        state.keep(&data);
+                        this.position += 1;
+                    } else {
+                        state.dropped = true;
+                        state.kept.clear();
+                        this.position = 0;
+                    }
+                    data
+                }
+            }
+        };
+        this.sent += data.len() as u64;
+        Poll::Ready(Some(Ok(Frame::data(data))))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        let state = self.source.lock();
+        state.complete && self.position == state.kept.len()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self.source.lock().declared.exact() {
+            Some(size) => SizeHint::with_exact(size.saturating_sub(self.sent)),
+            None => SizeHint::default(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/serving.rs
@@ -0,0 +1,388 @@
+//! Routing state of the services that this instance serves.
+
+use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use chestnutvalve_model::config::{Document, Settings, Target};
+use chestnutvalve_model::control::State;
+use chestnutvalve_model::id::{Customer, Incarnation, Service, Worker, Zone};
+use chestnutvalve_model::rank::Rank;
+use chestnutvalve_model::version::Version;
+use chestnutvalve_routing::admission::{Action, Admission, Decision, Limits, Ticket};
+use chestnutvalve_routing::balance::{Balancer, Upstream};
+use chestnutvalve_routing::eject::{self, Detector};
+use chestnutvalve_routing::retry::Budget;
+use chestnutvalve_routing::sample::Sample;
+use tokio::sync::oneshot;
+
+use crate::answer::Refusal;
+use crate::clock;
+use crate::place::{Permit, Place, Waiting};
+
+/// Most services for which one instance keeps state.
+const MAX_SERVICES: usize = 8_192;
+/// Time after which a service without workers and requests is forgotten.
+const UNUSED: Duration = Duration::from_mins(1);
+
+/// Services by name.
+#[derive(Debug)]
+pub struct Services {
+    zone: Zone,
+    map: Mutex<HashMap<Service, Arc<Serving>>>,
+}
+
+impl Services {
+    /// Creates an empty table for an entry in `zone`.
+    #[must_use]
+    pub fn new(zone: Zone) -> Self {
+        Self {
+            zone,
+            map: Mutex::default(),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<Service, Arc<Serving>>> {
+        self.map.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns a service that is in use.
+    #[must_use]
+    pub fn get(&self, service: &Service) -> Option<Arc<Serving>> {
+        self.lock().get(service).cloned()
+    }
+
+    /// Returns a service, or `None` when there are too many.
+    pub fn get_or_create(&self, service: &Service) -> Option<Arc<Serving>> {
+        let mut map = self.lock();
+        if let Some(serving) = map.get(service) {
+            return Some(Arc::clone(serving));
+        }
+        if map.len() >= MAX_SERVICES {
+            return None;
+        }
+        let serving = Arc::new(Serving::new(service.clone(), self.zone.clone()));
+        map.insert(service.clone(), Arc::clone(&serving));
+        Some(serving)
+    }
+
+    /// Returns the names of all services in use.
+    #[must_use]
+    pub fn names(&self) -> Vec<Service> {
+        self.lock().keys().cloned().collect()
+    }
+
+    /// Returns all services in use.
+    #[must_use]
+    pub fn all(&self) -> Vec<Arc<Serving>> {
+        self.lock().values().cloned().collect()
+    }
+
+    /// Forgets services without workers that nobody has asked for lately.
+    pub fn forget_unused(&self, now: Instant) {
+        self.lock().retain(|_, serving| {
+            let inner = serving.lock();
+            !inner.upstreams.is_empty()
+                || !inner.waiters.is_empty()
+                || now.saturating_duration_since(inner.used) < UNUSED
+        });
+    }
+}
+
+/// Worker that can take a request.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Candidate {
+    /// Incarnation of the worker.
+    pub incarnation: Incarnation,
+    /// Address of the worker.
+    pub address: SocketAddr,
+    /// Availability zone of the worker.
+    pub zone: Zone,
+    /// Requests that the worker runs at the same time.
+    pub slots: u32,
+    /// Whether the worker has a fresh proof and is not leaving.
+    pub fresh: bool,
+    /// Load from the last announcement.
+    pub load: u32,
+}
+
+/// Routing state of one service.
+#[derive(Debug)]
+pub struct Serving {
+    /// Name of the service.
+    pub name: Service,
+    inner: Mutex<Inner>,
+    part: Mutex<(Version, Arc<Document>)>,
+}
+
+#[derive(Debug)]
+pub(crate) struct Inner {
+    pub(crate) balancer: Balancer,
+    pub(crate) admission: Admission,
+    pub(crate) detector: Detector,
+    budget: Budget,
+    pub(crate) waiters: HashMap<u64, oneshot::Sender<Result<(), Refusal>>>,
+    next_ticket: u64,
+    pub(crate) typical: Duration,
+    upstreams: HashMap<Worker, Candidate>,
+    used: Instant,
+}
+
+impl Serving {
+    fn new(name: Service, zone: Zone) -> Self {
+        let settings = Settings::default();
+        let inner = Inner {
+            balancer: Balancer::new(zone),
+            admission: Admission::new(limits(&settings, 0, 1)),
+            detector: Detector::new(eject::Settings::default()),
+            budget: Budget::new(settings.retry_percent),
+            waiters: HashMap::new(),
+            next_ticket: 0,
+            typical: Duration::ZERO,
+            upstreams: HashMap::new(),
+            used: clock::now(),
+        };
+        Self {
+            name,
+            inner: Mutex::new(inner),
+            part: Mutex::default(),
+        }
+    }
+
+    pub(crate) fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns the part of the configuration that concerns the service.
+    #[must_use]
+    pub fn document(&self, state: &State) -> Arc<Document> {
+        let mut part = self.part.lock().unwrap_or_else(PoisonError::into_inner);
+        if part.0 != state.version {
+            let document = state.document.part(std::slice::from_ref(&self.name));
+            *part = (state.version, Arc::new(document));
+        }
+        Arc::clone(&part.1)
+    }
+
+    /// Brings the state in line with the registered workers and the configuration.
+    pub fn sync(
+        &self,
+        now: Instant,
+        state: &State,
+        records: HashMap<Worker, Candidate>,
+        entries: usize,
+    ) {
+        let target = Target {
+            service: &self.name,
+            path: None,
+            method: None,
+            customer: None,
+        };
+        let settings = self.document(state).resolve(&target);
+        let mut inner = self.lock();
+        let slots = records.values().map(|c| c.slots).sum();
+        let entries = u32::try_from(entries).unwrap_or(u32::MAX);
+        inner.admission.configure(limits(&settings, slots, entries));
+        inner.budget.configure(settings.retry_percent);
+        inner.adopt(now, &settings, records);
+        let actions = inner.admission.tick(now);
+        inner.act(actions);
+    }
+
+    /// Waits for a place to run; gives up its place in the queue when dropped.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal of the admission.
+    pub async fn admit(
+        self: &Arc<Self>,
+        rank: Rank,
+        customer: Option<Customer>,
+        deadline: Instant,
+    ) -> Result<Permit, Refusal> {
+        let offered = self.offer(rank, customer, deadline)?;
+        let mut waiting = match offered {
+            Offered::Run(permit) => return Ok(permit),
+            Offered::Wait(waiting) => waiting,
+        };
+        waiting.answer().await?;
+        Ok(Permit::new(self, rank))
+    }
+
+    fn offer(
+        self: &Arc<Self>,
+        rank: Rank,
+        customer: Option<Customer>,
+        deadline: Instant,
+    ) -> Result<Offered, Refusal> {
+        let now = clock::now();
+        let mut inner = self.lock();
+        inner.used = now;
+        inner.next_ticket += 1;
+        let id = inner.next_ticket;
+        let ticket = Ticket {
+            id,
+            rank,
+            customer,
+            deadline,
+        };
+        let decision = inner.admission.offer(now, ticket);
+        let displaced = inner.admission.displaced();
+        inner.act(displaced);
+        match decision {
+            Decision::Run => Ok(Offered::Run(Permit::new(self, rank))),
+            Decision::Queue => {
+                let (sender, receiver) = oneshot::channel();
+                inner.waiters.insert(id, sender);
+                Ok(Offered::Wait(Waiting::new(self, id, rank, receiver)))
+            }
+            Decision::Refuse { kind, retry_after } => Err(refused(kind, retry_after)),
+        }
+    }
+
+    /// Gives back the right to run a request.
+    pub(crate) fn finish_permit(&self, rank: Rank, sample: &Sample) {
+        let mut inner = self.lock();
+        let actions = inner.admission.finish(clock::now(), rank, sample);
+        inner.act(actions);
+    }
+
+    /// Picks a worker that was not tried yet and takes one of its places.
+    #[must_use]
+    pub fn pick(self: &Arc<Self>, route: &str, tried: &HashSet<Worker>) -> Option<Place> {
+        let now = clock::now();
+        let mut inner = self.lock();
+        let Inner {
+            balancer,
+            detector,
+            upstreams,
+            ..
+        } = &mut *inner;
+        let eligible = |w: &Worker| {
+            upstreams.get(w).is_some_and(|c| c.fresh)
+                && !tried.contains(w)
+                && !detector.is_ejected(now, w)
+        };
+        let suspicion = |w: &Worker| detector.suspicion(now, w, route);
+        let worker = balancer.pick(now, eligible, suspicion, &mut rand::rng())?;
+        detector.dispatched(now, &worker);
+        let candidate = upstreams.get(&worker)?;
+        Some(Place::new(self, worker, candidate, route, now))
+    }
+
+    /// Returns whether a worker could take work now.
+    #[must_use]
+    pub fn has_fresh(&self) -> bool {
+        self.lock().upstreams.values().any(|c| c.fresh)
+    }
+
+    /// Returns whether no worker is known at all.
+    #[must_use]
+    pub fn is_unknown(&self) -> bool {
+        self.lock().upstreams.is_empty()
+    }
+
+    /// Records the load that a worker reported.
+    pub fn report(&self, worker: &Worker, load: u32) {
+        self.lock().balancer.report(clock::now(), worker, load);
+    }
+
+    /// Records a first attempt in the retry budget.
+    pub fn deposit(&self) {
+        self.lock().budget.deposit();
+    }
+
+    /// Takes one retry from the budget; returns whether there was one.
+    #[must_use]
+    pub fn withdraw(&self) -> bool {
+        self.lock().budget.withdraw()
+    }
+
+    /// Returns the usual duration of a request.
+    #[must_use]
+    pub fn typical(&self) -> Duration {
+        self.lock().typical
+    }
+
+    /// Gives access to the detector, together with the workers that could take work now.
+    pub fn with_detector<T>(
+        &self,
+        with: impl FnOnce(&mut Detector, &HashMap<Worker, Candidate>) -> T,
+    ) -> T {
+        let mut inner = self.lock();
+        let Inner {
+            detector,
+            upstreams,
+            ..
+        } = &mut *inner;
+        with(detector, upstreams)
+    }
+}
+
+impl Inner {
+    fn adopt(&mut self, now: Instant, settings: &Settings, records: HashMap<Worker, Candidate>) {
+        for (worker, candidate) in &records {
+            let known = self.upstreams.get(worker);
+            if known.is_some_and(|k| k.incarnation != candidate.incarnation) {
+                // A restarted worker starts cold and without the suspicion of its predecessor.
+                self.balancer.remove(worker);
+                self.detector.remove(worker);
+            }
+            let upstream = Upstream {
+                worker: worker.clone(),
+                zone: candidate.zone.clone(),
+                slots: candidate.slots,
+                warm_up: Duration::from_millis(settings.warm_up_ms.into()),
+            };
+            self.balancer.upsert(now, upstream);
+            if known.is_none_or(|k| k.load != candidate.load) {
+                self.balancer.report(now, worker, candidate.load);
+            }
+        }
+        for worker in self.upstreams.keys() {
+            if !records.contains_key(worker) {
+                self.balancer.remove(worker);
+                self.detector.remove(worker);
+            }
+        }
+        self.upstreams = records;
+    }
+
+    fn act(&mut self, actions: Vec<Action>) {
+        for action in actions {
+            let (id, answer) = match action {
+                Action::Start(id) => (id, Ok(())),
+                Action::Refuse {
+                    id,
+                    kind,
+                    retry_after,
+                } => (id, Err(refused(kind, retry_after))),
+            };
+            // A waiting request that was dropped gives its place back itself.
+            if let Some(waiter) = self.waiters.remove(&id) {
+                let _ = waiter.send(answer);
+            }
+        }
+    }
+}
+
+fn limits(settings: &Settings, slots: u32, entries: u32) -> Limits {
+    Limits {
+        queue_limit: settings.queue_limit,
+        min_share_percent: settings.min_share_percent,
+        slots,
+        entries,
+    }
+}
+
+fn refused(kind: chestnutvalve_model::error::Kind, retry_after: Duration) -> Refusal {
+    let mut refusal = Refusal::new(kind, "refused by the admission to the service");
+    refusal.retry_after = Some(retry_after);
+    refusal
+}
+
+enum Offered {
+    Run(Permit),
+    Wait(Waiting),
+}
