Add a stand-in worker, caller load and a fault-injecting forwarder

The fleet's guarantees can only be measured from outside: what callers were told against what workers executed. The load is open-loop, so that a slow fleet does not lower its load.

--- /dev/null
+++ b/crates/bench/src/command.rs
@@ -0,0 +1,230 @@
+//! Command line of the measurement program.
+
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::time::Duration;
+
+use chestnutvalve_kernel::Shutdown;
+use chestnutvalve_kernel::shutdown::signal_received;
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+
+use crate::Error;
+use crate::forward::{Forwarder, Mode, command as control};
+use crate::load;
+use crate::worker;
+
+/// Exit code for wrong arguments or a run that could not be made.
+const EXIT_FAILED: u8 = 2;
+
+/// Runs the program with the arguments of the process.
+#[must_use]
+pub fn main() -> ExitCode {
+    let matches = arguments().get_matches();
+    let runtime = match tokio::runtime::Runtime::new() {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            eprintln!("starting the runtime: {error}");
+            return ExitCode::from(EXIT_FAILED);
+        }
+    };
+    match runtime.block_on(dispatch(&matches)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{error}");
+            ExitCode::from(EXIT_FAILED)
+        }
+    }
+}
+
+fn option(name: &'static str, default: &'static str, help: &'static str) -> Arg {
+    let option = Arg::new(name).long(name).help(help).value_name("VALUE");
+    if default.is_empty() {
+        option
+    } else {
+        option.default_value(default)
+    }
+}
+
+fn address(name: &'static str, help: &'static str) -> Arg {
+    option(name, "", help).value_parser(value_parser!(SocketAddr))
+}
+
+fn number(name: &'static str, default: &'static str, help: &'static str) -> Arg {
+    option(name, default, help).value_parser(value_parser!(u64))
+}
+
+fn real(name: &'static str, default: &'static str, help: &'static str) -> Arg {
+    option(name, default, help).value_parser(value_parser!(f64))
+}
+
+/// Returns the description of the command line.
+#[must_use]
+pub fn arguments() -> Command {
+    let worker = Command::new("worker")
+        .about("Runs a stand-in worker")
+        .arg(option("service", "service", "Service of the worker"))
+        .arg(option("worker", "w1", "Name of the worker"))
+        .arg(option("zone", "zone", "Availability zone"))
+        .arg(address("listen", "Address to listen on").default_value("127.0.0.1:0"))
+        .arg(address("advertise", "Address to announce instead"))
+        .arg(address("entry", "Platform address of an entry; repeat it").action(ArgAction::Append))
+        .arg(
+            number("slots", "2", "Requests in progress at a time").value_parser(value_parser!(u32)),
+        )
+        .arg(number("connections", "450", "Connections at a time").value_parser(value_parser!(u32)))
+        .arg(number("work-ms", "5", "Typical service time"))
+        .arg(real("tail-percent", "1", "Share of requests in the tail"))
+        .arg(number("tail-ms", "50", "Service time of the tail"))
+        .arg(number(
+            "cold-ms",
+            "0",
+            "Time with up to threefold service time after the start",
+        ))
+        .arg(real(
+            "error-percent",
+            "0",
+            "Share of requests that fail at random",
+        ))
+        .arg(number(
+            "drain-ms",
+            "3500",
+            "Shortest time between SIGTERM and exit",
+        ))
+        .arg(number("seed", "1", "Seed of the random numbers"));
+    let load = Command::new("load")
+        .about("Sends caller load and prints what callers saw")
+        .arg(address("entry", "Callers' address of an entry; repeat it").action(ArgAction::Append))
+        .arg(
+            Arg::new("direct")
+                .long("direct")
+                .action(ArgAction::SetTrue)
+                .help("Call the addresses without asking for others"),
+        )
+        .arg(
+            option(
+                "mix",
+                "",
+                "File with the classes of requests (JSON with comments)",
+            )
+            .required(true),
+        )
+        .arg(real("rate", "100", "Requests per second"))
+        .arg(number("seconds", "10", "Duration"))
+        .arg(number("seed", "1", "Seed of the random numbers"))
+        .arg(option("name", "load", "Prefix of request names and keys"))
+        .arg(
+            Arg::new("json")
+                .long("json")
+                .action(ArgAction::SetTrue)
+                .help("Print JSON"),
+        );
+    let forward = Command::new("forward")
+        .about("Forwards TCP connections and injects faults")
+        .arg(address("listen", "Address to listen on").required(true))
+        .arg(address("to", "Address to forward to").required(true))
+        .arg(address(
+            "control",
+            "HTTP address that reads and sets the faults (GET and POST /mode)",
+        ))
+        .arg(option("mode", "", "Faults at the start (JSON)"));
+    Command::new("chestnutvalve-bench")
+        .about("Stand-in workers, caller load, fault injection and measurements")
+        .subcommand_required(true)
+        .subcommands([worker, load, forward])
+}
+
+async fn dispatch(matches: &ArgMatches) -> Result<(), Error> {
+    match matches.subcommand() {
+        Some(("worker", arguments)) => run_worker(arguments).await,
+        Some(("load", arguments)) => run_load(arguments).await,
+        Some(("forward", arguments)) => run_forward(arguments).await,
+        _ => Err(Error::Value("unknown command".into())),
+    }
+}
+
+fn take<T: Clone + Send + Sync + 'static>(arguments: &ArgMatches, name: &str) -> T {
+    arguments
+        .get_one::<T>(name)
+        .cloned()
+        .expect("the option has a default or is required")
+}
+
+fn milliseconds(arguments: &ArgMatches, name: &str) -> Duration {
+    Duration::from_millis(take::<u64>(arguments, name))
+}
+
+fn addresses(arguments: &ArgMatches, name: &str) -> Vec<SocketAddr> {
+    let values = arguments.get_many::<SocketAddr>(name);
+    values.map(|v| v.copied().collect()).unwrap_or_default()
+}
+
+async fn run_worker(arguments: &ArgMatches) -> Result<(), Error> {
+    let settings = worker::Settings {
+        service: take(arguments, "service"),
+        worker: take(arguments, "worker"),
+        zone: take(arguments, "zone"),
+        listen: take(arguments, "listen"),
+        advertise: arguments.get_one("advertise").copied(),
+        entries: addresses(arguments, "entry"),
+        slots: take(arguments, "slots"),
+        connections: take(arguments, "connections"),
+        work: milliseconds(arguments, "work-ms"),
+        tail_percent: take(arguments, "tail-percent"),
+        tail: milliseconds(arguments, "tail-ms"),
+        cold: milliseconds(arguments, "cold-ms"),
+        error_percent: take(arguments, "error-percent"),
+        drain: milliseconds(arguments, "drain-ms"),
+        seed: take(arguments, "seed"),
+    };
+    let shutdown = Shutdown::default();
+    let request = shutdown.clone();
+    tokio::spawn(async move {
+        if signal_received().await.is_ok() {
+            request.request();
+        }
+    });
+    let counts = worker::run(settings, shutdown).await?;
+    println!("{}", serde_json::to_string(&counts).unwrap_or_default());
+    Ok(())
+}
+
+async fn run_load(arguments: &ArgMatches) -> Result<(), Error> {
+    let file = take::<String>(arguments, "mix");
+    let classes: Vec<load::Class> = chestnutvalve_telemetry::settings::load(file.as_ref())
+        .map_err(|e| Error::Value(e.to_string()))?;
+    let duration = Duration::from_secs(take(arguments, "seconds"));
+    let entries = addresses(arguments, "entry");
+    let mut plan = load::Plan::new(entries, classes, take(arguments, "rate"), duration);
+    plan.direct = arguments.get_flag("direct");
+    plan.name = take(arguments, "name");
+    plan.seed = take(arguments, "seed");
+    let report = load::run(&plan).await?;
+    if arguments.get_flag("json") {
+        println!("{}", report.json());
+    } else {
+        print!("{}", report.table());
+    }
+    Ok(())
+}
+
+async fn run_forward(arguments: &ArgMatches) -> Result<(), Error> {
+    let forwarder = Forwarder::start(take(arguments, "listen"), take(arguments, "to")).await?;
+    if let Some(mode) = arguments.get_one::<String>("mode") {
+        let mode: Mode = serde_json::from_str(mode).map_err(|e| Error::Value(e.to_string()))?;
+        forwarder.set(mode);
+    }
+    let forwarder = Arc::new(forwarder);
+    println!("{}", serde_json::json!({"listening": forwarder.address()}));
+    let control = arguments.get_one::<SocketAddr>("control").copied();
+    let serving = async {
+        match control {
+            Some(listen) => control::serve(listen, Arc::clone(&forwarder)).await,
+            None => std::future::pending().await,
+        }
+    };
+    tokio::select! {
+        served = serving => served,
+        stopped = signal_received() => stopped.map_err(Error::system("waiting for a signal")),
+    }
+}
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,1 +1,11 @@
-//! Placeholder.
+//! Measurement program of the fleet: stand-in workers, caller load, a fault-injecting forwarder and whole scenarios.
+
+pub mod client;
+pub mod command;
+pub mod error;
+pub mod forward;
+pub mod load;
+pub mod payload;
+pub mod worker;
+
+pub use error::Error;
--- /dev/null
+++ b/src/bin/chestnutvalve-bench.rs
@@ -0,0 +1,5 @@
+//! Measurement program; see the crate `chestnutvalve-bench`.
+
+fn main() -> std::process::ExitCode {
+    chestnutvalve_bench::command::main()
+}
