Start whole fleets of processes for tests and measurements

A fleet writes the settings of control, entry and worker processes on free loopback ports, starts them, waits on conditions with a limit and ends its own processes when dropped. A layout with links puts a forwarder into each control, entry and worker link, so that tests can cut one direction of one link.

--- /dev/null
+++ b/crates/bench/src/fleet.rs
@@ -0,0 +1,345 @@
+//! A whole fleet of processes on the loopback network, for tests and measurements.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use serde_json::{Value, json};
+use tempfile::TempDir;
+
+use crate::Error;
+use crate::client::Http;
+use crate::forward::Forwarder;
+
+pub mod layout;
+pub mod node;
+pub mod operator;
+pub mod port;
+pub mod process;
+pub mod wait;
+
+pub use layout::{Layout, Service};
+pub use node::{Control, Entry, Worker};
+pub use process::Process;
+pub use wait::until;
+
+/// Time for a whole fleet to be ready on a busy machine.
+pub const READY_LIMIT: Duration = Duration::from_mins(1);
+/// Time for one status question.
+const STATUS_LIMIT: Duration = Duration::from_secs(2);
+/// Bearer token of the operators in a fleet of this module.
+pub const TOKEN: &str = "token-of-the-measured-fleet";
+
+/// Paths of the programs.
+#[derive(Clone, Debug)]
+pub struct Programs {
+    /// `chestnutvalve-control`.
+    pub control: PathBuf,
+    /// `chestnutvalve-entry`.
+    pub entry: PathBuf,
+    /// `chestnutvalve-bench`, which runs the workers.
+    pub bench: PathBuf,
+}
+
+impl Programs {
+    /// Returns the programs beside the running one.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the path of the running program is not known.
+    pub fn beside_this() -> Result<Self, Error> {
+        let this = std::env::current_exe().map_err(Error::system("path of this program"))?;
+        let folder = this.parent().unwrap_or(Path::new("."));
+        Ok(Self {
+            control: folder.join("chestnutvalve-control"),
+            entry: folder.join("chestnutvalve-entry"),
+            bench: folder.join("chestnutvalve-bench"),
+        })
+    }
+}
+
+/// Running processes with their addresses; dropping it ends them.
+#[derive(Debug)]
+pub struct Fleet {
+    /// Control instances.
+    pub controls: Vec<Control>,
+    /// Entry instances.
+    pub entries: Vec<Entry>,
+    /// Workers of all services.
+    pub workers: Vec<Worker>,
+    /// Forwarders by link name, if the layout asks for them.
+    pub links: BTreeMap<String, Forwarder>,
+    /// Client for questions to the processes.
+    pub http: Http,
+    pub(crate) layout: Layout,
+    folder: TempDir,
+}
+
+impl Fleet {
+    /// Writes the settings, starts all processes and waits until every entry serves every service.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when a process can't be started or the fleet is not ready in time.
+    pub async fn start(programs: &Programs, layout: Layout) -> Result<Self, Error> {
+        let mut fleet = Self::prepare(programs, layout).await?;
+        for control in &mut fleet.controls {
+            control.start()?;
+        }
+        for entry in &mut fleet.entries {
+            entry.start()?;
+        }
+        fleet.configure().await?;
+        for worker in &mut fleet.workers {
+            worker.start()?;
+        }
+        fleet.ready().await?;
+        Ok(fleet)
+    }
+
+    /// Writes the settings without starting a process.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the folder can't be written.
+    pub async fn prepare(programs: &Programs, layout: Layout) -> Result<Self, Error> {
+        let folder = tempfile::Builder::new().prefix("chestnutvalve-").tempdir();
+        let folder = folder.map_err(Error::system("creating the folder of the fleet"))?;
+        let mut fleet = Self {
+            controls: Vec::new(),
+            entries: Vec::new(),
+            workers: Vec::new(),
+            links: BTreeMap::new(),
+            http: Http::new(),
+            layout,
+            folder,
+        };
+        let token = fleet.folder.path().join("token");
+        std::fs::write(&token, TOKEN).map_err(Error::system("writing the token"))?;
+        fleet.add_controls(programs, &token).await?;
+        for number in 0..fleet.layout.entries {
+            fleet.add_entry(programs, number).await?;
+        }
+        fleet.add_workers(programs).await?;
+        Ok(fleet)
+    }
+
+    /// Returns the folder with settings, data and logs.
+    #[must_use]
+    pub fn folder(&self) -> &Path {
+        self.folder.path()
+    }
+
+    async fn add_controls(&mut self, programs: &Programs, token: &Path) -> Result<(), Error> {
+        let count = self.layout.controls;
+        let peers: Vec<_> = (0..count).map(|_| port::free()).collect::<Result<_, _>>()?;
+        for number in 0..count {
+            let name = format!("c{}", number + 1);
+            let mut members = Vec::new();
+            for (other, address) in peers.iter().enumerate() {
+                let other_name = format!("c{}", other + 1);
+                let reachable = if self.layout.links && other_name != name {
+                    self.link(&format!("{name}-{other_name}"), *address).await?
+                } else {
+                    *address
+                };
+                members.push(json!({"control": other_name, "peers": reachable}));
+            }
+            let own = peers[number];
+            let settings = json!({
+                "control": name, "zone": self.layout.zone(number), "peers": own,
+                "operators": port::free()?, "data": self.folder.path().join(&name),
+                "token_file": token, "members": members, "log": self.layout.log,
+            });
+            let node = Control::new(&programs.control, self.folder.path(), &settings)?;
+            self.controls.push(node);
+        }
+        Ok(())
+    }
+
+    async fn add_entry(&mut self, programs: &Programs, number: usize) -> Result<(), Error> {
+        let name = format!("e{}", number + 1);
+        let mut control = Vec::new();
+        for node in 0..self.controls.len() {
+            let (address, other) = (self.controls[node].peers, self.controls[node].name.clone());
+            let reachable = if self.layout.links {
+                self.link(&format!("{name}-{other}"), address).await?
+            } else {
+                address
+            };
+            control.push(reachable);
+        }
+        // Entries prefer different control instances, as in a fleet where each zone lists its own first.
+        let first = number % control.len().max(1);
+        control.rotate_left(first);
+        let (callers, platform, peers) = (port::free()?, port::free()?, port::free()?);
+        let mut settings = json!({
+            "entry": name, "zone": self.layout.zone(number), "callers": callers,
+            "platform": platform, "peers": peers, "control": control, "log": self.layout.log,
+        });
+        let mut reachable_platform = platform;
+        if self.layout.links {
+            let reachable_peers = self.link(&format!("{name}-peers"), peers).await?;
+            reachable_platform = self.link(&format!("{name}-platform"), platform).await?;
+            settings["advertise"] = json!({
+                "callers": callers, "platform": reachable_platform, "peers": reachable_peers,
+            });
+        }
+        let node = Entry::new(
+            &programs.entry,
+            self.folder.path(),
+            &settings,
+            reachable_platform,
+        )?;
+        self.entries.push(node);
+        Ok(())
+    }
+
+    async fn add_workers(&mut self, programs: &Programs) -> Result<(), Error> {
+        let seeds: Vec<_> = self.entries.iter().map(|e| e.announce).collect();
+        for service in self.layout.services.clone() {
+            for number in 0..service.workers {
+                let name = format!("{}-{}", service.name, number + 1);
+                let listen = port::free()?;
+                let advertise = if self.layout.links {
+                    Some(self.link(&name, listen).await?)
+                } else {
+                    None
+                };
+                let zone = self.layout.zone(number);
+                let seed = number as u64 + 1;
+                let mut arguments = service.arguments(&name, &zone, listen, seed);
+                if let Some(advertise) = advertise {
+                    arguments.extend(["--advertise".into(), advertise.to_string()]);
+                }
+                // Each worker starts at another entry, so that no entry has to answer all of them.
+                for at in 0..seeds.len().min(4) {
+                    let seed = seeds[(number + at) % seeds.len()];
+                    arguments.extend(["--entry".into(), seed.to_string()]);
+                }
+                let node = Worker::new(
+                    &programs.bench,
+                    self.folder.path(),
+                    &service.name,
+                    &name,
+                    listen,
+                    arguments,
+                );
+                self.workers.push(node);
+            }
+        }
+        Ok(())
+    }
+
+    async fn link(&mut self, name: &str, target: SocketAddr) -> Result<SocketAddr, Error> {
+        let forwarder = Forwarder::start(port::free()?, target).await?;
+        let address = forwarder.address();
+        self.links.insert(name.to_owned(), forwarder);
+        Ok(address)
+    }
+
+    /// Returns the link with that name.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the layout has no such link.
+    pub fn at(&self, link: &str) -> Result<&Forwarder, Error> {
+        let found = self.links.get(link);
+        found.ok_or_else(|| Error::Value(format!("no link {link:?}")))
+    }
+
+    /// Waits until every entry gives addresses for every service and its owners know all workers.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when that takes too long.
+    pub async fn ready(&self) -> Result<(), Error> {
+        for service in self.layout.services.clone() {
+            self.service_ready(&service.name, service.workers).await?;
+        }
+        Ok(())
+    }
+
+    /// Waits until all running entries name owners of a service that know `workers` of its workers as usable.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when that takes too long.
+    pub async fn service_ready(&self, service: &str, workers: usize) -> Result<(), Error> {
+        let what = format!("service {service} ready with {workers} workers");
+        until(&what, READY_LIMIT, async || {
+            for entry in self.entries.iter().filter(|e| e.is_running()) {
+                let addresses = self.addresses(entry.callers, service).await?;
+                let all = addresses
+                    .iter()
+                    .all(|a| self.entries.iter().any(|e| e.callers == *a));
+                if addresses.is_empty() || !all {
+                    return None;
+                }
+                for owner in self
+                    .entries
+                    .iter()
+                    .filter(|e| addresses.contains(&e.callers))
+                {
+                    let status = self.entry_status(owner).await?;
+                    if node::usable_workers(&status, service) < workers {
+                        return None;
+                    }
+                }
+            }
+            Some(())
+        })
+        .await
+    }
+
+    /// Asks an entry for the addresses of a service.
+    pub async fn addresses(&self, entry: SocketAddr, service: &str) -> Option<Vec<SocketAddr>> {
+        let path = format!("/_chestnutvalve/addresses?service={service}");
+        let answer = self.http.get(entry, &path, STATUS_LIMIT).await.ok()?;
+        serde_json::from_value(answer.json().get("addresses")?.clone()).ok()
+    }
+
+    /// Returns the callers' addresses of all entries.
+    #[must_use]
+    pub fn callers(&self) -> Vec<SocketAddr> {
+        self.entries.iter().map(|e| e.callers).collect()
+    }
+
+    /// Asks an entry for its status.
+    pub async fn entry_status(&self, entry: &Entry) -> Option<Value> {
+        let answer = self
+            .http
+            .get(entry.platform, "/v1/status", STATUS_LIMIT)
+            .await;
+        answer
+            .ok()
+            .filter(|a| a.status.is_success())
+            .map(|a| a.json())
+    }
+
+    /// Asks a control instance for its status.
+    pub async fn control_status(&self, control: &Control) -> Option<Value> {
+        let answer = self
+            .http
+            .get(control.operators, "/v1/status", STATUS_LIMIT)
+            .await;
+        answer
+            .ok()
+            .filter(|a| a.status.is_success())
+            .map(|a| a.json())
+    }
+
+    /// Sums the counts of all workers: those of running ones by question, those of ended ones from their output.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when a running worker does not answer.
+    pub async fn counts(&self) -> Result<crate::worker::Counts, Error> {
+        let mut sum = crate::worker::Counts::default();
+        for worker in &self.workers {
+            sum.merge(&worker.counts(&self.http).await?);
+        }
+        Ok(sum)
+    }
+}
--- /dev/null
+++ b/crates/bench/src/fleet/process.rs
@@ -0,0 +1,185 @@
+//! One started process.
+
+use std::fs::File;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::{Mutex, PoisonError};
+use std::time::Duration;
+
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
+
+use super::until;
+use crate::Error;
+
+/// A process that is killed when dropped; its output goes to files.
+#[derive(Debug)]
+pub struct Process {
+    name: String,
+    child: Mutex<Child>,
+    output: PathBuf,
+}
+
+impl Process {
+    /// Starts a program; its output is appended to `NAME.out` and `NAME.err` in `folder`.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the operating system.
+    pub fn start(
+        program: &Path,
+        arguments: &[String],
+        folder: &Path,
+        name: &str,
+    ) -> Result<Self, Error> {
+        let open = |suffix: &str| -> Result<File, Error> {
+            let path = folder.join(format!("{name}.{suffix}"));
+            let file = File::options().append(true).create(true).open(&path);
+            file.map_err(Error::system(format!("opening {}", path.display())))
+        };
+        let child = Command::new(program)
+            .args(arguments)
+            .stdin(Stdio::null())
+            .stdout(open("out")?)
+            .stderr(open("err")?)
+            .spawn();
+        let child = child.map_err(Error::system(format!("starting {}", program.display())))?;
+        Ok(Self {
+            name: name.to_owned(),
+            child: Mutex::new(child),
+            output: folder.join(format!("{name}.out")),
+        })
+    }
+
+    fn child(&self) -> std::sync::MutexGuard<'_, Child> {
+        self.child.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns the process id.
+    #[must_use]
+    pub fn id(&self) -> u32 {
+        self.child().id()
+    }
+
+    /// Returns whether the process has not ended.
+    #[must_use]
+    pub fn is_running(&self) -> bool {
+        matches!(self.child().try_wait(), Ok(None))
+    }
+
+    fn signal(&self, signal: Signal) -> Result<(), Error> {
+        let mut child = self.child();
+        // An ended child keeps its id until it is waited for, which only this lock allows.
+        if !matches!(child.try_wait(), Ok(None)) {
+            return Ok(());
+        }
+        let id = i32::try_from(child.id()).expect("process ids are positive i32");
+        kill(Pid::from_raw(id), signal).map_err(|error| Error::System {
+            what: format!("signal to {}", self.name),
+            cause: error.into(),
+        })
+    }
+
+    /// Stops the process with SIGSTOP.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the operating system.
+    pub fn freeze(&self) -> Result<(), Error> {
+        self.signal(Signal::SIGSTOP)
+    }
+
+    /// Resumes the process with SIGCONT.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the operating system.
+    pub fn resume(&self) -> Result<(), Error> {
+        self.signal(Signal::SIGCONT)
+    }
+
+    /// Asks the process to stop with SIGTERM.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the operating system.
+    pub fn terminate(&self) -> Result<(), Error> {
+        self.signal(Signal::SIGTERM)
+    }
+
+    /// Ends the process with SIGKILL and waits for its end.
+    pub fn kill(&self) {
+        let mut child = self.child();
+        // An error means that it has ended already.
+        let _ = child.kill();
+        let _ = child.wait();
+    }
+
+    /// Waits for the end of the process.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when it still runs after `limit`.
+    pub async fn ended(&self, limit: Duration) -> Result<ExitStatus, Error> {
+        let what = format!("end of {}", self.name);
+        until(&what, limit, async || {
+            self.child().try_wait().ok().flatten()
+        })
+        .await
+    }
+
+    /// Returns what the process has written to standard output.
+    #[must_use]
+    pub fn output(&self) -> String {
+        std::fs::read_to_string(&self.output).unwrap_or_default()
+    }
+
+    /// Returns processor time and resident memory.
+    #[must_use]
+    pub fn usage(&self) -> Option<Usage> {
+        Usage::read(self.id())
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// What a process has used.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Usage {
+    /// Processor time of user and system together.
+    pub processor: Duration,
+    /// Resident memory, in bytes.
+    pub resident: u64,
+}
+
+/// Clock ticks per second in `/proc/PID/stat`; Linux fixes it for user space.
+const TICKS_PER_SECOND: u64 = 100;
+/// Fields of `/proc/PID/stat` after the parenthesised name: `utime` and `stime`.
+const TIME_FIELDS: [usize; 2] = [11, 12];
+
+impl Usage {
+    fn read(id: u32) -> Option<Self> {
+        let stat = std::fs::read_to_string(format!("/proc/{id}/stat")).ok()?;
+        let fields: Vec<_> = stat.rsplit_once(')')?.1.split_whitespace().collect();
+        let mut ticks = 0;
+        for field in TIME_FIELDS {
+            ticks += fields.get(field)?.parse::<u64>().ok()?;
+        }
+        let status = std::fs::read_to_string(format!("/proc/{id}/status")).ok()?;
+        let resident = status.lines().find_map(|l| l.strip_prefix("VmRSS:"))?;
+        let resident: u64 = resident
+            .trim()
+            .trim_end_matches(" kB")
+            .trim()
+            .parse()
+            .ok()?;
+        Some(Self {
+            processor: Duration::from_millis(ticks * 1_000 / TICKS_PER_SECOND),
+            resident: resident * 1_024,
+        })
+    }
+}
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod client;
 pub mod command;
 pub mod error;
+pub mod fleet;
 pub mod forward;
 pub mod load;
 pub mod payload;
