--- a/crates/bench/src/fleet.rs
+++ b/crates/bench/src/fleet.rs
@@ -50,12 +50,18 @@
     /// Returns an error when the path of the running program is not known.
     pub fn beside_this() -> Result<Self, Error> {
         let this = std::env::current_exe().map_err(Error::system("path of this program"))?;
-        let folder = this.parent().unwrap_or(Path::new("."));
-        Ok(Self {
+        Ok(Self::beside(&this))
+    }
+
+    /// Returns the programs in the folder of `program`.
+    #[must_use]
+    pub fn beside(program: &Path) -> Self {
+        let folder = program.parent().unwrap_or(Path::new("."));
+        Self {
             control: folder.join("chestnutvalve-control"),
             entry: folder.join("chestnutvalve-entry"),
             bench: folder.join("chestnutvalve-bench"),
-        })
+        }
     }
 }
 
@@ -84,18 +90,27 @@
     /// Returns an error when a process can't be started or the fleet is not ready in time.
     pub async fn start(programs: &Programs, layout: Layout) -> Result<Self, Error> {
         let mut fleet = Self::prepare(programs, layout).await?;
-        for control in &mut fleet.controls {
+        fleet.launch().await?;
+        Ok(fleet)
+    }
+
+    /// Starts all processes and waits until every entry serves every service.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when a process can't be started or the fleet is not ready in time.
+    pub async fn launch(&mut self) -> Result<(), Error> {
+        for control in &mut self.controls {
             control.start()?;
         }
-        for entry in &mut fleet.entries {
+        for entry in &mut self.entries {
             entry.start()?;
         }
-        fleet.configure().await?;
-        for worker in &mut fleet.workers {
+        self.configure().await?;
+        for worker in &mut self.workers {
             worker.start()?;
         }
-        fleet.ready().await?;
-        Ok(fleet)
+        self.ready().await
     }
 
     /// Writes the settings without starting a process.
--- a/crates/bench/src/fleet/layout.rs
+++ b/crates/bench/src/fleet/layout.rs
@@ -2,7 +2,9 @@
 
 use std::net::SocketAddr;
 
-use chestnutvalve_model::config::Edit;
+use chestnutvalve_model::config::{Edit, Exception, Match, Overrides};
+use chestnutvalve_model::id;
+use chestnutvalve_model::rank::Rank;
 use serde::{Deserialize, Serialize};
 
 /// Most processes of one fleet on one machine.
@@ -137,3 +139,26 @@
         self.controls + self.entries + workers
     }
 }
+
+/// Returns the edit that gives a path of a service its rank and says whether its requests may run more than once.
+///
+/// # Panics
+///
+/// Panics when `service` is not a valid name.
+#[must_use]
+pub fn route(service: &str, path: &str, rank: Rank, idempotent: bool) -> Edit {
+    Edit::PutException(Exception {
+        id: format!("{service}{}", path.replace('/', "-")),
+        reason: "route of the measured fleet".into(),
+        on: Match {
+            service: Some(id::Service::new(service).expect("a valid service name")),
+            path: Some(path.to_owned()),
+            ..Match::default()
+        },
+        set: Overrides {
+            rank: Some(rank),
+            idempotent: Some(idempotent),
+            ..Overrides::default()
+        },
+    })
+}
--- a/crates/bench/src/fleet/node.rs
+++ b/crates/bench/src/fleet/node.rs
@@ -238,3 +238,15 @@
         .filter(|w| w["service"] == service && w["state"] == "usable");
     usable.count()
 }
+
+/// Returns the workers of a service that an entry's status calls ejected.
+#[must_use]
+pub fn ejected_workers(status: &Value, service: &str) -> std::collections::BTreeSet<String> {
+    let workers = status["workers"].as_array().map(Vec::as_slice);
+    let ejected = workers
+        .unwrap_or_default()
+        .iter()
+        .filter(|w| w["service"] == service && w["state"] == "ejected");
+    let names = ejected.filter_map(|w| Some(w["worker"].as_str()?.to_owned()));
+    names.collect()
+}
--- /dev/null
+++ b/tests/all/floor.rs
@@ -0,0 +1,80 @@
+//! P1: ejection leaves the floor of healthy capacity, across the whole fleet.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use chestnutvalve_bench::fleet::node::ejected_workers;
+use chestnutvalve_bench::load::{self, Class, Plan};
+use chestnutvalve_bench::worker::Fault;
+use tokio::time::{Instant, sleep};
+
+use crate::once::leader;
+use crate::support::{self, Running, SERVICE, lookup};
+
+/// 30% of 10 workers: the default floor is 70%.
+const MOST_EJECTED: usize = 3;
+
+async fn ejected(fleet: &Running) -> Vec<BTreeSet<String>> {
+    let mut all = Vec::new();
+    for entry in &fleet.entries {
+        let status = fleet.entry_status(entry).await.unwrap_or_default();
+        all.push(ejected_workers(&status, SERVICE));
+    }
+    all
+}
+
+/// Guards against entries that together eject more than each of them may, also while the granting leader is lost.
+#[rstest::rstest]
+#[case::calm(false)]
+#[case::leader_lost(true)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn the_floor_holds_across_entries(#[case] lose_leader: bool) {
+    let mut layout = support::layout();
+    layout.services[0].workers = 10;
+    let mut fleet = support::start(layout).await;
+    // The leader grants nothing in its first 12 s.
+    let failing = Fault {
+        fail_percent: 100.0,
+        ..Fault::default()
+    };
+    for worker in &fleet.workers[..6] {
+        worker.fault(&fleet.http, &failing).await.unwrap();
+    }
+    let classes = vec![Class {
+        deadline_ms: 2_000,
+        ..lookup()
+    }];
+    let plan = Plan::new(fleet.callers(), classes, 250.0, Duration::from_secs(30));
+    let loading = tokio::spawn(async move { load::run(&plan).await });
+    let (mut most, mut lost) = (0, None);
+    let start = Instant::now();
+    let mut before = ejected(&fleet).await;
+    while start.elapsed() < Duration::from_secs(29) {
+        sleep(Duration::from_millis(100)).await;
+        let now = ejected(&fleet).await;
+        // What an entry reports before and after an instant was ejected at that instant.
+        let held = before.iter().zip(&now).flat_map(|(b, n)| b & n);
+        let held: BTreeSet<_> = held.collect();
+        assert!(
+            held.len() <= MOST_EJECTED,
+            "ejected at one instant: {held:?}"
+        );
+        most = most.max(held.len());
+        before = now;
+        if lose_leader && lost.is_none() && most == MOST_EJECTED {
+            lost = leader(&fleet).await;
+            if let Some(at) = lost {
+                fleet.controls[at].kill();
+                fleet.controls[at].start().unwrap();
+            }
+        }
+    }
+    let report = loading.await.unwrap().unwrap();
+    print!("{}", report.table());
+    println!("at most {most} workers ejected at one instant");
+    assert!(
+        most > 0,
+        "nothing was ejected, so that the floor was not tested"
+    );
+    assert!(!lose_leader || lost.is_some(), "no leader was lost");
+}
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -1,1 +1,11 @@
-//! Whole-process tests.
+//! Whole-process tests: real processes on the loopback network, compared from outside.
+
+mod complete;
+mod config;
+mod floor;
+mod leaving;
+mod once;
+mod serve;
+mod shutdown;
+mod support;
+mod truth;
