--- a/crates/routing/src/balance.rs
+++ b/crates/routing/src/balance.rs
@@ -1,4 +1,8 @@
 //! Choice of a worker for a request.
+//!
+//! A few candidates are drawn, with less chance for suspicious and new workers, and the one with the lowest cost is
+//! taken. The cost follows from this entry's own requests in flight and latencies; the load that a worker reports adds
+//! what other entries send to it. Workers of the own availability zone come first while one of them has a free slot.
 
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
@@ -6,7 +10,25 @@
 use chestnutvalve_model::id::{Worker, Zone};
 use rand::{Rng, RngExt};
 
-use crate::sample::Sample;
+use crate::sample::{Sample, Verdict};
+
+/// Candidates that are drawn and compared.
+pub const CANDIDATES: usize = 3;
+/// Weight of the newest latency in the average of a worker.
+const NEWEST: f64 = 0.1;
+/// Bounds of the latency of a worker relative to all, in the cost. They keep a fast failing or a single slow response
+/// from outweighing the requests in flight.
+const LATENCY_BOUNDS: (f64, f64) = (0.5, 8.0);
+/// Time constant with which an old latency loses its weight, so that a worker that was slow gets requests again.
+const LATENCY_LIFETIME: Duration = Duration::from_secs(5);
+/// Time in which the reported load of other entries loses its weight.
+const REPORT_LIFETIME: Duration = Duration::from_secs(1);
+/// Least share of a new worker, relative to the full one.
+const FIRST_SHARE: f64 = 0.1;
+/// Additional cost of full suspicion, as a multiple of the cost.
+const SUSPICION_COST: f64 = 9.0;
+/// Additional cost of another availability zone, as a multiple of the cost.
+const REMOTE_COST: f64 = 0.5;
 
 /// A worker as the balancer sees it.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -24,14 +46,59 @@
 #[derive(Clone, Debug)]
 struct State {
     upstream: Upstream,
+    added: Instant,
     in_flight: u32,
+    /// Requests of other entries at the last report, and its instant.
+    others: Option<(f64, Instant)>,
+    /// Average latency in seconds, and the instant of its last change.
+    latency: Option<(f64, Instant)>,
+}
+
+impl State {
+    /// Returns the requests in progress that are known, own ones and those of other entries.
+    fn load(&self, now: Instant) -> f64 {
+        let others = self.others.map_or(0.0, |(load, at)| {
+            let age = now.saturating_duration_since(at).as_secs_f64();
+            load * (1.0 - age / REPORT_LIFETIME.as_secs_f64()).max(0.0)
+        });
+        f64::from(self.in_flight) + others
+    }
+
+    fn slots(&self) -> f64 {
+        f64::from(self.upstream.slots.max(1))
+    }
+
+    fn has_free_slot(&self, now: Instant) -> bool {
+        self.load(now) + 1.0 <= self.slots()
+    }
+
+    /// Returns the share that warm-up allows, relative to the full one.
+    fn warmth(&self, now: Instant) -> f64 {
+        let warm_up = self.upstream.warm_up.as_secs_f64();
+        let age = now.saturating_duration_since(self.added).as_secs_f64();
+        if age >= warm_up {
+            return 1.0;
+        }
+        (age / warm_up).max(FIRST_SHARE)
+    }
+}
+
+/// A worker that may be picked, with what is known about it at the moment.
+struct Candidate<'a> {
+    state: &'a State,
+    suspicion: f64,
+    /// Position in a random order in which greater weights tend to come first.
+    order: f64,
 }
 
 /// Balancer for one service at one entry.
 #[derive(Clone, Debug)]
 pub struct Balancer {
     zone: Zone,
+    candidates: usize,
     workers: BTreeMap<Worker, State>,
+    /// Average latency of all workers, in seconds.
+    latency: Option<f64>,
 }
 
 impl Balancer {
@@ -40,20 +107,34 @@
     pub fn new(zone: Zone) -> Self {
         Self {
             zone,
+            candidates: CANDIDATES,
             workers: BTreeMap::new(),
+            latency: None,
         }
     }
 
+    /// Changes the number of candidates that are compared, by default [`CANDIDATES`].
+    #[must_use]
+    pub fn with_candidates(mut self, candidates: usize) -> Self {
+        self.candidates = candidates.max(1);
+        self
+    }
+
     /// Adds a worker or changes its data.
-    pub fn upsert(&mut self, _now: Instant, upstream: Upstream) {
+    pub fn upsert(&mut self, now: Instant, upstream: Upstream) {
+        if let Some(state) = self.workers.get_mut(&upstream.worker) {
+            state.upstream = upstream;
+            return;
+        }
         let worker = upstream.worker.clone();
-        self.workers
-            .entry(worker)
-            .and_modify(|s| s.upstream = upstream.clone())
-            .or_insert(State {
-                upstream,
-                in_flight: 0,
-            });
+        let state = State {
+            upstream,
+            added: now,
+            in_flight: 0,
+            others: None,
+            latency: None,
+        };
+        self.workers.insert(worker, state);
     }
 
     /// Removes a worker.
@@ -61,8 +142,13 @@
         self.workers.remove(worker);
     }
 
-    /// Records the number of requests in progress that a worker reported.
-    pub fn report(&mut self, _now: Instant, _worker: &Worker, _load: u32) {}
+    /// Records the number of requests in progress that a worker reported, those of this entry included.
+    pub fn report(&mut self, now: Instant, worker: &Worker, load: u32) {
+        if let Some(state) = self.workers.get_mut(worker) {
+            let others = load.saturating_sub(state.in_flight);
+            state.others = Some((f64::from(others), now));
+        }
+    }
 
     /// Picks a worker and takes one of its places.
     ///
@@ -70,35 +156,84 @@
     /// [`Balancer::finish`].
     pub fn pick(
         &mut self,
-        _now: Instant,
+        now: Instant,
         eligible: impl Fn(&Worker) -> bool,
         suspicion: impl Fn(&Worker) -> f64,
         random: &mut impl Rng,
     ) -> Option<Worker> {
-        let cost = |s: &State| {
-            let load = f64::from(s.in_flight + 1) / f64::from(s.upstream.slots.max(1));
-            let remote = if s.upstream.zone == self.zone {
-                0.0
-            } else {
-                0.5
-            };
-            load + remote + 100.0 * suspicion(&s.upstream.worker)
-        };
-        let best = self
-            .workers
-            .values()
+        let states = self.workers.values();
+        let mut candidates: Vec<Candidate<'_>> = states
             .filter(|s| eligible(&s.upstream.worker))
-            .map(|s| (cost(s), random.random::<u32>(), &s.upstream.worker))
-            .min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)))?;
-        let worker = best.2.clone();
+            .map(|state| {
+                let suspicion = suspicion(&state.upstream.worker).clamp(0.0, 1.0);
+                let weight = (1.0 - suspicion) * state.warmth(now);
+                // Draws without replacement in proportion to the weights: the smallest of exponential variables.
+                let order = -random.random::<f64>().max(f64::MIN_POSITIVE).ln() / weight;
+                Candidate {
+                    state,
+                    suspicion,
+                    order,
+                }
+            })
+            .collect();
+        candidates.sort_unstable_by(|a, b| a.order.total_cmp(&b.order));
+        let best = self.best(now, &candidates)?;
+        let worker = best.state.upstream.worker.clone();
         self.workers.get_mut(&worker)?.in_flight += 1;
         Some(worker)
     }
 
+    fn best<'a>(&self, now: Instant, ordered: &'a [Candidate<'a>]) -> Option<&'a Candidate<'a>> {
+        let cheapest = |candidates: &mut dyn Iterator<Item = &'a Candidate<'a>>| {
+            candidates.min_by(|a, b| self.cost(now, a).total_cmp(&self.cost(now, b)))
+        };
+        let is_own = |c: &&Candidate<'_>| c.state.upstream.zone == self.zone;
+        let drawn = |c: &&Candidate<'_>| c.order.is_finite();
+        let mut own = ordered.iter().filter(drawn).filter(is_own);
+        let own = cheapest(&mut own.by_ref().take(self.candidates));
+        if own.is_some_and(|c| c.state.has_free_slot(now)) {
+            return own;
+        }
+        let mut all = ordered.iter().filter(drawn);
+        let drawn = cheapest(&mut all.by_ref().take(self.candidates).chain(own));
+        if drawn.is_some_and(|c| c.state.has_free_slot(now)) {
+            return drawn;
+        }
+        // Nothing that was drawn has a free slot: suspicious and new workers help out at their cost.
+        cheapest(&mut ordered.iter())
+    }
+
+    /// Returns the cost of one more request at a worker.
+    fn cost(&self, now: Instant, candidate: &Candidate<'_>) -> f64 {
+        let state = candidate.state;
+        let relative = match (state.latency, self.latency) {
+            (Some((own, at)), Some(all)) if all > 0.0 => {
+                let relative = (own / all).clamp(LATENCY_BOUNDS.0, LATENCY_BOUNDS.1);
+                let age = now.saturating_duration_since(at).as_secs_f64();
+                1.0 + (relative - 1.0) * (-age / LATENCY_LIFETIME.as_secs_f64()).exp()
+            }
+            _ => 1.0,
+        };
+        let remote = f64::from(u8::from(state.upstream.zone != self.zone));
+        let factor = 1.0 + SUSPICION_COST * candidate.suspicion + REMOTE_COST * remote;
+        (state.load(now) + 1.0) / state.slots() * relative * factor / state.warmth(now)
+    }
+
     /// Gives back the place of a worker and records how the attempt ended.
-    pub fn finish(&mut self, _now: Instant, worker: &Worker, _sample: &Sample) {
-        if let Some(state) = self.workers.get_mut(worker) {
-            state.in_flight = state.in_flight.saturating_sub(1);
+    pub fn finish(&mut self, now: Instant, worker: &Worker, sample: &Sample) {
+        let Some(state) = self.workers.get_mut(worker) else {
+            return;
+        };
+        state.in_flight = state.in_flight.saturating_sub(1);
+        // Errors are often fast; taking their latency would attract requests to a broken worker.
+        if matches!(sample.verdict, Verdict::Success | Verdict::Timeout) {
+            let latency = sample.latency.as_secs_f64();
+            let average = |known: Option<f64>, weight: f64| {
+                Some(known.map_or(latency, |k| k + weight * (latency - k)))
+            };
+            let own = average(state.latency.map(|(l, _)| l), NEWEST);
+            state.latency = own.map(|l| (l, now));
+            self.latency = average(self.latency, NEWEST / 10.0);
         }
     }
 }
