Admit by rank, minimum share, customer and deadline under an adaptive limit

Cause: a flood of one rank or customer must not harm the others, and capacity must not be spent on requests that end after their deadline.

Conclusion: strict urgency over credits, round-robin over customers, refusal by expected wait.

--- a/crates/routing/src/admission.rs
+++ b/crates/routing/src/admission.rs
@@ -1,13 +1,32 @@
 //! Admission of requests to a service: concurrency limit, ranks, fairness over customers and refusal.
+//!
+//! A request runs at once while the adaptive limit has room. Else it waits in the queue of its rank, unless it could
+//! not meet its deadline anyway. Freed places go to the most urgent rank, except that each waiting rank keeps its
+//! minimum share of the capacity. A full queue displaces the least urgent requests beyond their share of it.
 
-use std::collections::{BTreeMap, VecDeque};
 use std::time::{Duration, Instant};
 
 use chestnutvalve_model::error::Kind;
 use chestnutvalve_model::id::Customer;
 use chestnutvalve_model::rank::{PerRank, Rank};
 
-use crate::sample::Sample;
+use crate::sample::{Sample, Verdict};
+
+mod limit;
+mod queue;
+mod share;
+mod wait;
+
+use limit::Limit;
+use queue::Queue;
+use share::Share;
+use wait::Pace;
+
+/// Shortest and longest time that a refused caller is told to wait.
+const RETRY_AFTER: (Duration, Duration) = (Duration::from_millis(50), Duration::from_secs(30));
+/// Time that must be left to queue a request, beyond its expected wait, and to start it: the average service time and
+/// so many average deviations. Requests that are started with less often end after their deadline, in vain.
+const DEVIATIONS: f64 = 3.0;
 
 /// A request that asks to run.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -71,8 +90,12 @@
 #[derive(Clone, Debug)]
 pub struct Admission {
     limits: Limits,
+    limit: Limit,
     running: u32,
-    queues: BTreeMap<Rank, VecDeque<Ticket>>,
+    queues: [Queue; 3],
+    shares: Share,
+    paces: [Pace; 3],
+    displaced: Vec<Action>,
 }
 
 impl Admission {
@@ -80,93 +103,195 @@
     #[must_use]
     pub fn new(limits: Limits) -> Self {
         Self {
+            limit: Limit::new(&limits),
             limits,
             running: 0,
-            queues: BTreeMap::new(),
+            queues: Default::default(),
+            shares: Share::default(),
+            paces: Default::default(),
+            displaced: Vec::new(),
         }
     }
 
     /// Changes the bounds.
     pub fn configure(&mut self, limits: Limits) {
+        self.limit.configure(&limits);
         self.limits = limits;
     }
 
-    fn limit(&self) -> u32 {
-        self.limits
-            .slots
-            .div_ceil(self.limits.entries.max(1))
-            .max(1)
+    /// Returns the number of requests that may run at the same time.
+    #[must_use]
+    pub fn limit(&self) -> f64 {
+        self.limit.value()
+    }
+
+    /// Returns the number of running requests.
+    #[must_use]
+    pub fn running(&self) -> u32 {
+        self.running
+    }
+
+    /// Returns the number of waiting requests of a rank.
+    #[must_use]
+    pub fn queued(&self, rank: Rank) -> usize {
+        self.queues[rank.index()].len()
     }
 
     /// Decides on a new request.
     pub fn offer(&mut self, now: Instant, ticket: Ticket) -> Decision {
         if ticket.deadline <= now {
-            return Decision::Refuse {
-                kind: Kind::DeadlineBeforeDispatch,
-                retry_after: Duration::ZERO,
-            };
+            let kind = Kind::DeadlineBeforeDispatch;
+            let retry_after = RETRY_AFTER.0;
+            return Decision::Refuse { kind, retry_after };
         }
-        let queued: usize = self.queues.values().map(VecDeque::len).sum();
-        if queued == 0 && self.running < self.limit() {
+        let queued: usize = self.queues.iter().map(Queue::len).sum();
+        if queued == 0 && self.limit.has_room(self.running) {
             self.running += 1;
             return Decision::Run;
         }
-        if queued >= self.limits.queue_limit as usize {
-            return Decision::Refuse {
-                kind: Kind::Overloaded,
-                retry_after: Duration::from_secs(1),
-            };
+        self.limit.reached();
+        let wait = self.wait(now, &ticket);
+        let needed = wait + self.needed(ticket.rank);
+        let full = queued >= self.limits.queue_limit as usize;
+        if now + needed > ticket.deadline || full && !self.displace(now, &ticket) {
+            let kind = Kind::Overloaded;
+            let retry_after = wait.clamp(RETRY_AFTER.0, RETRY_AFTER.1);
+            return Decision::Refuse { kind, retry_after };
         }
-        self.queues
-            .entry(ticket.rank)
-            .or_default()
-            .push_back(ticket);
+        self.queues[ticket.rank.index()].push(ticket);
         Decision::Queue
     }
 
+    /// Makes room for a ticket in the full queue; returns whether there is.
+    ///
+    /// The least urgent rank that is not more urgent than the ticket's, and holds more than its share of the queue,
+    /// gives up a request. A rank below its share may also displace a more urgent one.
+    fn displace(&mut self, now: Instant, ticket: &Ticket) -> bool {
+        let below_share = !self.exceeds_share(ticket.rank, 1);
+        let mut ranks = Rank::ALL.into_iter().rev();
+        let from = ranks.find(|&r| {
+            let others = r > ticket.rank || r < ticket.rank && below_share;
+            others && self.exceeds_share(r, 0) || r == ticket.rank && self.is_longer(ticket)
+        });
+        let taken = from.and_then(|r| self.queues[r.index()].displace());
+        if let Some(taken) = &taken {
+            let action = self.refusal(now, taken);
+            self.displaced.push(action);
+        }
+        taken.is_some()
+    }
+
+    /// Returns whether another customer has more waiting requests than the ticket's customer would have.
+    fn is_longer(&self, ticket: &Ticket) -> bool {
+        let queue = &self.queues[ticket.rank.index()];
+        queue.longest() > queue.count(ticket) + 1
+    }
+
+    /// Returns whether a rank with `more` requests would hold more than its share of the queue.
+    fn exceeds_share(&self, rank: Rank, more: usize) -> bool {
+        let percent = usize::from(*self.limits.min_share_percent.get(rank));
+        let share = (self.limits.queue_limit as usize * percent / 100).max(1);
+        self.queues[rank.index()].len() + more > share
+    }
+
     /// Returns the refusals of queued tickets that the last [`Admission::offer`] displaced.
     ///
     /// [`Admission::finish`] and [`Admission::tick`] return them too if this is not called.
     pub fn displaced(&mut self) -> Vec<Action> {
-        Vec::new()
+        std::mem::take(&mut self.displaced)
     }
 
     /// Removes a queued ticket whose caller has gone away.
     pub fn cancel(&mut self, id: u64) {
-        for queue in self.queues.values_mut() {
-            queue.retain(|t| t.id != id);
+        for queue in &mut self.queues {
+            if queue.cancel(id) {
+                return;
+            }
         }
     }
 
     /// Records the end of a running request and starts queued ones.
-    pub fn finish(&mut self, now: Instant, _rank: Rank, _sample: &Sample) -> Vec<Action> {
+    pub fn finish(&mut self, now: Instant, rank: Rank, sample: &Sample) -> Vec<Action> {
         self.running = self.running.saturating_sub(1);
-        let mut actions = self.tick(now);
-        while self.running < self.limit() {
-            let Some(ticket) = self.queues.values_mut().find_map(VecDeque::pop_front) else {
-                break;
-            };
-            self.running += 1;
-            actions.push(Action::Start(ticket.id));
+        self.limit.observe(now, rank, sample);
+        if matches!(sample.verdict, Verdict::Success | Verdict::Timeout) {
+            self.shares.observe(rank, sample.latency.as_secs_f64());
         }
+        let mut actions = self.displaced();
+        self.start(now, &mut actions);
         actions
     }
 
-    /// Refuses queued requests that can't meet their deadline any more.
+    /// Refuses queued requests that can't meet their deadline any more, and starts others if the limit has grown.
     pub fn tick(&mut self, now: Instant) -> Vec<Action> {
-        let mut actions = Vec::new();
-        for queue in self.queues.values_mut() {
-            queue.retain(|t| {
-                if t.deadline <= now {
-                    actions.push(Action::Refuse {
-                        id: t.id,
-                        kind: Kind::DeadlineBeforeDispatch,
-                        retry_after: Duration::ZERO,
-                    });
-                }
-                t.deadline > now
-            });
+        let mut actions = self.displaced();
+        for rank in Rank::ALL {
+            let limit = now + self.needed(rank);
+            for ticket in self.queues[rank.index()].take_due(limit) {
+                actions.push(self.refusal(now, &ticket));
+            }
         }
+        self.start(now, &mut actions);
         actions
     }
+
+    fn start(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        while self.limit.has_room(self.running) {
+            let waiting = self.queues.each_ref().map(|q| !q.is_empty());
+            let Some(rank) = self.shares.next(|r| waiting[r.index()]) else {
+                return;
+            };
+            let Some(ticket) = self.queues[rank.index()].pop() else {
+                return;
+            };
+            if now + self.needed(rank) > ticket.deadline {
+                actions.push(self.refusal(now, &ticket));
+                continue;
+            }
+            let shares = self.limits.min_share_percent;
+            self.shares.start(rank, shares, |r| waiting[r.index()]);
+            let more = !self.queues[rank.index()].is_empty();
+            self.paces[rank.index()].start(now, more);
+            self.running += 1;
+            actions.push(Action::Start(ticket.id));
+        }
+        if self.queues.iter().any(|q| !q.is_empty()) {
+            self.limit.reached();
+        }
+    }
+
+    fn refusal(&self, now: Instant, ticket: &Ticket) -> Action {
+        let kind = if ticket.deadline <= now {
+            Kind::DeadlineBeforeDispatch
+        } else {
+            Kind::Overloaded
+        };
+        let wait = self.wait(now, ticket);
+        Action::Refuse {
+            id: ticket.id,
+            kind,
+            retry_after: wait.clamp(RETRY_AFTER.0, RETRY_AFTER.1),
+        }
+    }
+
+    /// Returns the time that must be left to start a request of a rank.
+    fn needed(&self, rank: Rank) -> Duration {
+        Duration::from_secs_f64(self.shares.long_service(rank, DEVIATIONS))
+    }
+
+    /// Returns the expected wait of a new request: at the observed pace of its rank, or behind everything that is
+    /// served before it.
+    fn wait(&self, now: Instant, ticket: &Ticket) -> Duration {
+        let rank = ticket.rank;
+        let count = |n: usize| f64::from(u32::try_from(n).unwrap_or(u32::MAX));
+        let own = count(self.queues[rank.index()].ahead(ticket));
+        let seconds = self.paces[rank.index()].wait(now, own).unwrap_or_else(|| {
+            let service = |r| self.shares.service(r).unwrap_or_default();
+            let urgent = Rank::ALL.into_iter().filter(|&r| r < rank);
+            let work = urgent.map(|r| count(self.queues[r.index()].len()) * service(r));
+            (work.sum::<f64>() + (own + 1.0) * service(rank)) / self.limit.value()
+        });
+        // A longer wait is of no use to any caller and might not be representable.
+        Duration::from_secs_f64(seconds.clamp(0.0, 86_400.0))
+    }
 }
