Keep emptied replicas from voting under their old identity

A group folder that was emptied, or set back to its first state, under a kept identity left a replica without a membership, and such a replica voted at once, because a new group needs that. The identity file now names the groups of the directory, so that missing files are an error, and an empty replica takes part only after a quorum of the first voters has said that they know of no promise of it.

--- a/crates/consensus/src/replica.rs
+++ b/crates/consensus/src/replica.rs
@@ -193,6 +193,7 @@
         }
         self.hard.term = 1;
         self.log.append(1, Payload::Members(members));
+        self.inquiry = None;
         self.deadline = now;
         Ok(())
     }
--- a/crates/consensus/src/replica/check.rs
+++ b/crates/consensus/src/replica/check.rs
@@ -10,12 +10,9 @@
 
 impl Replica {
     /// Starts the inquiry where there is anybody to ask. Until a quorum, this replica included, has answered, the replica
-    /// takes no part in its group.
+    /// takes no part in its group. An empty replica knows nobody and waits for [`Replica::admit`].
     pub(super) fn begin_inquiry(&mut self, now: Instant) {
         let members = self.log.membership().1;
-        if members.members.is_empty() {
-            return self.reset_deadline(now);
-        }
         // A follower's replies before the restart may have given the leader a lease that is still running.
         self.contact = Some(now);
         if members.is_voter(self.id) && members.quorum() == 1 {
@@ -48,6 +45,14 @@
         known.map(|mark| mark.position).unwrap_or_default()
     }
 
+    /// Ends the inquiry of an empty replica, after its caller has heard from a quorum of the first voters that they know of no
+    /// promise of this replica.
+    pub fn admit(&mut self, now: Instant) {
+        if self.log.last().index == 0 && self.inquiry.take().is_some() {
+            self.reset_deadline(now);
+        }
+    }
+
     /// Stops the replica if `known`, which its peers remember, is more than it has stored.
     pub fn compare(&mut self, known: Position) {
         let stored = Position {
--- a/crates/consensus/tests/all/append.rs
+++ b/crates/consensus/tests/all/append.rs
@@ -31,6 +31,7 @@
     let now = Instant::now();
     let (id, settings) = (ReplicaId(1), Settings::default());
     let mut replica = Replica::new(now, id, settings, Restored::default(), 1);
+    replica.admit(now);
     replica.step(now, LEADER, append(1, (0, 0), 1..11, 0));
     // The new term is part of the first write, so that only the entries are missing after it.
     replica.step(now, ReplicaId(3), append(2, (1, 7), 8..8, 0));
@@ -55,6 +56,7 @@
     let now = Instant::now();
     let (id, settings) = (ReplicaId(1), Settings::default());
     let mut replica = Replica::new(now, id, settings, Restored::default(), 1);
+    replica.admit(now);
     replica.step(now, LEADER, append(1, (0, 0), 1..11, 0));
     replica.step(now, ReplicaId(3), append(2, (1, 5), 6..6, 9));
     assert_eq!(replica.commit(), 5);
--- a/crates/consensus/tests/all/members.rs
+++ b/crates/consensus/tests/all/members.rs
@@ -109,7 +109,9 @@
     sim.nodes[follower].disk = if partly { early } else { Restored::default() };
     sim.start(follower);
     if !partly {
-        // An emptied disk has no peers to ask; its driver brings the answer.
+        // An emptied disk has no peers to ask; its driver brings the answer. Until then it must not take part.
+        sim.run(Duration::from_secs(1));
+        assert!(sim.replica(follower).is_inquiring());
         let known = sim.replica(leader).known(sim.nodes[follower].id);
         sim.replica_mut(follower).compare(known);
     }
--- a/crates/consensus/tests/all/sim.rs
+++ b/crates/consensus/tests/all/sim.rs
@@ -96,7 +96,10 @@
             state: 0,
             applied: 0,
         });
-        self.start(self.nodes.len() - 1);
+        let number = self.nodes.len() - 1;
+        self.start(number);
+        let now = self.now;
+        self.replica_mut(number).admit(now);
     }
 
     pub fn start(&mut self, number: usize) {
--- /dev/null
+++ b/crates/control/src/replica/driver/group.rs
@@ -0,0 +1,55 @@
+//! What the driver knows of its group: links to the members, published state.
+
+use std::sync::Arc;
+
+use chestnutvalve_consensus as consensus;
+use tokio::time::Instant;
+
+use super::Driver;
+use crate::replica::Role;
+use crate::replica::handle::View;
+
+impl Driver {
+    pub(super) fn link(&mut self) {
+        let (members, _) = self.replica.membership();
+        if *self.members == *members {
+            return;
+        }
+        self.members = Arc::new(members.clone());
+        self.seeking = None;
+        self.links.retain(|id| members.get(id).is_some());
+        for member in &members.members {
+            self.links.set(member.id, member.address);
+        }
+    }
+
+    pub(super) fn publish(&mut self, now: std::time::Instant) {
+        let (members, _) = self.replica.membership();
+        let leader = self.replica.leader().and_then(|id| members.get(id));
+        let own = self.replica.id();
+        let role = match self.replica.role() {
+            consensus::Role::Leader => Role::Leader,
+            _ if !members.is_voter(own) => Role::Learner,
+            consensus::Role::Follower => Role::Follower,
+            consensus::Role::PreCandidate | consensus::Role::Candidate => Role::Candidate,
+        };
+        let view = View {
+            role,
+            term: self.replica.term(),
+            leader: leader.map(|m| (m.name.clone(), m.address)),
+            commit: self.replica.commit(),
+            applied: self.applied,
+            quorum_until: self.replica.quorum_until(now).map(Instant::from_std),
+            lease_until: self.replica.lease(now).map(Instant::from_std),
+            members: Arc::clone(&self.members),
+        };
+        if role != Role::Leader && self.stop.is_some() {
+            self.stop = Some(Instant::now());
+        }
+        self.view.send_if_modified(|current| {
+            let modified = *current != view;
+            *current = view;
+            modified
+        });
+    }
+}
--- /dev/null
+++ b/crates/control/src/replica/driver/input.rs
@@ -0,0 +1,114 @@
+//! Inputs: messages of other replicas, proposals, membership changes, stop.
+
+use std::time::Duration;
+
+use chestnutvalve_consensus::{self as consensus, Change, Kind, Member, Position};
+use tokio::sync::oneshot;
+use tokio::time::Instant;
+
+use super::Driver;
+use crate::replica::handle::no_quorum;
+use crate::replica::join::Finding;
+use crate::replica::network::{Envelope, Greeting, Hello, Input, Outcome, Proposal};
+
+/// Longest time for a hand-over at a planned stop.
+const HAND_OVER_TIMEOUT: Duration = Duration::from_secs(1);
+/// Most voters of a group; further joining replicas stay learners.
+const MAX_VOTERS: usize = 5;
+
+impl Driver {
+    pub(super) fn input(&mut self, input: Input) {
+        let now = Instant::now().into_std();
+        match input {
+            Input::Step(envelope) => self.step(now, envelope),
+            Input::Propose(proposal) => self.propose(proposal),
+            Input::Hello(hello, done) => {
+                let _ = done.send(self.greet(&hello));
+            }
+            Input::Joined(Finding::Blank) => self.replica.admit(now),
+            Input::Joined(Finding::Form(members)) => {
+                // The replica may have heard of the group meanwhile.
+                if self.replica.bootstrap(now, members).is_ok() {
+                    spdlog::info!("group {}: formed", self.options.group);
+                }
+            }
+            Input::Joined(Finding::Emptied(known)) => self.replica.compare(known),
+            Input::Change(change, done) => {
+                let appended = self.replica.change(change);
+                self.wait(appended, done);
+            }
+            Input::Recover(reason, done) => {
+                let appended = self.replica.force_recovery(now, reason);
+                self.wait(appended, done);
+            }
+            Input::Stop { hand_over } => {
+                let begun = hand_over && self.replica.hand_over(now).is_ok();
+                let limit = if begun {
+                    HAND_OVER_TIMEOUT
+                } else {
+                    Duration::ZERO
+                };
+                self.stop = Some(Instant::now() + limit);
+            }
+        }
+    }
+
+    fn step(&mut self, now: std::time::Instant, envelope: Envelope) {
+        if envelope.to != self.replica.id() {
+            return;
+        }
+        self.links.set(envelope.from, envelope.address);
+        for message in envelope.messages {
+            self.replica.step(now, envelope.from, message);
+        }
+    }
+
+    pub(super) fn propose(&mut self, proposal: Proposal) {
+        let appended = self.replica.propose(proposal.command);
+        self.wait(appended, proposal.done);
+    }
+
+    fn wait(
+        &mut self,
+        appended: Result<Position, consensus::Error>,
+        done: oneshot::Sender<Outcome>,
+    ) {
+        match appended {
+            Ok(position) => {
+                self.waiting.insert(position.index, (position.term, done));
+            }
+            Err(error) => {
+                let _ = done.send(Err(no_quorum(&error.to_string())));
+            }
+        }
+    }
+
+    /// Answers an empty replica; the leader adds it to the group.
+    fn greet(&mut self, hello: &Hello) -> Greeting {
+        let (members, _) = self.replica.membership();
+        let formed = !members.members.is_empty();
+        let known = self.replica.known(hello.id);
+        let leader = self.replica.leader().filter(|id| *id != self.replica.id());
+        let leader = leader.and_then(|id| members.get(id)).map(|m| m.address);
+        let replaces = members.members.iter().any(|m| m.name == hello.name);
+        let voter = hello.voter && (replaces || members.voters().count() < MAX_VOTERS);
+        if formed && members.get(hello.id).is_none() {
+            let member = Member {
+                id: hello.id,
+                name: hello.name.clone(),
+                address: hello.address,
+                kind: if voter { Kind::Joining } else { Kind::Learner },
+            };
+            // A refused change is repeated with the next question.
+            let _ = self.replica.change(Change::Add(member));
+        }
+        Greeting {
+            id: self.replica.id(),
+            name: self.options.name.clone(),
+            formed,
+            admitted: !self.replica.is_inquiring(),
+            leader,
+            known,
+        }
+    }
+}
--- a/crates/control/src/replica/handle.rs
+++ b/crates/control/src/replica/handle.rs
@@ -1,6 +1,7 @@
 //! Handle of a running replica.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use chestnutvalve_consensus::{Change, Membership};
@@ -29,7 +30,7 @@
     pub applied: u64,
     pub quorum_until: Option<Instant>,
     pub lease_until: Option<Instant>,
-    pub members: Membership,
+    pub members: Arc<Membership>,
 }
 
 /// Handle of a running replica.
@@ -135,8 +136,8 @@
 
     /// Returns the members of the group, as far as this replica knows.
     #[must_use]
-    pub fn members(&self) -> Membership {
-        self.view.borrow().members.clone()
+    pub fn members(&self) -> Arc<Membership> {
+        Arc::clone(&self.view.borrow().members)
     }
 
     /// Waits until the status has changed. Returns `false` when the replica has stopped.
--- a/crates/control/src/replica/join.rs
+++ b/crates/control/src/replica/join.rs
@@ -5,22 +5,24 @@
 use std::time::Duration;
 
 use chestnutvalve_consensus::{Kind, Member, Membership, Position};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, oneshot};
 
 use super::network::{Greeting, Hello, Input, Network};
 use super::options::Peer;
 
 /// Time between rounds of questions.
-const PERIOD: Duration = Duration::from_millis(200);
+const PERIOD: Duration = Duration::from_millis(100);
 /// Time for an answer.
 const TIMEOUT: Duration = Duration::from_millis(500);
 
 /// What an empty replica learns from its peers.
 #[derive(Clone, Debug)]
 pub(super) enum Finding {
-    /// All first voters are empty, and it falls to this replica to form the group.
+    /// A quorum of the first voters knows of no promise of this replica.
+    Blank,
+    /// All first voters are empty and admitted, and it falls to this replica to form the group.
     Form(Membership),
-    /// Peers know of promises that the empty data directory does not hold.
+    /// A peer knows of a promise that the empty data directory does not hold.
     Emptied(Position),
 }
 
@@ -30,49 +32,66 @@
     hello: Hello,
     members: Vec<Peer>,
     inputs: mpsc::Sender<Input>,
-    alive: tokio::sync::oneshot::Sender<()>,
+    alive: oneshot::Sender<()>,
 ) {
     while !alive.is_closed() {
-        if let Some(finding) = round(&network, &hello, &members).await {
+        for finding in round(&network, &hello, &members).await {
             let _ = inputs.send(Input::Joined(finding)).await;
         }
         tokio::time::sleep(PERIOD).await;
     }
 }
 
-async fn round(network: &Network, hello: &Hello, members: &[Peer]) -> Option<Finding> {
-    let mut empty = vec![member(hello.id, &hello.name, hello.address)];
+async fn round(network: &Network, hello: &Hello, members: &[Peer]) -> Vec<Finding> {
     let mut asked = HashSet::from([hello.address]);
     let mut open: Vec<SocketAddr> = members.iter().map(|peer| peer.address).collect();
-    let mut formed = false;
+    let mut greetings = Vec::new();
     while let Some(address) = open.pop() {
         if !asked.insert(address) {
             continue;
         }
         let client = network.client(address);
         let answer = client.call::<_, Greeting>("replica/hello", hello, TIMEOUT);
-        let Ok(greeting) = answer.await else { continue };
-        if greeting.known > Position::default() {
-            return Some(Finding::Emptied(greeting.known));
+        if let Ok(greeting) = answer.await {
+            if greeting.known > Position::default() {
+                return vec![Finding::Emptied(greeting.known)];
+            }
+            open.extend(greeting.leader);
+            greetings.push((greeting, address));
         }
-        formed |= greeting.formed;
-        open.extend(greeting.leader);
-        empty.push(member(greeting.id, &greeting.name, address));
+    }
+    let own = members.iter().any(|peer| peer.name == hello.name);
+    let heard = |peer: &&Peer| {
+        greetings
+            .iter()
+            .any(|(greeting, _)| greeting.name == peer.name)
+    };
+    let heard = members.iter().filter(heard).count() + usize::from(own);
+    let mut findings = Vec::new();
+    if heard > members.len() / 2 {
+        findings.push(Finding::Blank);
     }
     // One replica alone may form a group, so that two differing first memberships can't exist.
-    let first = members.iter().map(|peer| &peer.name).min()?;
-    let all = members
-        .iter()
-        .all(|peer| empty.iter().any(|member| member.name == peer.name));
-    let forms = !formed && all && empty.len() == members.len() && *first == hello.name;
-    forms.then_some(Finding::Form(Membership { members: empty }))
+    let first = members.iter().map(|peer| &peer.name).min();
+    let ready = greetings.iter().all(|(g, _)| g.admitted && !g.formed);
+    if first == Some(&hello.name) && heard == members.len() && ready {
+        findings.push(Finding::Form(first_members(hello, &greetings)));
+    }
+    findings
 }
 
-fn member(id: chestnutvalve_consensus::ReplicaId, name: &str, address: SocketAddr) -> Member {
-    Member {
+fn first_members(hello: &Hello, greetings: &[(Greeting, SocketAddr)]) -> Membership {
+    let others = greetings
+        .iter()
+        .map(|(g, address)| (g.id, &g.name, *address));
+    let all = others.chain([(hello.id, &hello.name, hello.address)]);
+    let members = all.map(|(id, name, address)| Member {
         id,
-        name: name.to_owned(),
+        name: name.clone(),
         address,
         kind: Kind::Voter,
+    });
+    Membership {
+        members: members.collect(),
     }
 }
--- a/crates/storage/src/directory.rs
+++ b/crates/storage/src/directory.rs
@@ -1,7 +1,10 @@
 //! Data directory: lock and identity.
 
+use std::collections::BTreeSet;
 use std::fs::{File, TryLockError};
+use std::io::ErrorKind;
 use std::path::{Path, PathBuf};
+use std::sync::{Mutex, PoisonError};
 
 use chestnutvalve_consensus::ReplicaId;
 
@@ -10,11 +13,13 @@
 use crate::store::{Restored, Store};
 use crate::wal::{replace_file, sync_folder};
 
-/// An open data directory, which no other process can open.
+/// An open data directory, which no other process can open. Its identity file names the groups that were stored here, so that
+/// a group whose files were removed is not taken for a new one.
 #[derive(Debug)]
 pub struct Directory {
     path: PathBuf,
     identity: ReplicaId,
+    groups: Mutex<BTreeSet<String>>,
     /// Holds the lock until it is closed.
     _lock: File,
 }
@@ -37,9 +42,24 @@
                 return Err(Error::io("locking", &lock_path)(error));
             }
         }
+        let file = path.join("identity");
+        let (identity, groups) = match std::fs::read_to_string(&file) {
+            Ok(text) => parse(&text).ok_or(Error::Corrupt {
+                file,
+                offset: 0,
+                what: "not an identity",
+            })?,
+            Err(error) if error.kind() == ErrorKind::NotFound => {
+                let identity = ReplicaId(rand::random());
+                save(&file, identity, &BTreeSet::new(), disk)?;
+                (identity, BTreeSet::new())
+            }
+            Err(error) => return Err(Error::io("reading", &file)(error)),
+        };
         Ok(Self {
             path: path.to_owned(),
-            identity: identity(&path.join("identity"), disk)?,
+            identity,
+            groups: Mutex::new(groups),
             _lock: lock,
         })
     }
@@ -54,30 +74,50 @@
     ///
     /// # Errors
     ///
-    /// As [`Store::open`].
+    /// As [`Store::open`]; [`Error::Corrupt`] also when the files of a known group are missing.
     pub fn group(&self, name: &str, mut disk: Disk) -> Result<(Store, Restored), Error> {
+        let mut groups = self.groups.lock().unwrap_or_else(PoisonError::into_inner);
         let path = self.path.join(name);
+        let log = path.join("log");
+        let exists = log.try_exists().map_err(Error::io("opening", &log))?;
+        if groups.contains(name) {
+            if !exists {
+                return Err(Error::Corrupt {
+                    file: log,
+                    offset: 0,
+                    what: "missing in a directory that has held it; empty the whole directory",
+                });
+            }
+            return Store::open(&path, disk);
+        }
         std::fs::create_dir_all(&path).map_err(Error::io("creating", &path))?;
         sync_folder(&self.path, &mut disk)?;
-        Store::open(&path, disk)
+        let (store, restored) = Store::open(&path, disk)?;
+        groups.insert(name.to_owned());
+        let file = self.path.join("identity");
+        save(&file, self.identity, &groups, &mut Disk::default())?;
+        Ok((store, restored))
     }
 }
 
-fn identity(path: &Path, disk: &mut Disk) -> Result<ReplicaId, Error> {
-    match std::fs::read_to_string(path) {
-        Ok(text) => {
-            let parsed = u64::from_str_radix(text.trim(), 16);
-            parsed.map(ReplicaId).map_err(|_| Error::Corrupt {
-                file: path.to_owned(),
-                offset: 0,
-                what: "not an identity",
-            })
-        }
-        Err(error) if error.kind() == std::io::ErrorKind::NotFound => {
-            let identity = ReplicaId(rand::random());
-            replace_file(path, format!("{identity}\n").as_bytes(), disk)?;
-            Ok(identity)
-        }
-        Err(error) => Err(Error::io("reading", path)(error)),
+fn save(
+    path: &Path,
+    identity: ReplicaId,
+    groups: &BTreeSet<String>,
+    disk: &mut Disk,
+) -> Result<(), Error> {
+    let mut text = format!("{identity}\n");
+    for group in groups {
+        text.push_str(group);
+        text.push('\n');
     }
+    replace_file(path, text.as_bytes(), disk)?;
+    Ok(())
+}
+
+fn parse(text: &str) -> Option<(ReplicaId, BTreeSet<String>)> {
+    let (first, groups) = text.split_once('\n')?;
+    let identity = u64::from_str_radix(first, 16).ok()?;
+    let groups = groups.lines().map(str::to_owned).collect();
+    Some((ReplicaId(identity), groups))
 }
