Tell connections that could not be opened from broken ones

A proposal that is passed on to a leader that has just gone away was answered as unconfirmed, although nothing had been sent. The client now returns its own error when it can't connect or the connection had broken before the call.

--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -48,8 +48,8 @@
     ///
     /// # Errors
     ///
-    /// Returns the peer's fault, or what went wrong on the way. After [`Error::Timeout`] and a broken connection the peer
-    /// may have handled the call.
+    /// Returns the peer's fault, or what went wrong on the way. After [`Error::Timeout`] and [`Error::Connection`] the peer
+    /// may have handled the call; after [`Error::Unreachable`] it has not.
     pub async fn call<Q: Serialize, A: DeserializeOwned>(
         &self,
         path: &str,
@@ -73,7 +73,7 @@
     async fn exchange(&self, path: &str, frame: &Frame) -> Result<Frame, Error> {
         let sender = self.connected().await?;
         let outcome = self.stream(sender, path, frame).await;
-        if let Err(Error::Connection { .. }) = &outcome {
+        if let Err(Error::Connection { .. } | Error::Unreachable { .. }) = &outcome {
             self.reset().await;
         }
         outcome
@@ -87,7 +87,7 @@
     ) -> Result<Frame, Error> {
         let request = http::Request::post(format!("http://{}/{path}", self.peer)).body(());
         let request = request.map_err(|_| Error::Malformed("path of the call"))?;
-        let mut sender = sender.ready().await.map_err(|e| self.broken(&e))?;
+        let mut sender = sender.ready().await.map_err(|e| self.unreachable(&e))?;
         let sent = sender.send_request(request, false);
         let (response, mut body) = sent.map_err(|e| self.broken(&e))?;
         body.send_data(frame.to_bytes(), true)
@@ -102,8 +102,8 @@
             return Ok(sender.clone());
         }
         let opened = timeout(CONNECT_TIMEOUT, open(self.peer)).await;
-        let opened = opened.map_err(|_| self.broken(&"connect timed out"))?;
-        let sender = opened.map_err(|e| self.broken(&e))?;
+        let opened = opened.map_err(|_| self.unreachable(&"connect timed out"))?;
+        let sender = opened.map_err(|e| self.unreachable(&e))?;
         *connection = Some(sender.clone());
         Ok(sender)
     }
@@ -112,6 +112,13 @@
         *self.connection.lock().await = None;
     }
 
+    fn unreachable(&self, cause: &dyn std::fmt::Display) -> Error {
+        Error::Unreachable {
+            peer: self.peer.to_string(),
+            cause: cause.to_string(),
+        }
+    }
+
     fn broken(&self, cause: &dyn std::fmt::Display) -> Error {
         Error::Connection {
             peer: self.peer.to_string(),
--- a/crates/wire/src/error.rs
+++ b/crates/wire/src/error.rs
@@ -5,7 +5,15 @@
 /// Error of a call between the system's processes.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
-    /// A connection could not be opened or broke.
+    /// A connection could not be opened or had broken before; nothing was sent.
+    #[error("connecting to {peer}: {cause}")]
+    Unreachable {
+        /// Address of the peer.
+        peer: String,
+        /// What went wrong.
+        cause: String,
+    },
+    /// A connection broke during the call; the peer may have handled it.
     #[error("connection to {peer}: {cause}")]
     Connection {
         /// Address of the peer.
