Test replicas with failing, replaced and rolled-back disks

A replica that had stopped after a failed sync still passed proposals on to the leader it had known; its handle now refuses them. A proposal to a leader that can't be reached counts as not appended and is tried again with the next leader.

--- a/crates/control/src/replica/handle.rs
+++ b/crates/control/src/replica/handle.rs
@@ -71,6 +71,9 @@
     }
 
     async fn attempt(&self, command: &[u8], deadline: Instant) -> Outcome {
+        if self.end.borrow().is_some() {
+            return Err(no_quorum("replica has stopped"));
+        }
         let (role, leader) = {
             let view = self.view.borrow();
             (view.role, view.leader.clone())
@@ -90,6 +93,7 @@
             .map(|result: chestnutvalve_consensus::Blob| result.to_vec())
             .map_err(|error| match error {
                 Error::Fault(fault) => fault,
+                Error::Unreachable { .. } => no_quorum(&error.to_string()),
                 Error::TooLarge { .. } => Fault::new(Kind::TooLarge, error.to_string()),
                 error => unconfirmed(&format!("passing a proposal on to {name}: {error}")),
             })
--- /dev/null
+++ b/crates/control/tests/replica/disk.rs
@@ -0,0 +1,206 @@
+//! Failed syncs, rolled-back and replaced disks, restarts.
+
+use std::fs;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use chestnutvalve_consensus::Settings;
+use chestnutvalve_control::replica::{Options, Role};
+use chestnutvalve_model::error::Kind;
+use chestnutvalve_storage::Disk;
+use rstest::rstest;
+use tokio::time::{Instant, timeout};
+
+use crate::cluster::{Cluster, wait};
+
+/// Commands after which a restart is measured.
+const MANY: usize = 2_000;
+/// Time in which a restarted replica must serve.
+const RESTART_LIMIT: Duration = Duration::from_secs(2);
+
+fn quick(options: Options) -> Options {
+    options.with_settings(Settings {
+        replace_after: Duration::from_millis(500),
+        ..Settings::default()
+    })
+}
+
+/// Guards against a replica that goes on voting and acknowledging after a failed sync, and a group that stops with it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_replica_stops_after_a_failed_sync() {
+    let mut cluster = Cluster::start(3).await;
+    cluster.handle(0).propose(b"first".to_vec()).await.unwrap();
+    let leader = cluster.wait_leader().await;
+    cluster.crash(leader).await;
+    let fails = Arc::new(AtomicBool::new(false));
+    let switch = Arc::clone(&fails);
+    let mut disk = Disk::default();
+    let mut sync = disk.sync;
+    disk.sync = Box::new(move |file| {
+        if switch.load(Ordering::Relaxed) {
+            return Err(std::io::Error::other("device is gone"));
+        }
+        sync(file)
+    });
+    cluster.restart_with(leader, disk, |o| o).await.unwrap();
+    cluster.wait_commands(leader, 1).await;
+    fails.store(true, Ordering::Relaxed);
+    let other = (leader + 1) % 3;
+    // If the failing replica leads again, it can't say whether this is committed.
+    let _ = cluster.handle(other).propose(b"second".to_vec()).await;
+    let end = cluster.handle(leader).stopped();
+    let fault = timeout(Duration::from_secs(5), end).await.unwrap();
+    assert!(fault.unwrap_err().context.contains("device is gone"));
+    assert!(!cluster.handle(leader).status().quorum);
+    let refused = cluster.handle(leader).propose(b"third".to_vec()).await;
+    assert_eq!(refused.unwrap_err().kind, Kind::NoQuorum);
+    cluster.wait_leader().await;
+    cluster
+        .handle(other)
+        .propose(b"fourth".to_vec())
+        .await
+        .unwrap();
+}
+
+/// Guards against a restart that takes longer than the limit after many commands, with and without a snapshot.
+#[rstest]
+#[case::without_snapshot(u64::MAX / 16)]
+#[case::with_snapshots(500)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_restart_after_many_commands_is_quick(#[case] entries: u64) {
+    let mut cluster = Cluster::start(1).await;
+    let adapt = move |options: Options| options.with_compaction(entries, 100);
+    cluster.crash(0).await;
+    cluster
+        .restart_with(0, Disk::default(), adapt)
+        .await
+        .unwrap();
+    let proposals = (0..MANY).map(|number| {
+        let handle = cluster.handle(0).clone();
+        tokio::spawn(async move { handle.propose(number.to_le_bytes().to_vec()).await })
+    });
+    for proposal in proposals.collect::<Vec<_>>() {
+        proposal.await.unwrap().unwrap();
+    }
+    let before = cluster.commands(0);
+    cluster.crash(0).await;
+    let start = Instant::now();
+    cluster
+        .restart_with(0, Disk::default(), adapt)
+        .await
+        .unwrap();
+    cluster.handle(0).propose(b"last".to_vec()).await.unwrap();
+    assert!(start.elapsed() < RESTART_LIMIT, "{:?}", start.elapsed());
+    assert_eq!(cluster.commands(0)[..MANY], before);
+    let snapshot = cluster.path(0).join("test/snapshot").exists();
+    assert_eq!(snapshot, entries == 500);
+}
+
+/// Guards against a laggard that can't catch up because the entries it lacks are compacted.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_laggard_gets_a_snapshot() {
+    let mut cluster = Cluster::start(3).await;
+    let lost = cluster.wait_leader().await;
+    let adapt = |options: Options| options.with_compaction(20, 5);
+    for number in 0..3 {
+        cluster.crash(number).await;
+    }
+    for number in (0..3).filter(|number| *number != lost) {
+        cluster
+            .restart_with(number, Disk::default(), adapt)
+            .await
+            .unwrap();
+    }
+    let leader = cluster.wait_leader().await;
+    for number in 0..100_u32 {
+        let command = number.to_le_bytes().to_vec();
+        cluster.handle(leader).propose(command).await.unwrap();
+    }
+    cluster.restart(lost).await;
+    cluster.wait_commands(lost, 100).await;
+    assert_eq!(cluster.commands(lost), cluster.commands(leader));
+}
+
+/// Guards against a replaced disk that votes under the old identity, never becomes a voter again, or leaves a group that can't
+/// lose another replica just after the repair.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_second_replica_may_be_lost_after_a_repair() {
+    let mut cluster = Cluster::start(3).await;
+    for number in 0..3 {
+        cluster.crash(number).await;
+        cluster
+            .restart_with(number, Disk::default(), quick)
+            .await
+            .unwrap();
+    }
+    cluster.handle(0).propose(b"first".to_vec()).await.unwrap();
+    let leader = cluster.wait_leader().await;
+    let lost = (leader + 1) % 3;
+    let before = cluster.handle(leader).members();
+    cluster.crash(lost).await;
+    fs::remove_dir_all(cluster.path(lost)).unwrap();
+    cluster
+        .restart_with(lost, Disk::default(), quick)
+        .await
+        .unwrap();
+    wait("the repair", || {
+        let members = cluster.handle(leader).members();
+        let replaced = members
+            .members
+            .iter()
+            .all(|member| member.name != format!("c{lost}") || before.get(member.id).is_none());
+        (replaced && members.voters().count() == 3).then_some(())
+    })
+    .await;
+    cluster.crash(leader).await;
+    cluster.wait_leader().await;
+    cluster
+        .handle(lost)
+        .propose(b"second".to_vec())
+        .await
+        .unwrap();
+    cluster.wait_commands(lost, 2).await;
+}
+
+/// Guards against a data directory that was set back to an earlier copy and then takes part as if it had kept its promises.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_rolled_back_data_directory_is_refused() {
+    let mut cluster = Cluster::start(3).await;
+    cluster.handle(0).propose(b"first".to_vec()).await.unwrap();
+    let leader = cluster.wait_leader().await;
+    let set_back = (leader + 1) % 3;
+    cluster.wait_commands(set_back, 1).await;
+    let log = cluster.path(set_back).join("test/log");
+    let early = fs::read(&log).unwrap();
+    cluster.handle(0).propose(b"second".to_vec()).await.unwrap();
+    cluster.wait_commands(set_back, 2).await;
+    cluster.crash(set_back).await;
+    fs::write(&log, early).unwrap();
+    cluster.restart(set_back).await;
+    let end = cluster.handle(set_back).stopped();
+    let fault = timeout(Duration::from_secs(5), end).await.unwrap();
+    assert!(fault.unwrap_err().context.contains("rolled back"));
+}
+
+/// Guards against a further instance that gets a vote although it was started as a learner, or that does not follow.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_relay_follows_without_a_vote() {
+    let mut cluster = Cluster::start(3).await;
+    cluster.handle(0).propose(b"first".to_vec()).await.unwrap();
+    let relay = |options: Options| options.with_voter(false);
+    cluster
+        .restart_with(3, Disk::default(), relay)
+        .await
+        .unwrap();
+    cluster.wait_commands(3, 1).await;
+    cluster.handle(3).propose(b"second".to_vec()).await.unwrap();
+    let status = cluster.handle(3).status();
+    assert_eq!(status.role, Role::Learner);
+    wait("contact with a quorum", || {
+        cluster.handle(3).status().quorum.then_some(())
+    })
+    .await;
+    let leader = cluster.wait_leader().await;
+    assert_eq!(cluster.handle(leader).members().voters().count(), 3);
+}
--- a/crates/control/tests/replica/failover.rs
+++ b/crates/control/tests/replica/failover.rs
@@ -1,9 +1,11 @@
 //! Replication, loss and return of replicas.
 
 use chestnutvalve_consensus::Settings;
+use chestnutvalve_control::replica::Role;
+use chestnutvalve_model::error::Kind;
 use tokio::time::Instant;
 
-use crate::cluster::Cluster;
+use crate::cluster::{Cluster, wait};
 
 /// Guards against a group that does not form, and against a follower that does not pass proposals on.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -49,3 +51,58 @@
     cluster.wait_leader().await;
     assert!(stopped.elapsed() < Settings::default().election_min);
 }
+
+/// Guards against an answer that says a proposal was not appended although it may be committed later, and against a replica
+/// without quorum that claims to have one.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn answers_without_a_quorum_are_truthful() {
+    let mut cluster = Cluster::start(3).await;
+    let leader = cluster.wait_leader().await;
+    cluster.crash((leader + 1) % 3).await;
+    cluster.crash((leader + 2) % 3).await;
+    let open = cluster.handle(leader).propose(b"open".to_vec()).await;
+    assert_eq!(open.unwrap_err().kind, Kind::ChangeUnconfirmed);
+    assert!(!cluster.handle(leader).lease());
+    assert!(!cluster.handle(leader).status().quorum);
+    let refused = cluster.handle(leader).propose(b"refused".to_vec()).await;
+    assert_eq!(refused.unwrap_err().kind, Kind::NoQuorum);
+    cluster.restart((leader + 1) % 3).await;
+    cluster
+        .handle(leader)
+        .propose(b"last".to_vec())
+        .await
+        .unwrap();
+    let commands = cluster.commands(leader);
+    assert!(!commands.contains(&b"refused".to_vec()));
+    assert_eq!(commands.last().unwrap(), b"last");
+}
+
+/// Guards against a survivor that can't be made a group of its own, or that loses commands by it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn one_survivor_is_recovered_by_force() {
+    let mut cluster = Cluster::start(3).await;
+    let survivor = cluster.wait_leader().await;
+    let propose = cluster.handle(survivor).propose(b"first".to_vec());
+    propose.await.unwrap();
+    let refused = cluster.handle(survivor).recover("by mistake").await;
+    assert!(refused.is_err());
+    cluster.crash((survivor + 1) % 3).await;
+    cluster.crash((survivor + 2) % 3).await;
+    let term = cluster.handle(survivor).status().term;
+    wait("the loss of the quorum", || {
+        (cluster.handle(survivor).status().role != Role::Leader).then_some(())
+    })
+    .await;
+    cluster
+        .handle(survivor)
+        .recover("two disks burnt")
+        .await
+        .unwrap();
+    let propose = cluster.handle(survivor).propose(b"second".to_vec());
+    propose.await.unwrap();
+    assert_eq!(
+        cluster.commands(survivor),
+        [b"first".to_vec(), b"second".to_vec()]
+    );
+    assert!(cluster.handle(survivor).status().term > term + 1_000_000);
+}
--- a/crates/control/tests/replica/main.rs
+++ b/crates/control/tests/replica/main.rs
@@ -1,4 +1,5 @@
 //! Replicas over loopback connections and real files.
 
 mod cluster;
+mod disk;
 mod failover;
