--- a/crates/control/src/replica/handle.rs
+++ b/crates/control/src/replica/handle.rs
@@ -1,6 +1,7 @@
 //! Handle of a running replica.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use chestnutvalve_consensus::{Change, Membership};
@@ -29,7 +30,7 @@
     pub applied: u64,
     pub quorum_until: Option<Instant>,
     pub lease_until: Option<Instant>,
-    pub members: Membership,
+    pub members: Arc<Membership>,
 }
 
 /// Handle of a running replica.
@@ -70,6 +71,9 @@
     }
 
     async fn attempt(&self, command: &[u8], deadline: Instant) -> Outcome {
+        if self.end.borrow().is_some() {
+            return Err(no_quorum("replica has stopped"));
+        }
         let (role, leader) = {
             let view = self.view.borrow();
             (view.role, view.leader.clone())
@@ -89,6 +93,7 @@
             .map(|result: chestnutvalve_consensus::Blob| result.to_vec())
             .map_err(|error| match error {
                 Error::Fault(fault) => fault,
+                Error::Unreachable { .. } => no_quorum(&error.to_string()),
                 Error::TooLarge { .. } => Fault::new(Kind::TooLarge, error.to_string()),
                 error => unconfirmed(&format!("passing a proposal on to {name}: {error}")),
             })
@@ -135,8 +140,8 @@
 
     /// Returns the members of the group, as far as this replica knows.
     #[must_use]
-    pub fn members(&self) -> Membership {
-        self.view.borrow().members.clone()
+    pub fn members(&self) -> Arc<Membership> {
+        Arc::clone(&self.view.borrow().members)
     }
 
     /// Waits until the status has changed. Returns `false` when the replica has stopped.
