Batch heartbeats, limit operators' requests and report burn rates

Cause: every instance passed each heartbeat on by itself; any caller could keep the operators' listener busy; operators had no burn report over all entries, and a document that was resent after a lost answer had another difference than the first time.

Ruled out: parsing operators' bodies as JSON with comments, because that parser does not limit the depth; a rate limit per address, because all callers share few addresses.

--- a/crates/cli/src/arguments.rs
+++ b/crates/cli/src/arguments.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
+use chestnutvalve_model::id::MAX_NAME_BYTES;
 use chestnutvalve_model::version::Version;
 use clap::{Arg, ArgAction, ArgGroup, Command, value_parser};
 
@@ -57,6 +58,21 @@
                 .about("Shows the control instances and what every entry has in force")
                 .arg(json()),
         )
+        .subcommand(
+            Command::new("burn")
+                .about("Shows how fast each service uses its error budget, over all entries")
+                .arg(json())
+                .arg(
+                    Arg::new("entry")
+                        .long("entry")
+                        .value_name("IP:PORT")
+                        .action(ArgAction::Append)
+                        .value_parser(value_parser!(SocketAddr))
+                        .help(
+                            "Platform address of an entry to ask, instead of all of the directory",
+                        ),
+                ),
+        )
 }
 
 fn json() -> Arg {
@@ -144,6 +160,7 @@
             Arg::new("change-id")
                 .long("change-id")
                 .value_name("ID")
+                .value_parser(change_id)
                 .help("Id of the change; a resend with the same id gets the first result"),
         )
         .arg(
@@ -161,3 +178,11 @@
                 .help("Longest time to wait"),
         )
 }
+
+/// Ids are part of a path, so that they have the characters of names.
+fn change_id(text: &str) -> Result<String, String> {
+    let accepted = |c: char| c.is_ascii_alphanumeric() || ".:_-".contains(c);
+    let valid = (1..=MAX_NAME_BYTES).contains(&text.len()) && text.chars().all(accepted);
+    let expected = || format!("expected 1 to {MAX_NAME_BYTES} characters of a-z A-Z 0-9 . _ : -");
+    valid.then(|| text.to_owned()).ok_or_else(expected)
+}
--- a/crates/cli/src/config.rs
+++ b/crates/cli/src/config.rs
@@ -75,7 +75,15 @@
 pub async fn apply(client: &Client, matches: &ArgMatches) -> Result<(), Error> {
     let token = client.token()?;
     let text = |name: &str| matches.get_one::<String>(name).cloned();
-    let id = text("change-id").unwrap_or_else(|| format!("{:032x}", rand::random::<u128>()));
+    let stated_id = text("change-id");
+    if let Some(id) = &stated_id
+        && matches.contains_id("file")
+        && let Some(version) = first_result(client, id).await?
+    {
+        // The difference to a document is another one once the change is in force, so that a resend can't be compared.
+        return finish(client, matches, version).await;
+    }
+    let id = stated_id.unwrap_or_else(|| format!("{:032x}", rand::random::<u128>()));
     let (expected, edits) = input(client, matches).await?;
     if edits.is_empty() {
         return output::print("nothing to change\n");
@@ -88,6 +96,10 @@
         edits,
     };
     let version = send(client, &token, &change).await?;
+    finish(client, matches, version).await
+}
+
+async fn finish(client: &Client, matches: &ArgMatches, version: Version) -> Result<(), Error> {
     output::print(&format!("accepted as version {version}\n"))?;
     if matches.get_flag("wait") {
         let limit = matches.get_one("wait-ms").copied().unwrap_or_default();
@@ -96,6 +108,22 @@
     Ok(())
 }
 
+/// Returns the version of an accepted change, by its id.
+async fn first_result(client: &Client, id: &str) -> Result<Option<Version>, Error> {
+    let mut problems = Vec::new();
+    for control in &client.controls {
+        match client.get(*control, &format!("/v1/changes/{id}")).await {
+            Ok(answer) => return accepted(&answer).map(Some),
+            Err(Problem::Refused {
+                kind: Some(Kind::NotFound),
+                ..
+            }) => return Ok(None),
+            Err(problem) => problems.push(format!("{control}: {problem}")),
+        }
+    }
+    Err(Error::Failed(problems.join("; ")))
+}
+
 async fn input(client: &Client, matches: &ArgMatches) -> Result<(Version, Vec<Edit>), Error> {
     let stated: Option<Version> = matches.get_one("expected").copied();
     if !matches.contains_id("file") {
@@ -138,7 +166,6 @@
             Problem::Refused { kind, body } => match kind {
                 Some(Kind::NoQuorum | Kind::Overloaded) => {}
                 Some(Kind::ChangeUnconfirmed | Kind::Internal) | None => unknown = true,
-                // An earlier attempt of this command may have been accepted under this id; then there is no conflict.
                 Some(Kind::VersionConflict) => return Err(conflict(&problem, body)),
                 Some(Kind::BadRequest | Kind::InvalidChange | Kind::TooLarge) => {
                     return Err(Error::Usage(problem.to_string()));
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -4,6 +4,7 @@
 use std::process::ExitCode;
 
 pub mod arguments;
+pub mod burn;
 pub mod config;
 pub mod edits;
 pub mod error;
@@ -47,6 +48,7 @@
             Some(("history", history)) => config::history(&client, history).await,
             _ => Err(Error::Usage("expected a subcommand of config".to_owned())),
         },
+        Some(("burn", show)) => burn::show(&client, show).await,
         Some(("status", show)) => status::show(&client, show).await,
         _ => Err(Error::Usage("expected a subcommand".to_owned())),
     }
--- a/crates/control/src/daemon.rs
+++ b/crates/control/src/daemon.rs
@@ -6,10 +6,12 @@
 
 use crate::settings::Settings;
 
+pub mod batcher;
 pub mod directory;
 pub mod heartbeats;
 pub mod instance;
 pub mod internal;
+pub mod limit;
 pub mod operators;
 pub mod peers;
 pub mod replicas;
--- /dev/null
+++ b/crates/control/src/daemon/batcher.rs
@@ -0,0 +1,126 @@
+//! Calls that are collected and handled together.
+
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use chestnutvalve_model::error::{Fault, Kind};
+use tokio::sync::{Semaphore, mpsc, oneshot};
+use tokio::time::{Instant, timeout_at};
+
+/// Calls that wait for a batch; above that, callers are refused.
+const MAX_WAITING: usize = 16_384;
+/// Batches that are handled at the same time.
+const MAX_BATCHES: usize = 4;
+
+type Reply<A> = oneshot::Sender<Result<A, Fault>>;
+type Waiting<Q, A> = (Q, Reply<A>);
+
+/// Queue of calls with questions `Q` and answers `A`.
+#[derive(Debug)]
+pub struct Batcher<Q, A> {
+    queue: mpsc::Sender<Waiting<Q, A>>,
+    received: Mutex<Option<mpsc::Receiver<Waiting<Q, A>>>>,
+}
+
+/// Size and time limits of a batch.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Time to wait for further calls after the first one.
+    pub delay: Duration,
+    /// Most calls of one batch.
+    pub size: usize,
+    /// Most weight of one batch.
+    pub weight: usize,
+}
+
+impl<Q, A> Default for Batcher<Q, A> {
+    fn default() -> Self {
+        let (queue, received) = mpsc::channel(MAX_WAITING);
+        Self {
+            queue,
+            received: Mutex::new(Some(received)),
+        }
+    }
+}
+
+impl<Q: Send + 'static, A: Send + 'static> Batcher<Q, A> {
+    /// Waits for the answer to one question.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Kind::NoQuorum`] when the question was not handled, and the error of its batch.
+    pub async fn call(&self, question: Q) -> Result<A, Fault> {
+        let (reply, answer) = oneshot::channel();
+        let full = |_| Fault::new(Kind::NoQuorum, "too many calls wait for the leader");
+        self.queue.try_send((question, reply)).map_err(full)?;
+        let stopped = |_| Fault::new(Kind::ChangeUnconfirmed, "the instance is stopping");
+        answer.await.map_err(stopped)?
+    }
+
+    /// Handles calls in batches until dropped; `handle` returns one answer for each question, in order.
+    pub async fn run<F, Fut>(&self, limits: Limits, weigh: fn(&Q) -> usize, handle: F)
+    where
+        F: Fn(Vec<Q>) -> Fut,
+        Fut: Future<Output = Result<Vec<A>, Fault>> + Send + 'static,
+    {
+        let received = self.received.lock();
+        let received = received.unwrap_or_else(PoisonError::into_inner).take();
+        let Some(mut received) = received else { return };
+        let places = Arc::new(Semaphore::new(MAX_BATCHES));
+        loop {
+            // Calls gather while all places are taken, so that batches grow with the load.
+            let Ok(place) = Arc::clone(&places).acquire_owned().await else {
+                return;
+            };
+            let batch = collect(&mut received, limits, weigh).await;
+            let (questions, replies): (Vec<Q>, Vec<Reply<A>>) = batch.into_iter().unzip();
+            let answers = handle(questions);
+            tokio::spawn(async move {
+                reply(replies, answers.await);
+                drop(place);
+            });
+        }
+    }
+}
+
+async fn collect<Q, A>(
+    received: &mut mpsc::Receiver<Waiting<Q, A>>,
+    limits: Limits,
+    weigh: fn(&Q) -> usize,
+) -> Vec<Waiting<Q, A>> {
+    let mut batch = Vec::new();
+    let mut weight = 0;
+    let mut deadline = None;
+    while batch.len() < limits.size && weight < limits.weight {
+        let next = match deadline {
+            None => received.recv().await,
+            Some(_) if limits.delay.is_zero() => received.try_recv().ok(),
+            Some(deadline) => timeout_at(deadline, received.recv()).await.ok().flatten(),
+        };
+        let Some(next) = next else { break };
+        weight += weigh(&next.0);
+        batch.push(next);
+        deadline.get_or_insert_with(|| Instant::now() + limits.delay);
+    }
+    batch
+}
+
+/// Callers that have gone away need no answer.
+fn reply<A>(replies: Vec<Reply<A>>, answers: Result<Vec<A>, Fault>) {
+    match answers {
+        Ok(answers) if answers.len() == replies.len() => {
+            for (reply, answer) in replies.into_iter().zip(answers) {
+                let _ = reply.send(Ok(answer));
+            }
+        }
+        outcome => {
+            let fault = outcome.err();
+            let fault = fault.unwrap_or_else(|| {
+                Fault::new(Kind::Internal, "the batch has another number of answers")
+            });
+            for reply in replies {
+                let _ = reply.send(Err(fault.clone()));
+            }
+        }
+    }
+}
--- a/crates/control/src/daemon/directory.rs
+++ b/crates/control/src/daemon/directory.rs
@@ -6,9 +6,11 @@
 use chestnutvalve_kernel::Service;
 use chestnutvalve_model::control::{Heartbeat, Registered};
 use chestnutvalve_model::error::{Fault, Kind};
+use chestnutvalve_model::id::{Entry, Incarnation};
 use chestnutvalve_model::version::Version;
 use tokio::time::{Instant, MissedTickBehavior, interval};
 
+use super::batcher::Limits;
 use super::{Instance, task};
 use crate::state::Command;
 
@@ -16,43 +18,66 @@
 pub const NAME: &str = "directory";
 /// Interval between two looks at the heartbeats.
 const TICK: Duration = Duration::from_millis(100);
+/// Heartbeats are passed on together, so that the leader gets a few calls a second from each instance. Entries give up
+/// a heartbeat after 700 ms, so that the delay and [`LEADER_TIMEOUT`] stay below that.
+const BATCH: Limits = Limits {
+    delay: Duration::from_millis(50),
+    size: 1_024,
+    weight: usize::MAX,
+};
+/// Time for the leader to answer.
+const LEADER_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Builds the service.
 #[must_use]
 pub fn service(instance: &Arc<Instance>) -> Service {
     task(NAME, instance, |instance, shutdown| async move {
         Ok(async move {
+            let pass_on = |batch| {
+                let instance = Arc::clone(&instance);
+                async move { pass_on(&instance, batch).await }
+            };
             tokio::select! {
                 () = keep(&instance) => {}
+                () = instance.beats.run(BATCH, |_| 1, pass_on) => {}
                 () = shutdown.requested() => {}
             }
         })
     })
 }
 
-async fn keep(instance: &Instance) {
+/// Proposes the steps that the heartbeats call for, one proposal at a time.
+async fn keep(instance: &Arc<Instance>) {
     let mut ticks = interval(TICK);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut proposal: Option<tokio::task::JoinHandle<()>> = None;
     loop {
         ticks.tick().await;
+        let now = Instant::now().into_std();
+        // The heartbeats are looked at even while a proposal is under way, because a gap counts as a pause.
+        instance.heartbeats().observe(now, instance.leads());
+        if proposal.as_ref().is_some_and(|p| !p.is_finished()) {
+            continue;
+        }
         let steps = {
             let store = instance.store();
-            let mut heartbeats = instance.heartbeats();
-            let now = Instant::now().into_std();
-            heartbeats.observe(now, instance.leads());
-            heartbeats.steps(now, &store.state().directory)
+            instance.heartbeats().steps(now, &store.state().directory)
         };
-        if steps.is_empty() {
-            continue;
-        }
-        let count = steps.len();
-        match instance
-            .propose::<Version>(&Command::Directory(steps))
-            .await
-        {
-            Ok(version) => spdlog::info!("directory: {count} steps, now at version {version}"),
-            Err(fault) => spdlog::warn!("directory: {count} steps not confirmed: {fault}"),
-        }
+        proposal = (!steps.is_empty()).then(|| {
+            let instance = Arc::clone(instance);
+            tokio::spawn(async move { propose(&instance, Command::Directory(steps)).await })
+        });
+    }
+}
+
+async fn propose(instance: &Instance, command: Command) {
+    let Command::Directory(steps) = &command else {
+        return;
+    };
+    let count = steps.len();
+    match instance.propose::<Version>(&command).await {
+        Ok(version) => spdlog::info!("directory: {count} steps, now at version {version}"),
+        Err(fault) => spdlog::warn!("directory: {count} steps not confirmed: {fault}"),
     }
 }
 
@@ -62,9 +87,7 @@
 ///
 /// Returns [`Kind::NoQuorum`] when this instance does not lead.
 pub fn receive(instance: &Instance, batch: Vec<Heartbeat>) -> Result<Vec<Registered>, Fault> {
-    if instance.leads().is_none() {
-        return Err(Fault::new(Kind::NoQuorum, "this instance does not lead"));
-    }
+    leading(instance)?;
     let store = instance.store();
     let mut heartbeats = instance.heartbeats();
     let now = Instant::now().into_std();
@@ -72,21 +95,54 @@
     Ok(batch.into_iter().map(beat).collect())
 }
 
-/// Takes a heartbeat at any instance and passes it on to the leader.
+async fn pass_on(instance: &Instance, batch: Vec<Heartbeat>) -> Result<Vec<Registered>, Fault> {
+    if instance.leads().is_some() {
+        return receive(instance, batch);
+    }
+    let answers = instance.call_leader("leader/heartbeats", &batch, LEADER_TIMEOUT);
+    answers.await
+}
+
+/// Takes a heartbeat at any instance; the leader gets it with others of the same moment.
 ///
 /// # Errors
 ///
 /// Returns [`Kind::NoQuorum`] when no leader can be reached.
 pub async fn heartbeat(instance: &Instance, heartbeat: Heartbeat) -> Result<Registered, Fault> {
-    let batch = vec![heartbeat];
-    let answers = if instance.leads().is_some() {
-        receive(instance, batch)?
-    } else {
-        let limit = Duration::from_secs(1);
-        instance
-            .call_leader("leader/heartbeats", &batch, limit)
-            .await?
-    };
-    let missing = || Fault::new(Kind::Internal, "the leader gave no answer");
-    answers.into_iter().next().ok_or_else(missing)
+    instance.beats.call(heartbeat).await
+}
+
+/// Takes the message of an entry that leaves; at another instance than the leader it is passed on.
+///
+/// # Errors
+///
+/// Returns [`Kind::NoQuorum`] when no leader can be reached; the entry then expires.
+pub async fn leave(instance: &Instance, left: (Entry, Incarnation)) -> Result<(), Fault> {
+    if instance.leads().is_none() {
+        let call = instance.call_leader("leader/leave", &left, LEADER_TIMEOUT);
+        return call.await;
+    }
+    receive_leave(instance, &left)
+}
+
+/// Takes the message of an entry that leaves, at the leader.
+///
+/// # Errors
+///
+/// Returns [`Kind::NoQuorum`] when this instance does not lead.
+pub fn receive_leave(instance: &Instance, left: &(Entry, Incarnation)) -> Result<(), Fault> {
+    leading(instance)?;
+    let now = Instant::now().into_std();
+    instance.heartbeats().leave(now, &left.0, left.1);
+    Ok(())
+}
+
+/// Returns the term in which this instance leads.
+///
+/// # Errors
+///
+/// Returns [`Kind::NoQuorum`] when it does not.
+pub fn leading(instance: &Instance) -> Result<u64, Fault> {
+    let other = || Fault::new(Kind::NoQuorum, "this instance does not lead with a quorum");
+    instance.leads().ok_or_else(other)
 }
--- a/crates/control/src/daemon/instance.rs
+++ b/crates/control/src/daemon/instance.rs
@@ -4,15 +4,18 @@
 use std::time::Duration;
 
 use chestnutvalve_model::config::Change;
+use chestnutvalve_model::control::{Heartbeat, Registered};
 use chestnutvalve_model::error::{Fault, Kind};
 use chestnutvalve_model::version::Version;
 use chestnutvalve_telemetry::metrics::Metrics;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use tokio::sync::watch;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 
+use super::batcher::Batcher;
 use super::heartbeats::Heartbeats;
+use super::limit::Bucket;
 use super::peers::Peers;
 use super::{Error, Token};
 use crate::codec;
@@ -34,6 +37,9 @@
     pub metrics: Metrics,
     /// The other control instances.
     pub peers: Peers,
+    /// Heartbeats on their way to the leader.
+    pub beats: Batcher<Heartbeat, Registered>,
+    requests: Mutex<Bucket>,
     store: Arc<RwLock<Store>>,
     versions: watch::Sender<Version>,
     heartbeats: Mutex<Heartbeats>,
@@ -52,6 +58,8 @@
             settings,
             token,
             metrics: Metrics::new()?,
+            beats: Batcher::default(),
+            requests: Mutex::new(Bucket::new(Instant::now().into_std())),
             store: Arc::default(),
             versions: watch::Sender::new(Version::ZERO),
             heartbeats: Mutex::default(),
@@ -70,6 +78,13 @@
         heartbeats.unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Takes one of the requests that operators may send now; returns whether there was one.
+    pub fn admit(&self) -> bool {
+        let requests = self.requests.lock();
+        let mut requests = requests.unwrap_or_else(PoisonError::into_inner);
+        requests.take(Instant::now().into_std())
+    }
+
     /// Returns a receiver of the applied version.
     pub fn versions(&self) -> watch::Receiver<Version> {
         self.versions.subscribe()
--- a/crates/control/src/daemon/internal.rs
+++ b/crates/control/src/daemon/internal.rs
@@ -5,6 +5,7 @@
 use chestnutvalve_kernel::Service;
 use chestnutvalve_kernel::service::Failure;
 use chestnutvalve_model::control::{Heartbeat, Watch};
+use chestnutvalve_model::id::{Entry, Incarnation};
 use chestnutvalve_wire::{Router, Server};
 
 use super::{Instance, directory, status, task, watch};
@@ -29,10 +30,15 @@
 }
 
 fn router(instance: &Arc<Instance>) -> Router {
+    let router = entries(Router::default(), instance);
+    controls(router, instance)
+}
+
+/// Adds the calls of entries, which any instance answers.
+fn entries(router: Router, instance: &Arc<Instance>) -> Router {
     let (watches, heartbeats) = (Arc::clone(instance), Arc::clone(instance));
-    let (batches, overviews) = (Arc::clone(instance), Arc::clone(instance));
-    let entries = Arc::clone(instance);
-    Router::default()
+    let leaves = Arc::clone(instance);
+    router
         .route("config/watch", move |ask: Watch| {
             let instance = Arc::clone(&watches);
             async move { Ok(watch::watch(&instance, &ask).await) }
@@ -41,16 +47,34 @@
             let instance = Arc::clone(&heartbeats);
             async move { directory::heartbeat(&instance, heartbeat).await }
         })
+        .route("directory/leave", move |left: (Entry, Incarnation)| {
+            let instance = Arc::clone(&leaves);
+            async move { directory::leave(&instance, left).await }
+        })
+}
+
+/// Adds the calls of other control instances.
+fn controls(router: Router, instance: &Arc<Instance>) -> Router {
+    let (batches, overviews) = (Arc::clone(instance), Arc::clone(instance));
+    let (entries, leaves) = (Arc::clone(instance), Arc::clone(instance));
+    router
         .route("leader/heartbeats", move |batch: Vec<Heartbeat>| {
             let instance = Arc::clone(&batches);
             async move { directory::receive(&instance, batch) }
         })
-        .route("control/status", move |(): ()| {
-            let instance = Arc::clone(&overviews);
-            async move { Ok(status::own(&instance)) }
+        .route("leader/leave", move |left: (Entry, Incarnation)| {
+            let instance = Arc::clone(&leaves);
+            async move { directory::receive_leave(&instance, &left) }
         })
         .route("leader/entries", move |(): ()| {
             let instance = Arc::clone(&entries);
-            async move { Ok(status::entries(&instance)) }
+            async move {
+                directory::leading(&instance)?;
+                Ok(status::entries(&instance))
+            }
+        })
+        .route("control/status", move |(): ()| {
+            let instance = Arc::clone(&overviews);
+            async move { Ok(status::own(&instance)) }
         })
 }
--- a/crates/control/src/daemon/operators.rs
+++ b/crates/control/src/daemon/operators.rs
@@ -10,7 +10,7 @@
 use poem::endpoint::make;
 use poem::http::{StatusCode, header};
 use poem::listener::TcpAcceptor;
-use poem::{Endpoint, IntoEndpoint, Request, Response, Route, get, post};
+use poem::{Endpoint, EndpointExt, IntoEndpoint, Request, Response, Route, get, post};
 use serde::Serialize;
 use serde_json::{Value, json};
 use tokio::net::TcpListener;
@@ -58,9 +58,18 @@
     Route::new()
         .at("/v1/config", get(endpoint(instance, config)))
         .at("/v1/changes", post(endpoint(instance, change)))
+        .at("/v1/changes/:id", get(endpoint(instance, known)))
         .at("/v1/history", get(endpoint(instance, history)))
         .at("/v1/status", get(endpoint(instance, overview)))
         .at("/metrics", get(metrics(instance)))
+        .catch_all_error(|error: poem::Error| async move {
+            let kind = match error.status() {
+                StatusCode::NOT_FOUND => Kind::NotFound,
+                status if status.is_client_error() => Kind::BadRequest,
+                _ => Kind::Internal,
+            };
+            refused(&Fault::new(kind, error.to_string()).into())
+        })
 }
 
 fn endpoint<F, Fut>(instance: &Arc<Instance>, handler: F) -> impl Endpoint + 'static + use<F, Fut>
@@ -70,9 +79,15 @@
 {
     let instance = Arc::clone(instance);
     make(move |request| {
-        let answer = handler(Arc::clone(&instance), request);
+        let answer = instance
+            .admit()
+            .then(|| handler(Arc::clone(&instance), request));
         async move {
-            match answer.await {
+            let answer = match answer {
+                Some(answer) => answer.await,
+                None => Err(Fault::new(Kind::Overloaded, "too many requests of operators").into()),
+            };
+            match answer {
                 Ok(value) => response(StatusCode::OK, &value),
                 Err(refusal) => refused(&refusal),
             }
@@ -146,10 +161,24 @@
         }
         e => Fault::new(Kind::BadRequest, e.to_string()),
     })?;
-    let text = std::str::from_utf8(&body);
-    let text = text.map_err(|e| Fault::new(Kind::BadRequest, e.to_string()))?;
-    let parsed = chestnutvalve_telemetry::settings::parse(text, std::path::Path::new("body"));
-    parsed.map_err(|e| Fault::new(Kind::BadRequest, e.to_string()))
+    parse(&body).map_err(|e| Fault::new(Kind::BadRequest, e))
+}
+
+/// Parses JSON; the library limits its depth.
+fn parse<T: serde::de::DeserializeOwned>(body: &[u8]) -> Result<T, String> {
+    let mut json = serde_json::Deserializer::from_slice(body);
+    let parsed = serde_path_to_error::deserialize(&mut json);
+    let parsed = parsed.map_err(|e| format!("field {}: {}", e.path(), e.inner()))?;
+    json.end().map_err(|e| e.to_string())?;
+    Ok(parsed)
+}
+
+async fn known(instance: Arc<Instance>, request: Request) -> Answer {
+    let id = request.raw_path_param("id").unwrap_or_default();
+    let store = instance.store();
+    let unknown = || Fault::new(Kind::NotFound, format!("no accepted change {id:?} is kept"));
+    let known = store.history().find(id).ok_or_else(unknown)?;
+    Ok(json!({ "version": known.version }))
 }
 
 async fn history(instance: Arc<Instance>, request: Request) -> Answer {
--- a/crates/control/src/state/change.rs
+++ b/crates/control/src/state/change.rs
@@ -2,6 +2,7 @@
 
 use chestnutvalve_model::config::{Change, Edit, validate};
 use chestnutvalve_model::error::{Fault, Kind};
+use chestnutvalve_model::id::MAX_NAME_BYTES;
 use chestnutvalve_model::version::Version;
 use serde::{Deserialize, Serialize};
 
@@ -38,11 +39,14 @@
 ///
 /// Returns [`Kind::InvalidChange`] with the wrong field.
 pub fn check_form(change: &Change) -> Result<(), Fault> {
-    for (field, text) in [
-        ("id", &change.id),
-        ("author", &change.author),
-        ("reason", &change.reason),
-    ] {
+    let is_name = |c: char| c.is_ascii_alphanumeric() || ".:_-".contains(c);
+    let id = &change.id;
+    if id.is_empty() || id.len() > MAX_NAME_BYTES || !id.chars().all(is_name) {
+        let context =
+            format!("id: expected 1 to {MAX_NAME_BYTES} characters of a-z A-Z 0-9 . _ : -");
+        return Err(Fault::new(Kind::InvalidChange, context));
+    }
+    for (field, text) in [("author", &change.author), ("reason", &change.reason)] {
         if text.trim().is_empty() || text.len() > validate::MAX_TEXT_BYTES {
             let limit = validate::MAX_TEXT_BYTES;
             let context = format!("{field}: expected 1 to {limit} bytes of text");
--- /dev/null
+++ b/tests/all/control.rs
@@ -0,0 +1,247 @@
+//! Control daemon and operator commands as processes.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Output, Stdio};
+use std::time::{Duration, Instant};
+
+use rstest::rstest;
+use tempfile::TempDir;
+
+const START_TIMEOUT: Duration = Duration::from_secs(10);
+const TOKEN: &str = "operators-token-1";
+
+/// A control instance alone in its group, killed when dropped.
+struct Control {
+    process: Child,
+    operators: SocketAddr,
+    directory: TempDir,
+}
+
+fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("bind a free port");
+    listener.local_addr().expect("address of the listener")
+}
+
+impl Control {
+    fn start() -> Self {
+        let directory = TempDir::new().expect("temporary directory");
+        let (peers, operators) = (free_address(), free_address());
+        let path = |name: &str| directory.path().join(name);
+        std::fs::write(path("token"), format!("{TOKEN}\n")).expect("token file");
+        let settings = serde_json::json!({
+            "control": "c1", "zone": "barre", "peers": peers, "operators": operators,
+            "data": path("data"), "token_file": path("token"),
+            "members": [{ "control": "c1", "peers": peers }], "log": "warn",
+        });
+        std::fs::write(path("c1.json"), settings.to_string()).expect("settings file");
+        let process = Command::new(env!("CARGO_BIN_EXE_chestnutvalve-control"))
+            .args(["--settings".as_ref(), path("c1.json").as_os_str()])
+            .stderr(Stdio::null())
+            .spawn()
+            .expect("start the control daemon");
+        let control = Self {
+            process,
+            operators,
+            directory,
+        };
+        let deadline = Instant::now() + START_TIMEOUT;
+        while control.run(&["status", "--json"]).status.code() != Some(0) {
+            assert!(
+                Instant::now() < deadline,
+                "the control daemon did not start"
+            );
+            std::thread::sleep(Duration::from_millis(50));
+        }
+        control
+    }
+
+    fn run(&self, arguments: &[&str]) -> Output {
+        Command::new(env!("CARGO_BIN_EXE_chestnutvalve"))
+            .args(["--control", &self.operators.to_string()])
+            .args(["--token-file".as_ref(), self.path("token").as_os_str()])
+            .args(arguments)
+            .output()
+            .expect("run the command")
+    }
+
+    fn path(&self, name: &str) -> PathBuf {
+        self.directory.path().join(name)
+    }
+
+    fn apply(&self, arguments: &[&str]) -> (Option<i32>, String) {
+        let by = ["config", "apply", "--author", "amy", "--reason", "test"];
+        let output = self.run(&[&by, arguments].concat());
+        let text = [output.stdout, output.stderr].concat();
+        (output.status.code(), String::from_utf8(text).expect("text"))
+    }
+
+    /// Sends bytes and returns the answer up to the end of the connection.
+    fn send(&self, bytes: &[u8]) -> String {
+        let mut stream = TcpStream::connect(self.operators).expect("connect");
+        let limit = Some(Duration::from_secs(5));
+        stream.set_read_timeout(limit).expect("set the time-out");
+        // The daemon may close the connection before it has read everything.
+        let _ = stream.write_all(bytes);
+        let mut answer = Vec::new();
+        let _ = stream.read_to_end(&mut answer);
+        String::from_utf8_lossy(&answer).into_owned()
+    }
+
+    fn post(&self, token: &str, body: &str) -> String {
+        let length = body.len();
+        let head = format!(
+            "POST /v1/changes HTTP/1.1\r\nhost: c1\r\nconnection: close\r\n\
+             authorization: Bearer {token}\r\ncontent-length: {length}\r\n\r\n"
+        );
+        self.send(&[head.as_bytes(), body.as_bytes()].concat())
+    }
+}
+
+impl Drop for Control {
+    fn drop(&mut self) {
+        // The process may have ended already.
+        let _ = self.process.kill();
+        let _ = self.process.wait();
+    }
+}
+
+/// Guards against operators who overwrite each other, and against exit codes that scripts can't tell apart.
+#[test]
+fn exit_codes_of_apply() {
+    let control = Control::start();
+    let set = |ms: &str, expected: &str, id: &str| {
+        let field = format!("timeout_ms={ms}");
+        control.apply(&["--set", &field, "--expected", expected, "--change-id", id])
+    };
+    assert_eq!(set("1000", "0.0", "a").0, Some(0));
+    assert_eq!(
+        set("1000", "0.0", "a").0,
+        Some(0),
+        "a resend gets the first result"
+    );
+    let (code, text) = set("2000", "0.0", "b");
+    assert_eq!(code, Some(3));
+    assert!(text.contains(r#"~ defaults {"timeout_ms":1000}"#), "{text}");
+    assert_eq!(control.apply(&["--set", "timeout_ms=1"]).0, Some(2));
+    assert_eq!(control.apply(&["--set", "no_such_field=1"]).0, Some(2));
+    let read = Command::new(env!("CARGO_BIN_EXE_chestnutvalve"))
+        .args(["--control", &free_address().to_string(), "config", "show"])
+        .output()
+        .expect("run the command");
+    assert_eq!(read.status.code(), Some(1));
+}
+
+/// Guards against a document that can't be applied as it was printed, or resent after a lost answer.
+#[test]
+fn document_round_trip() {
+    let control = Control::start();
+    assert_eq!(control.apply(&["--set", "timeout_ms=1000"]).0, Some(0));
+    let shown = control.run(&["config", "show"]).stdout;
+    let document = String::from_utf8(shown).expect("text");
+    let file = control.path("document.jsonc");
+    let edited = document.replace("\"timeout_ms\": 1000", "\"timeout_ms\": 1500 // slow links");
+    std::fs::write(&file, &edited).expect("write the document");
+    let file = file.to_str().expect("path as text");
+    let first = control.apply(&[file, "--change-id", "doc"]);
+    assert_eq!(first.0, Some(0), "{}", first.1);
+    assert_eq!(control.apply(&["--set", "timeout_ms=3000"]).0, Some(0));
+    assert_eq!(control.apply(&[file, "--change-id", "doc"]), first);
+    assert_eq!(
+        control.apply(&[file]).0,
+        Some(3),
+        "based on an older version"
+    );
+}
+
+/// Guards against input that crashes the daemon or is accepted without the token.
+#[rstest]
+#[case::no_token("wrong-token-1234", "{}", "401", "unauthorized")]
+#[case::prefix_of_token("operators-token", "{}", "401", "unauthorized")]
+#[case::empty(TOKEN, "", "400", "bad_request")]
+#[case::unknown_field(TOKEN, r#"{"id":"a","bogus":1}"#, "400", "bad_request")]
+#[case::deep(TOKEN, &"[".repeat(1_000_000), "400", "bad_request")]
+#[case::too_large(TOKEN, &" ".repeat(5_000_000), "413", "too_large")]
+#[case::no_author(
+    TOKEN,
+    r#"{"id":"a","author":" ","reason":"r","expected":{"term":0,"revision":0},"edits":[]}"#,
+    "422",
+    "invalid_change"
+)]
+fn malformed_change(
+    #[case] token: &str,
+    #[case] body: &str,
+    #[case] status: &str,
+    #[case] code: &str,
+) {
+    let control = Control::start();
+    let answer = control.post(token, body);
+    assert!(
+        answer.starts_with(&format!("HTTP/1.1 {status} ")),
+        "{answer}"
+    );
+    assert!(answer.contains(&format!("\"code\":\"{code}\"")), "{answer}");
+    let status = control.run(&["status"]);
+    assert_eq!(status.status.code(), Some(0), "the daemon still serves");
+}
+
+/// Guards against a daemon that other protocols or broken requests bring down.
+#[test]
+fn broken_requests() {
+    let control = Control::start();
+    let long = format!("GET /{} HTTP/1.1\r\n\r\n", "x".repeat(2_000_000));
+    for bytes in [&b"\0\xff\xfe\r\n\r\n"[..], b"GET\r\n\r\n", long.as_bytes()] {
+        let answer = control.send(bytes);
+        assert!(!answer.starts_with("HTTP/1.1 2"), "{answer}");
+    }
+    let get = |path: &str| {
+        control.send(
+            format!("GET {path} HTTP/1.1\r\nhost: c1\r\nconnection: close\r\n\r\n").as_bytes(),
+        )
+    };
+    assert!(get("/v1/nothing").contains("not_found"));
+    assert!(
+        get("/v1/changes").contains("bad_request"),
+        "the method is wrong"
+    );
+    assert!(get("/v1/history?limit=x").contains("bad_request"));
+    assert!(get("/v1/changes/unknown").contains("not_found"));
+    assert!(get("/v1/config").starts_with("HTTP/1.1 200"));
+}
+
+/// Guards against one caller who takes all of the daemon's time.
+#[test]
+fn requests_are_limited() {
+    let control = Control::start();
+    let request = "GET /v1/history HTTP/1.1\r\nhost: c1\r\n\r\n".repeat(900);
+    let last = "GET /v1/history HTTP/1.1\r\nhost: c1\r\nconnection: close\r\n\r\n";
+    let answers = control.send(format!("{request}{last}").as_bytes());
+    let refused = answers.matches("HTTP/1.1 503").count();
+    let served = answers.matches("HTTP/1.1 200").count();
+    assert!(
+        refused > 0 && served > 0,
+        "{served} served, {refused} refused"
+    );
+    assert!(answers.contains("overloaded"));
+}
+
+/// Guards against wrong settings that are found only when they matter.
+#[rstest]
+#[case::unknown_field(r#"{"bogus": 1}"#, "bogus")]
+#[case::no_members(r#"{"control":"c1","zone":"z","peers":"127.0.0.1:1","operators":"127.0.0.1:2","data":"d","token_file":"t","members":[]}"#, "members")]
+#[case::bad_address(r#"{"control":"c1","zone":"z","peers":"localhost"}"#, "peers")]
+#[case::same_address(r#"{"control":"c1","zone":"z","peers":"127.0.0.1:1","operators":"127.0.0.1:1","data":"d","token_file":"t","members":[{"control":"c1","peers":"127.0.0.1:1"}]}"#, "operators")]
+#[case::no_token(r#"{"control":"c1","zone":"z","peers":"127.0.0.1:1","operators":"127.0.0.1:2","data":"d","token_file":"absent","members":[{"control":"c1","peers":"127.0.0.1:1"}]}"#, "token_file")]
+fn wrong_settings(#[case] settings: &str, #[case] field: &str) {
+    let directory = TempDir::new().expect("temporary directory");
+    let file = directory.path().join("settings.json");
+    std::fs::write(&file, settings).expect("settings file");
+    let output = Command::new(env!("CARGO_BIN_EXE_chestnutvalve-control"))
+        .args(["--check".as_ref(), "--settings".as_ref(), file.as_os_str()])
+        .output()
+        .expect("run the daemon");
+    let text = String::from_utf8_lossy(&output.stderr);
+    assert_eq!(output.status.code(), Some(2), "{text}");
+    assert!(text.contains(field), "{text}");
+}
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -1,1 +1,3 @@
 //! Whole-process tests.
+
+mod control;
