--- a/crates/control/src/daemon/instance.rs
+++ b/crates/control/src/daemon/instance.rs
@@ -19,7 +19,7 @@
 use super::peers::Peers;
 use super::{Error, Token};
 use crate::codec;
-use crate::replica::{Committed, Handle, Machine, Role, Status};
+use crate::replica::{Committed, Handle, Machine, Network, Role, Status};
 use crate::settings::Settings;
 use crate::state::{Command, Outcome, Store};
 
@@ -40,6 +40,8 @@
     /// Heartbeats on their way to the leader.
     pub beats: Batcher<Heartbeat, Registered>,
     requests: Mutex<Bucket>,
+    /// Connections and routes of this instance's replicas.
+    pub network: Network,
     store: Arc<RwLock<Store>>,
     versions: watch::Sender<Version>,
     heartbeats: Mutex<Heartbeats>,
@@ -55,6 +57,7 @@
     pub fn new(settings: Settings, token: Token) -> Result<Self, Error> {
         Ok(Self {
             peers: Peers::new(&settings.members),
+            network: Network::default(),
             settings,
             token,
             metrics: Metrics::new()?,
--- a/crates/control/src/daemon/internal.rs
+++ b/crates/control/src/daemon/internal.rs
@@ -30,7 +30,8 @@
 }
 
 fn router(instance: &Arc<Instance>) -> Router {
-    let router = entries(Router::default(), instance);
+    let router = instance.network.route(Router::default());
+    let router = entries(router, instance);
     controls(router, instance)
 }
 
