Host the ledger groups and the ejection grants in the control daemon

Cause: entries claim idempotency keys and ask for ejections at any control instance; the decisions existed only as pure state machines.

Ruled out: one proposal for each claim (a batch forms while up to four earlier ones are under way, and a lone claim does not wait); waiting as long as the log does for a leader, because entries give up after 500 ms and a later commit would claim for a request that was refused; repeating an unconfirmed step of log time, because claims may be kept too long but never too short.

Figures: in the first run of the new tests a heartbeat that reached a new leader before its first tick was accepted and then forgotten, so that the entry did not join within 10 s of a single heartbeat; heartbeats now note the term first.

Conclusion: any instance answers claims, records, releases and grants. A replica that stops by itself ends the process with an error.

--- a/crates/control/src/daemon.rs
+++ b/crates/control/src/daemon.rs
@@ -8,9 +8,11 @@
 
 pub mod batcher;
 pub mod directory;
+pub mod grants;
 pub mod heartbeats;
 pub mod instance;
 pub mod internal;
+pub mod ledger;
 pub mod limit;
 pub mod operators;
 pub mod peers;
@@ -37,6 +39,9 @@
     /// A service failed to start or stop.
     #[error(transparent)]
     Registry(#[from] registry::Error),
+    /// A replica has stopped by itself, for example because the disk is full.
+    #[error("replica: {0}")]
+    Replica(chestnutvalve_model::error::Fault),
     /// The signal handlers can't be installed.
     #[error("signals: {0}")]
     Signals(std::io::Error),
@@ -49,13 +54,16 @@
 /// Returns the first error; running services are stopped before.
 pub async fn run(settings: Settings) -> Result<(), Error> {
     let mut registry = Registry::default();
-    register(&mut registry, settings)?;
+    let instance = register(&mut registry, settings)?;
     registry.start().await?;
     spdlog::info!("control instance serves");
-    let signal = shutdown::signal_received().await;
+    let end = tokio::select! {
+        signal = shutdown::signal_received() => signal.map_err(Error::Signals),
+        fault = instance.failed() => Err(Error::Replica(fault)),
+    };
     spdlog::info!("control instance stops");
     registry.stop().await?;
-    signal.map_err(Error::Signals)
+    end
 }
 
 /// Registers the services of a control instance, in the order in which they must start.
@@ -69,6 +77,7 @@
     let instance = Arc::new(Instance::new(settings, token)?);
     // The replicas stop before the internal protocol does, so that a leader can hand over.
     registry.register(internal::service(&instance))?;
+    registry.register(ledger::service(&instance))?;
     registry.register(replicas::service(&instance))?;
     registry.register(operators::service(&instance))?;
     registry.register(directory::service(&instance))?;
--- a/crates/control/src/daemon/directory.rs
+++ b/crates/control/src/daemon/directory.rs
@@ -55,7 +55,9 @@
         ticks.tick().await;
         let now = Instant::now().into_std();
         // The heartbeats are looked at even while a proposal is under way, because a gap counts as a pause.
-        instance.heartbeats().observe(now, instance.leads());
+        let leads = instance.leads();
+        instance.heartbeats().observe(now, leads);
+        instance.grants().observe(now, leads);
         if proposal.as_ref().is_some_and(|p| !p.is_finished()) {
             continue;
         }
@@ -87,10 +89,12 @@
 ///
 /// Returns [`Kind::NoQuorum`] when this instance does not lead.
 pub fn receive(instance: &Instance, batch: Vec<Heartbeat>) -> Result<Vec<Registered>, Fault> {
-    leading(instance)?;
+    let term = leading(instance)?;
     let store = instance.store();
     let mut heartbeats = instance.heartbeats();
     let now = Instant::now().into_std();
+    // A heartbeat that arrives before the first tick of the term would be forgotten by that tick.
+    heartbeats.observe(now, Some(term));
     let beat = |heartbeat| heartbeats.beat(now, &store.state().directory, heartbeat);
     Ok(batch.into_iter().map(beat).collect())
 }
@@ -131,9 +135,11 @@
 ///
 /// Returns [`Kind::NoQuorum`] when this instance does not lead.
 pub fn receive_leave(instance: &Instance, left: &(Entry, Incarnation)) -> Result<(), Fault> {
-    leading(instance)?;
+    let term = leading(instance)?;
     let now = Instant::now().into_std();
-    instance.heartbeats().leave(now, &left.0, left.1);
+    let mut heartbeats = instance.heartbeats();
+    heartbeats.observe(now, Some(term));
+    heartbeats.leave(now, &left.0, left.1);
     Ok(())
 }
 
--- a/crates/control/src/daemon/instance.rs
+++ b/crates/control/src/daemon/instance.rs
@@ -1,5 +1,7 @@
 //! What the services of a control instance share.
 
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError, RwLock, RwLockReadGuard};
 use std::time::Duration;
 
@@ -14,7 +16,9 @@
 use tokio::time::{Instant, timeout};
 
 use super::batcher::Batcher;
+use super::grants::Term;
 use super::heartbeats::Heartbeats;
+use super::ledger::Group;
 use super::limit::Bucket;
 use super::peers::Peers;
 use super::{Error, Token};
@@ -24,7 +28,8 @@
 use crate::state::{Command, Outcome, Store};
 
 /// Time for a proposal to be committed and applied.
-const PROPOSE_TIMEOUT: Duration = Duration::from_secs(5);
+/// The replica gives up after 5 s and then knows more about the outcome than this limit tells.
+const PROPOSE_TIMEOUT: Duration = Duration::from_secs(6);
 
 /// Shared state of one control instance.
 #[derive(Debug)]
@@ -39,7 +44,11 @@
     pub peers: Peers,
     /// Heartbeats on their way to the leader.
     pub beats: Batcher<Heartbeat, Registered>,
+    /// Ledger groups by number.
+    pub ledgers: Vec<Arc<Group>>,
     requests: Mutex<Bucket>,
+    grants: Mutex<Term>,
+    failure: watch::Sender<Option<Fault>>,
     /// Connections and routes of this instance's replicas.
     pub network: Network,
     store: Arc<RwLock<Store>>,
@@ -55,8 +64,12 @@
     ///
     /// Returns an error when the metrics can't be set up.
     pub fn new(settings: Settings, token: Token) -> Result<Self, Error> {
+        let ledgers = 0..settings.ledger_groups;
         Ok(Self {
-            peers: Peers::new(&settings.members),
+            peers: Peers::default(),
+            ledgers: ledgers.map(|_| Arc::default()).collect(),
+            grants: Mutex::default(),
+            failure: watch::Sender::new(None),
             network: Network::default(),
             settings,
             token,
@@ -81,6 +94,24 @@
         heartbeats.unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns the ejection grants that this instance decides while it leads the config group.
+    pub fn grants(&self) -> MutexGuard<'_, Term> {
+        self.grants.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Notes that a replica has stopped by itself, so that the process must end.
+    pub fn fail(&self, fault: Fault) {
+        self.failure.send_replace(Some(fault));
+    }
+
+    /// Waits until a replica has stopped by itself, and returns why.
+    pub async fn failed(&self) -> Fault {
+        let mut failure = self.failure.subscribe();
+        let failure = failure.wait_for(Option::is_some).await;
+        let fault = failure.ok().and_then(|f| f.clone());
+        fault.unwrap_or_else(|| Fault::new(Kind::Internal, "the instance has ended"))
+    }
+
     /// Takes one of the requests that operators may send now; returns whether there was one.
     pub fn admit(&self) -> bool {
         let requests = self.requests.lock();
@@ -153,6 +184,24 @@
         (status.role == Role::Leader && status.quorum).then_some(status.term)
     }
 
+    /// Returns whether this instance leads the config group and no other one can.
+    #[must_use]
+    pub fn has_lease(&self) -> bool {
+        self.config.get().is_some_and(Handle::lease)
+    }
+
+    /// Returns the names and addresses of the control instances: the members of the config group, else the first voters.
+    #[must_use]
+    pub fn controls(&self) -> BTreeMap<String, SocketAddr> {
+        let members = self.config.get().map(Handle::members).unwrap_or_default();
+        if members.members.is_empty() {
+            let voters = self.settings.members.iter();
+            return voters.map(|v| (v.control.to_string(), v.peers)).collect();
+        }
+        let members = members.members.into_iter();
+        members.map(|m| (m.name, m.address)).collect()
+    }
+
     /// Proposes a command of the config group.
     ///
     /// # Errors
@@ -207,6 +256,8 @@
             let context = "this instance leads, but has no quorum yet";
             return Err(Fault::new(Kind::NoQuorum, context));
         }
-        self.peers.call(&leader, path, message, limit).await
+        let missing = || Fault::new(Kind::NoQuorum, format!("address of {leader} is not known"));
+        let address = *self.controls().get(&leader).ok_or_else(missing)?;
+        self.peers.call(address, path, message, limit).await
     }
 }
--- a/crates/control/src/daemon/internal.rs
+++ b/crates/control/src/daemon/internal.rs
@@ -4,11 +4,12 @@
 
 use chestnutvalve_kernel::Service;
 use chestnutvalve_kernel::service::Failure;
-use chestnutvalve_model::control::{Heartbeat, Watch};
+use chestnutvalve_ledger::Command;
+use chestnutvalve_model::control::{Ask, Heartbeat, Watch};
 use chestnutvalve_model::id::{Entry, Incarnation};
 use chestnutvalve_wire::{Router, Server};
 
-use super::{Instance, directory, status, task, watch};
+use super::{Instance, directory, grants, ledger, status, task, watch};
 
 /// Name of the service.
 pub const NAME: &str = "internal";
@@ -32,13 +33,14 @@
 fn router(instance: &Arc<Instance>) -> Router {
     let router = instance.network.route(Router::default());
     let router = entries(router, instance);
+    let router = ledgers(router, instance);
     controls(router, instance)
 }
 
 /// Adds the calls of entries, which any instance answers.
 fn entries(router: Router, instance: &Arc<Instance>) -> Router {
     let (watches, heartbeats) = (Arc::clone(instance), Arc::clone(instance));
-    let leaves = Arc::clone(instance);
+    let (leaves, asks) = (Arc::clone(instance), Arc::clone(instance));
     router
         .route("config/watch", move |ask: Watch| {
             let instance = Arc::clone(&watches);
@@ -48,21 +50,49 @@
             let instance = Arc::clone(&heartbeats);
             async move { directory::heartbeat(&instance, heartbeat).await }
         })
+        .route("eject/grant", move |ask: Ask| {
+            let instance = Arc::clone(&asks);
+            async move { grants::ask(&instance, &ask).await }
+        })
         .route("directory/leave", move |left: (Entry, Incarnation)| {
             let instance = Arc::clone(&leaves);
             async move { directory::leave(&instance, left).await }
         })
 }
 
+/// Adds the calls of the once-only ledger, which any instance answers.
+fn ledgers(router: Router, instance: &Arc<Instance>) -> Router {
+    let (claims, records) = (Arc::clone(instance), Arc::clone(instance));
+    let releases = Arc::clone(instance);
+    router
+        .route("ledger/claim", move |command: Command| {
+            let instance = Arc::clone(&claims);
+            async move { ledger::claim(&instance, command).await }
+        })
+        .route("ledger/record", move |command: Command| {
+            let instance = Arc::clone(&records);
+            async move { ledger::settle(&instance, command).await }
+        })
+        .route("ledger/release", move |command: Command| {
+            let instance = Arc::clone(&releases);
+            async move { ledger::settle(&instance, command).await }
+        })
+}
+
 /// Adds the calls of other control instances.
 fn controls(router: Router, instance: &Arc<Instance>) -> Router {
     let (batches, overviews) = (Arc::clone(instance), Arc::clone(instance));
     let (entries, leaves) = (Arc::clone(instance), Arc::clone(instance));
+    let asks = Arc::clone(instance);
     router
         .route("leader/heartbeats", move |batch: Vec<Heartbeat>| {
             let instance = Arc::clone(&batches);
             async move { directory::receive(&instance, batch) }
         })
+        .route("leader/grant", move |ask: Ask| {
+            let instance = Arc::clone(&asks);
+            async move { grants::decide(&instance, &ask) }
+        })
         .route("leader/leave", move |left: (Entry, Incarnation)| {
             let instance = Arc::clone(&leaves);
             async move { directory::receive_leave(&instance, &left) }
--- a/crates/control/src/daemon/replicas.rs
+++ b/crates/control/src/daemon/replicas.rs
@@ -4,52 +4,89 @@
 
 use chestnutvalve_kernel::Service;
 use chestnutvalve_kernel::service::Failure;
+use chestnutvalve_model::error::Fault;
 use chestnutvalve_storage::{Directory, Disk};
+use tokio::task::JoinSet;
 
 use super::{Instance, task};
 use crate::replica::options::Peer;
-use crate::replica::{self, Handle, Options};
+use crate::replica::{self, Handle, Machine, Options};
 
 /// Name of the service.
 pub const NAME: &str = "replicas";
 /// Name of the group that holds configuration and directory.
 pub const CONFIG: &str = "config";
 
+/// Returns the name of a ledger group.
+#[must_use]
+pub fn ledger_name(number: usize) -> String {
+    format!("ledger-{number}")
+}
+
 /// Builds the service.
 #[must_use]
 pub fn service(instance: &Arc<Instance>) -> Service {
     task(NAME, instance, |instance, shutdown| async move {
-        let config = start(&instance).map_err(Failure)?;
-        instance.set_config(config.clone());
+        let handles = start(&instance).map_err(Failure)?;
+        let watching = Arc::clone(&instance);
+        let watched = handles.clone();
+        let mut ends = JoinSet::new();
+        ends.spawn(async move { watching.fail(first_failure(watched).await) });
         Ok(async move {
             shutdown.requested().await;
-            config.stop().await;
+            ends.shutdown().await;
+            let stops = handles.into_iter();
+            let stops = stops.map(|handle| async move { handle.stop().await });
+            stops.collect::<JoinSet<()>>().join_all().await;
         })
     })
 }
 
-fn start(instance: &Instance) -> Result<Handle, String> {
-    let settings = &instance.settings;
+fn start(instance: &Instance) -> Result<Vec<Handle>, String> {
     let mut disk = Disk::default();
-    let directory = Directory::open(&settings.data, &mut disk).map_err(|e| e.to_string())?;
-    let own = settings
-        .members
-        .iter()
-        .find(|m| m.control == settings.control);
+    let directory = Directory::open(&instance.settings.data, &mut disk);
+    let directory = Arc::new(directory.map_err(|e| e.to_string())?);
+    let launch = |group: &str, machine: Machine| {
+        let options = options(instance, group);
+        let disk = Disk::default();
+        let started = replica::start(&instance.network, &directory, disk, options, machine);
+        started.map_err(|e| format!("group {group}: {e}"))
+    };
+    let config = launch(CONFIG, instance.machine())?;
+    instance.set_config(config.clone());
+    let mut handles = vec![config];
+    for (number, group) in instance.ledgers.iter().enumerate() {
+        let handle = launch(&ledger_name(number), group.machine())?;
+        group.set_handle(handle.clone());
+        handles.push(handle);
+    }
+    Ok(handles)
+}
+
+fn options(instance: &Instance, group: &str) -> Options {
+    let settings = &instance.settings;
+    let own = settings.members.iter();
+    let own = own.clone().find(|m| m.control == settings.control);
     let address = own.map_or(settings.peers, |m| m.peers);
     let members = settings.members.iter().map(|m| Peer {
         name: m.control.to_string(),
         address: m.peers,
     });
-    let options =
-        Options::new(CONFIG, settings.control.as_str(), address).with_members(members.collect());
-    let machine = instance.machine();
-    let started = replica::start(
-        &instance.network,
-        &Arc::new(directory),
-        disk,
-        options,
-        machine,
-    );
-    started.map_err(|e| e.to_string())
+    Options::new(group, settings.control.as_str(), address)
+        .with_members(members.collect())
+        .with_voter(settings.voter)
+}
+
+/// Waits until a replica has stopped by itself, and returns why.
+async fn first_failure(handles: Vec<Handle>) -> Fault {
+    let mut stopped = handles
+        .into_iter()
+        .map(|handle| async move { handle.stopped().await })
+        .collect::<JoinSet<_>>();
+    while let Some(stopped) = stopped.join_next().await {
+        if let Ok(Err(fault)) = stopped {
+            return fault;
+        }
+    }
+    std::future::pending().await
 }
--- a/crates/control/src/daemon/status.rs
+++ b/crates/control/src/daemon/status.rs
@@ -1,5 +1,6 @@
 //! What operators see of control instances and entries.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use chestnutvalve_model::directory::Member;
@@ -8,7 +9,7 @@
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 
-use super::Instance;
+use super::{Instance, replicas};
 use crate::replica::Status;
 
 /// Time for another control instance to answer.
@@ -71,14 +72,21 @@
 /// Returns the status of this instance.
 #[must_use]
 pub fn own(instance: &Instance) -> Control {
-    let replica = |status| Replica {
-        group: "config".to_owned(),
-        status,
-    };
+    let config = instance.config().ok().map(|handle| Replica {
+        group: replicas::CONFIG.to_owned(),
+        status: handle.status(),
+    });
+    let ledgers = instance.ledgers.iter().enumerate();
+    let ledgers = ledgers.filter_map(|(number, group)| {
+        Some(Replica {
+            group: replicas::ledger_name(number),
+            status: group.handle().ok()?.status(),
+        })
+    });
     Control {
         control: instance.settings.control.to_string(),
         version: instance.store().state().version,
-        replicas: instance.status().map(replica).into_iter().collect(),
+        replicas: config.into_iter().chain(ledgers).collect(),
     }
 }
 
@@ -112,14 +120,14 @@
 }
 
 /// Asks all control instances and returns the overview.
-pub async fn overview(instance: &std::sync::Arc<Instance>) -> Overview {
+pub async fn overview(instance: &Arc<Instance>) -> Overview {
     let own = own(instance);
     let mut asked = JoinSet::new();
-    for (name, _) in instance.peers.all() {
+    for (name, address) in instance.controls() {
         if name != own.control {
-            let instance = std::sync::Arc::clone(instance);
+            let instance = Arc::clone(instance);
             asked.spawn(async move {
-                let call = instance.peers.call(&name, "control/status", &(), TIMEOUT);
+                let call = instance.peers.call(address, "control/status", &(), TIMEOUT);
                 call.await.map_err(|_| name)
             });
         }
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -41,6 +41,9 @@
     pub token_file: PathBuf,
     /// First voters of every group.
     pub members: Vec<Voter>,
+    /// Whether the instance votes when it joins; `false` makes it a relay that only serves entries.
+    #[serde(default = "yes")]
+    pub voter: bool,
     /// Number of ledger groups.
     #[serde(default = "one")]
     pub ledger_groups: u32,
@@ -49,6 +52,10 @@
     pub log: Threshold,
 }
 
+fn yes() -> bool {
+    true
+}
+
 fn one() -> u32 {
     1
 }
--- a/crates/control/tests/all/main.rs
+++ b/crates/control/tests/all/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the control daemon.
 
+mod cluster;
 mod heartbeats;
 mod state;
 mod support;
