--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -1,3 +1,12 @@
 //! Whole-process tests.
 
+mod complete;
+mod config;
 mod control;
+mod floor;
+mod leaving;
+mod once;
+mod serve;
+mod shutdown;
+mod support;
+mod truth;
