Add the operators' view of the replicas and the changes of members

Cause: a lost disk, a relay and a lost quorum need an operator, and the log offers promotion, removal and forced recovery only inside the process.

Ruled out: a command that adds a replica, because an instance joins by itself when it starts; passing a recovery on to another instance, because it must name the disk that survives.

Conclusion: `replica list`, `promote`, `remove` and `recover` work on all groups or one.

--- a/crates/cli/src/arguments.rs
+++ b/crates/cli/src/arguments.rs
@@ -53,6 +53,7 @@
                 .help("Time for one answer"),
         )
         .subcommand(config())
+        .subcommand(replica())
         .subcommand(
             Command::new("status")
                 .about("Shows the control instances and what every entry has in force")
@@ -112,6 +113,63 @@
         )
 }
 
+fn replica() -> Command {
+    let group = || {
+        Arg::new("group")
+            .long("group")
+            .value_name("GROUP")
+            .help("Only this group, config or ledger-N; default: all groups")
+    };
+    let id = || {
+        Arg::new("replica")
+            .value_name("REPLICA")
+            .required(true)
+            .help("Identity of the replica, as `replica list` prints it")
+    };
+    Command::new("replica")
+        .about("Shows and changes the members of the control groups")
+        .after_help(
+            "A replica is added by starting its instance: it joins the groups through the members in its settings.",
+        )
+        .subcommand_required(true)
+        .subcommand(
+            Command::new("list")
+                .about("Lists the groups and their members")
+                .arg(json()),
+        )
+        .subcommand(
+            Command::new("promote")
+                .about("Makes a caught-up learner a voter")
+                .args([id(), group()]),
+        )
+        .subcommand(
+            Command::new("remove")
+                .about("Removes a member for good")
+                .args([id(), group()]),
+        )
+        .subcommand(
+            Command::new("recover")
+                .about("Makes the replica at one instance the only voter, after a quorum is lost for good; changes that only the lost replicas have are lost")
+                .args([group(), author(), reason()]),
+        )
+}
+
+fn author() -> Arg {
+    Arg::new("author")
+        .long("author")
+        .value_name("NAME")
+        .required(true)
+        .help("Who makes the change")
+}
+
+fn reason() -> Arg {
+    Arg::new("reason")
+        .long("reason")
+        .value_name("TEXT")
+        .required(true)
+        .help("Why the change is made")
+}
+
 fn file() -> Arg {
     Arg::new("file")
         .value_name("FILE")
@@ -142,20 +200,7 @@
                 .value_parser(value_parser!(Version))
                 .help("Version that the change is based on; default: that in the document's first line, for edits the current one"),
         )
-        .arg(
-            Arg::new("author")
-                .long("author")
-                .value_name("NAME")
-                .required(true)
-                .help("Who makes the change"),
-        )
-        .arg(
-            Arg::new("reason")
-                .long("reason")
-                .value_name("TEXT")
-                .required(true)
-                .help("Why the change is made"),
-        )
+        .args([author(), reason()])
         .arg(
             Arg::new("change-id")
                 .long("change-id")
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -47,4 +47,15 @@
             Self::Unconfirmed(_) => UNCONFIRMED,
         }
     }
+
+    /// Names the group that a failed action was for.
+    #[must_use]
+    pub fn in_group(self, group: &str) -> Self {
+        match self {
+            Self::Usage(context) => Self::Usage(format!("{group}: {context}")),
+            Self::Failed(context) => Self::Failed(format!("{group}: {context}")),
+            Self::Unconfirmed(context) => Self::Unconfirmed(format!("{group}: {context}")),
+            conflict @ Self::Conflict { .. } => conflict,
+        }
+    }
 }
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod error;
 pub mod http;
 pub mod output;
+pub mod replica;
 pub mod status;
 pub mod wait;
 
@@ -48,6 +49,13 @@
             Some(("history", history)) => config::history(&client, history).await,
             _ => Err(Error::Usage("expected a subcommand of config".to_owned())),
         },
+        Some(("replica", replica)) => match replica.subcommand() {
+            Some(("list", list)) => replica::list(&client, list).await,
+            Some(("promote", promote)) => replica::promote(&client, promote).await,
+            Some(("remove", remove)) => replica::remove(&client, remove).await,
+            Some(("recover", recover)) => replica::recover(&client, recover).await,
+            _ => Err(Error::Usage("expected a subcommand of replica".to_owned())),
+        },
         Some(("burn", show)) => burn::show(&client, show).await,
         Some(("status", show)) => status::show(&client, show).await,
         _ => Err(Error::Usage("expected a subcommand".to_owned())),
--- a/crates/control/src/daemon/internal.rs
+++ b/crates/control/src/daemon/internal.rs
@@ -9,7 +9,8 @@
 use chestnutvalve_model::id::{Entry, Incarnation};
 use chestnutvalve_wire::{Router, Server};
 
-use super::{Instance, directory, grants, ledger, status, task, watch};
+use super::members::Action;
+use super::{Instance, directory, grants, ledger, members, status, task, watch};
 
 /// Name of the service.
 pub const NAME: &str = "internal";
@@ -83,7 +84,7 @@
 fn controls(router: Router, instance: &Arc<Instance>) -> Router {
     let (batches, overviews) = (Arc::clone(instance), Arc::clone(instance));
     let (entries, leaves) = (Arc::clone(instance), Arc::clone(instance));
-    let asks = Arc::clone(instance);
+    let (asks, actions) = (Arc::clone(instance), Arc::clone(instance));
     router
         .route("leader/heartbeats", move |batch: Vec<Heartbeat>| {
             let instance = Arc::clone(&batches);
@@ -93,6 +94,10 @@
             let instance = Arc::clone(&asks);
             async move { grants::decide(&instance, &ask) }
         })
+        .route("leader/member", move |action: Action| {
+            let instance = Arc::clone(&actions);
+            async move { members::lead(&instance, &action).await }
+        })
         .route("leader/leave", move |left: (Entry, Incarnation)| {
             let instance = Arc::clone(&leaves);
             async move { directory::receive_leave(&instance, &left) }
--- a/crates/control/src/daemon/operators.rs
+++ b/crates/control/src/daemon/operators.rs
@@ -16,7 +16,8 @@
 use tokio::net::TcpListener;
 use tokio::time::timeout;
 
-use super::{Instance, status, task};
+use super::members::Action;
+use super::{Instance, members, status, task};
 use crate::state::Refusal;
 
 /// Name of the service.
@@ -61,6 +62,10 @@
         .at("/v1/changes/:id", get(endpoint(instance, known)))
         .at("/v1/history", get(endpoint(instance, history)))
         .at("/v1/status", get(endpoint(instance, overview)))
+        .at(
+            "/v1/replicas",
+            get(endpoint(instance, groups)).post(endpoint(instance, act)),
+        )
         .at("/metrics", get(metrics(instance)))
         .catch_all_error(|error: poem::Error| async move {
             let kind = match error.status() {
@@ -211,6 +216,22 @@
     value(&status::overview(&instance).await)
 }
 
+async fn groups(instance: Arc<Instance>, _request: Request) -> Answer {
+    value(&members::groups(&instance))
+}
+
+async fn act(instance: Arc<Instance>, request: Request) -> Answer {
+    authorize(&instance, &request)?;
+    let action: Action = read(request).await?;
+    let outcome = members::act(&instance, &action).await;
+    match &outcome {
+        Ok(()) => spdlog::warn!("members: {action:?} done"),
+        Err(fault) => spdlog::warn!("members: {action:?} failed: {fault}"),
+    }
+    outcome?;
+    value(&members::groups(&instance))
+}
+
 fn metrics(instance: &Arc<Instance>) -> impl Endpoint + 'static + use<> {
     let instance = Arc::clone(instance);
     make(move |_request| {
