--- a/crates/cli/src/arguments.rs
+++ b/crates/cli/src/arguments.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
+use chestnutvalve_model::id::MAX_NAME_BYTES;
 use chestnutvalve_model::version::Version;
 use clap::{Arg, ArgAction, ArgGroup, Command, value_parser};
 
@@ -52,11 +53,27 @@
                 .help("Time for one answer"),
         )
         .subcommand(config())
+        .subcommand(replica())
         .subcommand(
             Command::new("status")
                 .about("Shows the control instances and what every entry has in force")
                 .arg(json()),
         )
+        .subcommand(
+            Command::new("burn")
+                .about("Shows how fast each service uses its error budget, over all entries")
+                .arg(json())
+                .arg(
+                    Arg::new("entry")
+                        .long("entry")
+                        .value_name("IP:PORT")
+                        .action(ArgAction::Append)
+                        .value_parser(value_parser!(SocketAddr))
+                        .help(
+                            "Platform address of an entry to ask, instead of all of the directory",
+                        ),
+                ),
+        )
 }
 
 fn json() -> Arg {
@@ -96,6 +113,63 @@
         )
 }
 
+fn replica() -> Command {
+    let group = || {
+        Arg::new("group")
+            .long("group")
+            .value_name("GROUP")
+            .help("Only this group, config or ledger-N; default: all groups")
+    };
+    let id = || {
+        Arg::new("replica")
+            .value_name("REPLICA")
+            .required(true)
+            .help("Identity of the replica, as `replica list` prints it")
+    };
+    Command::new("replica")
+        .about("Shows and changes the members of the control groups")
+        .after_help(
+            "A replica is added by starting its instance: it joins the groups through the members in its settings.",
+        )
+        .subcommand_required(true)
+        .subcommand(
+            Command::new("list")
+                .about("Lists the groups and their members")
+                .arg(json()),
+        )
+        .subcommand(
+            Command::new("promote")
+                .about("Makes a caught-up learner a voter")
+                .args([id(), group()]),
+        )
+        .subcommand(
+            Command::new("remove")
+                .about("Removes a member for good")
+                .args([id(), group()]),
+        )
+        .subcommand(
+            Command::new("recover")
+                .about("Makes the replica at one instance the only voter, after a quorum is lost for good; changes that only the lost replicas have are lost")
+                .args([group(), author(), reason()]),
+        )
+}
+
+fn author() -> Arg {
+    Arg::new("author")
+        .long("author")
+        .value_name("NAME")
+        .required(true)
+        .help("Who makes the change")
+}
+
+fn reason() -> Arg {
+    Arg::new("reason")
+        .long("reason")
+        .value_name("TEXT")
+        .required(true)
+        .help("Why the change is made")
+}
+
 fn file() -> Arg {
     Arg::new("file")
         .value_name("FILE")
@@ -126,24 +200,12 @@
                 .value_parser(value_parser!(Version))
                 .help("Version that the change is based on; default: that in the document's first line, for edits the current one"),
         )
-        .arg(
-            Arg::new("author")
-                .long("author")
-                .value_name("NAME")
-                .required(true)
-                .help("Who makes the change"),
-        )
-        .arg(
-            Arg::new("reason")
-                .long("reason")
-                .value_name("TEXT")
-                .required(true)
-                .help("Why the change is made"),
-        )
+        .args([author(), reason()])
         .arg(
             Arg::new("change-id")
                 .long("change-id")
                 .value_name("ID")
+                .value_parser(change_id)
                 .help("Id of the change; a resend with the same id gets the first result"),
         )
         .arg(
@@ -161,3 +223,11 @@
                 .help("Longest time to wait"),
         )
 }
+
+/// Ids are part of a path, so that they have the characters of names.
+fn change_id(text: &str) -> Result<String, String> {
+    let accepted = |c: char| c.is_ascii_alphanumeric() || ".:_-".contains(c);
+    let valid = (1..=MAX_NAME_BYTES).contains(&text.len()) && text.chars().all(accepted);
+    let expected = || format!("expected 1 to {MAX_NAME_BYTES} characters of a-z A-Z 0-9 . _ : -");
+    valid.then(|| text.to_owned()).ok_or_else(expected)
+}
--- a/crates/control/src/daemon/internal.rs
+++ b/crates/control/src/daemon/internal.rs
@@ -4,10 +4,13 @@
 
 use chestnutvalve_kernel::Service;
 use chestnutvalve_kernel::service::Failure;
-use chestnutvalve_model::control::{Heartbeat, Watch};
+use chestnutvalve_ledger::Command;
+use chestnutvalve_model::control::{Ask, Heartbeat, Watch};
+use chestnutvalve_model::id::{Entry, Incarnation};
 use chestnutvalve_wire::{Router, Server};
 
-use super::{Instance, directory, status, task, watch};
+use super::members::Action;
+use super::{Instance, directory, grants, ledger, members, status, task, watch};
 
 /// Name of the service.
 pub const NAME: &str = "internal";
@@ -29,10 +32,16 @@
 }
 
 fn router(instance: &Arc<Instance>) -> Router {
-    let (watches, heartbeats) = (Arc::clone(instance), Arc::clone(instance));
-    let (batches, overviews) = (Arc::clone(instance), Arc::clone(instance));
-    let entries = Arc::clone(instance);
     let router = instance.network.route(Router::default());
+    let router = entries(router, instance);
+    let router = ledgers(router, instance);
+    controls(router, instance)
+}
+
+/// Adds the calls of entries, which any instance answers.
+fn entries(router: Router, instance: &Arc<Instance>) -> Router {
+    let (watches, heartbeats) = (Arc::clone(instance), Arc::clone(instance));
+    let (leaves, asks) = (Arc::clone(instance), Arc::clone(instance));
     router
         .route("config/watch", move |ask: Watch| {
             let instance = Arc::clone(&watches);
@@ -42,16 +51,66 @@
             let instance = Arc::clone(&heartbeats);
             async move { directory::heartbeat(&instance, heartbeat).await }
         })
+        .route("eject/grant", move |ask: Ask| {
+            let instance = Arc::clone(&asks);
+            async move { grants::ask(&instance, &ask).await }
+        })
+        .route("directory/leave", move |left: (Entry, Incarnation)| {
+            let instance = Arc::clone(&leaves);
+            async move { directory::leave(&instance, left).await }
+        })
+}
+
+/// Adds the calls of the once-only ledger, which any instance answers.
+fn ledgers(router: Router, instance: &Arc<Instance>) -> Router {
+    let (claims, records) = (Arc::clone(instance), Arc::clone(instance));
+    let releases = Arc::clone(instance);
+    router
+        .route("ledger/claim", move |command: Command| {
+            let instance = Arc::clone(&claims);
+            async move { ledger::claim(&instance, command).await }
+        })
+        .route("ledger/record", move |command: Command| {
+            let instance = Arc::clone(&records);
+            async move { ledger::settle(&instance, command).await }
+        })
+        .route("ledger/release", move |command: Command| {
+            let instance = Arc::clone(&releases);
+            async move { ledger::settle(&instance, command).await }
+        })
+}
+
+/// Adds the calls of other control instances.
+fn controls(router: Router, instance: &Arc<Instance>) -> Router {
+    let (batches, overviews) = (Arc::clone(instance), Arc::clone(instance));
+    let (entries, leaves) = (Arc::clone(instance), Arc::clone(instance));
+    let (asks, actions) = (Arc::clone(instance), Arc::clone(instance));
+    router
         .route("leader/heartbeats", move |batch: Vec<Heartbeat>| {
             let instance = Arc::clone(&batches);
             async move { directory::receive(&instance, batch) }
         })
-        .route("control/status", move |(): ()| {
-            let instance = Arc::clone(&overviews);
-            async move { Ok(status::own(&instance)) }
+        .route("leader/grant", move |ask: Ask| {
+            let instance = Arc::clone(&asks);
+            async move { grants::decide(&instance, &ask) }
+        })
+        .route("leader/member", move |action: Action| {
+            let instance = Arc::clone(&actions);
+            async move { members::lead(&instance, &action).await }
+        })
+        .route("leader/leave", move |left: (Entry, Incarnation)| {
+            let instance = Arc::clone(&leaves);
+            async move { directory::receive_leave(&instance, &left) }
         })
         .route("leader/entries", move |(): ()| {
             let instance = Arc::clone(&entries);
-            async move { Ok(status::entries(&instance)) }
+            async move {
+                directory::leading(&instance)?;
+                Ok(status::entries(&instance))
+            }
+        })
+        .route("control/status", move |(): ()| {
+            let instance = Arc::clone(&overviews);
+            async move { Ok(status::own(&instance)) }
         })
 }
