Execute requests with a key at most once and ask for ejection grants

A non-idempotent request with an idempotency key is claimed in the ledger before dispatch. An unconfirmed claim is refused as not executed and given up in the background; a claim is also given up when evidence shows that no attempt ran. Every other outcome stays with the key.

From the claim on the request runs in a task of its own, until its deadline: a caller that goes away most likely resends, and a cancelled exchange would leave the resend with outcome_unknown. Other requests are cancelled together with their caller.

The fingerprint covers method, path, query and the body up to 64 KiB; of a longer body the first 64 KiB and the declared size. Refusing longer bodies was ruled out, because the key would then be of no use for them, and so was hashing while streaming, because the claim has to precede the dispatch.

Grants are asked for every 3 s while there is something to eject or to renew, and at once for a new suspect. Requests that an owner refuses for lack of workers are forwarded to another owner.

--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -17,7 +17,7 @@
 use crate::clock;
 use crate::instance::Instance;
 use crate::settings::{Advertise, Settings};
-use crate::{callers, link, peers, platform};
+use crate::{callers, eject, link, peers, platform};
 
 /// Time between two looks at queues, proofs and connections.
 const HOUSEKEEPING_PERIOD: Duration = Duration::from_millis(100);
@@ -91,6 +91,7 @@
         registry.register(platform_service(&instance, platform))?;
         registry.register(background("watch", link::watch(Arc::clone(&instance))))?;
         registry.register(background("pulls", peers::pull(Arc::clone(&instance))))?;
+        registry.register(background("ejections", eject::run(Arc::clone(&instance))))?;
         registry.register(background(
             "housekeeping",
             housekeeping(Arc::clone(&instance)),
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -1,14 +1,14 @@
 //! Forwarding of requests for services that other entries serve.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use chestnutvalve_model::directory::Member;
-use chestnutvalve_model::error::Kind;
-use chestnutvalve_routing::evidence;
+use chestnutvalve_model::error::{Executed, Kind};
+use chestnutvalve_routing::evidence::{self, Stage};
 use chestnutvalve_routing::retry;
-use http::Response;
+use http::{HeaderMap, HeaderValue, Response};
 use rand::seq::SliceRandom;
-use std::time::Duration;
 
 use crate::answer::{Body, Refusal};
 use crate::call::Call;
@@ -34,23 +34,45 @@
     owners.shuffle(&mut rand::rng());
     let owners = instance.reachable_first(owners);
     let mut stages = Vec::new();
-    let mut last = None;
+    let nobody = || Failed::unsent(Kind::NoEligibleWorker, "no entry serves the service");
+    let mut last = Err(nobody());
     for owner in owners {
-        let failed = match send(instance, call, &owner).await {
-            Ok(answer) => return Ok(answer.into_response(call)),
-            Err(failed) => failed,
+        last = send(instance, call, &owner).await;
+        let stage = match &last {
+            // The owner knows no worker yet, and another one may.
+            Ok(answer) if cannot_serve(&answer.parts.headers) => Stage::ShedByWorker,
+            Ok(_) => break,
+            Err(failed) => failed.stage,
         };
-        stages.push(failed.stage);
+        stages.push(stage);
         let executed = evidence::combined(&stages);
         let again = retry::allowed(call.idempotent, executed, call.left(), Duration::ZERO);
-        last = Some(failed);
         if !again || call.source.is_dropped() {
             break;
         }
     }
-    let nobody = || Failed::unsent(Kind::NoEligibleWorker, "no entry serves the service");
-    let failed = last.unwrap_or_else(nobody);
-    Err(refusal(failed, evidence::combined(&stages)))
+    let executed = evidence::combined(&stages);
+    match last {
+        // A refusal of the last owner must not hide an earlier attempt of unknown outcome.
+        Ok(answer) if cannot_serve(&answer.parts.headers) && executed != Executed::No => {
+            let context = "an owner did not answer, and another one has no worker";
+            Err(refusal(
+                Failed::unsent(Kind::NoEligibleWorker, context),
+                executed,
+            ))
+        }
+        Ok(answer) => Ok(answer.into_response(call)),
+        Err(failed) => Err(refusal(failed, executed)),
+    }
+}
+
+/// Returns whether another entry refused because it has no worker for the request or is shutting down.
+fn cannot_serve(headers: &HeaderMap) -> bool {
+    let kinds = [Kind::Draining, Kind::NoEligibleWorker, Kind::UnknownService];
+    let code = headers.get(name::ERROR).map(HeaderValue::as_bytes);
+    kinds
+        .iter()
+        .any(|k| code == Some(k.answer().code.as_bytes()))
 }
 
 async fn send(instance: &Arc<Instance>, call: &Call, owner: &Member) -> Result<Answer, Failed> {
--- a/crates/entry/src/instance.rs
+++ b/crates/entry/src/instance.rs
@@ -231,6 +231,7 @@
             slots: r.slots,
             fresh: registry.has_proof(now, service, &r.worker),
             load: r.load,
+            first_seen: r.first_seen,
         };
         present.map(|r| (r.worker.clone(), candidate(r))).collect()
     }
--- a/crates/entry/src/proxy.rs
+++ b/crates/entry/src/proxy.rs
@@ -12,6 +12,7 @@
 use crate::dispatch::Attempts;
 use crate::forward::{MAX_HOPS, forward};
 use crate::instance::Instance;
+use crate::once;
 use crate::serving::Serving;
 
 /// Answers a request.
@@ -40,7 +41,7 @@
     let able = serving.filter(|s| owns || (instance.is_draining() && s.has_fresh()));
     let others = || instance.other_owners(&call.service);
     match able {
-        Some(serving) if serving.has_fresh() || call.hops > 0 => {
+        Some(serving) if serving.has_fresh() || call.hops >= MAX_HOPS => {
             local(instance, &serving, call).await
         }
         Some(serving) => {
@@ -63,9 +64,17 @@
     serving: &Arc<Serving>,
     call: Call,
 ) -> Result<Response<Body>, Refusal> {
+    let once = once::applies(&call);
+    if once {
+        // A slow upload must not hold a place to run.
+        once::prepare(&call).await?;
+    }
     let deadline = call.deadline.into_std();
     let admitted = serving.admit(call.settings.rank, call.customer.clone(), deadline);
     let permit = admitted.await?;
+    if once {
+        return once::run(instance, serving, call, permit).await;
+    }
     match Attempts::new(instance, serving, &call).run().await {
         Ok(mut answer) => {
             answer.ending.permit = Some(permit);
--- a/crates/entry/src/serving.rs
+++ b/crates/entry/src/serving.rs
@@ -105,6 +105,8 @@
     pub fresh: bool,
     /// Load from the last announcement.
     pub load: u32,
+    /// First instant at which the incarnation was seen.
+    pub first_seen: Instant,
 }
 
 /// Routing state of one service.
--- /dev/null
+++ b/crates/entry/tests/all/control.rs
@@ -0,0 +1,134 @@
+//! Control instance in memory, without replication.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use chestnutvalve_ledger::{Claimed, Command, Ledger};
+use chestnutvalve_membership::grant::Grants;
+use chestnutvalve_model::config::Edit;
+use chestnutvalve_model::control::{
+    Ask, Content, Granted, Heartbeat, Registered, State, Update, Watch,
+};
+use chestnutvalve_model::error::{Fault, Kind};
+use chestnutvalve_wire::{Router, Server};
+use tokio::time::sleep;
+
+pub struct Control {
+    pub address: SocketAddr,
+    pub state: Arc<Mutex<State>>,
+    /// Outcomes that were recorded.
+    pub records: Arc<AtomicUsize>,
+    /// Whether calls to the ledger fail.
+    pub ledger_down: Arc<AtomicBool>,
+    task: tokio::task::JoinHandle<()>,
+}
+
+impl Control {
+    pub async fn start() -> Self {
+        let server = Server::bind("127.0.0.1:0".parse().unwrap()).await.unwrap();
+        let address = server.address().unwrap();
+        let state: Arc<Mutex<State>> = Arc::default();
+        state.lock().unwrap().version.term = 1;
+        let ledger = Arc::new(Mutex::new(Ledger::new()));
+        let ledger_down = Arc::new(AtomicBool::new(false));
+        let records: Arc<AtomicUsize> = Arc::default();
+        let router = router(&state, &ledger, &ledger_down, &records);
+        let task = tokio::spawn(server.serve(router));
+        Self {
+            address,
+            state,
+            records,
+            ledger_down,
+            task,
+        }
+    }
+
+    /// Changes the configuration.
+    pub fn edit(&self, edit: Edit) {
+        let mut state = self.state.lock().unwrap();
+        state.document = state.document.edited(&[edit]).unwrap();
+        state.version.revision += 1;
+    }
+
+    pub fn stop(&self) {
+        self.task.abort();
+    }
+}
+
+fn router(
+    state: &Arc<Mutex<State>>,
+    ledger: &Arc<Mutex<Ledger>>,
+    ledger_down: &Arc<AtomicBool>,
+    records: &Arc<AtomicUsize>,
+) -> Router {
+    let watched = Arc::clone(state);
+    let joined = Arc::clone(state);
+    let grants = Arc::new(Mutex::new(Grants::new(Instant::now())));
+    let mut router = Router::default()
+        .route("config/watch", move |q: Watch| {
+            let state = Arc::clone(&watched);
+            async move { Ok::<_, Fault>(watch(&state, &q).await) }
+        })
+        .route("directory/heartbeat", move |q: Heartbeat| {
+            let mut state = joined.lock().unwrap();
+            if state.directory.members.get(&q.member.entry) != Some(&q.member) {
+                state.directory.join(&q.member);
+                state.version.revision += 1;
+            }
+            async { Ok::<_, Fault>(Registered::Accepted) }
+        })
+        .route("eject/grant", move |q: Ask| {
+            let granted = grants.lock().unwrap().ask(Instant::now(), &q);
+            async { Ok::<Granted, Fault>(granted) }
+        });
+    let (claims, down) = (Arc::clone(ledger), Arc::clone(ledger_down));
+    router = router.route("ledger/claim", move |command: Command| {
+        let answer = apply(&claims, &down, &command);
+        async { answer.map(|claimed| claimed.unwrap()) }
+    });
+    for path in ["ledger/record", "ledger/release"] {
+        let (claims, down) = (Arc::clone(ledger), Arc::clone(ledger_down));
+        let records = Arc::clone(records);
+        router = router.route(path, move |command: Command| {
+            let answer = apply(&claims, &down, &command);
+            if answer.is_ok() && matches!(command, Command::Record { .. }) {
+                records.fetch_add(1, Ordering::SeqCst);
+            }
+            async { answer.map(|_| ()) }
+        });
+    }
+    router
+}
+
+fn apply(
+    ledger: &Mutex<Ledger>,
+    down: &AtomicBool,
+    command: &Command,
+) -> Result<Option<Claimed>, Fault> {
+    if down.load(Ordering::SeqCst) {
+        return Err(Fault::new(Kind::LedgerUnavailable, "no quorum"));
+    }
+    Ok(ledger.lock().unwrap().apply(command))
+}
+
+async fn watch(state: &Mutex<State>, question: &Watch) -> Update {
+    let until = Instant::now() + Duration::from_millis(question.wait_ms.into());
+    loop {
+        let current = state.lock().unwrap().clone();
+        let newer = current.version > question.have;
+        if newer || Instant::now() >= until {
+            return Update {
+                stale: false,
+                version: current.version,
+                content: if newer {
+                    Content::Snapshot(current)
+                } else {
+                    Content::Unchanged
+                },
+            };
+        }
+        sleep(Duration::from_millis(5)).await;
+    }
+}
--- /dev/null
+++ b/crates/entry/tests/all/fleet.rs
@@ -0,0 +1,150 @@
+//! Entry instances under test and a small HTTP client.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use chestnutvalve_entry::{Daemon, Settings};
+use chestnutvalve_kernel::Shutdown;
+use http::HeaderMap;
+use http_body_util::{BodyExt, Full};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
+use tokio::time::{Instant, sleep};
+
+use crate::control::Control;
+
+pub struct Entry {
+    pub callers: SocketAddr,
+    pub platform: SocketAddr,
+    pub peers: SocketAddr,
+    pub shutdown: Shutdown,
+    pub running: JoinHandle<()>,
+    instance: std::sync::Arc<chestnutvalve_entry::instance::Instance>,
+}
+
+impl Entry {
+    pub async fn start(name: &str, control: SocketAddr) -> Self {
+        Self::start_with(name, control, &[]).await
+    }
+
+    pub async fn start_with(name: &str, control: SocketAddr, hint: &[SocketAddr]) -> Self {
+        let any = "127.0.0.1:0";
+        let settings = serde_json::json!({
+            "entry": name, "zone": "z1", "callers": any, "platform": any, "peers": any,
+            "control": [control], "peers_hint": hint,
+        });
+        let settings: Settings = serde_json::from_value(settings).unwrap();
+        let shutdown = Shutdown::default();
+        let daemon = Daemon::start(settings, shutdown.clone()).await.unwrap();
+        let instance = std::sync::Arc::clone(daemon.instance());
+        let member = instance.member();
+        Self {
+            callers: member.callers,
+            platform: member.platform,
+            peers: member.peers,
+            shutdown,
+            running: tokio::spawn(async move { daemon.run().await.unwrap() }),
+            instance,
+        }
+    }
+
+    pub fn state(&self) -> std::sync::Arc<chestnutvalve_model::control::State> {
+        self.instance.follow.state()
+    }
+
+    /// Waits until the directory in force has `entries` members.
+    pub async fn knows(&self, entries: usize) {
+        until("directory", || {
+            self.instance.follow.state().directory.members.len() == entries
+        })
+        .await;
+    }
+
+    /// Waits until `workers` workers of the service may take work here.
+    pub async fn has_workers(&self, service: &str, workers: usize) {
+        let service = chestnutvalve_model::id::Service::new(service).unwrap();
+        until("workers", || {
+            let serving = self.instance.services.get(&service);
+            serving.is_some_and(|s| {
+                s.with_detector(|_, known| known.values().filter(|c| c.fresh).count()) == workers
+            })
+        })
+        .await;
+    }
+}
+
+impl Drop for Entry {
+    fn drop(&mut self) {
+        self.running.abort();
+    }
+}
+
+/// Starts a control instance and one entry that has joined the directory.
+pub async fn single() -> (Control, Entry) {
+    let control = Control::start().await;
+    let entry = Entry::start("e1", control.address).await;
+    entry.knows(1).await;
+    (control, entry)
+}
+
+/// Waits for a condition, for at most 10 s.
+pub async fn until(what: &str, condition: impl Fn() -> bool) {
+    let limit = Instant::now() + Duration::from_secs(10);
+    while !condition() {
+        assert!(Instant::now() < limit, "{what}: condition not met in 10 s");
+        sleep(Duration::from_millis(10)).await;
+    }
+}
+
+/// A response, complete as far as its framing tells.
+#[derive(Clone, Debug)]
+pub struct Reply {
+    pub status: u16,
+    pub headers: HeaderMap,
+    pub body: Vec<u8>,
+}
+
+impl Reply {
+    pub fn header(&self, name: &str) -> &str {
+        self.headers.get(name).map_or("", |v| v.to_str().unwrap())
+    }
+}
+
+/// Sends a request on a new connection; a truncated response is an error.
+pub async fn send(
+    address: SocketAddr,
+    method: &str,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &[u8],
+) -> Result<Reply, Box<dyn std::error::Error + Send + Sync>> {
+    let socket = TcpStream::connect(address).await?;
+    let (mut sender, connection) =
+        hyper::client::conn::http1::handshake(TokioIo::new(socket)).await?;
+    let driver = tokio::spawn(connection);
+    let mut request = http::Request::builder().method(method).uri(path);
+    request = request.header("host", address.to_string());
+    for (name, value) in headers {
+        request = request.header(*name, *value);
+    }
+    let request = request.body(Full::new(Bytes::copy_from_slice(body)))?;
+    let _abort = AbortOnDrop(driver);
+    let response = sender.send_request(request).await?;
+    let (parts, body) = response.into_parts();
+    let body = body.collect().await?.to_bytes().to_vec();
+    Ok(Reply {
+        status: parts.status.as_u16(),
+        headers: parts.headers,
+        body,
+    })
+}
+
+struct AbortOnDrop<T>(JoinHandle<T>);
+
+impl<T> Drop for AbortOnDrop<T> {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
--- /dev/null
+++ b/crates/entry/tests/all/main.rs
@@ -0,0 +1,9 @@
+//! Tests of the entry daemon against fake workers and a fake control instance, all in one process.
+
+mod control;
+mod drain;
+mod fleet;
+mod once;
+mod proxy;
+mod sharing;
+mod worker;
--- /dev/null
+++ b/crates/entry/tests/all/proxy.rs
@@ -0,0 +1,182 @@
+//! Treatment of responses, failures and cancellation.
+
+use std::time::Duration;
+
+use rstest::rstest;
+use tokio::time::{sleep, timeout};
+
+use crate::fleet::{send, single, until};
+use crate::worker::{Step, Worker, response};
+
+const SERVICE: (&str, &str) = ("chestnutvalve-service", "rationdesk");
+
+fn head(extra: &str) -> Step {
+    Step::Write(format!("HTTP/1.1 200 OK\r\n{extra}\r\n").into_bytes())
+}
+
+/// Guards against lost or mixed-up parts of requests and responses.
+#[tokio::test]
+async fn passes_request_and_response_on() {
+    let (_control, entry) = single().await;
+    let mut worker = Worker::start("w1", |seen| response(200, &seen.head)).await;
+    worker.announce(entry.platform, "rationdesk").await;
+    let headers = [SERVICE, ("chestnutvalve-deadline-ms", "2000"), ("x-a", "b")];
+    let reply = send(entry.callers, "POST", "/lookup?q=1", &headers, b"body").await;
+    let reply = reply.unwrap();
+    assert_eq!(reply.status, 200);
+    assert_eq!(reply.body, b"POST /lookup?q=1 HTTP/1.1");
+    assert_eq!(reply.header("chestnutvalve-worker"), "");
+    let seen = worker.seen.lock().unwrap()[0].clone();
+    assert_eq!(seen.body, b"body");
+    assert_eq!(seen.headers["x-a"], "b");
+    let left: u64 = seen.headers["chestnutvalve-deadline-ms"].parse().unwrap();
+    assert!((1_000..=2_000).contains(&left), "{left} ms left");
+    assert!(seen.headers.contains_key("chestnutvalve-attempt"));
+}
+
+/// Guards against a truncated response that looks complete, and against its retry being left out.
+#[rstest]
+#[case::length("content-length: 10\r\n", "hello")]
+#[case::chunked("transfer-encoding: chunked\r\n", "5\r\nhello\r\n")]
+#[case::unframed("", "hello")]
+#[tokio::test]
+async fn truncated_response_is_retried_elsewhere(#[case] framing: &str, #[case] part: &str) {
+    let (_control, entry) = single().await;
+    let (framing, part) = (framing.to_owned(), part.to_owned());
+    let mut bad = Worker::start("bad", move |_| {
+        vec![
+            head(&framing),
+            Step::Write(part.clone().into_bytes()),
+            Step::Close,
+        ]
+    })
+    .await;
+    let mut good = Worker::start("good", |_| response(200, "whole")).await;
+    bad.announce(entry.platform, "rationdesk").await;
+    good.announce(entry.platform, "rationdesk").await;
+    let mut asked = 0;
+    while bad.count() == 0 {
+        asked += 1;
+        assert!(asked < 200, "the bad worker is never picked");
+        let reply = send(entry.callers, "GET", "/", &[SERVICE], b"").await;
+        let reply = reply.unwrap();
+        assert_eq!((reply.status, &*reply.body), (200, &b"whole"[..]));
+    }
+}
+
+/// Guards against a response that is cut after its start was passed on and ends like a complete one.
+#[rstest]
+#[case::length("content-length: 100000\r\n", "")]
+#[case::chunked("transfer-encoding: chunked\r\n", "10000\r\n")]
+#[tokio::test]
+async fn truncation_after_the_start_resets_the_caller(#[case] framing: &str, #[case] size: &str) {
+    let (_control, entry) = single().await;
+    let (framing, size) = (framing.to_owned(), size.to_owned());
+    let mut worker = Worker::start("w1", move |_| {
+        let start = [size.as_bytes(), &vec![b'x'; 0x10000]].concat();
+        vec![
+            head(&framing),
+            Step::Write(start),
+            Step::Write(if size.is_empty() {
+                vec![]
+            } else {
+                b"\r\n".to_vec()
+            }),
+            Step::Wait(Duration::from_millis(200)),
+            Step::Close,
+        ]
+    })
+    .await;
+    worker.announce(entry.platform, "rationdesk").await;
+    let reply = send(entry.callers, "GET", "/", &[SERVICE], b"").await;
+    assert!(reply.is_err(), "a truncated response looked complete");
+    assert_eq!(
+        worker.count(),
+        1,
+        "the request was repeated after its response was passed on"
+    );
+}
+
+/// Guards against the reuse of a connection on which a response may still arrive.
+#[tokio::test]
+async fn connection_of_a_cancelled_exchange_is_not_reused() {
+    let (_control, entry) = single().await;
+    let mut worker = Worker::start("w1", |seen| {
+        let mut steps = vec![];
+        if seen.head.contains("/slow") {
+            steps.push(Step::Wait(Duration::from_secs(5)));
+        }
+        steps.extend(response(200, &seen.head));
+        steps
+    })
+    .await;
+    worker.announce(entry.platform, "rationdesk").await;
+    let slow = send(entry.callers, "GET", "/slow", &[SERVICE], b"");
+    assert!(timeout(Duration::from_millis(300), slow).await.is_err());
+    until("cancellation", || {
+        worker.cancelled.load(std::sync::atomic::Ordering::SeqCst) == 1
+    })
+    .await;
+    for n in 0..3 {
+        let path = format!("/{n}");
+        let reply = send(entry.callers, "GET", &path, &[SERVICE], b"")
+            .await
+            .unwrap();
+        assert_eq!(reply.body, format!("GET {path} HTTP/1.1").as_bytes());
+    }
+    let seen = worker.seen.lock().unwrap();
+    assert!(seen[1..].iter().all(|s| s.connection != seen[0].connection));
+    assert_eq!(
+        seen[1].connection, seen[2].connection,
+        "complete exchanges share connections"
+    );
+}
+
+/// Guards against a refused connection that ends a request although other workers are there.
+#[tokio::test]
+async fn refused_connection_is_retried_on_another_worker() {
+    let (_control, entry) = single().await;
+    let mut gone = Worker::start("gone", |_| response(200, "")).await;
+    let unused = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    gone.address = unused.local_addr().unwrap();
+    drop(unused);
+    let mut good = Worker::start("good", |_| response(200, "ok")).await;
+    gone.announce(entry.platform, "rationdesk").await;
+    good.announce(entry.platform, "rationdesk").await;
+    for _ in 0..50 {
+        let reply = send(entry.callers, "POST", "/", &[SERVICE], b"x").await;
+        assert_eq!(reply.unwrap().status, 200);
+    }
+}
+
+/// Guards against "not executed" for a request that a worker has received.
+#[tokio::test]
+async fn timed_out_dispatch_is_unknown() {
+    let (_control, entry) = single().await;
+    let mut worker = Worker::start("w1", |_| vec![Step::Wait(Duration::from_secs(9))]).await;
+    worker.announce(entry.platform, "rationdesk").await;
+    let headers = [SERVICE, ("chestnutvalve-deadline-ms", "200")];
+    let reply = send(entry.callers, "POST", "/", &headers, b"")
+        .await
+        .unwrap();
+    assert_eq!(reply.status, 504);
+    assert_eq!(reply.header("chestnutvalve-executed"), "unknown");
+    assert_eq!(worker.count(), 1);
+}
+
+/// Guards against new work for a worker that is leaving.
+#[tokio::test]
+async fn withdrawn_worker_gets_no_work() {
+    let (_control, entry) = single().await;
+    let mut worker = Worker::start("w1", |_| response(200, "ok")).await;
+    worker.announce(entry.platform, "rationdesk").await;
+    let body = br#"{"service":"rationdesk","worker":"w1","incarnation":1}"#;
+    let told = send(entry.platform, "POST", "/v1/workers/withdraw", &[], body).await;
+    assert_eq!(told.unwrap().status, 200);
+    sleep(Duration::from_millis(300)).await;
+    let reply = send(entry.callers, "GET", "/", &[SERVICE], b"")
+        .await
+        .unwrap();
+    assert_eq!(reply.header("chestnutvalve-executed"), "no");
+    assert_eq!(worker.count(), 0);
+}
--- /dev/null
+++ b/crates/entry/tests/all/sharing.rs
@@ -0,0 +1,64 @@
+//! Sharing of workers, configuration and state between entries.
+
+use std::time::Duration;
+
+use chestnutvalve_model::config::{Edit, Overrides};
+use tokio::time::sleep;
+
+use crate::control::Control;
+use crate::fleet::{Entry, send, single, until};
+use crate::worker::{Worker, response};
+
+/// Guards against an entry that starts without control and serves without the fleet's configuration.
+#[tokio::test]
+async fn state_comes_from_a_peer_while_control_is_away() {
+    let (control, first) = single().await;
+    let overrides = Overrides {
+        timeout_ms: Some(1_234),
+        ..Overrides::default()
+    };
+    control.edit(Edit::SetDefaults(overrides));
+    let timeout = |entry: &Entry| entry.state().document.defaults.timeout_ms;
+    until("change", || timeout(&first) == 1_234).await;
+    control.stop();
+    let second = Entry::start_with("e2", control.address, &[first.peers]).await;
+    until("fetched state", || timeout(&second) == 1_234).await;
+    assert_eq!(second.state().version, first.state().version);
+}
+
+/// Guards against a request that fails because it reached an entry that doesn't own its service.
+#[tokio::test]
+async fn request_at_another_entry_is_forwarded() {
+    let control = Control::start().await;
+    let mut entries = Vec::new();
+    for n in 0..5 {
+        entries.push(Entry::start(&format!("e{n}"), control.address).await);
+    }
+    for entry in &entries {
+        entry.knows(5).await;
+    }
+    let mut worker = Worker::start("w1", |_| response(200, "ok")).await;
+    worker.announce(entries[0].platform, "arhiv").await;
+    let headers = [("chestnutvalve-service", "arhiv")];
+    for entry in &entries {
+        let reply = send(entry.callers, "GET", "/", &headers, b"").await;
+        assert_eq!(reply.unwrap().status, 200);
+    }
+}
+
+/// Guards against work for a worker that no longer renews, as one that is leaving behind a partition.
+#[tokio::test]
+async fn silent_worker_gets_no_work_after_its_proof_has_expired() {
+    let (_control, entry) = single().await;
+    let mut worker = Worker::start("w1", |_| response(200, "ok")).await;
+    worker.announce(entry.platform, "arhiv").await;
+    entry.has_workers("arhiv", 1).await;
+    worker.stop_announcing();
+    sleep(Duration::from_secs(3)).await;
+    let headers = [("chestnutvalve-service", "arhiv")];
+    let reply = send(entry.callers, "GET", "/", &headers, b"")
+        .await
+        .unwrap();
+    assert_eq!(reply.header("chestnutvalve-error"), "no_eligible_worker");
+    assert_eq!(worker.count(), 0);
+}
