--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -14,7 +14,7 @@
 use tokio::time::timeout;
 
 use crate::server::read;
-use crate::{Error, Frame};
+use crate::{Error, Frame, Traffic};
 
 /// Time to open a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -26,6 +26,7 @@
 pub struct Client {
     peer: SocketAddr,
     connection: Arc<Mutex<Option<SendRequest<Bytes>>>>,
+    traffic: Arc<Traffic>,
 }
 
 impl Client {
@@ -35,9 +36,17 @@
         Self {
             peer,
             connection: Arc::default(),
+            traffic: Arc::default(),
         }
     }
 
+    /// Counts the client's messages in `traffic`.
+    #[must_use]
+    pub fn counted(mut self, traffic: &Arc<Traffic>) -> Self {
+        self.traffic = Arc::clone(traffic);
+        self
+    }
+
     /// Returns the peer's address.
     #[must_use]
     pub fn peer(&self) -> SocketAddr {
@@ -90,10 +99,13 @@
         let mut sender = sender.ready().await.map_err(|e| self.broken(&e))?;
         let sent = sender.send_request(request, false);
         let (response, mut body) = sent.map_err(|e| self.broken(&e))?;
-        body.send_data(frame.to_bytes(), true)
-            .map_err(|e| self.broken(&e))?;
+        let bytes = frame.to_bytes();
+        self.traffic.sent(bytes.len());
+        body.send_data(bytes, true).map_err(|e| self.broken(&e))?;
         let response = response.await.map_err(|e| self.broken(&e))?;
-        Frame::from_bytes(&read(response.into_body()).await?)
+        let bytes = read(response.into_body()).await?;
+        self.traffic.received(bytes.len());
+        Frame::from_bytes(&bytes)
     }
 
     async fn connected(&self) -> Result<SendRequest<Bytes>, Error> {
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -4,8 +4,10 @@
 pub mod error;
 pub mod frame;
 pub mod server;
+pub mod traffic;
 
 pub use client::Client;
 pub use error::Error;
 pub use frame::Frame;
 pub use server::{Router, Server};
+pub use traffic::Traffic;
--- a/crates/wire/src/server.rs
+++ b/crates/wire/src/server.rs
@@ -17,7 +17,7 @@
 use tokio::time::timeout;
 
 use crate::frame::{HEADER_BYTES, MAX_PAYLOAD_BYTES};
-use crate::{Error, Frame};
+use crate::{Error, Frame, Traffic};
 
 /// Time for a client to send its whole request.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(10);
@@ -35,9 +35,17 @@
 #[derive(Default)]
 pub struct Router {
     handlers: HashMap<&'static str, Handler>,
+    traffic: Arc<Traffic>,
 }
 
 impl Router {
+    /// Counts the messages of all calls in `traffic`.
+    #[must_use]
+    pub fn counted(mut self, traffic: &Arc<Traffic>) -> Self {
+        self.traffic = Arc::clone(traffic);
+        self
+    }
+
     /// Adds the handler of `path`, for example `ledger/claim`.
     #[must_use]
     pub fn route<Q, A, F, Fut>(mut self, path: &'static str, handler: F) -> Self
@@ -141,7 +149,10 @@
 ) {
     let path = request.uri().path().trim_start_matches('/').to_owned();
     let answer = match timeout(REQUEST_TIMEOUT, read(request.into_body())).await {
-        Ok(Ok(bytes)) => dispatch(&router, &path, &bytes).await,
+        Ok(Ok(bytes)) => {
+            router.traffic.received(bytes.len());
+            dispatch(&router, &path, &bytes).await
+        }
         Ok(Err(error)) => Err(error),
         Err(_) => Err(Error::Malformed("request not sent in time")),
     };
@@ -150,7 +161,9 @@
     let head = http::Response::new(());
     // A peer that has gone away needs no answer.
     if let Ok(mut stream) = respond.send_response(head, false) {
-        let _ = stream.send_data(frame.to_bytes(), true);
+        let bytes = frame.to_bytes();
+        router.traffic.sent(bytes.len());
+        let _ = stream.send_data(bytes, true);
     }
 }
 
