--- a/crates/entry/src/status.rs
+++ b/crates/entry/src/status.rs
@@ -1,7 +1,9 @@
 //! Report on the instance for operators.
 
-use chestnutvalve_model::id::Service;
-use serde_json::{Map, Value, json};
+use std::time::Duration;
+
+use chestnutvalve_membership::worker::Record;
+use serde_json::{Value, json};
 
 use crate::clock;
 use crate::instance::Instance;
@@ -12,10 +14,13 @@
 pub fn report(instance: &Instance) -> Value {
     let now = clock::now();
     let in_force = now.saturating_duration_since(instance.follow.since());
-    let mut services = Map::new();
+    let (mut services, mut workers) = (Vec::new(), Vec::new());
     for serving in instance.services.all() {
-        if instance.owns(&serving.name) {
-            services.insert(serving.name.to_string(), service(instance, &serving));
+        let owners = instance.owners(&serving.name);
+        let owners: Vec<&str> = owners.iter().map(|o| o.entry.as_str()).collect();
+        if owners.contains(&instance.settings.entry.as_str()) {
+            services.push(json!({ "service": serving.name, "owners": owners }));
+            workers.extend(workers_of(instance, &serving));
         }
     }
     let members = instance.follow.state();
@@ -31,50 +36,39 @@
         "in_force_ms": millis(in_force),
         "draining": instance.is_draining(),
         "services": services,
+        "workers": workers,
         "entries": entries,
     })
 }
 
-fn service(instance: &Instance, serving: &Serving) -> Value {
+fn workers_of(instance: &Instance, serving: &Serving) -> Vec<Value> {
     let now = clock::now();
-    let owners: Vec<String> = instance
-        .owners(&serving.name)
-        .iter()
-        .map(|o| o.entry.to_string())
-        .collect();
-    json!({ "owners": owners, "workers": workers(instance, serving, &serving.name, now) })
-}
-
-fn workers(
-    instance: &Instance,
-    serving: &Serving,
-    service: &Service,
-    now: std::time::Instant,
-) -> Vec<Value> {
+    let service = &serving.name;
     let ejected = serving.with_detector(|detector, _| detector.held(now));
     let registry = instance.registry();
-    let records = registry.workers(service);
-    let describe = |r: &chestnutvalve_membership::worker::Record| {
+    let describe = |r: &Record| {
         let fresh = registry.has_proof(now, service, &r.worker);
-        let state = match (r.leaving, fresh) {
-            (true, _) => "leaving",
-            (false, true) => "serving",
-            (false, false) => "no_proof",
+        let state = match (r.leaving, ejected.contains(&r.worker), fresh) {
+            (true, _, _) => "leaving",
+            (false, true, _) => "ejected",
+            (false, false, true) => "usable",
+            (false, false, false) => "unproven",
         };
         json!({
+            "service": service,
             "worker": r.worker,
             "incarnation": r.incarnation.0,
             "address": r.address.to_string(),
             "zone": r.zone,
             "state": state,
             "proof_age_ms": r.proof.map(|p| millis(now.saturating_duration_since(p))),
-            "ejected": ejected.contains(&r.worker),
             "load": r.load,
         })
     };
+    let records = registry.workers(service);
     records.into_iter().map(describe).collect()
 }
 
-fn millis(duration: std::time::Duration) -> u64 {
+fn millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
