Count requests, attempts, refusals, added latency and control traffic

Each request has an account that is written when its response ends or its caller goes away. Names of services without workers share one label and have no burn counters, because callers choose them. A forwarded request is counted for the objective at the entry that serves it.

Added latency leaves out the time between a dispatch and its result and the time in the admission queue, which has a histogram of its own: a queue shows overload, not the cost of the proxy.

--- /dev/null
+++ b/crates/entry/src/account.rs
@@ -0,0 +1,205 @@
+//! Account of one request: metrics and burn counters, written when it ends.
+
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use bytes::Bytes;
+use chestnutvalve_model::error::Kind;
+use chestnutvalve_model::id::Service;
+use chestnutvalve_model::rank::Rank;
+use http::{Response, StatusCode};
+use http_body::{Body as _, Frame, SizeHint};
+use http_body_util::BodyExt;
+use tokio::time::Instant;
+
+use crate::answer::{self, Broken, Refusal};
+use crate::call::Call;
+use crate::clock;
+use crate::instance::Instance;
+
+/// Time that a request spent elsewhere than in the entry's own work, in microseconds.
+#[derive(Debug, Default)]
+pub struct Spent {
+    queue: AtomicU64,
+    attempts: AtomicU64,
+}
+
+impl Spent {
+    /// Adds time in the admission queue.
+    pub fn queue(&self, time: Duration) {
+        self.queue.fetch_add(micros(time), Ordering::Relaxed);
+    }
+
+    /// Adds time between a dispatch and its result.
+    pub fn attempt(&self, time: Duration) {
+        self.attempts.fetch_add(micros(time), Ordering::Relaxed);
+    }
+}
+
+fn micros(time: Duration) -> u64 {
+    u64::try_from(time.as_micros()).unwrap_or(u64::MAX)
+}
+
+/// How a request ended.
+#[derive(Clone, Copy, Debug)]
+enum Outcome {
+    /// The caller has gone.
+    Cancelled,
+    /// A complete response, with whether it counts as good.
+    Answered(StatusCode),
+    /// The response broke off.
+    Broken,
+    /// The entry refused or failed the request.
+    Refused(Kind),
+}
+
+impl Outcome {
+    fn name(self) -> &'static str {
+        match self {
+            Self::Cancelled => "cancelled",
+            Self::Answered(status) if status.is_server_error() => "error",
+            Self::Answered(_) => "answered",
+            Self::Broken => "broken",
+            Self::Refused(_) => "refused",
+        }
+    }
+
+    /// Returns whether the request counts as good for the objective, or `None` when the caller is the cause.
+    fn good(self) -> Option<bool> {
+        match self {
+            Self::Cancelled
+            | Self::Refused(
+                Kind::BadRequest | Kind::KeyReused | Kind::OutcomeUnknown | Kind::TooLarge,
+            ) => None,
+            Self::Answered(status) => Some(!status.is_server_error()),
+            Self::Broken | Self::Refused(_) => Some(false),
+        }
+    }
+}
+
+/// Account of one request; written when dropped.
+#[derive(Debug)]
+pub struct Account {
+    instance: Arc<Instance>,
+    service: Service,
+    rank: Rank,
+    started: Instant,
+    spent: Arc<Spent>,
+    /// Whether another entry counts the request, because it was forwarded there.
+    elsewhere: bool,
+    outcome: Outcome,
+}
+
+impl Account {
+    /// Opens the account of a request that arrived at `started`.
+    #[must_use]
+    pub fn new(instance: &Arc<Instance>, call: &Call, started: Instant) -> Self {
+        Self {
+            instance: Arc::clone(instance),
+            service: call.service.clone(),
+            rank: call.settings.rank,
+            started,
+            spent: Arc::clone(&call.spent),
+            elsewhere: false,
+            outcome: Outcome::Cancelled,
+        }
+    }
+
+    /// Closes the account with a refusal and returns the response for it.
+    #[must_use]
+    pub fn refuse(mut self, refusal: &Refusal) -> Response<answer::Body> {
+        let kind = refusal.fault.kind;
+        self.instance.meters.refusal(kind);
+        self.outcome = Outcome::Refused(kind);
+        answer::refusal(refusal)
+    }
+
+    /// Attaches the account to a response, so that it closes with it; `forwarded` says that another entry made it.
+    #[must_use]
+    pub fn attach(
+        mut self,
+        response: Response<answer::Body>,
+        forwarded: bool,
+    ) -> Response<answer::Body> {
+        let queued = Duration::from_micros(self.spent.queue.load(Ordering::Relaxed));
+        let attempts = Duration::from_micros(self.spent.attempts.load(Ordering::Relaxed));
+        let added = self.started.elapsed().saturating_sub(queued + attempts);
+        self.instance.meters.latency(added, queued);
+        self.elsewhere = forwarded;
+        let status = response.status();
+        response.map(|body| {
+            let counted = Counted {
+                body,
+                status,
+                account: self,
+            };
+            counted.boxed_unsync()
+        })
+    }
+}
+
+impl Drop for Account {
+    fn drop(&mut self) {
+        let serving = self.instance.services.get(&self.service);
+        let known = serving.is_some_and(|s| !s.is_unknown());
+        let service = known.then_some(&self.service);
+        let outcome = if self.elsewhere {
+            "forwarded"
+        } else {
+            self.outcome.name()
+        };
+        self.instance.meters.request(service, self.rank, outcome);
+        if let Some(good) = self.outcome.good()
+            && known
+            && !self.elsewhere
+        {
+            let mut burn = self.instance.burn();
+            burn.record(clock::now(), &self.service, self.rank, good);
+        }
+    }
+}
+
+/// Body that closes the account when it ends.
+struct Counted {
+    body: answer::Body,
+    status: StatusCode,
+    account: Account,
+}
+
+impl http_body::Body for Counted {
+    type Data = Bytes;
+    type Error = Broken;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Broken>>> {
+        let polled = Pin::new(&mut self.body).poll_frame(cx);
+        match &polled {
+            Poll::Ready(None) => self.account.outcome = Outcome::Answered(self.status),
+            Poll::Ready(Some(Err(_))) => self.account.outcome = Outcome::Broken,
+            Poll::Ready(Some(Ok(_))) | Poll::Pending => {}
+        }
+        polled
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        // The server does not ask for the end of a body of known size.
+        if matches!(self.account.outcome, Outcome::Cancelled) && self.body.is_end_stream() {
+            self.account.outcome = Outcome::Answered(self.status);
+        }
+    }
+}
--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -1,5 +1,6 @@
 //! A caller's request, as the parts that route it see it.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use chestnutvalve_model::config::{Document, Settings, Target};
@@ -10,6 +11,7 @@
 use hyper::body::Incoming;
 use tokio::time::Instant;
 
+use crate::account::Spent;
 use crate::answer::Refusal;
 use crate::header as name;
 use crate::instance::Instance;
@@ -49,6 +51,8 @@
     pub method: Method,
     /// Path and query of the request.
     pub path: PathAndQuery,
+    /// Time spent elsewhere than in the entry's own work.
+    pub spent: Arc<Spent>,
     headers: HeaderMap,
 }
 
@@ -100,6 +104,7 @@
             source: Source::new(body),
             method: parts.method,
             path,
+            spent: Arc::default(),
             headers: parts.headers,
         })
     }
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -37,6 +37,9 @@
         /// Error of the operating system.
         cause: std::io::Error,
     },
+    /// The metrics can't be set up.
+    #[error(transparent)]
+    Metrics(#[from] chestnutvalve_telemetry::metrics::Error),
     /// A service failed to start or to stop.
     #[error(transparent)]
     Service(#[from] chestnutvalve_kernel::registry::Error),
@@ -82,7 +85,7 @@
             peers: peers.address().unwrap_or(for_peers),
         };
         let advertise = settings.advertise.unwrap_or(bound);
-        let instance = Arc::new(Instance::new(settings, advertise, shutdown));
+        let instance = Arc::new(Instance::new(settings, advertise, shutdown)?);
         let mut registry = Registry::default();
         registry.register(background("peers", {
             let router = peers::router(&instance);
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -113,6 +113,7 @@
         let received = match outcome {
             Ok(received) => received,
             Err(failed) => {
+                self.instance.meters.attempt(failed.verdict);
                 if place.finish(failed.verdict, started.elapsed()) {
                     self.instance.suspects.notify_one();
                 }
@@ -120,6 +121,7 @@
             }
         };
         if is_shed(&received.parts) {
+            self.instance.meters.attempt(Verdict::Shed);
             // Shedding is not an error of the worker, so that it raises no suspicion.
             let _ = place.finish(Verdict::Shed, received.latency);
             let context = "the worker refused the request";
@@ -131,6 +133,7 @@
             });
         }
         let mut answer = Answer::new(self.instance, self.call, received, Some(place));
+        self.instance.meters.attempt(answer.verdict());
         strip(&mut answer.parts.headers);
         Ok(answer)
     }
--- a/crates/entry/src/exchange.rs
+++ b/crates/entry/src/exchange.rs
@@ -92,6 +92,7 @@
         check()?;
         let dispatched = Instant::now();
         let sent = timeout_at(call.deadline, lease.send(request)).await;
+        call.spent.attempt(dispatched.elapsed());
         let response = match sent {
             Ok(Ok(response)) => response,
             Ok(Err(Failure::NotSent(unsent))) if lease.reused => {
@@ -150,7 +151,10 @@
         return Err(truncated(context));
     }
     let mut held = VecDeque::new();
-    let complete = hold(call, &mut body, &mut held).await?;
+    let headed = Instant::now();
+    let complete = hold(call, &mut body, &mut held).await;
+    call.spent.attempt(headed.elapsed());
+    let complete = complete?;
     Ok(Received {
         parts,
         held,
--- a/crates/entry/src/instance.rs
+++ b/crates/entry/src/instance.rs
@@ -6,17 +6,21 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Instant;
 
+use chestnutvalve_burn::Counters;
 use chestnutvalve_kernel::Shutdown;
 use chestnutvalve_membership::worker::{Announcement, Record, Registry};
 use chestnutvalve_model::config::Target;
 use chestnutvalve_model::directory::Member;
 use chestnutvalve_model::id::{Incarnation, Service, Worker};
 use chestnutvalve_routing::placement;
+use chestnutvalve_telemetry::metrics;
+use chestnutvalve_wire::Traffic;
 use tokio::sync::{Notify, watch};
 
 use crate::clock;
 use crate::follow::Follow;
 use crate::link::Link;
+use crate::meters::Meters;
 use crate::peers::{Peers, Withdrawal, push};
 use crate::pool::Pool;
 use crate::serving::{Candidate, Services, Serving};
@@ -47,6 +51,9 @@
     pub suspects: Notify,
     /// Work that must finish before the process ends, besides callers' connections.
     pub jobs: Jobs,
+    /// Metrics.
+    pub meters: Meters,
+    burn: Mutex<Counters>,
     registry: Mutex<Registry>,
     advertise: Advertise,
     draining: AtomicBool,
@@ -55,28 +62,43 @@
 
 impl Instance {
     /// Creates the instance; `advertise` are the addresses under which it is reached.
-    #[must_use]
-    pub fn new(settings: Settings, advertise: Advertise, shutdown: Shutdown) -> Self {
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the metrics can't be set up.
+    pub fn new(
+        settings: Settings,
+        advertise: Advertise,
+        shutdown: Shutdown,
+    ) -> Result<Self, metrics::Error> {
         let since_epoch = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
         let started = since_epoch.unwrap_or_default().as_millis();
         let incarnation = Incarnation(u64::try_from(started).unwrap_or(u64::MAX));
-        Self {
+        let traffic: Arc<Traffic> = Arc::default();
+        Ok(Self {
             incarnation,
             follow: Follow::default(),
-            link: Link::new(&settings.control),
-            peers: Peers::default(),
+            link: Link::new(&settings.control, &traffic),
+            peers: Peers::new(&traffic),
             services: Services::new(settings.zone.clone()),
             pool: Arc::default(),
             shutdown,
             beat: Notify::new(),
             suspects: Notify::new(),
             jobs: Jobs::default(),
+            meters: Meters::new(&traffic)?,
+            burn: Mutex::new(Counters::new(clock::now())),
             registry: Mutex::new(Registry::new(settings.entry.clone(), incarnation)),
             advertise,
             draining: AtomicBool::new(false),
             attempts: AtomicU64::new(0),
             settings,
-        }
+        })
+    }
+
+    /// Locks the burn counters.
+    pub fn burn(&self) -> MutexGuard<'_, Counters> {
+        self.burn.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Locks the registry of workers; never held across an await or together with a service's state.
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! An instance takes announcements of workers, tells callers which instances serve a service, and routes requests.
 
+pub mod account;
 pub mod addresses;
 pub mod answer;
 pub mod call;
@@ -16,6 +17,7 @@
 pub mod header;
 pub mod instance;
 pub mod link;
+pub mod meters;
 pub mod once;
 pub mod passed;
 pub mod peers;
--- a/crates/entry/src/link.rs
+++ b/crates/entry/src/link.rs
@@ -6,7 +6,7 @@
 
 use chestnutvalve_model::control::{Heartbeat, Registered, State, Update, Watch};
 use chestnutvalve_model::version::Version;
-use chestnutvalve_wire::{Client, Error};
+use chestnutvalve_wire::{Client, Error, Traffic};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use tokio::time::{Instant, MissedTickBehavior, interval, sleep, timeout};
@@ -40,8 +40,9 @@
 impl Link {
     /// Creates the clients, starting at a random instance so that entries spread over all of them.
     #[must_use]
-    pub fn new(control: &[std::net::SocketAddr]) -> Self {
-        let clients: Vec<Client> = control.iter().map(|a| Client::new(*a)).collect();
+    pub fn new(control: &[std::net::SocketAddr], traffic: &Arc<Traffic>) -> Self {
+        let client = |a: &std::net::SocketAddr| Client::new(*a).counted(traffic);
+        let clients: Vec<Client> = control.iter().map(client).collect();
         let start = rand::random_range(0..clients.len().max(1));
         Self {
             clients,
--- /dev/null
+++ b/crates/entry/src/meters.rs
@@ -0,0 +1,137 @@
+//! Metrics of the instance.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use chestnutvalve_model::error::Kind;
+use chestnutvalve_model::id::Service;
+use chestnutvalve_model::rank::Rank;
+use chestnutvalve_routing::sample::Verdict;
+use chestnutvalve_telemetry::metrics::{Error, Metrics};
+use chestnutvalve_wire::Traffic;
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Histogram, Meter};
+
+/// Bounds of the latency histograms, in milliseconds; the target for added latency is 3.
+const LATENCY_BOUNDS_MS: [f64; 12] = [
+    0.1, 0.2, 0.5, 1.0, 2.0, 3.0, 5.0, 10.0, 25.0, 100.0, 500.0, 2_000.0,
+];
+
+/// Counters and histograms.
+#[derive(Debug)]
+pub struct Meters {
+    metrics: Metrics,
+    requests: Counter<u64>,
+    attempts: Counter<u64>,
+    refusals: Counter<u64>,
+    added: Histogram<f64>,
+    queued: Histogram<f64>,
+}
+
+impl Meters {
+    /// Creates the metrics; `control` counts the internal calls.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the exporter can't be set up.
+    pub fn new(control: &Arc<Traffic>) -> Result<Self, Error> {
+        let metrics = Metrics::new()?;
+        let meter = metrics.meter();
+        traffic(&meter, control);
+        let counter = |name: &'static str, text: &'static str| {
+            meter.u64_counter(name).with_description(text).build()
+        };
+        let histogram = |name: &'static str, text: &'static str| {
+            let builder = meter.f64_histogram(name).with_description(text);
+            builder.with_boundaries(LATENCY_BOUNDS_MS.to_vec()).build()
+        };
+        Ok(Self {
+            requests: counter("requests", "Requests by service, rank and outcome"),
+            attempts: counter("attempts", "Attempts at workers by result"),
+            refusals: counter("refusals", "Requests that the entry refused, by kind"),
+            added: histogram(
+                "added_latency_ms",
+                "Time to the response without queueing and attempts, in ms",
+            ),
+            queued: histogram("queue_wait_ms", "Time in the admission queue, in ms"),
+            metrics,
+        })
+    }
+
+    /// Counts a finished request.
+    pub fn request(&self, service: Option<&Service>, rank: Rank, outcome: &'static str) {
+        // Names that no worker has announced are not counted one by one, because callers choose them.
+        let service = service.map_or("unknown", Service::as_str).to_owned();
+        let labels = [
+            KeyValue::new("service", service),
+            KeyValue::new("rank", rank.name()),
+            KeyValue::new("outcome", outcome),
+        ];
+        self.requests.add(1, &labels);
+    }
+
+    /// Counts an attempt.
+    pub fn attempt(&self, verdict: Verdict) {
+        let result = match verdict {
+            Verdict::Success => "success",
+            Verdict::Failure => "failure",
+            Verdict::Timeout => "timeout",
+            Verdict::Truncated => "truncated",
+            Verdict::Refused => "refused",
+            Verdict::Shed => "shed",
+            Verdict::Cancelled => "cancelled",
+        };
+        self.attempts.add(1, &[KeyValue::new("result", result)]);
+    }
+
+    /// Counts a refusal.
+    pub fn refusal(&self, kind: Kind) {
+        let code = kind.answer().code;
+        self.refusals.add(1, &[KeyValue::new("kind", code)]);
+    }
+
+    /// Records the time that a response took in the entry itself, and the time in the queue.
+    pub fn latency(&self, added: Duration, queued: Duration) {
+        self.added.record(added.as_secs_f64() * 1e3, &[]);
+        self.queued.record(queued.as_secs_f64() * 1e3, &[]);
+    }
+
+    /// Renders all metrics.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when a metric can't be encoded.
+    pub fn render(&self) -> Result<String, Error> {
+        self.metrics.render()
+    }
+}
+
+/// Number of messages or bytes of the internal protocol.
+type Read = fn(&Traffic) -> u64;
+
+fn traffic(meter: &Meter, control: &Arc<Traffic>) {
+    let series: [(&'static str, &'static str, Read); 4] = [
+        ("control_messages", "out", Traffic::messages_sent),
+        ("control_messages", "in", Traffic::messages_received),
+        ("control_bytes", "out", Traffic::bytes_sent),
+        ("control_bytes", "in", Traffic::bytes_received),
+    ];
+    for name in ["control_messages", "control_bytes"] {
+        let reads: Vec<(&'static str, Read)> = series
+            .iter()
+            .filter(|(n, _, _)| *n == name)
+            .map(|(_, direction, read)| (*direction, *read))
+            .collect();
+        let control = Arc::clone(control);
+        meter
+            .u64_observable_counter(name)
+            .with_description("Internal protocol by direction; payloads with frame headers")
+            .with_callback(move |observer| {
+                for (direction, read) in &reads {
+                    let label = [KeyValue::new("direction", *direction)];
+                    observer.observe(read(&control), &label);
+                }
+            })
+            .build();
+    }
+}
--- a/crates/entry/src/passed.rs
+++ b/crates/entry/src/passed.rs
@@ -112,6 +112,12 @@
         }
     }
 
+    /// Returns what the response says about the worker, if it completes.
+    #[must_use]
+    pub fn verdict(&self) -> Verdict {
+        self.ending.verdict
+    }
+
     /// Returns the whole body, if it is held.
     #[must_use]
     pub fn whole(&self) -> Option<Vec<u8>> {
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -9,7 +9,7 @@
 use chestnutvalve_model::directory::Member;
 use chestnutvalve_model::error::Fault;
 use chestnutvalve_model::id::{Incarnation, Service, Worker};
-use chestnutvalve_wire::{Client, Error, Router};
+use chestnutvalve_wire::{Client, Error, Router, Traffic};
 use futures_util::future::join_all;
 use serde::{Deserialize, Serialize};
 use tokio::time::{MissedTickBehavior, interval};
@@ -44,14 +44,25 @@
 pub struct Peers {
     clients: Mutex<HashMap<SocketAddr, Client>>,
     silent_since: Mutex<HashMap<SocketAddr, Instant>>,
+    traffic: Arc<Traffic>,
 }
 
 impl Peers {
+    /// Creates an empty table whose clients count in `traffic`.
+    #[must_use]
+    pub fn new(traffic: &Arc<Traffic>) -> Self {
+        Self {
+            traffic: Arc::clone(traffic),
+            ..Self::default()
+        }
+    }
+
     /// Returns the client of a peer.
     #[must_use]
     pub fn client(&self, peer: SocketAddr) -> Client {
         let mut clients = self.clients.lock().unwrap_or_else(PoisonError::into_inner);
-        let client = clients.entry(peer).or_insert_with(|| Client::new(peer));
+        let new = || Client::new(peer).counted(&self.traffic);
+        let client = clients.entry(peer).or_insert_with(new);
         client.clone()
     }
 
@@ -93,6 +104,7 @@
     let withdraw = Arc::clone(instance);
     let fetch = Arc::clone(instance);
     Router::default()
+        .counted(&instance.peers.traffic)
         .route("workers/digest", move |services: Vec<Service>| {
             let answer = serve_digest(&digest, &services);
             async move { Ok::<Digest, Fault>(answer) }
--- a/crates/entry/src/platform.rs
+++ b/crates/entry/src/platform.rs
@@ -63,6 +63,8 @@
         .at("/v1/workers", post(take_announcement))
         .at("/v1/workers/withdraw", post(take_withdrawal))
         .at("/v1/status", get(show_status))
+        .at("/v1/burn", get(show_burn))
+        .at("/metrics", get(show_metrics))
         .data(context)
 }
 
@@ -143,3 +145,22 @@
 fn show_status(Data(context): Data<&Context>) -> Response {
     answer(&crate::status::report(&context.instance))
 }
+
+#[handler]
+fn show_burn(Data(context): Data<&Context>) -> Response {
+    let export = context.instance.burn().export(clock::now());
+    match serde_json::to_value(&export) {
+        Ok(value) => answer(&value),
+        Err(error) => refusal(&Fault::new(Kind::Internal, error.to_string())),
+    }
+}
+
+#[handler]
+fn show_metrics(Data(context): Data<&Context>) -> Response {
+    match context.instance.meters.render() {
+        Ok(text) => Response::builder()
+            .content_type("text/plain; version=0.0.4")
+            .body(text),
+        Err(error) => refusal(&Fault::new(Kind::Internal, error.to_string())),
+    }
+}
--- a/crates/entry/src/proxy.rs
+++ b/crates/entry/src/proxy.rs
@@ -5,7 +5,9 @@
 use chestnutvalve_model::error::Kind;
 use http::{Request, Response};
 use hyper::body::Incoming;
+use tokio::time::Instant;
 
+use crate::account::Account;
 use crate::addresses;
 use crate::answer::{self, Body, Refusal};
 use crate::call::Call;
@@ -15,21 +17,32 @@
 use crate::once;
 use crate::serving::Serving;
 
+/// A response, and whether another entry made it.
+type Routed = Result<(Response<Body>, bool), Refusal>;
+
 /// Answers a request.
 pub async fn handle(instance: &Arc<Instance>, request: Request<Incoming>) -> Response<Body> {
-    let outcome = if request.uri().path() == addresses::PATH {
-        addresses::answer(instance, request.uri().query())
-    } else {
-        match Call::read(instance, request) {
-            Ok(call) => route(instance, call).await,
-            Err(refusal) => Err(refusal),
+    let started = Instant::now();
+    if request.uri().path() == addresses::PATH {
+        let answered = addresses::answer(instance, request.uri().query());
+        return answered.unwrap_or_else(|refusal| answer::refusal(&refusal));
+    }
+    let call = match Call::read(instance, request) {
+        Ok(call) => call,
+        Err(refusal) => {
+            instance.meters.refusal(refusal.fault.kind);
+            return answer::refusal(&refusal);
         }
     };
-    outcome.unwrap_or_else(|refusal| answer::refusal(&refusal))
+    let account = Account::new(instance, &call, started);
+    match route(instance, call).await {
+        Ok((response, forwarded)) => account.attach(response, forwarded),
+        Err(refusal) => account.refuse(&refusal),
+    }
 }
 
 /// Serves a request here if this instance has workers for it, and else forwards it.
-async fn route(instance: &Arc<Instance>, call: Call) -> Result<Response<Body>, Refusal> {
+async fn route(instance: &Arc<Instance>, call: Call) -> Routed {
     let owns = instance.owns(&call.service);
     let serving = if owns {
         // Siblings are asked for the workers of a service from the first request on.
@@ -39,24 +52,21 @@
     };
     // While it drains, an instance still serves with the workers that it knows.
     let able = serving.filter(|s| owns || (instance.is_draining() && s.has_fresh()));
-    let others = || instance.other_owners(&call.service);
-    match able {
-        Some(serving) if serving.has_fresh() || call.hops >= MAX_HOPS => {
-            local(instance, &serving, call).await
+    let Some(serving) = able else {
+        if call.hops >= MAX_HOPS {
+            let context = "the entries do not agree on the owners of the service";
+            return Err(Refusal::new(Kind::ForwardLoop, context));
         }
-        Some(serving) => {
-            let others = others();
-            if others.is_empty() {
-                return local(instance, &serving, call).await;
-            }
-            forward(instance, &call, others).await
+        let others = instance.other_owners(&call.service);
+        return Ok((forward(instance, &call, others).await?, true));
+    };
+    if !serving.has_fresh() && call.hops < MAX_HOPS {
+        let others = instance.other_owners(&call.service);
+        if !others.is_empty() {
+            return Ok((forward(instance, &call, others).await?, true));
         }
-        None if call.hops >= MAX_HOPS => Err(Refusal::new(
-            Kind::ForwardLoop,
-            "the entries do not agree on the owners of the service",
-        )),
-        None => forward(instance, &call, others()).await,
     }
+    Ok((local(instance, &serving, call).await?, false))
 }
 
 async fn local(
@@ -71,7 +81,10 @@
     }
     let deadline = call.deadline.into_std();
     let admitted = serving.admit(call.settings.rank, call.customer.clone(), deadline);
-    let permit = admitted.await?;
+    let waited = Instant::now();
+    let admitted = admitted.await;
+    call.spent.queue(waited.elapsed());
+    let permit = admitted?;
     if once {
         return once::run(instance, serving, call, permit).await;
     }
--- a/crates/entry/tests/all/sharing.rs
+++ b/crates/entry/tests/all/sharing.rs
@@ -46,6 +46,50 @@
     }
 }
 
+/// Guards against reports that leave out requests, and against a node whose overhead can't be seen.
+#[tokio::test]
+async fn requests_are_counted() {
+    let (_control, entry) = single().await;
+    let mut worker = Worker::start("w1", |_| response(200, "ok")).await;
+    worker.announce(entry.platform, "arhiv").await;
+    let headers = [("chestnutvalve-service", "arhiv")];
+    for _ in 0..3 {
+        let reply = send(entry.callers, "GET", "/", &headers, b"").await;
+        assert_eq!(reply.unwrap().status, 200);
+    }
+    let burn = send(entry.platform, "GET", "/v1/burn", &[], b"").await;
+    let burn: serde_json::Value = serde_json::from_slice(&burn.unwrap().body).unwrap();
+    let minute = &burn["series"][0]["windows"][0];
+    assert_eq!(
+        (&minute["good"], &minute["total"]),
+        (&3.into(), &3.into()),
+        "{burn}"
+    );
+    let metrics = send(entry.platform, "GET", "/metrics", &[], b"").await;
+    let metrics = String::from_utf8(metrics.unwrap().body).unwrap();
+    let value = |name: &str, label: &str| {
+        let mut lines = metrics.lines().filter(|l| l.starts_with(name));
+        let line = lines.find(|l| l.contains(label)).unwrap_or_default();
+        line.rsplit(' ')
+            .next()
+            .unwrap()
+            .parse::<f64>()
+            .unwrap_or(0.0)
+    };
+    assert!(
+        (value("requests_total", "answered") - 3.0).abs() < 0.1,
+        "{metrics}"
+    );
+    assert!(
+        (value("added_latency_ms_count", "") - 3.0).abs() < 0.1,
+        "{metrics}"
+    );
+    assert!(
+        value("control_bytes_total", "direction=\"in\"") > 0.0,
+        "{metrics}"
+    );
+}
+
 /// Guards against work for a worker that no longer renews, as one that is leaving behind a partition.
 #[tokio::test]
 async fn silent_worker_gets_no_work_after_its_proof_has_expired() {
