Measure scaled deployments and capacity slopes

`scenario` runs a deployment file with a few dozen processes through calm, noise, a gray worker, floods of the bottom and the top rank and planned stops, and compares what callers were told with what workers executed. `capacity` counts bytes in the forwarders of all links and processor time and memory of the daemons, with workers inside the measuring process, so that 400 workers need no 400 processes.

The fleets read the status of entries as the entry daemon now gives it.

--- a/crates/bench/src/command.rs
+++ b/crates/bench/src/command.rs
@@ -10,12 +10,17 @@
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 
 use crate::Error;
+use crate::capacity;
+use crate::fleet::Programs;
 use crate::forward::{Forwarder, Mode, command as control};
 use crate::load;
+use crate::scenario;
 use crate::worker;
 
 /// Exit code for wrong arguments or a run that could not be made.
 const EXIT_FAILED: u8 = 2;
+/// Longest phase of a scenario or measurement, in seconds.
+const MAX_PHASE_S: u64 = 300;
 
 /// Runs the program with the arguments of the process.
 #[must_use]
@@ -128,10 +133,31 @@
             "HTTP address that reads and sets the faults (GET and POST /mode)",
         ))
         .arg(option("mode", "", "Faults at the start (JSON)"));
+    let scenario = Command::new("scenario")
+        .about("Runs a scaled deployment through calm, gray workers, floods and planned stops")
+        .arg(
+            Arg::new("file")
+                .required(true)
+                .help("Deployment file, for example examples/whitcomb/deployment.jsonc"),
+        )
+        .arg(number("seconds", "10", "Duration of each phase"))
+        .arg(
+            Arg::new("json")
+                .long("json")
+                .action(ArgAction::SetTrue)
+                .help("Print JSON"),
+        );
+    let capacity = Command::new("capacity")
+        .about(
+            "Measures bytes, processor time and memory against the number of entries and workers",
+        )
+        .arg(option("entries", "3,12,24,48", "Numbers of entries"))
+        .arg(option("workers", "10,100,400", "Numbers of workers"))
+        .arg(number("seconds", "15", "Duration of each measurement"));
     Command::new("chestnutvalve-bench")
         .about("Stand-in workers, caller load, fault injection and measurements")
         .subcommand_required(true)
-        .subcommands([worker, load, forward])
+        .subcommands([worker, load, forward, scenario, capacity])
 }
 
 async fn dispatch(matches: &ArgMatches) -> Result<(), Error> {
@@ -139,6 +165,8 @@
         Some(("worker", arguments)) => run_worker(arguments).await,
         Some(("load", arguments)) => run_load(arguments).await,
         Some(("forward", arguments)) => run_forward(arguments).await,
+        Some(("scenario", arguments)) => run_scenario(arguments).await,
+        Some(("capacity", arguments)) => run_capacity(arguments).await,
         _ => Err(Error::Value("unknown command".into())),
     }
 }
@@ -184,7 +212,9 @@
             request.request();
         }
     });
-    let counts = worker::run(settings, shutdown).await?;
+    let bound = worker::bind(settings).await?;
+    println!("{}", serde_json::json!({"listening": bound.address()}));
+    let counts = bound.run(shutdown).await;
     println!("{}", serde_json::to_string(&counts).unwrap_or_default());
     Ok(())
 }
@@ -228,3 +258,33 @@
         stopped = signal_received() => stopped.map_err(Error::system("waiting for a signal")),
     }
 }
+
+async fn run_scenario(arguments: &ArgMatches) -> Result<(), Error> {
+    let file = take::<String>(arguments, "file");
+    let deployment = chestnutvalve_telemetry::settings::load(file.as_ref())
+        .map_err(|e| Error::Value(e.to_string()))?;
+    let phase = Duration::from_secs(take::<u64>(arguments, "seconds").min(MAX_PHASE_S));
+    let figures = scenario::run(&Programs::beside_this()?, &deployment, phase).await?;
+    if arguments.get_flag("json") {
+        println!("{}", figures.json());
+    } else {
+        print!("{}", figures.table());
+    }
+    Ok(())
+}
+
+async fn run_capacity(arguments: &ArgMatches) -> Result<(), Error> {
+    let list = |name: &str| -> Result<Vec<usize>, Error> {
+        let text = take::<String>(arguments, name);
+        let numbers = text.split(',').map(|n| n.trim().parse());
+        numbers
+            .collect::<Result<_, _>>()
+            .map_err(|_| Error::Value(format!("--{name}: expected numbers with commas between")))
+    };
+    let plan = capacity::Plan {
+        entries: list("entries")?,
+        workers: list("workers")?,
+        duration: Duration::from_secs(take::<u64>(arguments, "seconds").min(MAX_PHASE_S)),
+    };
+    capacity::run(&Programs::beside_this()?, &plan).await
+}
--- a/crates/bench/src/fleet.rs
+++ b/crates/bench/src/fleet.rs
@@ -133,9 +133,7 @@
         let token = fleet.folder.path().join("token");
         std::fs::write(&token, TOKEN).map_err(Error::system("writing the token"))?;
         fleet.add_controls(programs, &token).await?;
-        for number in 0..fleet.layout.entries {
-            fleet.add_entry(programs, number).await?;
-        }
+        fleet.add_entries(programs).await?;
         fleet.add_workers(programs).await?;
         Ok(fleet)
     }
@@ -173,7 +171,32 @@
         Ok(())
     }
 
-    async fn add_entry(&mut self, programs: &Programs, number: usize) -> Result<(), Error> {
+    async fn add_entries(&mut self, programs: &Programs) -> Result<(), Error> {
+        let (mut bound, mut reachable) = (Vec::new(), Vec::new());
+        for number in 0..self.layout.entries {
+            let address = port::free()?;
+            bound.push(address);
+            reachable.push(if self.layout.links {
+                self.link(&format!("e{}-peers", number + 1), address)
+                    .await?
+            } else {
+                address
+            });
+        }
+        for (number, peers) in bound.into_iter().enumerate() {
+            self.add_entry(programs, number, peers, &reachable).await?;
+        }
+        Ok(())
+    }
+
+    /// Adds the entry that listens on `peers`; `reachable` has the addresses under which entries reach each other.
+    async fn add_entry(
+        &mut self,
+        programs: &Programs,
+        number: usize,
+        peers: SocketAddr,
+        reachable: &[SocketAddr],
+    ) -> Result<(), Error> {
         let name = format!("e{}", number + 1);
         let mut control = Vec::new();
         for node in 0..self.controls.len() {
@@ -188,17 +211,18 @@
         // Entries prefer different control instances, as in a fleet where each zone lists its own first.
         let first = number % control.len().max(1);
         control.rotate_left(first);
-        let (callers, platform, peers) = (port::free()?, port::free()?, port::free()?);
+        let (callers, platform) = (port::free()?, port::free()?);
         let mut settings = json!({
             "entry": name, "zone": self.layout.zone(number), "callers": callers,
             "platform": platform, "peers": peers, "control": control, "log": self.layout.log,
+            "peers_hint": reachable.iter().enumerate().filter(|(n, _)| *n != number)
+                .map(|(_, a)| a).take(8).collect::<Vec<_>>(),
         });
         let mut reachable_platform = platform;
         if self.layout.links {
-            let reachable_peers = self.link(&format!("{name}-peers"), peers).await?;
             reachable_platform = self.link(&format!("{name}-platform"), platform).await?;
             settings["advertise"] = json!({
-                "callers": callers, "platform": reachable_platform, "peers": reachable_peers,
+                "callers": callers, "platform": reachable_platform, "peers": reachable[number],
             });
         }
         let node = Entry::new(
--- a/crates/bench/src/fleet/node.rs
+++ b/crates/bench/src/fleet/node.rs
@@ -1,5 +1,6 @@
 //! Instances of a fleet, which can be started again with the same settings.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
@@ -228,25 +229,24 @@
     }
 }
 
+fn workers<'a>(status: &'a Value, service: &str) -> &'a [Value] {
+    let workers = status["services"][service]["workers"].as_array();
+    workers.map(Vec::as_slice).unwrap_or_default()
+}
+
 /// Returns how many workers of a service an entry's status calls usable.
 #[must_use]
 pub fn usable_workers(status: &Value, service: &str) -> usize {
-    let workers = status["workers"].as_array().map(Vec::as_slice);
-    let usable = workers
-        .unwrap_or_default()
-        .iter()
-        .filter(|w| w["service"] == service && w["state"] == "usable");
-    usable.count()
+    let usable = |w: &&Value| w["state"] == "serving";
+    workers(status, service).iter().filter(usable).count()
 }
 
 /// Returns the workers of a service that an entry's status calls ejected.
 #[must_use]
-pub fn ejected_workers(status: &Value, service: &str) -> std::collections::BTreeSet<String> {
-    let workers = status["workers"].as_array().map(Vec::as_slice);
-    let ejected = workers
-        .unwrap_or_default()
+pub fn ejected_workers(status: &Value, service: &str) -> BTreeSet<String> {
+    let ejected = workers(status, service)
         .iter()
-        .filter(|w| w["service"] == service && w["state"] == "ejected");
+        .filter(|w| w["ejected"] == true);
     let names = ejected.filter_map(|w| Some(w["worker"].as_str()?.to_owned()));
     names.collect()
 }
--- a/crates/bench/src/forward.rs
+++ b/crates/bench/src/forward.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -89,12 +90,27 @@
     }
 }
 
+/// What has passed through a forwarder.
+#[derive(Debug, Default)]
+pub(crate) struct Traffic {
+    bytes: AtomicU64,
+    pieces: AtomicU64,
+}
+
+impl Traffic {
+    fn add(&self, bytes: u64) {
+        self.bytes.fetch_add(bytes, Ordering::Relaxed);
+        self.pieces.fetch_add(1, Ordering::Relaxed);
+    }
+}
+
 /// A running forwarder; it stops when dropped.
 #[derive(Debug)]
 pub struct Forwarder {
     address: SocketAddr,
     target: SocketAddr,
     mode: watch::Sender<Mode>,
+    traffic: Arc<Traffic>,
     task: tokio::task::JoinHandle<()>,
 }
 
@@ -112,11 +128,13 @@
             .local_addr()
             .map_err(Error::system("own address"))?;
         let (mode, modes) = watch::channel(Mode::default());
-        let task = tokio::spawn(accept(listener, target, modes));
+        let traffic = Arc::new(Traffic::default());
+        let task = tokio::spawn(accept(listener, target, modes, Arc::clone(&traffic)));
         Ok(Self {
             address,
             target,
             mode,
+            traffic,
             task,
         })
     }
@@ -139,6 +157,13 @@
         *self.mode.borrow()
     }
 
+    /// Returns the bytes and pieces that have passed so far, both ways together.
+    #[must_use]
+    pub fn traffic(&self) -> (u64, u64) {
+        let read = |counter: &AtomicU64| counter.load(Ordering::Relaxed);
+        (read(&self.traffic.bytes), read(&self.traffic.pieces))
+    }
+
     /// Replaces the faults, also those of open connections.
     pub fn set(&self, mode: Mode) {
         self.mode.send_replace(mode);
@@ -151,7 +176,12 @@
     }
 }
 
-async fn accept(listener: TcpListener, target: SocketAddr, modes: watch::Receiver<Mode>) {
+async fn accept(
+    listener: TcpListener,
+    target: SocketAddr,
+    modes: watch::Receiver<Mode>,
+    traffic: Arc<Traffic>,
+) {
     let mut connections = tokio::task::JoinSet::new();
     loop {
         while connections.try_join_next().is_some() {}
@@ -163,10 +193,10 @@
             pipe::reset(&origin);
             continue;
         }
-        let modes = modes.clone();
+        let (modes, traffic) = (modes.clone(), Arc::clone(&traffic));
         connections.spawn(async move {
             if let Ok(socket) = TcpStream::connect(target).await {
-                pipe::join(origin, socket, modes).await;
+                pipe::join(origin, socket, modes, &traffic).await;
             } else {
                 pipe::reset(&origin);
             }
--- a/crates/bench/src/forward/pipe.rs
+++ b/crates/bench/src/forward/pipe.rs
@@ -9,7 +9,7 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, sleep, sleep_until};
 
-use super::{Flow, Mode};
+use super::{Flow, Mode, Traffic};
 
 /// Bytes read at a time.
 const PIECE_BYTES: usize = 16 * 1024;
@@ -26,15 +26,26 @@
 struct Reset;
 
 /// Forwards both directions until both are closed or one is reset.
-pub async fn join(mut origin: TcpStream, mut target: TcpStream, modes: watch::Receiver<Mode>) {
+pub(crate) async fn join(
+    mut origin: TcpStream,
+    mut target: TcpStream,
+    modes: watch::Receiver<Mode>,
+    traffic: &Traffic,
+) {
     let _ = origin.set_nodelay(true);
     let _ = target.set_nodelay(true);
     let mut refusals = modes.clone();
     let broken = {
         let (origin_read, origin_write) = origin.split();
         let (target_read, target_write) = target.split();
-        let up = direction(origin_read, target_write, modes.clone(), |m| m.to_target);
-        let down = direction(target_read, origin_write, modes, |m| m.to_origin);
+        let up = direction(
+            origin_read,
+            target_write,
+            modes.clone(),
+            |m| m.to_target,
+            traffic,
+        );
+        let down = direction(target_read, origin_write, modes, |m| m.to_origin, traffic);
         tokio::select! {
             ended = async { tokio::try_join!(up, down) } => ended.is_err(),
             refused = refusals.wait_for(|m| m.refuse) => refused.is_ok(),
@@ -51,9 +62,13 @@
     write: WriteHalf<'_>,
     modes: watch::Receiver<Mode>,
     flow: fn(&Mode) -> Flow,
+    traffic: &Traffic,
 ) -> Result<(), Reset> {
     let (sender, receiver) = mpsc::channel(QUEUE);
-    let (taking, giving) = (take(read, sender, modes, flow), give(write, receiver));
+    let (taking, giving) = (
+        take(read, sender, modes, flow, traffic),
+        give(write, receiver),
+    );
     tokio::try_join!(taking, giving).map(drop)
 }
 
@@ -62,6 +77,7 @@
     sender: mpsc::Sender<(Instant, Bytes)>,
     mut modes: watch::Receiver<Mode>,
     flow: fn(&Mode) -> Flow,
+    traffic: &Traffic,
 ) -> Result<(), Reset> {
     let mut buffer = vec![0; PIECE_BYTES];
     let mut counted: u64 = 0;
@@ -91,6 +107,7 @@
         if now.drop {
             continue;
         }
+        traffic.add(size as u64);
         counted += size as u64;
         if now.reset_after > 0 && counted > now.reset_after {
             return Err(Reset);
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,5 +1,6 @@
 //! Measurement program of the fleet: stand-in workers, caller load, a fault-injecting forwarder and whole scenarios.
 
+pub mod capacity;
 pub mod client;
 pub mod command;
 pub mod error;
@@ -7,6 +8,7 @@
 pub mod forward;
 pub mod load;
 pub mod payload;
+pub mod scenario;
 pub mod worker;
 
 pub use error::Error;
--- a/crates/bench/src/worker.rs
+++ b/crates/bench/src/worker.rs
@@ -26,6 +26,9 @@
 pub use counts::Counts;
 pub use fault::Fault;
 
+/// Longest time for requests in progress after the drain time.
+const MAX_DRAIN: Duration = Duration::from_secs(30);
+
 /// What a worker is and how it behaves when nothing is wrong.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -117,23 +120,31 @@
     }
 }
 
-/// Runs a worker until it is told to stop and has drained; returns what it counted.
+/// A worker that listens but does not yet announce itself.
+#[derive(Debug)]
+pub struct Bound {
+    worker: Arc<Worker>,
+    listener: TcpListener,
+    address: SocketAddr,
+}
+
+/// Listens on the worker's address.
 ///
 /// # Errors
 ///
 /// Returns an error when the address is not usable.
-pub async fn run(settings: Settings, shutdown: Shutdown) -> Result<Counts, Error> {
+pub async fn bind(settings: Settings) -> Result<Bound, Error> {
     let listen = loopback(settings.listen)?;
     let listener = TcpListener::bind(listen).await;
     let listener = listener.map_err(Error::system(format!("listening on {listen}")))?;
-    let bound = listener
+    let address = listener
         .local_addr()
         .map_err(Error::system("own address"))?;
     let since_epoch = std::time::UNIX_EPOCH.elapsed().unwrap_or_default();
     let worker = Arc::new(Worker {
         // Milliseconds grow from one start of a worker to the next.
         incarnation: u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX),
-        address: settings.advertise.unwrap_or(bound),
+        address: settings.advertise.unwrap_or(address),
         slots: Arc::new(Semaphore::new(settings.slots as usize)),
         started: Instant::now(),
         fault: Mutex::new((Fault::default(), Instant::now())),
@@ -143,20 +154,35 @@
         random: Mutex::new(StdRng::seed_from_u64(settings.seed)),
         settings,
     });
-    println!("{}", serde_json::json!({"listening": bound}));
-    let serving = tokio::spawn(accept(listener, Arc::clone(&worker)));
-    let renewing = tokio::spawn(announce::run(Arc::clone(&worker)));
-    shutdown.requested().await;
-    *lock(&worker.leaving) = Some(Instant::now());
-    renewing.abort();
-    announce::withdraw(&worker).await;
-    tokio::time::sleep(worker.settings.drain).await;
-    // Requests in progress hold a slot each; the limit ends a request that never does.
-    let idle = worker.slots.acquire_many(worker.settings.slots);
-    let _ = tokio::time::timeout(Duration::from_secs(30), idle).await;
-    serving.abort();
-    let counts = lock(&worker.counts).clone();
-    Ok(counts)
+    Ok(Bound {
+        worker,
+        listener,
+        address,
+    })
+}
+
+impl Bound {
+    /// Returns the address that the worker listens on.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Runs the worker until it is told to stop and has drained; returns what it counted.
+    pub async fn run(self, shutdown: Shutdown) -> Counts {
+        let worker = self.worker;
+        let serving = tokio::spawn(accept(self.listener, Arc::clone(&worker)));
+        let renewing = tokio::spawn(announce::run(Arc::clone(&worker)));
+        shutdown.requested().await;
+        *lock(&worker.leaving) = Some(Instant::now());
+        renewing.abort();
+        announce::withdraw(&worker).await;
+        tokio::time::sleep(worker.settings.drain).await;
+        let idle = worker.slots.acquire_many(worker.settings.slots);
+        let _ = tokio::time::timeout(MAX_DRAIN, idle).await;
+        serving.abort();
+        lock(&worker.counts).clone()
+    }
 }
 
 async fn accept(listener: TcpListener, worker: Arc<Worker>) {
--- a/crates/bench/tests/worker.rs
+++ b/crates/bench/tests/worker.rs
@@ -25,7 +25,8 @@
         listen: address,
         ..settings
     };
-    tokio::spawn(worker::run(settings, shutdown.clone()));
+    let bound = worker::bind(settings).await.unwrap();
+    tokio::spawn(bound.run(shutdown.clone()));
     let http = Http::new();
     for _ in 0..500 {
         if http.get(address, "/_worker/health", LIMIT).await.is_ok() {
