--- a/crates/control/src/daemon.rs
+++ b/crates/control/src/daemon.rs
@@ -65,8 +65,9 @@
     settings.check()?;
     let token = Token::read(&settings.token_file)?;
     let instance = Arc::new(Instance::new(settings, token)?);
-    registry.register(replicas::service(&instance))?;
+    // The replicas stop before the internal protocol does, so that a leader can hand over.
     registry.register(internal::service(&instance))?;
+    registry.register(replicas::service(&instance))?;
     registry.register(operators::service(&instance))?;
     registry.register(directory::service(&instance))?;
     Ok(instance)
--- a/crates/control/src/daemon/instance.rs
+++ b/crates/control/src/daemon/instance.rs
@@ -16,7 +16,7 @@
 use super::peers::Peers;
 use super::{Error, Token};
 use crate::codec;
-use crate::replica::{Committed, Handle, Machine, Role, Status};
+use crate::replica::{Committed, Handle, Machine, Network, Role, Status};
 use crate::settings::Settings;
 use crate::state::{Command, Outcome, Store};
 
@@ -34,6 +34,8 @@
     pub metrics: Metrics,
     /// The other control instances.
     pub peers: Peers,
+    /// Connections and routes of this instance's replicas.
+    pub network: Network,
     store: Arc<RwLock<Store>>,
     versions: watch::Sender<Version>,
     heartbeats: Mutex<Heartbeats>,
@@ -49,6 +51,7 @@
     pub fn new(settings: Settings, token: Token) -> Result<Self, Error> {
         Ok(Self {
             peers: Peers::new(&settings.members),
+            network: Network::default(),
             settings,
             token,
             metrics: Metrics::new()?,
--- a/crates/control/src/daemon/internal.rs
+++ b/crates/control/src/daemon/internal.rs
@@ -32,7 +32,8 @@
     let (watches, heartbeats) = (Arc::clone(instance), Arc::clone(instance));
     let (batches, overviews) = (Arc::clone(instance), Arc::clone(instance));
     let entries = Arc::clone(instance);
-    Router::default()
+    let router = instance.network.route(Router::default());
+    router
         .route("config/watch", move |ask: Watch| {
             let instance = Arc::clone(&watches);
             async move { Ok(watch::watch(&instance, &ask).await) }
