--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -2,6 +2,7 @@
 
 mod complete;
 mod config;
+mod control;
 mod floor;
 mod leaving;
 mod once;
