--- a/crates/control/src/daemon/instance.rs
+++ b/crates/control/src/daemon/instance.rs
@@ -198,8 +198,8 @@
             let voters = self.settings.members.iter();
             return voters.map(|v| (v.control.to_string(), v.peers)).collect();
         }
-        let members = members.members.into_iter();
-        members.map(|m| (m.name, m.address)).collect()
+        let members = members.members.iter();
+        members.map(|m| (m.name.clone(), m.address)).collect()
     }
 
     /// Proposes a command of the config group.
