Read the workers' state from the entry's status as it is reported

Cause: the stand-in fleet waited for workers in the state 'serving' below each service, while the entry reports a flat list with the state 'usable'; every whole-process test ended in a time-out of 60 s while waiting for readiness.

Ruled out: a fault of announcements or of the directory (the entries' logs showed all versions in force within 1 s of the start).

--- a/crates/bench/src/fleet/node.rs
+++ b/crates/bench/src/fleet/node.rs
@@ -229,24 +229,23 @@
     }
 }
 
-fn workers<'a>(status: &'a Value, service: &str) -> &'a [Value] {
-    let workers = status["services"][service]["workers"].as_array();
-    workers.map(Vec::as_slice).unwrap_or_default()
+/// Returns the names of a service's workers that an entry's status lists in `state`.
+fn workers(status: &Value, service: &str, state: &str) -> BTreeSet<String> {
+    let all = status["workers"].as_array().map(Vec::as_slice);
+    let listed = all.unwrap_or_default().iter();
+    let matching = listed.filter(|w| w["service"] == service && w["state"] == state);
+    let names = matching.filter_map(|w| Some(w["worker"].as_str()?.to_owned()));
+    names.collect()
 }
 
 /// Returns how many workers of a service an entry's status calls usable.
 #[must_use]
 pub fn usable_workers(status: &Value, service: &str) -> usize {
-    let usable = |w: &&Value| w["state"] == "serving";
-    workers(status, service).iter().filter(usable).count()
+    workers(status, service, "usable").len()
 }
 
-/// Returns the workers of a service that an entry's status calls ejected.
+/// Returns the names of a service's workers that an entry's status calls ejected.
 #[must_use]
 pub fn ejected_workers(status: &Value, service: &str) -> BTreeSet<String> {
-    let ejected = workers(status, service)
-        .iter()
-        .filter(|w| w["ejected"] == true);
-    let names = ejected.filter_map(|w| Some(w["worker"].as_str()?.to_owned()));
-    names.collect()
+    workers(status, service, "ejected")
 }
