Apply edits to the configuration in place

Cause: each change copied and checked the whole document, at the proposing instance while it held the state, and again at every replica between two heartbeats of the log.

Ruled out: an undo list (a check beforehand leaves nothing to undo); a check of only the named exceptions after a change of the defaults, which all exceptions inherit.

Conclusion: `Document::check` and `Document::edit` cost what the edits name; a change of the defaults still checks the whole document.

--- a/crates/control/src/daemon/instance.rs
+++ b/crates/control/src/daemon/instance.rs
@@ -228,8 +228,8 @@
             match store.check(&change) {
                 Ok(Some(first)) => return Ok(first),
                 Ok(None) => {
-                    let edited = store.state().document.edited(&change.edits);
-                    edited.map_err(|e| Fault::new(Kind::InvalidChange, e.to_string()))?;
+                    let checked = store.state().document.check(&change.edits);
+                    checked.map_err(|e| Fault::new(Kind::InvalidChange, e.to_string()))?;
                 }
                 Err(refusal) if change.expected <= store.changed() => return Err(refusal),
                 Err(refusal) if refusal.fault.kind == Kind::InvalidChange => return Err(refusal),
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -96,10 +96,9 @@
         if let Some(first) = self.check(&change)? {
             return Ok(first);
         }
-        let document = self.state.document.edited(&change.edits);
-        let document = document.map_err(|e| Fault::new(Kind::InvalidChange, e.to_string()))?;
         let scopes = records::scopes(&self.state.document, &change.edits);
-        self.state.document = document;
+        let edited = self.state.document.edit(&change.edits);
+        edited.map_err(|e| Fault::new(Kind::InvalidChange, e.to_string()))?;
         let version = self.push(term, Step::Edits(change.edits.clone()), scopes);
         self.changed = version;
         self.history.push(version, change);
--- a/crates/model/src/config.rs
+++ b/crates/model/src/config.rs
@@ -230,6 +230,43 @@
         Ok(document)
     }
 
+    /// Checks `edits` without applying them.
+    ///
+    /// Edits of exceptions cost no more than the exceptions that they name, however large the document is; a change of
+    /// the defaults is checked against all exceptions.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Invalid`] with the path of the wrong field.
+    pub fn check(&self, edits: &[Edit]) -> Result<(), Invalid> {
+        if edits.iter().any(|e| matches!(e, Edit::SetDefaults(_))) {
+            return self.edited(edits).map(drop);
+        }
+        let ids = edits.iter().filter_map(|edit| match edit {
+            Edit::SetDefaults(_) => None,
+            Edit::PutException(exception) => Some(&exception.id),
+            Edit::RemoveException(id) => Some(id),
+        });
+        let named = ids.filter_map(|id| self.exceptions.get_key_value(id));
+        let named = Self {
+            defaults: self.defaults.clone(),
+            exceptions: named.map(|(id, e)| (id.clone(), e.clone())).collect(),
+        };
+        let others = self.exceptions.len() - named.exceptions.len();
+        let edited = named.edited(edits)?;
+        validate::number(others + edited.exceptions.len())
+    }
+
+    /// Applies `edits` in place, checked; on an error nothing is changed.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Invalid`] as [`Document::check`] does.
+    pub fn edit(&mut self, edits: &[Edit]) -> Result<(), Invalid> {
+        self.check(edits)?;
+        edits.iter().try_for_each(|edit| self.apply(edit))
+    }
+
     fn apply(&mut self, edit: &Edit) -> Result<(), Invalid> {
         match edit {
             Edit::SetDefaults(overrides) => self.defaults.apply(overrides),
--- a/crates/model/src/config/validate.rs
+++ b/crates/model/src/config/validate.rs
@@ -39,20 +39,21 @@
 /// Returns the first wrong field.
 pub fn document(document: &Document) -> Result<(), Invalid> {
     settings("defaults", &document.defaults)?;
-    if document.exceptions.len() > MAX_EXCEPTIONS {
-        let expected = format!("at most {MAX_EXCEPTIONS} exceptions");
-        return Err(Invalid::new(
-            "exceptions",
-            document.exceptions.len(),
-            expected,
-        ));
-    }
+    number(document.exceptions.len())?;
     for (key, exception) in &document.exceptions {
         check_exception(document, key, exception)?;
     }
     Ok(())
 }
 
+pub(super) fn number(exceptions: usize) -> Result<(), Invalid> {
+    if exceptions > MAX_EXCEPTIONS {
+        let expected = format!("at most {MAX_EXCEPTIONS} exceptions");
+        return Err(Invalid::new("exceptions", exceptions, expected));
+    }
+    Ok(())
+}
+
 fn check_exception(document: &Document, key: &str, exception: &Exception) -> Result<(), Invalid> {
     let path = format!("exceptions.{key}");
     if exception.id != *key {
--- a/crates/model/src/control.rs
+++ b/crates/model/src/control.rs
@@ -92,7 +92,7 @@
             return Ok(());
         }
         match &record.step {
-            Step::Edits(edits) => self.document = self.document.edited(edits)?,
+            Step::Edits(edits) => self.document.edit(edits)?,
             Step::Join(member) => self.directory.join(member),
             Step::Leave { entry, incarnation } => self.directory.leave(entry, *incarnation),
         }
--- a/crates/model/tests/config.rs
+++ b/crates/model/tests/config.rs
@@ -141,3 +141,41 @@
         prop_assert_eq!(from.edited(&from.diff(&to)).unwrap(), to);
     }
 }
+
+/// Guards against edits in place that differ from edits of a copy, or that leave a part of a refused change behind.
+#[test]
+fn edits_in_place_equal_edits_of_a_copy() {
+    let exception = |id: &str, timeout_ms: u32| Exception {
+        id: id.to_owned(),
+        reason: "test".to_owned(),
+        on: Match::default(),
+        set: Overrides {
+            timeout_ms: Some(timeout_ms),
+            ..Overrides::default()
+        },
+    };
+    let defaults = |timeout_ms| {
+        Edit::SetDefaults(Overrides {
+            timeout_ms: Some(timeout_ms),
+            ..Overrides::default()
+        })
+    };
+    let put = |id, timeout_ms| Edit::PutException(exception(id, timeout_ms));
+    let remove = |id: &str| Edit::RemoveException(id.to_owned());
+    let mut document = Document::default();
+    for edits in [
+        vec![put("a", 900), put("b", 900)],
+        vec![put("c", 900), put("a", 1)],
+        vec![remove("b"), remove("b")],
+        vec![remove("b"), put("b", 800), remove("a")],
+        vec![put("d", 900), defaults(1)],
+        vec![defaults(700), remove("b"), put("e", 600)],
+        vec![remove("absent")],
+    ] {
+        let copy = document.edited(&edits);
+        let before = document.clone();
+        let edited = document.edit(&edits);
+        assert_eq!(edited.is_ok(), copy.is_ok(), "{edits:?}");
+        assert_eq!(document, copy.unwrap_or(before), "{edits:?}");
+    }
+}
