--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -17,7 +17,7 @@
 use crate::clock;
 use crate::instance::Instance;
 use crate::settings::{Advertise, Settings};
-use crate::{callers, link, peers, platform};
+use crate::{callers, eject, link, peers, platform};
 
 /// Time between two looks at queues, proofs and connections.
 const HOUSEKEEPING_PERIOD: Duration = Duration::from_millis(100);
@@ -37,6 +37,9 @@
         /// Error of the operating system.
         cause: std::io::Error,
     },
+    /// The metrics can't be set up.
+    #[error(transparent)]
+    Metrics(#[from] chestnutvalve_telemetry::metrics::Error),
     /// A service failed to start or to stop.
     #[error(transparent)]
     Service(#[from] chestnutvalve_kernel::registry::Error),
@@ -82,7 +85,7 @@
             peers: peers.address().unwrap_or(for_peers),
         };
         let advertise = settings.advertise.unwrap_or(bound);
-        let instance = Arc::new(Instance::new(settings, advertise, shutdown));
+        let instance = Arc::new(Instance::new(settings, advertise, shutdown)?);
         let mut registry = Registry::default();
         registry.register(background("peers", {
             let router = peers::router(&instance);
@@ -91,6 +94,7 @@
         registry.register(platform_service(&instance, platform))?;
         registry.register(background("watch", link::watch(Arc::clone(&instance))))?;
         registry.register(background("pulls", peers::pull(Arc::clone(&instance))))?;
+        registry.register(background("ejections", eject::run(Arc::clone(&instance))))?;
         registry.register(background(
             "housekeeping",
             housekeeping(Arc::clone(&instance)),
