Run a whole fleet in one process for a first look

Cause: somebody who wants to see the system needs a control instance, an entry instance and a worker with matching settings.

Ruled out: child processes (a process of the system starts no other one).

--- a/crates/cli/src/arguments.rs
+++ b/crates/cli/src/arguments.rs
@@ -54,6 +54,7 @@
         )
         .subcommand(config())
         .subcommand(replica())
+        .subcommand(demo())
         .subcommand(
             Command::new("status")
                 .about("Shows the control instances and what every entry has in force")
@@ -113,6 +114,28 @@
         )
 }
 
+fn demo() -> Command {
+    Command::new("demo")
+        .about("Runs a control instance, an entry instance and an example worker in one process")
+        .arg(
+            Arg::new("port-base")
+                .long("port-base")
+                .value_name("PORT")
+                .default_value("7000")
+                .value_parser(value_parser!(u16).range(1_024..=65_000))
+                .help(
+                    "The listeners use this port + 1 (callers), 101, 201, 401 and 501 (operators)",
+                ),
+        )
+        .arg(
+            Arg::new("data")
+                .long("data")
+                .value_name("DIR")
+                .value_parser(value_parser!(PathBuf))
+                .help("Directory for the state; default: a temporary one"),
+        )
+}
+
 fn replica() -> Command {
     let group = || {
         Arg::new("group")
--- a/crates/cli/src/burn.rs
+++ b/crates/cli/src/burn.rs
@@ -124,7 +124,7 @@
     };
     let text = format!(
         "{:<20} {:<6} {:>8}% {}  {alert}",
-        line.service,
+        line.service.as_str(),
         line.rank.name(),
         line.objective_percent,
         rates.collect::<String>()
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod arguments;
 pub mod burn;
 pub mod config;
+pub mod demo;
 pub mod edits;
 pub mod error;
 pub mod http;
@@ -56,6 +57,7 @@
             Some(("recover", recover)) => replica::recover(&client, recover).await,
             _ => Err(Error::Usage("expected a subcommand of replica".to_owned())),
         },
+        Some(("demo", demo)) => demo::run(demo).await,
         Some(("burn", show)) => burn::show(&client, show).await,
         Some(("status", show)) => status::show(&client, show).await,
         _ => Err(Error::Usage("expected a subcommand".to_owned())),
