Report the control instance's work as metrics

Cause: `/metrics` of a control instance had nothing but the library's own line.

Ruled out: counters for what can be read (roles, terms, commit, revision, entries, claims); these are read when they are rendered.

Conclusion: changes, watches, heartbeats, grants and claims are counted by outcome.

--- a/crates/control/src/daemon.rs
+++ b/crates/control/src/daemon.rs
@@ -15,6 +15,7 @@
 pub mod ledger;
 pub mod limit;
 pub mod members;
+pub mod meters;
 pub mod operators;
 pub mod peers;
 pub mod replicas;
@@ -76,6 +77,7 @@
     settings.check()?;
     let token = Token::read(&settings.token_file)?;
     let instance = Arc::new(Instance::new(settings, token)?);
+    instance.meters.observe(&instance);
     // The replicas stop before the internal protocol does, so that a leader can hand over.
     registry.register(internal::service(&instance))?;
     registry.register(ledger::service(&instance))?;
--- a/crates/control/src/daemon/directory.rs
+++ b/crates/control/src/daemon/directory.rs
@@ -90,6 +90,7 @@
 /// Returns [`Kind::NoQuorum`] when this instance does not lead.
 pub fn receive(instance: &Instance, batch: Vec<Heartbeat>) -> Result<Vec<Registered>, Fault> {
     let term = leading(instance)?;
+    instance.meters.heartbeats(batch.len());
     let store = instance.store();
     let mut heartbeats = instance.heartbeats();
     let now = Instant::now().into_std();
--- a/crates/control/src/daemon/grants.rs
+++ b/crates/control/src/daemon/grants.rs
@@ -68,5 +68,10 @@
     let now = Instant::now().into_std();
     let mut grants = instance.grants();
     grants.observe(now, Some(term));
-    grants.ask(now, ask).ok_or_else(other)
+    let granted = grants.ask(now, ask).ok_or_else(other)?;
+    let all = granted.workers.len() == ask.eject.len();
+    instance
+        .meters
+        .grant(if all { "granted" } else { "limited" });
+    Ok(granted)
 }
--- a/crates/control/src/daemon/instance.rs
+++ b/crates/control/src/daemon/instance.rs
@@ -9,7 +9,6 @@
 use chestnutvalve_model::control::{Heartbeat, Registered};
 use chestnutvalve_model::error::{Fault, Kind};
 use chestnutvalve_model::version::Version;
-use chestnutvalve_telemetry::metrics::Metrics;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use tokio::sync::watch;
@@ -20,12 +19,13 @@
 use super::heartbeats::Heartbeats;
 use super::ledger::Group;
 use super::limit::Bucket;
+use super::meters::Meters;
 use super::peers::Peers;
 use super::{Error, Token};
 use crate::codec;
 use crate::replica::{Committed, Handle, Machine, Network, Role, Status};
 use crate::settings::Settings;
-use crate::state::{Command, Outcome, Store};
+use crate::state::{Command, Outcome, Refusal, Store};
 
 /// Time for a proposal to be committed and applied.
 /// The replica gives up after 5 s and then knows more about the outcome than this limit tells.
@@ -39,7 +39,7 @@
     /// Token of the operators.
     pub token: Token,
     /// Metrics of the process.
-    pub metrics: Metrics,
+    pub meters: Meters,
     /// The other control instances.
     pub peers: Peers,
     /// Heartbeats on their way to the leader.
@@ -73,7 +73,7 @@
             network: Network::default(),
             settings,
             token,
-            metrics: Metrics::new()?,
+            meters: Meters::new()?,
             beats: Batcher::default(),
             requests: Mutex::new(Bucket::new(Instant::now().into_std())),
             store: Arc::default(),
@@ -223,6 +223,16 @@
     ///
     /// Returns the refusal with its kind.
     pub async fn change(&self, change: Change) -> Outcome {
+        let outcome = self.decide(change).await;
+        let refused = |refusal: &Refusal| refusal.fault.kind.answer().code;
+        self.meters.change(match &outcome {
+            Ok(_) => "accepted",
+            Err(refusal) => refused(refusal),
+        });
+        outcome
+    }
+
+    async fn decide(&self, change: Change) -> Outcome {
         {
             let store = self.store();
             match store.check(&change) {
--- a/crates/control/src/daemon/ledger.rs
+++ b/crates/control/src/daemon/ledger.rs
@@ -160,7 +160,18 @@
     };
     let group = find(instance, key)?;
     let missing = || Fault::new(Kind::Internal, "the ledger gave no answer");
-    group.batches.call(command).await?.ok_or_else(missing)
+    let answer = group.batches.call(command).await;
+    let claimed = answer.and_then(|answer| answer.ok_or_else(missing));
+    instance.meters.claim(match &claimed {
+        Ok(Claimed::Granted) => "granted",
+        Ok(Claimed::Held) => "held",
+        Ok(Claimed::Recorded(_)) => "recorded",
+        Ok(Claimed::Unknown) => "unknown",
+        Ok(Claimed::Reused) => "reused",
+        Ok(Claimed::Full) => "full",
+        Err(_) => "unavailable",
+    });
+    claimed
 }
 
 /// Records an outcome or releases a claim at any instance.
--- a/crates/control/src/daemon/operators.rs
+++ b/crates/control/src/daemon/operators.rs
@@ -235,7 +235,7 @@
 fn metrics(instance: &Arc<Instance>) -> impl Endpoint + 'static + use<> {
     let instance = Arc::clone(instance);
     make(move |_request| {
-        let rendered = instance.metrics.render();
+        let rendered = instance.meters.render();
         async move {
             match rendered {
                 Ok(text) => Response::builder()
--- a/crates/control/src/daemon/watch.rs
+++ b/crates/control/src/daemon/watch.rs
@@ -24,6 +24,7 @@
         let stale = instance.is_stale();
         let update = update(&instance.store(), watch, stale);
         if stale || update.content != Content::Unchanged || Instant::now() >= deadline {
+            instance.meters.watch(name(&update.content), stale);
             return update;
         }
         let check = deadline.min(Instant::now() + QUORUM_INTERVAL);
@@ -32,6 +33,14 @@
     }
 }
 
+fn name(content: &Content) -> &'static str {
+    match content {
+        Content::Unchanged => "unchanged",
+        Content::Records(_) => "records",
+        Content::Snapshot(_) => "snapshot",
+    }
+}
+
 /// Returns what a watcher lacks.
 #[must_use]
 pub fn update(store: &Store, watch: &Watch, stale: bool) -> Update {
