--- /dev/null
+++ b/crates/cli/tests/cli.rs
@@ -0,0 +1,136 @@
+//! Arguments and texts of the operators' command line.
+
+use chestnutvalve_burn::report::report;
+use chestnutvalve_burn::{Count, Export, Series};
+use chestnutvalve_cli::arguments::command;
+use chestnutvalve_cli::{burn, status, wait};
+use chestnutvalve_control::daemon::status::{Control, Entry, Overview, Replica};
+use chestnutvalve_control::replica::{Role, Status};
+use chestnutvalve_model::config::Document;
+use chestnutvalve_model::directory::Member;
+use chestnutvalve_model::id::{self, Incarnation, Service, Zone};
+use chestnutvalve_model::rank::Rank;
+use chestnutvalve_model::version::Version;
+use rstest::rstest;
+
+fn version(revision: u64) -> Version {
+    Version { term: 3, revision }
+}
+
+fn entry(name: &str, in_force: Option<Version>, draining: bool) -> Entry {
+    let address = "127.0.0.1:7001".parse().unwrap();
+    Entry {
+        member: Member {
+            entry: id::Entry::new(name).unwrap(),
+            incarnation: Incarnation(17),
+            zone: Zone::new("keene").unwrap(),
+            callers: address,
+            platform: address,
+            peers: address,
+            draining,
+        },
+        in_force,
+        in_force_ms: in_force.map(|_| 1_200),
+        heartbeat_ms: in_force.map(|_| 300),
+    }
+}
+
+fn overview() -> Overview {
+    let replica = |group: &str, role, quorum| Replica {
+        group: group.to_owned(),
+        status: Status {
+            role,
+            term: 3,
+            leader: Some("c1".to_owned()),
+            commit: 41,
+            applied: 41,
+            quorum,
+        },
+    };
+    let control = |name: &str, role, quorum| Control {
+        control: name.to_owned(),
+        version: version(12),
+        replicas: vec![
+            replica("config", role, quorum),
+            replica("ledger-0", role, quorum),
+        ],
+    };
+    Overview {
+        control: "c1".to_owned(),
+        stale: false,
+        changed: version(10),
+        version: version(12),
+        controls: vec![
+            control("c1", Role::Leader, true),
+            control("c2", Role::Candidate, false),
+        ],
+        unreachable: vec!["c3".to_owned()],
+        heartbeats: true,
+        entries: vec![
+            entry("e1", Some(version(12)), false),
+            entry("e2", Some(version(9)), true),
+            entry("e3", None, false),
+        ],
+    }
+}
+
+/// Guards against a status that hides a lost quorum, a missing instance or an entry that lags.
+#[test]
+fn status_text() {
+    insta::assert_snapshot!(status::text(&overview()));
+}
+
+/// Guards against `--wait` that returns while an entry has an older version, or none that is known.
+#[test]
+fn missing_entries() {
+    let missing = |revision| wait::missing(&overview(), version(revision));
+    assert_eq!(missing(9), ["e3"]);
+    assert_eq!(missing(10), ["e2", "e3"]);
+    assert_eq!(missing(13), ["e1", "e2", "e3"]);
+}
+
+/// Guards against a report that hides an entry that did not answer, or an alert.
+#[test]
+fn burn_text() {
+    let series = |name: &str, rank, good, total| Series {
+        service: Service::new(name).unwrap(),
+        rank,
+        windows: [Count { good, total }; 5],
+    };
+    let export = Export {
+        counted_s: 90,
+        series: vec![
+            series("rationdesk", Rank::Top, 500, 1_000),
+            series("fieldbook", Rank::Middle, 1_990, 2_000),
+        ],
+    };
+    let report = burn::Report {
+        entries: 2,
+        counted_s: 90,
+        unreachable: vec!["e3 (127.0.0.1:7103): no answer in time".to_owned()],
+        lines: report(&Document::default(), &[export.clone(), export]),
+    };
+    insta::assert_snapshot!(burn::text(&report));
+}
+
+/// Guards against arguments that are accepted and then change something else than meant.
+#[rstest]
+#[case::no_author(&["config", "apply", "--set", "timeout_ms=1", "--reason", "r"])]
+#[case::no_reason(&["config", "apply", "--set", "timeout_ms=1", "--author", "a"])]
+#[case::nothing_to_apply(&["config", "apply", "--author", "a", "--reason", "r"])]
+#[case::document_and_edit(&["config", "apply", "f", "--remove", "x", "--author", "a", "--reason", "r"])]
+#[case::bad_version(&["config", "apply", "f", "--expected", "7", "--author", "a", "--reason", "r"])]
+#[case::bad_id(&["config", "apply", "f", "--change-id", "a/b", "--author", "a", "--reason", "r"])]
+#[case::bad_address(&["--control", "localhost", "status"])]
+#[case::recovery_without_reason(&["replica", "recover", "--author", "a"])]
+#[case::no_command(&[])]
+fn refused_arguments(#[case] arguments: &[&str]) {
+    let arguments = std::iter::once("chestnutvalve").chain(arguments.iter().copied());
+    assert!(command().try_get_matches_from(arguments).is_err());
+}
+
+/// Guards against a definition that the argument parser itself finds wrong, which it reports only when it is used.
+#[test]
+fn definition_is_consistent() {
+    command().debug_assert();
+}
