--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -1,7 +1,8 @@
-//! Whole-process tests: real processes on the loopback network, compared from outside.
+//! Whole-process tests.
 
 mod complete;
 mod config;
+mod control;
 mod floor;
 mod leaving;
 mod once;
