--- a/crates/entry/src/instance.rs
+++ b/crates/entry/src/instance.rs
@@ -23,7 +23,8 @@
 use crate::meters::Meters;
 use crate::peers::{Peers, Withdrawal, push};
 use crate::pool::Pool;
-use crate::serving::{Candidate, Services, Serving};
+use crate::services::Services;
+use crate::serving::{Candidate, Serving};
 use crate::settings::{Advertise, Settings};
 
 /// Requests that wait for the ledger at the same time. At 1.5 s each, an unreachable ledger is found out by at most 680
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod pool;
 pub mod proxy;
 pub mod replay;
+pub mod services;
 pub mod serving;
 pub mod settings;
 pub mod status;
--- a/crates/entry/src/place.rs
+++ b/crates/entry/src/place.rs
@@ -170,9 +170,13 @@
             verdict: Verdict::Cancelled,
         };
         let sample = self.sample.unwrap_or(cancelled);
-        self.serving
-            .lock()
-            .balancer
-            .finish(now, &self.worker, &sample);
+        let mut inner = self.serving.lock();
+        inner.balancer.finish(now, &self.worker, &sample);
+        if let Some(places) = inner.places.get_mut(&self.worker) {
+            *places -= 1;
+            if *places == 0 {
+                inner.places.remove(&self.worker);
+            }
+        }
     }
 }
--- a/crates/entry/src/serving.rs
+++ b/crates/entry/src/serving.rs
@@ -1,4 +1,4 @@
-//! Routing state of the services that this instance serves.
+//! Routing state of one service.
 
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
@@ -22,75 +22,6 @@
 use crate::clock;
 use crate::place::{Permit, Place, Waiting};
 
-/// Most services for which one instance keeps state.
-const MAX_SERVICES: usize = 8_192;
-/// Time after which a service without workers and requests is forgotten.
-const UNUSED: Duration = Duration::from_mins(1);
-
-/// Services by name.
-#[derive(Debug)]
-pub struct Services {
-    zone: Zone,
-    map: Mutex<HashMap<Service, Arc<Serving>>>,
-}
-
-impl Services {
-    /// Creates an empty table for an entry in `zone`.
-    #[must_use]
-    pub fn new(zone: Zone) -> Self {
-        Self {
-            zone,
-            map: Mutex::default(),
-        }
-    }
-
-    fn lock(&self) -> MutexGuard<'_, HashMap<Service, Arc<Serving>>> {
-        self.map.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    /// Returns a service that is in use.
-    #[must_use]
-    pub fn get(&self, service: &Service) -> Option<Arc<Serving>> {
-        self.lock().get(service).cloned()
-    }
-
-    /// Returns a service, or `None` when there are too many.
-    pub fn get_or_create(&self, service: &Service) -> Option<Arc<Serving>> {
-        let mut map = self.lock();
-        if let Some(serving) = map.get(service) {
-            return Some(Arc::clone(serving));
-        }
-        if map.len() >= MAX_SERVICES {
-            return None;
-        }
-        let serving = Arc::new(Serving::new(service.clone(), self.zone.clone()));
-        map.insert(service.clone(), Arc::clone(&serving));
-        Some(serving)
-    }
-
-    /// Returns the names of all services in use.
-    #[must_use]
-    pub fn names(&self) -> Vec<Service> {
-        self.lock().keys().cloned().collect()
-    }
-
-    /// Returns all services in use.
-    #[must_use]
-    pub fn all(&self) -> Vec<Arc<Serving>> {
-        self.lock().values().cloned().collect()
-    }
-
-    /// Forgets services without workers that nobody has asked for lately.
-    pub fn forget_unused(&self, now: Instant) {
-        self.lock().retain(|_, serving| {
-            let inner = serving.lock();
-            !inner.upstreams.is_empty()
-                || !inner.waiters.is_empty()
-                || now.saturating_duration_since(inner.used) < UNUSED
-        });
-    }
-}
-
 /// Worker that can take a request.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Candidate {
@@ -129,11 +60,15 @@
     next_ticket: u64,
     pub(crate) typical: Duration,
     upstreams: HashMap<Worker, Candidate>,
+    /// Attempts in progress.
+    pub(crate) places: HashMap<Worker, u32>,
     used: Instant,
 }
 
 impl Serving {
-    fn new(name: Service, zone: Zone) -> Self {
+    /// Creates the state of a service at an entry in `zone`.
+    #[must_use]
+    pub fn new(name: Service, zone: Zone) -> Self {
         let settings = Settings::default();
         let inner = Inner {
             balancer: Balancer::new(zone),
@@ -144,6 +79,7 @@
             next_ticket: 0,
             typical: Duration::ZERO,
             upstreams: HashMap::new(),
+            places: HashMap::new(),
             used: clock::now(),
         };
         Self {
@@ -184,8 +120,15 @@
         };
         let settings = self.document(state).resolve(&target);
         let mut inner = self.lock();
-        let slots = records.values().map(|c| c.slots).sum();
         let entries = u32::try_from(entries).unwrap_or(u32::MAX);
+        let slots: u32 = records.values().map(|c| c.slots).sum();
+        // A request at a worker that has left takes no slot of the others, so that it must not count against their share.
+        let left = inner
+            .places
+            .iter()
+            .filter(|(w, _)| !records.contains_key(*w));
+        let left: u32 = left.map(|(_, places)| places).sum();
+        let slots = slots.saturating_add(left.saturating_mul(entries));
         inner.admission.configure(limits(&settings, slots, entries));
         inner.budget.configure(settings.retry_percent);
         inner.adopt(now, &settings, records);
@@ -274,6 +217,7 @@
             balancer,
             detector,
             upstreams,
+            places,
             ..
         } = &mut *inner;
         let eligible = |w: &Worker| {
@@ -285,6 +229,7 @@
         let worker = balancer.pick(now, eligible, suspicion, &mut rand::rng())?;
         detector.dispatched(now, &worker);
         let candidate = upstreams.get(&worker)?;
+        *places.entry(worker.clone()).or_default() += 1;
         Some(Place::new(self, worker, candidate, route, now))
     }
 
@@ -294,6 +239,12 @@
         self.lock().upstreams.values().any(|c| c.fresh)
     }
 
+    /// Returns when a request last asked for the service.
+    #[must_use]
+    pub fn used(&self) -> Instant {
+        self.lock().used
+    }
+
     /// Returns whether no worker is known at all.
     #[must_use]
     pub fn is_unknown(&self) -> bool {
