--- a/crates/control/src/daemon/members.rs
+++ b/crates/control/src/daemon/members.rs
@@ -87,9 +87,10 @@
         .filter_map(|name| {
             let handle = find(instance, &name).ok()?;
             let status = handle.status();
-            let members = handle.members().members.into_iter().map(|m| Member {
+            let membership = handle.members();
+            let members = membership.members.iter().map(|m| Member {
                 replica: m.id.to_string(),
-                control: m.name,
+                control: m.name.clone(),
                 peers: m.address,
                 vote: match m.kind {
                     Part::Voter => Vote::Voter,
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -1,4 +1,4 @@
-//! Whole-process tests.
+//! Whole-process tests: real processes on the loopback network, compared from outside.
 
 mod complete;
 mod config;
