Attribute to a worker only the time for which it lets the caller wait

The latency of an attempt was the time to the first 64 KiB. It now also has the waits for the rest of the response, so that a worker that streams slowly is seen, while a caller that reads slowly still says nothing about the worker. Grants are asked for at once whenever the worker of the attempt is found bad, also by slowness.

--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -122,8 +122,9 @@
         };
         if is_shed(&received.parts) {
             self.instance.meters.attempt(Verdict::Shed);
-            // Shedding is not an error of the worker, so that it raises no suspicion.
-            let _ = place.finish(Verdict::Shed, received.latency);
+            if place.finish(Verdict::Shed, received.latency) {
+                self.instance.suspects.notify_one();
+            }
             let context = "the worker refused the request";
             return Err(Failed {
                 stage: Stage::ShedByWorker,
--- a/crates/entry/src/passed.rs
+++ b/crates/entry/src/passed.rs
@@ -146,6 +146,7 @@
             ending: self.ending,
             limit: Box::pin(sleep_until(limit)),
             pause: (!call.stated).then_some(pause),
+            waiting: None,
         };
         Response::from_parts(self.parts, body.boxed_unsync())
     }
@@ -161,9 +162,18 @@
     ending: Ending,
     limit: Pin<Box<Sleep>>,
     pause: Option<Duration>,
+    /// Since when the worker has been due to send.
+    waiting: Option<Instant>,
 }
 
 impl Passed {
+    /// Adds the time for which the worker let the caller wait; a caller that reads slowly says nothing about the worker.
+    fn arrived(&mut self) {
+        if let Some(since) = self.waiting.take() {
+            self.ending.latency += since.elapsed();
+        }
+    }
+
     fn fail(
         &mut self,
         verdict: Verdict,
@@ -192,9 +202,16 @@
         let Some(rest) = &mut this.rest else {
             return Poll::Ready(None);
         };
-        match Pin::new(&mut *rest).poll_frame(cx) {
+        let polled = Pin::new(&mut *rest).poll_frame(cx);
+        let ended = rest.is_end_stream();
+        if polled.is_pending() {
+            this.waiting.get_or_insert_with(Instant::now);
+        } else {
+            this.arrived();
+        }
+        match polled {
             Poll::Ready(Some(Ok(frame))) => {
-                if rest.is_end_stream() {
+                if ended {
                     this.rest = None;
                     this.ending.complete();
                 } else if let Some(pause) = this.pause {
@@ -217,6 +234,7 @@
             }
             Poll::Pending => {
                 ready!(this.limit.as_mut().poll(cx));
+                this.arrived();
                 let error = "the response did not arrive in time";
                 this.fail(Verdict::Timeout, error.into())
             }
--- a/crates/entry/src/place.rs
+++ b/crates/entry/src/place.rs
@@ -142,7 +142,7 @@
         }
     }
 
-    /// Records how the attempt ended; returns whether the detector has a suspect now.
+    /// Records how the attempt ended; returns whether the worker should be ejected and is not.
     #[must_use]
     pub fn finish(mut self, verdict: Verdict, latency: Duration) -> bool {
         let sample = Sample { latency, verdict };
@@ -158,7 +158,8 @@
                 typical => typical.mul_f64(1.0 - TYPICAL_WEIGHT) + latency.mul_f64(TYPICAL_WEIGHT),
             };
         }
-        verdict.is_error() && !inner.detector.wanted(now).is_empty()
+        let ejected = inner.detector.is_ejected(now, &self.worker);
+        !ejected && inner.detector.wanted(now).contains(&self.worker)
     }
 }
 
