--- a/crates/consensus/src/replica/output.rs
+++ b/crates/consensus/src/replica/output.rs
@@ -12,8 +12,10 @@
 pub struct Write {
     /// Hard state, if it has changed.
     pub hard: Option<HardState>,
-    /// Snapshot that replaces the stored one; `hard` and `entries` are then complete and replace the stored log.
+    /// Snapshot of the leader, which replaces the stored one before the log is written.
     pub snapshot: Option<Snapshot>,
+    /// Whether `hard` and `entries` are complete and replace the stored log.
+    pub replaces_log: bool,
     /// Entries in order; they replace stored entries with the same or a greater index.
     pub entries: Vec<Entry>,
     /// Messages that promise what this write makes durable.
@@ -26,7 +28,7 @@
     /// Returns whether there is nothing to store.
     #[must_use]
     pub fn is_empty(&self) -> bool {
-        self.hard.is_none() && self.snapshot.is_none() && self.entries.is_empty()
+        self.hard.is_none() && !self.replaces_log && self.entries.is_empty()
     }
 }
 
@@ -55,8 +57,10 @@
     /// Greatest index that is durable.
     stable: u64,
     snapshot: Option<Snapshot>,
+    replaces_log: bool,
     installing: Option<Position>,
-    restore: bool,
+    /// Snapshot that the state machine has to be replaced by.
+    restore: Option<Snapshot>,
     delivered: u64,
 }
 
@@ -73,8 +77,9 @@
             next_write: last + 1,
             stable: last,
             snapshot: None,
+            replaces_log: false,
             installing: None,
-            restore: false,
+            restore: None,
             delivered,
         }
     }
@@ -104,6 +109,7 @@
         self.next_write = snapshot.position.index + 1;
         self.installing = Some(snapshot.position);
         self.snapshot = Some(snapshot);
+        self.replaces_log = true;
     }
 
     /// Requests a write of marks and commit index from time to time.
@@ -144,18 +150,20 @@
         let promise = (self.hard.term, self.hard.vote);
         let content = promise != output.durable
             || output.next_write <= last
-            || output.snapshot.is_some()
+            || output.replaces_log
             || output.store_hard;
         let idle = !content && output.held.is_empty();
         if output.writing || self.fault.is_some() || idle {
             return None;
         }
         let snapshot = output.snapshot.take();
-        let first = match &snapshot {
-            Some(_) => self.log.base().index + 1,
-            None => output.next_write,
+        let replaces_log = std::mem::take(&mut output.replaces_log);
+        let first = if replaces_log {
+            self.log.base().index + 1
+        } else {
+            output.next_write
         };
-        let changed = content && (snapshot.is_some() || self.hard != output.stored);
+        let changed = content && (replaces_log || self.hard != output.stored);
         if changed {
             output.stored = self.hard.clone();
         }
@@ -166,6 +174,7 @@
         Some(Write {
             hard: changed.then(|| self.hard.clone()),
             snapshot,
+            replaces_log,
             entries: self.log.range(first, last).cloned().collect(),
             messages: std::mem::take(&mut output.held),
             receipt: Receipt {
@@ -186,7 +195,7 @@
             && output.installing == Some(position)
         {
             output.installing = None;
-            output.restore = true;
+            output.restore = Some(self.log.snapshot().clone());
             output.delivered = position.index;
         }
         if output.installing.is_none() {
@@ -203,8 +212,7 @@
 
     /// Takes the snapshot that the state machine has to be replaced by, before it applies further entries.
     pub fn take_restore(&mut self) -> Option<Snapshot> {
-        let restore = std::mem::take(&mut self.output.restore);
-        restore.then(|| self.log.snapshot().clone())
+        self.output.restore.take()
     }
 
     /// Takes the committed and stored entries that the state machine has to apply next.
@@ -223,23 +231,32 @@
         entries
     }
 
-    /// Replaces the applied entries by a snapshot of the state machine, which has applied exactly the entries taken so far. The
-    /// last `keep` entries stay for followers that lag.
-    pub fn compact(&mut self, data: Vec<u8>, keep: u64) {
+    /// Returns whether a snapshot of the leader is not stored yet.
+    #[must_use]
+    pub fn is_installing(&self) -> bool {
+        self.output.installing.is_some()
+    }
+
+    /// Builds a snapshot of the state machine, which has applied exactly the entries taken so far; `None` if there is no news.
+    /// The caller makes it durable and then calls [`Replica::compact`].
+    #[must_use]
+    pub fn snapshot(&self, data: Vec<u8>) -> Option<Snapshot> {
         let index = self.output.delivered;
-        let current = self.log.snapshot().position.index;
-        let Some(term) = self.log.term(index) else {
-            return;
-        };
-        if self.output.installing.is_some() || index <= current {
-            return;
-        }
-        let snapshot = Snapshot {
+        let term = self.log.term(index)?;
+        let newer = index > self.log.snapshot().position.index;
+        (newer && !self.is_installing()).then(|| Snapshot {
             position: Position { term, index },
             members: self.log.membership_at(index),
             data: data.into(),
-        };
-        self.log.compact(snapshot.clone(), keep);
-        self.output.snapshot = Some(snapshot);
+        })
+    }
+
+    /// Replaces the entries that a durable snapshot contains. The last `keep` of them stay for followers that lag.
+    pub fn compact(&mut self, snapshot: Snapshot, keep: u64) {
+        let newer = snapshot.position.index > self.log.snapshot().position.index;
+        if newer && !self.is_installing() {
+            self.log.compact(snapshot, keep);
+            self.output.replaces_log = true;
+        }
     }
 }
--- a/crates/consensus/tests/all/sim.rs
+++ b/crates/consensus/tests/all/sim.rs
@@ -147,8 +147,11 @@
     /// Takes a snapshot at a replica.
     pub fn compact(&mut self, number: usize, keep: u64) {
         let node = &mut self.nodes[number];
-        if let Some(replica) = &mut node.replica {
-            replica.compact(node.state.to_le_bytes().to_vec(), keep);
+        if let Some(replica) = &mut node.replica
+            && let Some(snapshot) = replica.snapshot(node.state.to_le_bytes().to_vec())
+        {
+            node.disk.snapshot = snapshot.clone();
+            replica.compact(snapshot, keep);
         }
     }
 
@@ -312,6 +315,8 @@
     }
     if let Some(snapshot) = &write.snapshot {
         disk.snapshot = snapshot.clone();
+    }
+    if write.replaces_log {
         disk.entries.clear();
     }
     if let Some(first) = write.entries.first() {
--- a/crates/control/src/replica/driver.rs
+++ b/crates/control/src/replica/driver.rs
@@ -8,10 +8,10 @@
 use std::sync::Arc;
 
 use chestnutvalve_consensus::{
-    self as consensus, Membership, Receipt, Replica, ReplicaId, Restored,
+    self as consensus, Membership, Receipt, Replica, ReplicaId, Restored, Snapshot,
 };
 use chestnutvalve_model::error::{Fault, Kind};
-use chestnutvalve_storage::{Directory, Error, Store};
+use chestnutvalve_storage::{Directory, Error, Saver, Store};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep_until};
@@ -34,6 +34,7 @@
 
 type Messages = Vec<(ReplicaId, consensus::Message)>;
 type Writing = JoinHandle<(Store, Result<(), Error>)>;
+type Saving = JoinHandle<Result<Snapshot, Error>>;
 type End = watch::Sender<Option<Result<(), Fault>>>;
 
 struct Driver {
@@ -43,6 +44,8 @@
     links: Links,
     store: Option<Store>,
     writing: Option<(Writing, Receipt, Messages)>,
+    saver: Saver,
+    saving: Option<Saving>,
     waiting: BTreeMap<u64, (u64, oneshot::Sender<Outcome>)>,
     applied: u64,
     /// Entries and bytes applied since the last snapshot, and the size of that snapshot.
@@ -126,6 +129,8 @@
         replica,
         machine,
         options,
+        saver: store.saver(),
+        saving: None,
         store: Some(store),
         writing: None,
         waiting: BTreeMap::new(),
@@ -180,6 +185,7 @@
                         self.propose(proposal);
                     }
                 }
+                saved = saved(&mut self.saving) => self.saved(saved)?,
                 written = written(&mut self.writing) => self.written(written)?,
                 () = sleep_until(wake) => {}
             }
@@ -192,6 +198,9 @@
         if let Some((writing, _, _)) = self.writing.take() {
             let _ = writing.await;
         }
+        if let Some(saving) = self.saving.take() {
+            let _ = saving.await;
+        }
         Ok(())
     }
 
@@ -210,7 +219,18 @@
         Ok(())
     }
 
+    fn saved(&mut self, saved: Result<Snapshot, Error>) -> Result<(), Fault> {
+        self.saving = None;
+        let snapshot = saved.map_err(|error| Fault::new(Kind::Internal, error.to_string()))?;
+        self.replica.compact(snapshot, self.options.keep_entries);
+        Ok(())
+    }
+
     fn start_write(&mut self, now: std::time::Instant) {
+        // A snapshot of the leader would be stored to the same file.
+        if self.saving.is_some() && self.replica.is_installing() {
+            return;
+        }
         while let Some(mut write) = self.replica.take_write() {
             let messages = std::mem::take(&mut write.messages);
             let receipt = write.receipt;
@@ -250,6 +270,14 @@
     }
 }
 
+/// Waits for the snapshot that is being saved; without one it waits forever.
+async fn saved(saving: &mut Option<Saving>) -> Result<Snapshot, Error> {
+    match saving {
+        Some(task) => task.await.expect("saving a snapshot does not panic"),
+        None => std::future::pending().await,
+    }
+}
+
 struct Written {
     result: (Store, Result<(), Error>),
     receipt: Receipt,
--- a/crates/control/src/replica/driver/apply.rs
+++ b/crates/control/src/replica/driver/apply.rs
@@ -59,12 +59,21 @@
     /// Takes a snapshot when it is due. A large state is saved less often, so that writing snapshots costs no more than writing
     /// entries does.
     fn compact(&mut self) {
+        if self.saving.is_some() {
+            return;
+        }
         let (entries, bytes, size) = self.since_snapshot;
         let limit = self.options.compact_entries;
         if entries >= 16 * limit || (entries >= limit && bytes >= size) {
             let data = (self.machine.save)();
             self.since_snapshot = (0, 0, data.len());
-            self.replica.compact(data, self.options.keep_entries);
+            let Some(snapshot) = self.replica.snapshot(data) else {
+                return;
+            };
+            let mut saver = self.saver.clone();
+            self.saving = Some(tokio::task::spawn_blocking(move || {
+                saver.save(&snapshot).map(|()| snapshot)
+            }));
         }
     }
 }
--- a/crates/control/tests/replica/disk.rs
+++ b/crates/control/tests/replica/disk.rs
@@ -36,8 +36,8 @@
     let fails = Arc::new(AtomicBool::new(false));
     let switch = Arc::clone(&fails);
     let mut disk = Disk::default();
-    let mut sync = disk.sync;
-    disk.sync = Box::new(move |file| {
+    let sync = disk.sync;
+    disk.sync = Arc::new(move |file| {
         if switch.load(Ordering::Relaxed) {
             return Err(std::io::Error::other("device is gone"));
         }
--- a/crates/storage/src/disk.rs
+++ b/crates/storage/src/disk.rs
@@ -3,23 +3,25 @@
 use std::fmt;
 use std::fs::File;
 use std::io::{self, Write};
+use std::sync::Arc;
 
-type WriteAll = Box<dyn FnMut(&mut File, &[u8]) -> io::Result<()> + Send>;
-type Sync = Box<dyn FnMut(&File) -> io::Result<()> + Send>;
+type WriteAll = Arc<dyn Fn(&mut File, &[u8]) -> io::Result<()> + Send + Sync>;
+type SyncFile = Arc<dyn Fn(&File) -> io::Result<()> + Send + Sync>;
 
 /// Operations by which stored state is made durable.
+#[derive(Clone)]
 pub struct Disk {
     /// Writes all bytes at the file's position.
     pub write: WriteAll,
     /// Makes a file's content and size, or a directory's entries, durable.
-    pub sync: Sync,
+    pub sync: SyncFile,
 }
 
 impl Default for Disk {
     fn default() -> Self {
         Self {
-            write: Box::new(Write::write_all),
-            sync: Box::new(File::sync_all),
+            write: Arc::new(Write::write_all),
+            sync: Arc::new(File::sync_all),
         }
     }
 }
--- a/crates/storage/src/store.rs
+++ b/crates/storage/src/store.rs
@@ -2,7 +2,7 @@
 
 use std::path::{Path, PathBuf};
 
-use chestnutvalve_consensus::Write;
+use chestnutvalve_consensus::{Snapshot, Write};
 
 use crate::disk::Disk;
 use crate::error::Error;
@@ -20,6 +20,25 @@
     failed: bool,
 }
 
+/// Saves the snapshots of one replica. A large one takes long, and writes of the log go on meanwhile. No two may be saved at
+/// once.
+#[derive(Clone, Debug)]
+pub struct Saver {
+    path: PathBuf,
+    disk: Disk,
+}
+
+impl Saver {
+    /// Makes a snapshot durable in place of the stored one.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the operating system; the replica must then stop.
+    pub fn save(&mut self, snapshot: &Snapshot) -> Result<(), Error> {
+        snapshot::save(&self.path, snapshot, &mut self.disk)
+    }
+}
+
 impl Store {
     /// Opens or creates the stored state in the folder `path`.
     ///
@@ -71,6 +90,15 @@
         Ok((store, restored))
     }
 
+    /// Returns what saves snapshots beside the writes of the log.
+    #[must_use]
+    pub fn saver(&self) -> Saver {
+        Saver {
+            path: self.path.join("snapshot"),
+            disk: self.disk.clone(),
+        }
+    }
+
     /// Makes a write durable.
     ///
     /// # Errors
@@ -91,13 +119,13 @@
             hard: write.hard,
             entries: write.entries,
         };
-        match write.snapshot {
-            Some(snapshot) => {
-                snapshot::save(&self.path.join("snapshot"), &snapshot, &mut self.disk)?;
-                self.wal = Wal::replace(&self.path.join("log"), &batch, &mut self.disk)?;
-                Ok(())
-            }
-            None => self.wal.append(&batch, &mut self.disk),
+        if let Some(snapshot) = write.snapshot {
+            self.saver().save(&snapshot)?;
+        }
+        if write.replaces_log {
+            self.wal = Wal::replace(&self.path.join("log"), &batch, &mut self.disk)?;
+            return Ok(());
         }
+        self.wal.append(&batch, &mut self.disk)
     }
 }
--- a/crates/storage/tests/store.rs
+++ b/crates/storage/tests/store.rs
@@ -40,6 +40,7 @@
     Write {
         hard: write.hard.map(|hard| HardState { term, ..hard }),
         entries,
+        replaces_log: snapshot.is_some(),
         snapshot,
         ..write
     }
@@ -162,8 +163,8 @@
     let fails = Arc::new(AtomicBool::new(false));
     let switch = Arc::clone(&fails);
     let mut disk = Disk::default();
-    let mut sync = disk.sync;
-    disk.sync = Box::new(move |file| {
+    let sync = disk.sync;
+    disk.sync = Arc::new(move |file| {
         if switch.load(Ordering::Relaxed) {
             return Err(std::io::Error::other("device is gone"));
         }
