--- a/crates/bench/src/fleet/node.rs
+++ b/crates/bench/src/fleet/node.rs
@@ -1,5 +1,6 @@
 //! Instances of a fleet, which can be started again with the same settings.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
@@ -228,25 +229,23 @@
     }
 }
 
+/// Returns the names of a service's workers that an entry's status lists in `state`.
+fn workers(status: &Value, service: &str, state: &str) -> BTreeSet<String> {
+    let all = status["workers"].as_array().map(Vec::as_slice);
+    let listed = all.unwrap_or_default().iter();
+    let matching = listed.filter(|w| w["service"] == service && w["state"] == state);
+    let names = matching.filter_map(|w| Some(w["worker"].as_str()?.to_owned()));
+    names.collect()
+}
+
 /// Returns how many workers of a service an entry's status calls usable.
 #[must_use]
 pub fn usable_workers(status: &Value, service: &str) -> usize {
-    let workers = status["workers"].as_array().map(Vec::as_slice);
-    let usable = workers
-        .unwrap_or_default()
-        .iter()
-        .filter(|w| w["service"] == service && w["state"] == "usable");
-    usable.count()
+    workers(status, service, "usable").len()
 }
 
-/// Returns the workers of a service that an entry's status calls ejected.
+/// Returns the names of a service's workers that an entry's status calls ejected.
 #[must_use]
-pub fn ejected_workers(status: &Value, service: &str) -> std::collections::BTreeSet<String> {
-    let workers = status["workers"].as_array().map(Vec::as_slice);
-    let ejected = workers
-        .unwrap_or_default()
-        .iter()
-        .filter(|w| w["service"] == service && w["state"] == "ejected");
-    let names = ejected.filter_map(|w| Some(w["worker"].as_str()?.to_owned()));
-    names.collect()
+pub fn ejected_workers(status: &Value, service: &str) -> BTreeSet<String> {
+    workers(status, service, "ejected")
 }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! An instance takes announcements of workers, tells callers which instances serve a service, and routes requests.
 
+pub mod account;
 pub mod addresses;
 pub mod answer;
 pub mod call;
@@ -9,12 +10,15 @@
 pub mod clock;
 pub mod daemon;
 pub mod dispatch;
+pub mod eject;
 pub mod exchange;
 pub mod follow;
 pub mod forward;
 pub mod header;
 pub mod instance;
 pub mod link;
+pub mod meters;
+pub mod once;
 pub mod passed;
 pub mod peers;
 pub mod place;
@@ -22,6 +26,7 @@
 pub mod pool;
 pub mod proxy;
 pub mod replay;
+pub mod services;
 pub mod serving;
 pub mod settings;
 pub mod status;
