Read the entry's status in its documented form; let the system choose forwarders' ports

Two test processes took the same port between the check and the use. A forwarder now binds port 0 and holds what it gets. The status of an entry lists workers with service and state.

--- a/crates/bench/src/fleet.rs
+++ b/crates/bench/src/fleet.rs
@@ -1,7 +1,7 @@
 //! A whole fleet of processes on the loopback network, for tests and measurements.
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
@@ -26,6 +26,8 @@
 
 /// Time for a whole fleet to be ready on a busy machine.
 pub const READY_LIMIT: Duration = Duration::from_mins(1);
+/// The operating system chooses the port of a forwarder, which holds it from then on.
+const ANY_PORT: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
 /// Time for one status question.
 const STATUS_LIMIT: Duration = Duration::from_secs(2);
 /// Bearer token of the operators in a fleet of this module.
@@ -272,7 +274,7 @@
     }
 
     async fn link(&mut self, name: &str, target: SocketAddr) -> Result<SocketAddr, Error> {
-        let forwarder = Forwarder::start(port::free()?, target).await?;
+        let forwarder = Forwarder::start(ANY_PORT, target).await?;
         let address = forwarder.address();
         self.links.insert(name.to_owned(), forwarder);
         Ok(address)
--- a/crates/bench/src/fleet/node.rs
+++ b/crates/bench/src/fleet/node.rs
@@ -229,24 +229,22 @@
     }
 }
 
-fn workers<'a>(status: &'a Value, service: &str) -> &'a [Value] {
-    let workers = status["services"][service]["workers"].as_array();
-    workers.map(Vec::as_slice).unwrap_or_default()
+fn in_state<'a>(status: &'a Value, service: &str, state: &str) -> impl Iterator<Item = &'a str> {
+    let workers = status["workers"].as_array().map(Vec::as_slice);
+    let found = workers.unwrap_or_default().iter();
+    let found = found.filter(move |w| w["service"] == service && w["state"] == state);
+    found.filter_map(|w| w["worker"].as_str())
 }
 
 /// Returns how many workers of a service an entry's status calls usable.
 #[must_use]
 pub fn usable_workers(status: &Value, service: &str) -> usize {
-    let usable = |w: &&Value| w["state"] == "serving";
-    workers(status, service).iter().filter(usable).count()
+    in_state(status, service, "usable").count()
 }
 
 /// Returns the workers of a service that an entry's status calls ejected.
 #[must_use]
 pub fn ejected_workers(status: &Value, service: &str) -> BTreeSet<String> {
-    let ejected = workers(status, service)
-        .iter()
-        .filter(|w| w["ejected"] == true);
-    let names = ejected.filter_map(|w| Some(w["worker"].as_str()?.to_owned()));
-    names.collect()
+    let names = in_state(status, service, "ejected");
+    names.map(str::to_owned).collect()
 }
