Grow the set of owners of a service with its load

Ruled out: each entry deciding alone (owners would disagree on the set); reporting all services in each heartbeat (services below 20 requests/s need no growth and would cost control traffic).

Conclusion: the leader records a least number of owners; rendezvous sets are nested, so entries with an older number still name valid owners.

--- a/crates/control/src/daemon/directory.rs
+++ b/crates/control/src/daemon/directory.rs
@@ -63,7 +63,10 @@
         }
         let steps = {
             let store = instance.store();
-            instance.heartbeats().steps(now, &store.state().directory)
+            let (state, mut heartbeats) = (store.state(), instance.heartbeats());
+            let mut steps = heartbeats.steps(now, &state.directory);
+            steps.extend(heartbeats.resizes(now, &state.owners));
+            steps
         };
         proposal = (!steps.is_empty()).then(|| {
             let instance = Arc::clone(instance);
--- a/crates/control/src/daemon/heartbeats.rs
+++ b/crates/control/src/daemon/heartbeats.rs
@@ -3,9 +3,10 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
+use chestnutvalve_membership::size::Sizes;
 use chestnutvalve_model::control::{Heartbeat, Registered, Step};
 use chestnutvalve_model::directory::Directory;
-use chestnutvalve_model::id::{Entry, Incarnation};
+use chestnutvalve_model::id::{Entry, Incarnation, Service};
 
 /// Time after the last heartbeat at which an entry is removed from the directory.
 pub const EXPIRY: Duration = Duration::from_secs(5);
@@ -32,6 +33,7 @@
     observed: Option<Instant>,
     heard: BTreeMap<Entry, Heard>,
     left: BTreeMap<Entry, (Incarnation, Instant)>,
+    sizes: Sizes,
 }
 
 impl Heartbeats {
@@ -46,6 +48,7 @@
             self.term = leads;
             self.heard.clear();
             self.left.clear();
+            self.sizes = Sizes::default();
             self.since = leads.map(|_| now);
         } else if paused && leads.is_some() {
             self.since = Some(now);
@@ -115,6 +118,23 @@
         leaves.chain(joins).collect()
     }
 
+    /// Returns the steps that adapt the number of owners of the services to the load that the heartbeats report.
+    #[must_use]
+    pub fn resizes(&mut self, now: Instant, recorded: &BTreeMap<Service, u8>) -> Vec<Step> {
+        // A new leader has not heard all entries yet, and would take the rest of the load for the whole.
+        if self.since.is_none_or(|since| now - since <= EXPIRY) {
+            return Vec::new();
+        }
+        let mut rates = BTreeMap::new();
+        for rate in self.heard.values().flat_map(|h| &h.heartbeat.rates) {
+            let total: &mut u32 = rates.entry(rate.service.clone()).or_default();
+            *total = total.saturating_add(rate.per_second);
+        }
+        let changes = self.sizes.changes(now, &rates, recorded).into_iter();
+        let resize = |(service, owners)| Step::Resize { service, owners };
+        changes.map(resize).collect()
+    }
+
     /// Returns the last heartbeat of an entry.
     #[must_use]
     pub fn last(&self, entry: &Entry) -> Option<&Heard> {
--- a/crates/control/src/daemon/watch.rs
+++ b/crates/control/src/daemon/watch.rs
@@ -72,6 +72,7 @@
                     |services| state.document.part(services),
                 ),
                 directory: state.directory.clone(),
+                owners: state.owners.clone(),
             })
         },
         Content::Records,
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -110,11 +110,19 @@
             Step::Edits(_) => return,
             Step::Join(member) => member.entry.clone(),
             Step::Leave { entry, .. } => entry.clone(),
+            Step::Resize { service, owners } => {
+                let before = self.state.owners.get(service).copied();
+                self.state.resize(service, *owners);
+                if self.state.owners.get(service).copied() != before {
+                    self.push(term, step, Vec::new());
+                }
+                return;
+            }
         };
         let directory = &mut self.state.directory;
         let before = directory.members.get(&entry).cloned();
         match &mut step {
-            Step::Edits(_) => return,
+            Step::Edits(_) | Step::Resize { .. } => return,
             Step::Join(member) => {
                 keep_draining(before.as_ref(), member);
                 directory.join(member);
@@ -143,7 +151,7 @@
         let after = self.records.after(version)?;
         let steps = after.filter_map(|record| match &record.step {
             Step::Edits(edits) => Some(edits.clone()),
-            Step::Join(_) | Step::Leave { .. } => None,
+            Step::Join(_) | Step::Leave { .. } | Step::Resize { .. } => None,
         });
         Some(steps.flatten().collect())
     }
--- a/crates/control/tests/all/cluster.rs
+++ b/crates/control/tests/all/cluster.rs
@@ -188,6 +188,7 @@
         member: member("e1", 1),
         in_force: Version::ZERO,
         in_force_ms: 0,
+        rates: Vec::new(),
     };
     let registered = follower
         .client
@@ -223,6 +224,7 @@
         member: member("e1", 1),
         in_force: Version::ZERO,
         in_force_ms: 0,
+        rates: Vec::new(),
     };
     let follower = cluster.follower().await;
     let registered = follower
--- a/crates/control/tests/all/heartbeats.rs
+++ b/crates/control/tests/all/heartbeats.rs
@@ -1,11 +1,12 @@
 //! Expiry of entries at the leader.
 
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 use chestnutvalve_control::daemon::heartbeats::Heartbeats;
-use chestnutvalve_model::control::{Heartbeat, Registered, Step};
+use chestnutvalve_model::control::{Heartbeat, Rate, Registered, Step};
 use chestnutvalve_model::directory::Directory;
-use chestnutvalve_model::id::Incarnation;
+use chestnutvalve_model::id::{Incarnation, Service};
 use chestnutvalve_model::version::Version;
 
 use crate::support::{entry, member};
@@ -15,6 +16,7 @@
         member: member(name, incarnation),
         in_force: Version::ZERO,
         in_force_ms: 0,
+        rates: Vec::new(),
     }
 }
 
@@ -60,7 +62,7 @@
                     Step::Leave { entry, incarnation } => {
                         self.directory.leave(entry, *incarnation);
                     }
-                    Step::Edits(_) => {}
+                    Step::Edits(_) | Step::Resize { .. } => {}
                 }
                 all.push((ms, step));
             }
@@ -161,3 +163,29 @@
     let steps = leader.heartbeats.steps(leader.at(4_000), &leader.directory);
     assert_eq!(steps, [Step::Join(member("e1", 2))]);
 }
+
+/// Guards against a new leader that takes the load of the entries it has heard so far for the whole load.
+#[test]
+fn new_leader_waits_for_all_entries_before_it_changes_the_number_of_owners() {
+    let service = Service::new("desk").unwrap();
+    let mut leader = Leader::new(&["e1", "e2"]);
+    let mut resized = Vec::new();
+    for ms in (0..8_000).step_by(100) {
+        let now = leader.at(ms);
+        leader.heartbeats.observe(now, Some(2));
+        for name in ["e1", "e2"] {
+            let mut beat = beat(name, 1);
+            beat.rates = vec![Rate {
+                service: service.clone(),
+                per_second: 500,
+            }];
+            leader.heartbeats.beat(now, &leader.directory, beat);
+        }
+        let steps = leader.heartbeats.resizes(now, &BTreeMap::new());
+        resized.extend(steps.into_iter().map(|step| (ms, step)));
+    }
+    let (first, step) = resized.first().unwrap();
+    assert!(*first > 5_000, "changed {first} ms after the election");
+    // 1,000 requests/s need 5 owners of 200 requests/s, and one is added as a reserve.
+    assert_eq!(*step, Step::Resize { service, owners: 6 });
+}
--- a/crates/entry/src/instance.rs
+++ b/crates/entry/src/instance.rs
@@ -172,7 +172,7 @@
             Some(serving) => serving.document(&state).resolve(&target),
             None => state.document.resolve(&target),
         };
-        let size = usize::from(size.entries_per_service);
+        let size = state.owners_of(service, size.entries_per_service);
         let owners = placement::owners(service, size, &state.directory);
         let members = owners
             .iter()
--- a/crates/entry/src/link.rs
+++ b/crates/entry/src/link.rs
@@ -1,10 +1,11 @@
 //! Connection to the control instances: watch, heartbeats and calls to any reachable instance.
 
+use std::cmp::Reverse;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
-use chestnutvalve_model::control::{Heartbeat, Registered, State, Update, Watch};
+use chestnutvalve_model::control::{Heartbeat, Rate, Registered, State, Update, Watch};
 use chestnutvalve_model::version::Version;
 use chestnutvalve_wire::{Client, Error, Traffic};
 use serde::Serialize;
@@ -29,6 +30,10 @@
 const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(700);
 /// Time for a peer entry to send the state.
 const FETCH_TIMEOUT: Duration = Duration::from_secs(2);
+/// Load from which a service is reported, in requests a second; idle services then cost no control traffic.
+const REPORTED_RATE: u32 = 20;
+/// Most services that one heartbeat reports.
+const MAX_RATES: usize = 64;
 
 /// Clients of the control instances.
 #[derive(Debug)]
@@ -187,6 +192,7 @@
         member: instance.member(),
         in_force: instance.follow.version(),
         in_force_ms: u64::try_from(in_force.as_millis()).unwrap_or(u64::MAX),
+        rates: rates(instance),
     };
     let call = instance
         .link
@@ -202,3 +208,19 @@
         Err(_) => spdlog::debug!("heartbeat: no control instance answered in time"),
     }
 }
+
+/// Returns the load of the busiest services; the others need no more owners than configured.
+fn rates(instance: &Instance) -> Vec<Rate> {
+    let now = clock::now();
+    let all = instance.services.all().into_iter();
+    let mut rates: Vec<Rate> = all
+        .map(|serving| Rate {
+            per_second: serving.rate(now),
+            service: serving.name.clone(),
+        })
+        .filter(|rate| rate.per_second >= REPORTED_RATE)
+        .collect();
+    rates.sort_unstable_by_key(|rate| Reverse(rate.per_second));
+    rates.truncate(MAX_RATES);
+    rates
+}
--- a/crates/entry/src/serving.rs
+++ b/crates/entry/src/serving.rs
@@ -22,6 +22,9 @@
 use crate::clock;
 use crate::place::{Permit, Place, Waiting};
 
+/// Time over which the load is counted; heartbeats may follow each other sooner.
+const LOAD_PERIOD: Duration = Duration::from_millis(900);
+
 /// Worker that can take a request.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Candidate {
@@ -63,6 +66,16 @@
     /// Attempts in progress.
     pub(crate) places: HashMap<Worker, u32>,
     used: Instant,
+    load: Load,
+}
+
+/// Load over the last full second.
+#[derive(Debug)]
+struct Load {
+    since: Instant,
+    /// Ticket number at that instant.
+    ticket: u64,
+    per_second: u32,
 }
 
 impl Serving {
@@ -81,6 +94,11 @@
             upstreams: HashMap::new(),
             places: HashMap::new(),
             used: clock::now(),
+            load: Load {
+                since: clock::now(),
+                ticket: 0,
+                per_second: 0,
+            },
         };
         Self {
             name,
@@ -150,6 +168,23 @@
         admitted
     }
 
+    /// Returns the requests a second over the last full second or more, refused ones included.
+    #[must_use]
+    pub fn rate(&self, now: Instant) -> u32 {
+        let mut inner = self.lock();
+        let elapsed = now.saturating_duration_since(inner.load.since);
+        if elapsed >= LOAD_PERIOD {
+            let offered = inner.next_ticket - inner.load.ticket;
+            let per_second = u128::from(offered) * 1_000 / elapsed.as_millis().max(1);
+            inner.load = Load {
+                since: now,
+                ticket: inner.next_ticket,
+                per_second: u32::try_from(per_second).unwrap_or(u32::MAX),
+            };
+        }
+        inner.load.per_second
+    }
+
     /// Waits for a place to run; gives up its place in the queue when dropped.
     ///
     /// # Errors
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -1,8 +1,10 @@
-//! Who may serve: the workers that an entry knows, with proofs of liveness, and the ejections that the fleet allows.
+//! Who may serve: the workers that an entry knows, with proofs of liveness, the ejections that the fleet allows
+//! and the number of owners that a service needs.
 //!
-//! Both modules are state machines without clock and I/O.
+//! They are state machines without clock and I/O.
 
 pub mod digest;
 pub mod grant;
+pub mod size;
 pub mod token;
 pub mod worker;
--- a/crates/model/src/control.rs
+++ b/crates/model/src/control.rs
@@ -1,5 +1,7 @@
 //! Messages between entries and control instances.
 
+use std::collections::BTreeMap;
+
 use serde::{Deserialize, Serialize};
 
 use crate::config::{Document, Edit};
@@ -67,6 +69,13 @@
         /// Greatest incarnation that is removed.
         incarnation: Incarnation,
     },
+    /// The load of a service calls for another number of owners.
+    Resize {
+        /// Name of the service.
+        service: Service,
+        /// Least number of owners; 0 leaves it to the configuration.
+        owners: u8,
+    },
 }
 
 /// State that entries follow.
@@ -78,6 +87,8 @@
     pub document: Document,
     /// Live entry instances.
     pub directory: Directory,
+    /// Least number of owners of the services whose load calls for more than a few.
+    pub owners: BTreeMap<Service, u8>,
 }
 
 impl State {
@@ -95,10 +106,27 @@
             Step::Edits(edits) => self.document.edit(edits)?,
             Step::Join(member) => self.directory.join(member),
             Step::Leave { entry, incarnation } => self.directory.leave(entry, *incarnation),
+            Step::Resize { service, owners } => self.resize(service, *owners),
         }
         self.version = record.version;
         Ok(())
     }
+
+    /// Records the least number of owners of a service; 0 removes the record.
+    pub fn resize(&mut self, service: &Service, owners: u8) {
+        if owners == 0 {
+            self.owners.remove(service);
+        } else {
+            self.owners.insert(service.clone(), owners);
+        }
+    }
+
+    /// Returns the number of owners of a service for which `configured` ones are configured.
+    #[must_use]
+    pub fn owners_of(&self, service: &Service, configured: u8) -> usize {
+        let least = self.owners.get(service).copied().unwrap_or_default();
+        usize::from(configured.max(least))
+    }
 }
 
 /// Sign of life of an entry instance; the first one joins the directory.
@@ -110,6 +138,17 @@
     pub in_force: Version,
     /// Time since that version came into force, in milliseconds.
     pub in_force_ms: u64,
+    /// Load of the services that the instance is busy with.
+    pub rates: Vec<Rate>,
+}
+
+/// Load of a service at one entry.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Rate {
+    /// Name of the service.
+    pub service: Service,
+    /// Requests a second, refused ones included.
+    pub per_second: u32,
 }
 
 /// Answer to [`Heartbeat`].
