--- /dev/null
+++ b/crates/routing/tests/rules.rs
@@ -0,0 +1,226 @@
+//! Placement, warm-up, evidence and the retry budget.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use chestnutvalve_model::directory::{Directory, Member};
+use chestnutvalve_model::error::Executed;
+use chestnutvalve_model::id::{Entry, Incarnation, Service, Worker, Zone};
+use chestnutvalve_routing::balance::{Balancer, Upstream};
+use chestnutvalve_routing::evidence::{Stage, combined, executed};
+use chestnutvalve_routing::placement::{home, owners};
+use chestnutvalve_routing::retry::{Budget, allowed};
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use rstest::rstest;
+
+const ENTRIES: usize = 51;
+const SERVICES: usize = 6_700;
+const OWNERS: usize = 4;
+
+fn member(index: usize) -> Member {
+    let address: SocketAddr = "127.0.0.1:1".parse().unwrap();
+    Member {
+        entry: Entry::new(&format!("e{index}")).unwrap(),
+        incarnation: Incarnation(1),
+        zone: Zone::new(&format!("z{}", index % 3)).unwrap(),
+        callers: address,
+        platform: address,
+        peers: address,
+        draining: false,
+    }
+}
+
+fn directory(members: impl Iterator<Item = usize>) -> Directory {
+    let mut directory = Directory::default();
+    members.for_each(|index| directory.join(&member(index)));
+    directory
+}
+
+fn sets(directory: &Directory) -> Vec<Vec<Entry>> {
+    let name = |n| Service::new(&format!("service-{n}")).unwrap();
+    (0..SERVICES)
+        .map(|n| owners(&name(n), OWNERS, directory))
+        .collect()
+}
+
+/// Guards against sets that depend on the order of joins, share one availability zone or name a leaving member.
+#[test]
+fn owners_are_agreed_and_spread() {
+    let mut first = directory(0..ENTRIES);
+    let mut second = directory((0..ENTRIES).rev());
+    for directory in [&mut first, &mut second] {
+        directory
+            .members
+            .get_mut(&member(7).entry)
+            .unwrap()
+            .draining = true;
+    }
+    assert_eq!(sets(&first), sets(&second));
+    for set in sets(&first) {
+        let mut zones: BTreeMap<&Zone, usize> = BTreeMap::new();
+        for entry in &set {
+            *zones.entry(&first.members[entry].zone).or_default() += 1;
+        }
+        assert_eq!(set.len(), OWNERS);
+        assert!(
+            zones.len() == 3 && zones.values().all(|&n| n <= 2),
+            "{zones:?}"
+        );
+        assert!(!set.contains(&member(7).entry));
+    }
+    let few = directory(0..3);
+    assert_eq!(sets(&few)[0].len(), 3);
+}
+
+/// Guards against one join or leave moving more than the places of that member: each set has it with a chance of
+/// `OWNERS / ENTRIES`, and then changes in one place.
+#[test]
+fn one_member_moves_its_own_places_only() {
+    let (all, without) = (directory(0..ENTRIES), directory(1..ENTRIES));
+    let (mut changed, mut places) = (0, 0);
+    for (with, without) in sets(&all).iter().zip(sets(&without)) {
+        let moved = with.iter().filter(|e| !without.contains(e)).count();
+        changed += usize::from(moved > 0);
+        places += moved;
+    }
+    println!("{changed} of {SERVICES} sets changed, in {places} places");
+    assert_eq!(places, changed);
+    assert!(
+        changed * ENTRIES <= SERVICES * OWNERS * 11 / 10,
+        "{changed} sets changed"
+    );
+}
+
+/// Guards against members with far more services, or homes of far more workers, than others.
+#[test]
+fn places_and_homes_are_balanced() {
+    let all = directory(0..ENTRIES);
+    let (mut places, mut homes) = (BTreeMap::new(), BTreeMap::new());
+    for set in sets(&all) {
+        for entry in set {
+            *places.entry(entry).or_insert(0) += 1;
+        }
+    }
+    let (least, most) = (
+        places.values().min().unwrap(),
+        places.values().max().unwrap(),
+    );
+    println!("{least} to {most} services at a member");
+    assert!(
+        places.len() == ENTRIES && most * 10 <= least * 15,
+        "{least} to {most}"
+    );
+
+    let owners: Vec<Member> = (0..4).map(member).collect();
+    let owners: Vec<&Member> = owners.iter().collect();
+    for index in 0..4_000 {
+        let (worker, zone) = (Worker::new(&format!("w{index}")).unwrap(), index % 4);
+        let zone = Zone::new(&format!("z{zone}")).unwrap();
+        let home = home(&worker, &zone, &owners).unwrap();
+        let local = owners.iter().filter(|m| m.zone == zone);
+        assert!(local.clone().count() == 0 || local.clone().any(|m| m.entry == home));
+        *homes.entry(home).or_insert(0) += 1;
+    }
+    assert!(
+        homes.values().all(|count| (600..1_400).contains(count)),
+        "{homes:?}"
+    );
+}
+
+/// Guards against a cold worker getting its full share at once, or none at all.
+#[rstest]
+#[case::new(0, 20..70)]
+#[case::half_way(5_000, 100..240)]
+#[case::warm(10_000, 280..390)]
+fn new_workers_warm_up(#[case] age_ms: u64, #[case] expected: std::ops::Range<u32>) {
+    let start = Instant::now();
+    let mut random = StdRng::seed_from_u64(1);
+    let zone = Zone::new("z").unwrap();
+    let mut balancer = Balancer::new(zone.clone());
+    for (index, warm_up) in [Duration::ZERO, Duration::ZERO, Duration::from_secs(10)]
+        .into_iter()
+        .enumerate()
+    {
+        let worker = Worker::new(&format!("w{index}")).unwrap();
+        balancer.upsert(
+            start,
+            Upstream {
+                worker,
+                zone: zone.clone(),
+                slots: 1_000,
+                warm_up,
+            },
+        );
+    }
+    let now = start + Duration::from_millis(age_ms);
+    let mut picked = 0;
+    for _ in 0..1_000 {
+        let worker = balancer.pick(now, |_| true, |_| 0.0, &mut random).unwrap();
+        picked += u32::from(worker.as_str() == "w2");
+    }
+    assert!(expected.contains(&picked), "{picked} of 1000");
+    assert!(
+        balancer
+            .pick(now, |_| false, |_| 0.0, &mut random)
+            .is_none()
+    );
+}
+
+/// Guards against reporting "not executed" when the request may have run.
+#[rstest]
+#[case(&[], Executed::No)]
+#[case(&[Stage::NotSent], Executed::No)]
+#[case(&[Stage::ConnectRefused, Stage::StreamRefused, Stage::ShedByWorker], Executed::No)]
+#[case(&[Stage::Sent], Executed::Unknown)]
+#[case(&[Stage::Sent, Stage::ConnectRefused], Executed::Unknown)]
+#[case(&[Stage::ShedByWorker, Stage::Sent, Stage::Answered], Executed::Yes)]
+#[case(&[Stage::Answered, Stage::NotSent], Executed::Yes)]
+fn execution_follows_from_the_stages(#[case] stages: &[Stage], #[case] expected: Executed) {
+    assert_eq!(combined(stages), expected);
+    if let [stage] = stages {
+        assert_eq!(executed(stage), expected);
+    }
+}
+
+/// Guards against retrying what may have run, or what can't be in time.
+#[rstest]
+#[case(true, Executed::Unknown, 100, true)]
+#[case(true, Executed::Yes, 100, true)]
+#[case(false, Executed::No, 100, true)]
+#[case(false, Executed::Unknown, 100, false)]
+#[case(false, Executed::Yes, 100, false)]
+#[case(true, Executed::No, 49, false)]
+#[case(true, Executed::No, 0, false)]
+fn retries_are_safe_and_in_time(
+    #[case] idempotent: bool,
+    #[case] executed: Executed,
+    #[case] left_ms: u64,
+    #[case] expected: bool,
+) {
+    let (left, typical) = (Duration::from_millis(left_ms), Duration::from_millis(50));
+    assert_eq!(allowed(idempotent, executed, left, typical), expected);
+}
+
+/// Guards against retries beyond the percentage of first attempts, also after a quiet period.
+#[rstest]
+fn retries_stay_within_the_budget(#[values(0, 10, 50)] percent: u8) {
+    let mut budget = Budget::new(percent);
+    (0..1_000).for_each(|_| budget.deposit());
+    let mut retries = 0;
+    for _ in 0..1_000 {
+        budget.deposit();
+        while budget.withdraw() {
+            retries += 1;
+        }
+    }
+    let expected = 10 * u32::from(percent);
+    assert!(
+        (expected..=expected + 10).contains(&retries),
+        "{retries} retries"
+    );
+    budget.configure(0);
+    budget.deposit();
+    assert!(!budget.withdraw());
+}
