Hand over when a write hangs, and fence replicas left behind by a recovery

A leader whose disk hangs went on sending heartbeats and committed through its followers, but could not apply and so answered no proposer.

A replica that a forced recovery left behind returned, and its inquiry was answered with its removal, which it ignored while inquiring. It now stops. Before, two such replicas could form a quorum of the old membership.

Commands above 16 MiB are refused, because a message with one would not fit a frame and would be sent for ever. Joining replicas count towards the limit of five voters.

--- a/crates/consensus/src/replica.rs
+++ b/crates/consensus/src/replica.rs
@@ -232,6 +232,10 @@
         match (&message, self.inquiry.is_some()) {
             (Message::Inquire, _) => return self.answer_inquiry(now, from),
             (Message::Recall { known }, true) => return self.recalled(now, from, *known),
+            (Message::Removed { term }, _) if *term >= self.hard.term => {
+                self.fault = Some(Error::Removed(self.id));
+                return;
+            }
             // Before the inquiry is answered, the disk may be a rolled-back one, whose word counts for nothing.
             (Message::Recall { .. }, false) | (_, true) => return,
             _ => {}
@@ -294,8 +298,7 @@
                 ..
             } => self.part_received(now, from, position, received, stamp),
             Message::TakeOver { .. } => self.take_over(now, from),
-            Message::Removed { .. } => self.fault = Some(Error::Removed(self.id)),
-            Message::Inquire | Message::Recall { .. } => {}
+            Message::Removed { .. } | Message::Inquire | Message::Recall { .. } => {}
         }
     }
 
--- a/crates/consensus/tests/all/members.rs
+++ b/crates/consensus/tests/all/members.rs
@@ -174,4 +174,11 @@
     sim.replica_mut(survivor).change(add).unwrap();
     sim.run(Duration::from_secs(1));
     assert_eq!(sim.replica(survivor).membership().0.voters().count(), 2);
+    // Those that were left behind return, and must not go on as a group of their own.
+    for number in (0..3).filter(|number| *number != survivor) {
+        sim.start(number);
+        sim.run(Duration::from_secs(1));
+        let fault = sim.replica(number).fault();
+        assert!(matches!(fault, Some(Error::Removed(_))), "{fault:?}");
+    }
 }
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -12,7 +12,7 @@
 use chestnutvalve_model::error::Fault;
 use chestnutvalve_storage::{Directory, Disk, Error};
 
-pub use handle::Handle;
+pub use handle::{Handle, MAX_COMMAND_BYTES};
 pub use network::Network;
 pub use options::Options;
 
--- a/crates/control/src/replica/driver.rs
+++ b/crates/control/src/replica/driver.rs
@@ -6,6 +6,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use chestnutvalve_consensus::{
     self as consensus, Membership, Receipt, Replica, ReplicaId, Restored, Snapshot,
@@ -29,6 +30,9 @@
 const PROPOSALS: usize = 1_024;
 /// Proposals that wait for their commit; further ones wait in the channel.
 const OPEN_PROPOSALS: usize = 8_192;
+/// Time of a write after which a leader hands over. Its followers commit without its disk, but it can't answer proposers. Syncs
+/// on a busy disk take tens of milliseconds.
+const SLOW_WRITE: Duration = Duration::from_secs(1);
 /// Most inputs handled before their output is carried out.
 const BATCH: usize = 1_024;
 
@@ -44,6 +48,8 @@
     links: Links,
     store: Option<Store>,
     writing: Option<(Writing, Receipt, Messages)>,
+    /// When the write in progress counts as slow; `None` once that was noted.
+    slow_at: Option<Instant>,
     saver: Saver,
     saving: Option<Saving>,
     waiting: BTreeMap<u64, (u64, oneshot::Sender<Outcome>)>,
@@ -129,6 +135,7 @@
         replica,
         machine,
         options,
+        slow_at: None,
         saver: store.saver(),
         saving: None,
         store: Some(store),
@@ -167,7 +174,10 @@
                 return self.finish().await;
             }
             let wake = Instant::from_std(self.replica.next_tick());
-            let wake = self.stop.map_or(wake, |at| wake.min(at));
+            let wake = [self.stop, self.slow_at]
+                .into_iter()
+                .flatten()
+                .fold(wake, Instant::min);
             tokio::select! {
                 Some(input) = inputs.recv() => {
                     self.input(input);
@@ -189,7 +199,16 @@
                 written = written(&mut self.writing) => self.written(written)?,
                 () = sleep_until(wake) => {}
             }
-            self.replica.tick(Instant::now().into_std());
+            let now = Instant::now();
+            self.replica.tick(now.into_std());
+            if self.slow_at.take_if(|at| now >= *at).is_some() {
+                spdlog::warn!(
+                    "group {}: a write takes longer than {SLOW_WRITE:?}",
+                    self.options.group
+                );
+                // Only a leader can hand over; a follower's slow disk delays nobody while others are fast.
+                let _ = self.replica.hand_over(now.into_std());
+            }
         }
     }
 
@@ -247,6 +266,7 @@
                 (store, outcome)
             });
             self.writing = Some((writing, receipt, messages));
+            self.slow_at = Some(Instant::now() + SLOW_WRITE);
         }
     }
 
@@ -257,6 +277,7 @@
     }
 
     fn written(&mut self, written: Written) -> Result<(), Fault> {
+        self.slow_at = None;
         let (store, outcome) = written.result;
         if let Err(error) = outcome {
             // It is unknown what the disk holds, so that the replica can't promise anything any more.
--- a/crates/control/src/replica/driver/apply.rs
+++ b/crates/control/src/replica/driver/apply.rs
@@ -7,6 +7,9 @@
 use crate::replica::Committed;
 use crate::replica::network::unconfirmed;
 
+/// Size of the applied entries after which a snapshot is due whatever their number, in bytes. Entries stay in memory until then.
+const COMPACT_BYTES: usize = 16 * 1024 * 1024;
+
 impl Driver {
     pub(super) fn apply(&mut self) -> Result<(), Fault> {
         if let Some(snapshot) = self.replica.take_restore() {
@@ -64,7 +67,8 @@
         }
         let (entries, bytes, size) = self.since_snapshot;
         let limit = self.options.compact_entries;
-        if entries >= 16 * limit || (entries >= limit && bytes >= size) {
+        let many = entries >= limit || bytes >= COMPACT_BYTES;
+        if entries >= 16 * limit || (many && bytes >= size) {
             let data = (self.machine.save)();
             self.since_snapshot = (0, 0, data.len());
             let Some(snapshot) = self.replica.snapshot(data) else {
--- a/crates/control/src/replica/driver/input.rs
+++ b/crates/control/src/replica/driver/input.rs
@@ -91,7 +91,8 @@
         let leader = self.replica.leader().filter(|id| *id != self.replica.id());
         let leader = leader.and_then(|id| members.get(id)).map(|m| m.address);
         let replaces = members.members.iter().any(|m| m.name == hello.name);
-        let voter = hello.voter && (replaces || members.voters().count() < MAX_VOTERS);
+        let voting = members.members.iter().filter(|m| m.kind != Kind::Learner);
+        let voter = hello.voter && (replaces || voting.count() < MAX_VOTERS);
         if formed && members.get(hello.id).is_none() {
             let member = Member {
                 id: hello.id,
--- a/crates/control/src/replica/handle.rs
+++ b/crates/control/src/replica/handle.rs
@@ -13,6 +13,8 @@
 use super::network::{Forward, Input, Network, Outcome, Proposal, unconfirmed};
 use super::{Role, Status};
 
+/// Largest command. A message holds at least one whole entry, and several messages share a frame of at most 64 MiB.
+pub const MAX_COMMAND_BYTES: usize = 16 * 1024 * 1024;
 /// Longest time for a proposal to be committed.
 const PROPOSAL_TIMEOUT: Duration = Duration::from_secs(5);
 /// Longest time in which a proposal waits for a leader.
@@ -49,9 +51,13 @@
     ///
     /// # Errors
     ///
-    /// Returns [`Kind::NoQuorum`] when the command was certainly not appended, and [`Kind::ChangeUnconfirmed`] when that is
-    /// not known.
+    /// Returns [`Kind::NoQuorum`] when the command was certainly not appended, [`Kind::ChangeUnconfirmed`] when that is not
+    /// known, and [`Kind::TooLarge`] for a command above [`MAX_COMMAND_BYTES`].
     pub async fn propose(&self, command: Vec<u8>) -> Result<Vec<u8>, Fault> {
+        if command.len() > MAX_COMMAND_BYTES {
+            let context = format!("command of {} bytes", command.len());
+            return Err(Fault::new(Kind::TooLarge, context));
+        }
         let start = Instant::now();
         loop {
             let outcome = self.attempt(&command, start + PROPOSAL_TIMEOUT).await;
--- a/crates/control/tests/replica/cluster.rs
+++ b/crates/control/tests/replica/cluster.rs
@@ -17,6 +17,8 @@
 pub struct Instance {
     pub handle: Handle,
     pub commands: Commands,
+    /// Replica of a second group in the same directory and on the same connections.
+    pub second: Option<Handle>,
     server: JoinHandle<()>,
 }
 
@@ -24,6 +26,7 @@
     pub folder: tempfile::TempDir,
     pub peers: Vec<Peer>,
     pub instances: Vec<Option<Instance>>,
+    second: bool,
 }
 
 pub fn machine() -> (Machine, Commands) {
@@ -60,6 +63,11 @@
 
 impl Cluster {
     pub async fn start(size: usize) -> Self {
+        Self::start_with(size, false).await
+    }
+
+    /// Starts a group, and a second one at the same instances if asked for.
+    pub async fn start_with(size: usize, second: bool) -> Self {
         let folder = tempfile::tempdir().unwrap();
         let mut servers = Vec::new();
         let mut peers = Vec::new();
@@ -75,6 +83,7 @@
             folder,
             peers,
             instances: Vec::new(),
+            second,
         };
         for (number, server) in servers.into_iter().enumerate() {
             let instance = cluster.launch(number, server, Disk::default(), |options| options);
@@ -100,11 +109,20 @@
         let options = adapt(options.with_members(self.peers.clone()));
         let network = Network::default();
         let (machine, commands) = machine();
-        let handle = replica::start(&network, &Arc::new(directory), disk, options, machine)?;
+        let directory = Arc::new(directory);
+        let second = self.second.then(|| {
+            let options = Options::new("second", &format!("c{number}"), address);
+            let options = options.with_members(self.peers.clone());
+            let (machine, _) = self::machine();
+            replica::start(&network, &directory, Disk::default(), options, machine)
+        });
+        let second = second.transpose()?;
+        let handle = replica::start(&network, &directory, disk, options, machine)?;
         let server = tokio::spawn(server.serve(network.route(Router::default())));
         Ok(Instance {
             handle,
             commands,
+            second,
             server,
         })
     }
@@ -137,6 +155,9 @@
         let instance = self.instances[number].take().unwrap();
         instance.server.abort();
         instance.handle.abort().await;
+        if let Some(second) = &instance.second {
+            second.abort().await;
+        }
         let _ = instance.server.await;
     }
 
--- a/crates/control/tests/replica/disk.rs
+++ b/crates/control/tests/replica/disk.rs
@@ -63,6 +63,46 @@
         .unwrap();
 }
 
+/// Guards against a leader whose disk hangs and that keeps the leadership without answering proposers.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_leader_with_a_hanging_disk_hands_over() {
+    let mut cluster = Cluster::start(3).await;
+    let hangs: [Arc<AtomicBool>; 3] = Default::default();
+    for (number, switch) in hangs.iter().cloned().enumerate() {
+        let mut disk = Disk::default();
+        let sync = disk.sync;
+        disk.sync = Arc::new(move |file| {
+            if switch.swap(false, Ordering::Relaxed) {
+                std::thread::sleep(Duration::from_secs(6));
+            }
+            sync(file)
+        });
+        cluster.crash(number).await;
+        cluster.restart_with(number, disk, |o| o).await.unwrap();
+    }
+    let leader = cluster.wait_leader().await;
+    hangs[leader].store(true, Ordering::Relaxed);
+    let slow = cluster.handle(leader).clone();
+    let open = tokio::spawn(async move { slow.propose(b"first".to_vec()).await });
+    let new = wait("another leader", || {
+        cluster.leader().filter(|new| *new != leader)
+    })
+    .await;
+    cluster
+        .handle(new)
+        .propose(b"second".to_vec())
+        .await
+        .unwrap();
+    assert_eq!(
+        cluster.commands(new),
+        [b"first".to_vec(), b"second".to_vec()]
+    );
+    assert_eq!(
+        open.await.unwrap().unwrap_err().kind,
+        Kind::ChangeUnconfirmed
+    );
+}
+
 /// Guards against a restart that takes longer than the limit after many commands, with and without a snapshot.
 #[rstest]
 #[case::without_snapshot(u64::MAX / 16)]
--- a/crates/control/tests/replica/failover.rs
+++ b/crates/control/tests/replica/failover.rs
@@ -22,6 +22,29 @@
     }
 }
 
+/// Guards against groups that take each other's messages or files, and against a group that suffers from the end of another.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn two_groups_share_connections_and_directories() {
+    let mut cluster = Cluster::start_with(3, true).await;
+    let second = |cluster: &Cluster, number: usize| {
+        let instance = cluster.instances[number].as_ref().unwrap();
+        instance.second.clone().unwrap()
+    };
+    for count in 1..=5_u64 {
+        let handle = second(&cluster, 0);
+        let result = handle.propose(b"second".to_vec()).await.unwrap();
+        assert_eq!(result, count.to_le_bytes());
+    }
+    cluster.handle(0).propose(b"first".to_vec()).await.unwrap();
+    assert_eq!(cluster.commands(0), [b"first".to_vec()]);
+    cluster.crash(1).await;
+    cluster.restart(1).await;
+    cluster.handle(1).abort().await;
+    let handle = second(&cluster, 1);
+    let result = handle.propose(b"second".to_vec()).await.unwrap();
+    assert_eq!(result, 6_u64.to_le_bytes());
+}
+
 /// Guards against the loss of committed commands with the leader.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn the_others_go_on_after_the_loss_of_the_leader() {
