Admit empty replicas on the leader's word, and remove replaced learners

A relay that joins a group of which most first voters are gone waited for a quorum of them for ever. The leader, while it holds a lease, knows every acknowledgement that counts, so that its answer alone is enough.

Each replaced disk of a relay left a learner in the membership. The leader now removes a silent one when another replica of its name is heard.

A change of leader or term is logged.

--- a/crates/consensus/src/replica/change.rs
+++ b/crates/consensus/src/replica/change.rs
@@ -69,9 +69,15 @@
     }
 
     /// Promotes joining replicas that are caught up. A voter of the same name, which the joining one replaces, is removed first,
-    /// once it has been silent for long enough.
+    /// once it has been silent for long enough. Silent replicas without a vote are removed when another one has their name.
     pub(super) fn reconcile(&mut self, now: Instant) {
         let members = self.log.membership().1;
+        let replaced = members.members.iter().find(|old| {
+            let mut others = members.members.iter();
+            old.kind != Kind::Voter
+                && self.is_silent(now, old.id)
+                && others.any(|new| new.name == old.name && !self.is_silent(now, new.id))
+        });
         let joining = members.members.iter().filter(|m| m.kind == Kind::Joining);
         let change = joining
             .filter(|member| self.is_caught_up(member.id))
@@ -84,6 +90,7 @@
                     Some(_) => None,
                 }
             });
+        let change = replaced.map(|old| Change::Remove(old.id)).or(change);
         if let Some(change) = change {
             // A refused change is tried again at the next heartbeat.
             let _ = self.change(change);
--- a/crates/consensus/tests/all/members.rs
+++ b/crates/consensus/tests/all/members.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use chestnutvalve_consensus::{Change, Error, Kind, Payload, ReplicaId, Restored, Role};
+use chestnutvalve_consensus::{Change, Error, Kind, Payload, ReplicaId, Restored, Role, Settings};
 use rstest::rstest;
 
 use crate::sim::{Sim, member};
@@ -19,12 +19,16 @@
 /// Guards against a joining replica that votes before it is caught up, or never gets its vote, with and without a snapshot.
 #[rstest]
 fn a_joining_replica_becomes_a_voter(#[values(false, true)] compacted: bool) {
-    let mut sim = Sim::new(3, 1);
-    sim.settings.message_bytes = 3;
+    let settings = Settings {
+        message_bytes: 3,
+        ..Settings::default()
+    };
+    let mut sim = Sim::with(3, 1, settings);
     propose(&mut sim, 50);
     let leader = sim.elect();
     if compacted {
         sim.compact(leader, 0);
+        sim.run(Duration::from_millis(10));
     }
     sim.add(4);
     let add = Change::Add(member(4, Kind::Joining));
@@ -59,6 +63,27 @@
     propose(&mut sim, 3);
 }
 
+/// Guards against learners that pile up in the membership because their disks were replaced.
+#[test]
+fn a_replaced_learner_is_removed() {
+    let mut sim = Sim::new(1, 1);
+    let leader = sim.elect();
+    for id in [2, 102, 202] {
+        sim.add(id);
+        let add = Change::Add(member(id, Kind::Learner));
+        sim.replica_mut(leader).change(add).unwrap();
+        sim.run(Duration::from_secs(1));
+        assert!(sim.replica(leader).membership().0.members.len() <= 3);
+        if id < 202 {
+            sim.crash(sim.nodes.len() - 1);
+        }
+        sim.run(Duration::from_secs(6));
+    }
+    let members = sim.replica(leader).membership().0;
+    let ids: Vec<u64> = members.members.iter().map(|member| member.id.0).collect();
+    assert_eq!(ids, [1, 202]);
+}
+
 /// Guards against changes that overlap, remove the last voter or promote a replica that lacks entries.
 #[test]
 fn unsafe_changes_are_refused() {
@@ -108,13 +133,6 @@
     sim.crash(follower);
     sim.nodes[follower].disk = if partly { early } else { Restored::default() };
     sim.start(follower);
-    if !partly {
-        // An emptied disk has no peers to ask; its driver brings the answer. Until then it must not take part.
-        sim.run(Duration::from_secs(1));
-        assert!(sim.replica(follower).is_inquiring());
-        let known = sim.replica(leader).known(sim.nodes[follower].id);
-        sim.replica_mut(follower).compare(known);
-    }
     sim.run(Duration::from_secs(2));
     let fault = sim.replica(follower).fault();
     assert!(matches!(fault, Some(Error::RolledBack { .. })), "{fault:?}");
--- a/crates/consensus/tests/all/sim.rs
+++ b/crates/consensus/tests/all/sim.rs
@@ -5,7 +5,7 @@
 
 use chestnutvalve_consensus::{
     Kind, Member, Membership, Message, Payload, Position, Replica, ReplicaId, Restored, Role,
-    Settings, Write,
+    Settings, Snapshot, Write,
 };
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
@@ -16,6 +16,8 @@
     pub disk: Restored,
     pub replica: Option<Replica>,
     writing: Option<(Instant, Write)>,
+    /// Snapshot that is being saved beside the writes, and how many entries to keep then.
+    saving: Option<(Instant, Snapshot, u64)>,
     /// Hash over all applied commands, as the state of the machine.
     state: u64,
     pub applied: u64,
@@ -93,13 +95,28 @@
             disk: Restored::default(),
             replica: None,
             writing: None,
+            saving: None,
             state: 0,
             applied: 0,
         });
-        let number = self.nodes.len() - 1;
-        self.start(number);
-        let now = self.now;
-        self.replica_mut(number).admit(now);
+        self.start(self.nodes.len() - 1);
+    }
+
+    /// Does what a driver does for an empty replica: asks the others whether they know of promises.
+    fn greet(&mut self, number: usize) {
+        let id = self.nodes[number].id;
+        let others = self.nodes.iter().filter(|node| node.id != id);
+        let others = others.filter_map(|node| node.replica.as_ref());
+        let known: Vec<Position> = others.map(|other| other.known(id)).collect();
+        let quorum = known.len() >= self.nodes.len() / 2;
+        let (now, led) = (self.now, self.leader().is_some());
+        let replica = self.replica_mut(number);
+        for known in known {
+            replica.compare(known);
+        }
+        if replica.fault().is_none() && (quorum || led) {
+            replica.admit(now);
+        }
     }
 
     pub fn start(&mut self, number: usize) {
@@ -116,6 +133,7 @@
         let kept = self.random.random_bool(0.5);
         let node = &mut self.nodes[number];
         node.replica = None;
+        node.saving = None;
         if let Some((_, write)) = node.writing.take()
             && kept
         {
@@ -146,12 +164,13 @@
 
     /// Takes a snapshot at a replica.
     pub fn compact(&mut self, number: usize, keep: u64) {
+        let delay = self.random.random_range(0..=self.max_write_us);
         let node = &mut self.nodes[number];
         if let Some(replica) = &mut node.replica
+            && node.saving.is_none()
             && let Some(snapshot) = replica.snapshot(node.state.to_le_bytes().to_vec())
         {
-            node.disk.snapshot = snapshot.clone();
-            replica.compact(snapshot, keep);
+            node.saving = Some((self.now + Duration::from_micros(delay), snapshot, keep));
         }
     }
 
@@ -183,8 +202,10 @@
             .map(Replica::next_tick);
         let writes = self.nodes.iter().filter_map(|n| n.writing.as_ref());
         let writes = writes.map(|(at, _)| *at);
+        let saves = self.nodes.iter().filter_map(|n| n.saving.as_ref());
+        let saves = saves.map(|(at, _, _)| *at);
         let flights = self.flights.iter().map(|flight| flight.at);
-        let Some(next) = ticks.chain(writes).chain(flights).min() else {
+        let Some(next) = ticks.chain(writes).chain(saves).chain(flights).min() else {
             return false;
         };
         if next > end {
@@ -204,6 +225,12 @@
     fn finish_write(&mut self, number: usize) {
         let now = self.now;
         let node = &mut self.nodes[number];
+        if let Some((_, snapshot, keep)) = node.saving.take_if(|(at, _, _)| *at <= now)
+            && let Some(replica) = &mut node.replica
+        {
+            node.disk.snapshot = snapshot.clone();
+            replica.compact(snapshot, keep);
+        }
         if let Some((_, write)) = node.writing.take_if(|(at, _)| *at <= now) {
             store(&mut node.disk, &write);
             if let Some(replica) = &mut node.replica {
@@ -233,6 +260,10 @@
     fn carry_out(&mut self, number: usize) {
         let now = self.now;
         self.apply(number);
+        let replica = self.nodes[number].replica.as_ref();
+        if replica.is_some_and(|r| r.is_inquiring() && r.log().last().index == 0) {
+            self.greet(number);
+        }
         let node = &mut self.nodes[number];
         let Some(replica) = &mut node.replica else {
             return;
@@ -242,7 +273,9 @@
             assert_eq!(*leader, node.id, "two leaders in term {}", replica.term());
         }
         let messages = replica.take_messages(now);
-        if let Some(write) = replica.take_write() {
+        // A snapshot of the leader waits for one that is being saved to the same place.
+        let waits = node.saving.is_some() && replica.is_installing();
+        if !waits && let Some(write) = replica.take_write() {
             let delay = self.random.random_range(0..=self.max_write_us);
             node.writing = Some((now + Duration::from_micros(delay), write));
         }
--- a/crates/control/src/replica/driver/group.rs
+++ b/crates/control/src/replica/driver/group.rs
@@ -47,6 +47,11 @@
             self.stop = Some(Instant::now());
         }
         self.view.send_if_modified(|current| {
+            if (current.term, &current.leader) != (view.term, &view.leader) {
+                let leader = view.leader.as_ref().map_or("none", |(name, _)| name);
+                let (group, term) = (&self.options.group, view.term);
+                spdlog::info!("group {group}: term {term}, leader {leader}");
+            }
             let modified = *current != view;
             *current = view;
             modified
--- a/crates/control/src/replica/driver/input.rs
+++ b/crates/control/src/replica/driver/input.rs
@@ -23,7 +23,7 @@
             Input::Step(envelope) => self.step(now, envelope),
             Input::Propose(proposal) => self.propose(proposal),
             Input::Hello(hello, done) => {
-                let _ = done.send(self.greet(&hello));
+                let _ = done.send(self.greet(now, &hello));
             }
             Input::Joined(Finding::Blank) => self.replica.admit(now),
             Input::Joined(Finding::Form(members)) => {
@@ -84,7 +84,7 @@
     }
 
     /// Answers an empty replica; the leader adds it to the group.
-    fn greet(&mut self, hello: &Hello) -> Greeting {
+    fn greet(&mut self, now: std::time::Instant, hello: &Hello) -> Greeting {
         let (members, _) = self.replica.membership();
         let formed = !members.members.is_empty();
         let known = self.replica.known(hello.id);
@@ -107,6 +107,7 @@
             id: self.replica.id(),
             name: self.options.name.clone(),
             formed,
+            leads: self.replica.lease(now).is_some(),
             admitted: !self.replica.is_inquiring(),
             leader,
             known,
--- a/crates/control/src/replica/join.rs
+++ b/crates/control/src/replica/join.rs
@@ -18,7 +18,7 @@
 /// What an empty replica learns from its peers.
 #[derive(Clone, Debug)]
 pub(super) enum Finding {
-    /// A quorum of the first voters knows of no promise of this replica.
+    /// A quorum of the first voters, or the leader, knows of no promise of this replica.
     Blank,
     /// All first voters are empty and admitted, and it falls to this replica to form the group.
     Form(Membership),
@@ -68,7 +68,7 @@
     };
     let heard = members.iter().filter(heard).count() + usize::from(own);
     let mut findings = Vec::new();
-    if heard > members.len() / 2 {
+    if heard > members.len() / 2 || greetings.iter().any(|(g, _)| g.leads) {
         findings.push(Finding::Blank);
     }
     // One replica alone may form a group, so that two differing first memberships can't exist.
--- a/crates/control/src/replica/network.rs
+++ b/crates/control/src/replica/network.rs
@@ -46,6 +46,8 @@
     pub name: String,
     /// Whether the group exists.
     pub formed: bool,
+    /// Whether the answering replica leads the group with a lease.
+    pub leads: bool,
     /// Whether the answering replica may vote for the first leader.
     pub admitted: bool,
     /// Address of the leader, if the answering replica knows another one.
