--- a/crates/control/src/replica/driver/input.rs
+++ b/crates/control/src/replica/driver/input.rs
@@ -23,7 +23,7 @@
             Input::Step(envelope) => self.step(now, envelope),
             Input::Propose(proposal) => self.propose(proposal),
             Input::Hello(hello, done) => {
-                let _ = done.send(self.greet(&hello));
+                let _ = done.send(self.greet(now, &hello));
             }
             Input::Joined(Finding::Blank) => self.replica.admit(now),
             Input::Joined(Finding::Form(members)) => {
@@ -84,14 +84,15 @@
     }
 
     /// Answers an empty replica; the leader adds it to the group.
-    fn greet(&mut self, hello: &Hello) -> Greeting {
+    fn greet(&mut self, now: std::time::Instant, hello: &Hello) -> Greeting {
         let (members, _) = self.replica.membership();
         let formed = !members.members.is_empty();
         let known = self.replica.known(hello.id);
         let leader = self.replica.leader().filter(|id| *id != self.replica.id());
         let leader = leader.and_then(|id| members.get(id)).map(|m| m.address);
         let replaces = members.members.iter().any(|m| m.name == hello.name);
-        let voter = hello.voter && (replaces || members.voters().count() < MAX_VOTERS);
+        let voting = members.members.iter().filter(|m| m.kind != Kind::Learner);
+        let voter = hello.voter && (replaces || voting.count() < MAX_VOTERS);
         if formed && members.get(hello.id).is_none() {
             let member = Member {
                 id: hello.id,
@@ -106,6 +107,7 @@
             id: self.replica.id(),
             name: self.options.name.clone(),
             formed,
+            leads: self.replica.lease(now).is_some(),
             admitted: !self.replica.is_inquiring(),
             leader,
             known,
