Limit the operators' connections and test restart and log time

Cause: operators' connections share the file descriptors of the process with the log, and the server accepts again at once after an error, so that open files could run out and keep a core busy. The restart target and the expiry of claims had no tests.

Ruled out: a limit per address (all operators may share one); closing what exceeds the limit (a queued scrape is answered a moment later).

Conclusion: 256 connections are served, further ones wait.

--- a/crates/control/src/daemon.rs
+++ b/crates/control/src/daemon.rs
@@ -14,6 +14,7 @@
 pub mod internal;
 pub mod ledger;
 pub mod limit;
+pub mod listener;
 pub mod members;
 pub mod meters;
 pub mod operators;
--- /dev/null
+++ b/crates/control/src/daemon/listener.rs
@@ -0,0 +1,114 @@
+//! Listener with a limit of open connections.
+
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use poem::http::uri::Scheme;
+use poem::listener::{Acceptor, TcpAcceptor};
+use poem::web::{LocalAddr, RemoteAddr};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::time::sleep;
+
+/// Open connections of operators; further ones wait in the system's queue. File descriptors are shared with the log, so
+/// that operators must not be able to use up all of them.
+pub const MAX_CONNECTIONS: usize = 256;
+/// Pause after a failed accept, for example because the process has too many open files.
+const RETRY_PAUSE: Duration = Duration::from_millis(50);
+
+/// Acceptor that waits while too many connections are open.
+pub struct Limited {
+    acceptor: TcpAcceptor,
+    places: Arc<Semaphore>,
+}
+
+impl Limited {
+    /// Wraps a bound listener.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the operating system.
+    pub fn new(listener: TcpListener, connections: usize) -> io::Result<Self> {
+        Ok(Self {
+            acceptor: TcpAcceptor::from_tokio(listener)?,
+            places: Arc::new(Semaphore::new(connections)),
+        })
+    }
+}
+
+impl Acceptor for Limited {
+    type Io = Connection;
+
+    fn local_addr(&self) -> Vec<LocalAddr> {
+        self.acceptor.local_addr()
+    }
+
+    async fn accept(&mut self) -> io::Result<(Connection, LocalAddr, RemoteAddr, Scheme)> {
+        let place = Arc::clone(&self.places).acquire_owned().await;
+        let place = place.map_err(io::Error::other)?;
+        match self.acceptor.accept().await {
+            Ok((stream, local, remote, scheme)) => {
+                let connection = Connection {
+                    stream,
+                    _place: place,
+                };
+                Ok((connection, local, remote, scheme))
+            }
+            Err(error) => {
+                // The server accepts again at once after an error.
+                sleep(RETRY_PAUSE).await;
+                Err(error)
+            }
+        }
+    }
+}
+
+/// A connection and its place.
+pub struct Connection {
+    stream: TcpStream,
+    _place: OwnedSemaphorePermit,
+}
+
+impl AsyncRead for Connection {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_read(cx, buffer)
+    }
+}
+
+impl AsyncWrite for Connection {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, bytes)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffers: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(cx, buffers)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+}
--- a/crates/control/src/daemon/operators.rs
+++ b/crates/control/src/daemon/operators.rs
@@ -9,13 +9,13 @@
 use chestnutvalve_model::error::{Fault, Kind};
 use poem::endpoint::make;
 use poem::http::{StatusCode, header};
-use poem::listener::TcpAcceptor;
 use poem::{Endpoint, EndpointExt, IntoEndpoint, Request, Response, Route, get, post};
 use serde::Serialize;
 use serde_json::{Value, json};
 use tokio::net::TcpListener;
 use tokio::time::timeout;
 
+use super::listener::{Limited, MAX_CONNECTIONS};
 use super::members::Action;
 use super::{Instance, members, status, task};
 use crate::state::Refusal;
@@ -42,7 +42,7 @@
         let address = instance.settings.operators;
         let failed = |e: std::io::Error| Failure(format!("operators {address}: {e}"));
         let listener = TcpListener::bind(address).await.map_err(failed)?;
-        let acceptor = TcpAcceptor::from_tokio(listener).map_err(failed)?;
+        let acceptor = Limited::new(listener, MAX_CONNECTIONS).map_err(failed)?;
         let server = poem::Server::new_with_acceptor(acceptor).idle_timeout(IDLE_TIMEOUT);
         Ok(async move {
             let requested = async move { shutdown.requested().await };
--- a/crates/control/tests/all/cluster.rs
+++ b/crates/control/tests/all/cluster.rs
@@ -379,3 +379,57 @@
         "only the held one is confirmed"
     );
 }
+
+/// Guards against a start that takes longer the more changes there were, and against changes lost by a restart.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn restart_after_two_thousand_changes_takes_less_than_two_seconds() {
+    let mut cluster = Cluster::start(1).await;
+    let instance = Arc::clone(&cluster.running[0].as_ref().expect("runs").instance);
+    let mut version = Version::ZERO;
+    for n in 0..2_000_u32 {
+        let sent = change(&format!("c{n}"), version, timeout(1_000 + n));
+        version = instance.change(sent).await.expect("accepted");
+    }
+    drop(instance);
+    cluster.stop(0).await;
+    let start = Instant::now();
+    let running = cluster.launch(0).await;
+    let state = follow(&running.client, |s| s.version >= version).await;
+    let next = change("next", version, timeout(5_000));
+    let deadline = start + LIMIT;
+    while running.instance.change(next.clone()).await.is_err() {
+        assert!(Instant::now() < deadline, "no change is accepted");
+    }
+    let elapsed = start.elapsed();
+    assert!(
+        elapsed < Duration::from_secs(2),
+        "serving after {elapsed:?}"
+    );
+    assert_eq!(state.document.defaults.timeout_ms, 2_999);
+    assert_eq!(running.instance.store().history().accepted().len(), 2_001);
+}
+
+/// Guards against claims that expire by an entry's clock, early or never.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn log_time_expires_claims() {
+    let cluster = Cluster::start(1).await;
+    let client = &cluster.running[0].as_ref().expect("runs").client;
+    let short = |attempt: &str| {
+        let mut command = claim("k1", attempt);
+        if let Command::Claim { retention_s, .. } = &mut command {
+            *retention_s = 6;
+        }
+        command
+    };
+    let start = Instant::now();
+    assert_eq!(claimed(client, &short("a1")).await, Claimed::Granted);
+    while claimed(client, &short("a2")).await == Claimed::Unknown {
+        assert!(start.elapsed() < 3 * LIMIT, "the claim does not expire");
+        sleep(Duration::from_millis(200)).await;
+    }
+    let elapsed = start.elapsed();
+    assert!(
+        elapsed >= Duration::from_secs(6),
+        "expired after {elapsed:?}"
+    );
+}
--- a/tests/all/control.rs
+++ b/tests/all/control.rs
@@ -245,3 +245,29 @@
     assert_eq!(output.status.code(), Some(2), "{text}");
     assert!(text.contains(field), "{text}");
 }
+
+/// Guards against a caller who holds connections open until operators, or the log, get none.
+#[test]
+fn open_connections_are_limited() {
+    let control = Control::start();
+    let idle: Vec<TcpStream> = (0..300)
+        .map(|_| TcpStream::connect(control.operators).expect("queued by the system"))
+        .collect();
+    let request = b"GET /v1/config HTTP/1.1\r\nhost: c1\r\n\r\n";
+    let mut answered = 0;
+    for mut stream in &idle {
+        stream.write_all(request).expect("sent");
+        let limit = Some(Duration::from_millis(50));
+        stream.set_read_timeout(limit).expect("set the time-out");
+        answered += usize::from(stream.read(&mut [0; 16]).is_ok_and(|n| n > 0));
+    }
+    assert!(answered <= 256, "{answered} connections are served");
+    drop(idle);
+    let deadline = Instant::now() + START_TIMEOUT;
+    while control.run(&["config", "show"]).status.code() != Some(0) {
+        assert!(
+            Instant::now() < deadline,
+            "no answer after the connections were closed"
+        );
+    }
+}
