--- a/crates/bench/src/fleet/node.rs
+++ b/crates/bench/src/fleet/node.rs
@@ -229,23 +229,22 @@
     }
 }
 
-/// Returns the names of a service's workers that an entry's status lists in `state`.
-fn workers(status: &Value, service: &str, state: &str) -> BTreeSet<String> {
-    let all = status["workers"].as_array().map(Vec::as_slice);
-    let listed = all.unwrap_or_default().iter();
-    let matching = listed.filter(|w| w["service"] == service && w["state"] == state);
-    let names = matching.filter_map(|w| Some(w["worker"].as_str()?.to_owned()));
-    names.collect()
+fn in_state<'a>(status: &'a Value, service: &str, state: &str) -> impl Iterator<Item = &'a str> {
+    let workers = status["workers"].as_array().map(Vec::as_slice);
+    let found = workers.unwrap_or_default().iter();
+    let found = found.filter(move |w| w["service"] == service && w["state"] == state);
+    found.filter_map(|w| w["worker"].as_str())
 }
 
 /// Returns how many workers of a service an entry's status calls usable.
 #[must_use]
 pub fn usable_workers(status: &Value, service: &str) -> usize {
-    workers(status, service, "usable").len()
+    in_state(status, service, "usable").count()
 }
 
-/// Returns the names of a service's workers that an entry's status calls ejected.
+/// Returns the workers of a service that an entry's status calls ejected.
 #[must_use]
 pub fn ejected_workers(status: &Value, service: &str) -> BTreeSet<String> {
-    workers(status, service, "ejected")
+    let names = in_state(status, service, "ejected");
+    names.map(str::to_owned).collect()
 }
