--- a/crates/model/src/control.rs
+++ b/crates/model/src/control.rs
@@ -18,7 +18,8 @@
     pub incarnation: Incarnation,
     /// Version that the entry has in force.
     pub have: Version,
-    /// Services whose exceptions are wanted; `None` asks for all.
+    /// Services whose exceptions are wanted; `None` asks for all. Records tell nothing of services that the entry did not
+    /// ask for before, so that a watch with a new list must have [`Version::ZERO`].
     pub services: Option<Vec<Service>>,
     /// Longest time to hold the call open, in milliseconds.
     pub wait_ms: u32,
