--- a/crates/entry/src/addresses.rs
+++ b/crates/entry/src/addresses.rs
@@ -23,7 +23,7 @@
     let service = pairs.find_map(|p| p.strip_prefix("service="));
     let service = Service::new(service.unwrap_or_default());
     let service = service.map_err(|e| Refusal::new(Kind::BadRequest, e.to_string()))?;
-    let mut owners = instance.owners(&service);
+    let mut owners = instance.owners(&service).to_vec();
     if owners.is_empty() {
         return Err(Refusal::new(Kind::Draining, "no instance takes new work"));
     }
--- a/crates/entry/src/exchange.rs
+++ b/crates/entry/src/exchange.rs
@@ -172,9 +172,15 @@
             parts.status,
             StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED
         );
-    bodiless
-        || parts.headers.contains_key(header::CONTENT_LENGTH)
-        || parts.headers.contains_key(header::TRANSFER_ENCODING)
+    bodiless || parts.headers.contains_key(header::CONTENT_LENGTH) || is_chunked(parts)
+}
+
+/// Returns whether the body is chunked; with any other last coding it ends with the connection.
+fn is_chunked(parts: &response::Parts) -> bool {
+    let mut codings = parts.headers.get_all(header::TRANSFER_ENCODING).iter();
+    let last = codings.next_back().and_then(|value| value.to_str().ok());
+    let last = last.and_then(|value| value.rsplit(',').next());
+    last.is_some_and(|coding| coding.trim().eq_ignore_ascii_case("chunked"))
 }
 
 /// Reads the start of a body; returns whether it is the whole body.
--- a/crates/entry/src/header.rs
+++ b/crates/entry/src/header.rs
@@ -38,6 +38,10 @@
 
 /// Removes the headers that concern one connection only.
 pub fn remove_hop_by_hop(headers: &mut HeaderMap) {
+    if headers.contains_key(header::TRANSFER_ENCODING) {
+        // The framing of the old connection takes precedence over a length that contradicts it.
+        headers.remove(header::CONTENT_LENGTH);
+    }
     let listed: Vec<HeaderName> = headers
         .get_all(header::CONNECTION)
         .iter()
--- a/crates/entry/src/instance.rs
+++ b/crates/entry/src/instance.rs
@@ -9,7 +9,8 @@
 use chestnutvalve_burn::Counters;
 use chestnutvalve_kernel::Shutdown;
 use chestnutvalve_membership::worker::{Announcement, Record, Registry};
-use chestnutvalve_model::config::Target;
+use chestnutvalve_model::config::{Document, Target};
+use chestnutvalve_model::control::State;
 use chestnutvalve_model::directory::Member;
 use chestnutvalve_model::id::{Incarnation, Service, Worker};
 use chestnutvalve_routing::placement;
@@ -156,8 +157,20 @@
     ///
     /// With an empty directory, before the first contact with a control instance, the instance owns every service.
     #[must_use]
-    pub fn owners(&self, service: &Service) -> Vec<Member> {
+    pub fn owners(&self, service: &Service) -> Arc<Vec<Member>> {
         let state = self.follow.state();
+        match self.services.get(service) {
+            Some(serving) => {
+                let basis = (state.version, self.is_draining());
+                serving.owners(basis, || {
+                    self.place(&state, &serving.document(&state), service)
+                })
+            }
+            None => Arc::new(self.place(&state, &state.document, service)),
+        }
+    }
+
+    fn place(&self, state: &State, document: &Document, service: &Service) -> Vec<Member> {
         if state.directory.members.is_empty() {
             let alone = (!self.is_draining()).then(|| self.member());
             return alone.into_iter().collect();
@@ -168,11 +181,7 @@
             method: None,
             customer: None,
         };
-        let size = match self.services.get(service) {
-            Some(serving) => serving.document(&state).resolve(&target),
-            None => state.document.resolve(&target),
-        };
-        let size = usize::from(size.entries_per_service);
+        let size = usize::from(document.resolve(&target).entries_per_service);
         let owners = placement::owners(service, size, &state.directory);
         let members = owners
             .iter()
@@ -191,8 +200,9 @@
     /// Returns the owners of a service other than this instance.
     #[must_use]
     pub fn other_owners(&self, service: &Service) -> Vec<Member> {
-        let owners = self.owners(service).into_iter();
-        owners.filter(|o| !self.is_me(o)).collect()
+        let owners = self.owners(service);
+        let others = owners.iter().filter(|o| !self.is_me(o));
+        others.cloned().collect()
     }
 
     fn is_me(&self, member: &Member) -> bool {
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -137,6 +137,10 @@
         ticks.tick().await;
         let mut questions: BTreeMap<SocketAddr, Vec<Service>> = BTreeMap::new();
         for service in instance.services.names() {
+            // While it drains, an instance still needs proofs for the requests that it finishes.
+            if !instance.owns(&service) && !instance.is_draining() {
+                continue;
+            }
             for owner in instance.other_owners(&service) {
                 questions
                     .entry(owner.peers)
--- a/crates/entry/src/platform.rs
+++ b/crates/entry/src/platform.rs
@@ -111,7 +111,7 @@
 fn register(instance: &Arc<Instance>, announcement: &Announcement) -> Result<Value, Fault> {
     let now = clock::now();
     let token = instance.registry().announce(now, announcement)?;
-    let owners = instance.reachable_first(instance.owners(&announcement.service));
+    let owners = instance.reachable_first(instance.owners(&announcement.service).to_vec());
     if instance.owns(&announcement.service) || instance.is_draining() {
         let serving = instance.services.get_or_create(&announcement.service);
         let full = || Fault::new(Kind::Overloaded, "too many services at this entry");
--- a/crates/entry/src/proxy.rs
+++ b/crates/entry/src/proxy.rs
@@ -43,13 +43,9 @@
 
 /// Serves a request here if this instance has workers for it, and else forwards it.
 async fn route(instance: &Arc<Instance>, call: Call) -> Routed {
+    // Siblings are asked for the workers of an own service from the first request on.
+    let serving = instance.services.get_or_create(&call.service);
     let owns = instance.owns(&call.service);
-    let serving = if owns {
-        // Siblings are asked for the workers of a service from the first request on.
-        instance.services.get_or_create(&call.service)
-    } else {
-        instance.services.get(&call.service)
-    };
     // While it drains, an instance still serves with the workers that it knows.
     let able = serving.filter(|s| owns || (instance.is_draining() && s.has_fresh()));
     let Some(serving) = able else {
--- a/crates/entry/src/serving.rs
+++ b/crates/entry/src/serving.rs
@@ -7,6 +7,7 @@
 
 use chestnutvalve_model::config::{Document, Settings, Target};
 use chestnutvalve_model::control::State;
+use chestnutvalve_model::directory::Member;
 use chestnutvalve_model::id::{Customer, Incarnation, Service, Worker, Zone};
 use chestnutvalve_model::rank::Rank;
 use chestnutvalve_model::version::Version;
@@ -48,8 +49,12 @@
     pub name: Service,
     inner: Mutex<Inner>,
     part: Mutex<(Version, Arc<Document>)>,
+    owners: Mutex<Option<(Basis, Arc<Vec<Member>>)>>,
 }
 
+/// What the owners of a service depend on: the state's version, and whether this instance is draining.
+pub type Basis = (Version, bool);
+
 #[derive(Debug)]
 pub(crate) struct Inner {
     pub(crate) balancer: Balancer,
@@ -86,6 +91,7 @@
             name,
             inner: Mutex::new(inner),
             part: Mutex::default(),
+            owners: Mutex::default(),
         }
     }
 
@@ -104,6 +110,21 @@
         Arc::clone(&part.1)
     }
 
+    /// Returns the owners of the service, which `place` computes when `basis` has changed.
+    ///
+    /// The placement hashes the whole directory, which would cost more than the rest of a request.
+    pub fn owners(&self, basis: Basis, place: impl FnOnce() -> Vec<Member>) -> Arc<Vec<Member>> {
+        let mut owners = self.owners.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some((known, owners)) = &*owners
+            && *known == basis
+        {
+            return Arc::clone(owners);
+        }
+        let placed = Arc::new(place());
+        *owners = Some((basis, Arc::clone(&placed)));
+        placed
+    }
+
     /// Brings the state in line with the registered workers and the configuration.
     pub fn sync(
         &self,
--- a/crates/entry/tests/all/fleet.rs
+++ b/crates/entry/tests/all/fleet.rs
@@ -54,6 +54,17 @@
         self.instance.follow.state()
     }
 
+    /// Returns the value of the first metric with that name and label, or 0.
+    pub async fn metric(&self, name: &str, label: &str) -> f64 {
+        let metrics = send(self.platform, "GET", "/metrics", &[], b"").await;
+        let metrics = String::from_utf8(metrics.unwrap().body).unwrap();
+        let mut lines = metrics.lines().filter(|l| l.starts_with(name));
+        let value = lines
+            .find(|l| l.contains(label))
+            .and_then(|l| l.rsplit(' ').next());
+        value.map_or(0.0, |v| v.parse().unwrap())
+    }
+
     /// Waits until the directory in force has `entries` members.
     pub async fn knows(&self, entries: usize) {
         until("directory", || {
@@ -141,6 +152,29 @@
     })
 }
 
+/// Sends a GET request over HTTP/2 in cleartext.
+pub async fn send_h2(
+    address: SocketAddr,
+    path: &str,
+    headers: &[(&str, &str)],
+) -> Result<Reply, Box<dyn std::error::Error + Send + Sync>> {
+    let socket = TokioIo::new(TcpStream::connect(address).await?);
+    let executor = hyper_util::rt::TokioExecutor::new();
+    let (mut sender, connection) = hyper::client::conn::http2::handshake(executor, socket).await?;
+    let _abort = AbortOnDrop(tokio::spawn(connection));
+    let mut request = http::Request::get(format!("http://{address}{path}"));
+    for (name, value) in headers {
+        request = request.header(*name, *value);
+    }
+    let request = request.body(Full::<Bytes>::default())?;
+    let (parts, body) = sender.send_request(request).await?.into_parts();
+    Ok(Reply {
+        status: parts.status.as_u16(),
+        headers: parts.headers,
+        body: body.collect().await?.to_bytes().to_vec(),
+    })
+}
+
 struct AbortOnDrop<T>(JoinHandle<T>);
 
 impl<T> Drop for AbortOnDrop<T> {
--- a/crates/entry/tests/all/proxy.rs
+++ b/crates/entry/tests/all/proxy.rs
@@ -2,10 +2,13 @@
 
 use std::time::Duration;
 
+use chestnutvalve_model::config::{Edit, Overrides};
+use futures_util::future::join_all;
 use rstest::rstest;
 use tokio::time::{sleep, timeout};
 
-use crate::fleet::{send, single, until};
+use crate::control::Control;
+use crate::fleet::{Entry, Reply, send, send_h2, single, until};
 use crate::worker::{Step, Worker, response};
 
 const SERVICE: (&str, &str) = ("chestnutvalve-service", "rationdesk");
@@ -14,6 +17,39 @@
     Step::Write(format!("HTTP/1.1 200 OK\r\n{extra}\r\n").into_bytes())
 }
 
+/// Sends requests until an attempt had the result; every response must pass.
+async fn until_attempted(
+    control: &Control,
+    entry: &Entry,
+    result: &str,
+    passes: impl Fn(&Reply) -> bool,
+) {
+    // Four requests at the same time, because a single one may always prefer the worker that has answered before. The
+    // budget is two retries and half of the requests, so that it suffices for all four.
+    let overrides = Overrides {
+        retry_percent: Some(50),
+        ..Overrides::default()
+    };
+    control.edit(Edit::SetDefaults(overrides));
+    until("change", || {
+        entry.state().document.defaults.retry_percent == 50
+    })
+    .await;
+    sleep(Duration::from_millis(150)).await;
+    let label = format!("result=\"{result}\"");
+    for round in 0.. {
+        assert!(round < 200, "the bad worker is never picked");
+        let calls = (0..4).map(|_| send(entry.callers, "GET", "/", &[SERVICE], b""));
+        for reply in join_all(calls).await {
+            let reply = reply.unwrap();
+            assert!(passes(&reply), "{reply:?}");
+        }
+        if entry.metric("attempts_total", &label).await > 0.0 {
+            break;
+        }
+    }
+}
+
 /// Guards against lost or mixed-up parts of requests and responses.
 #[tokio::test]
 async fn passes_request_and_response_on() {
@@ -34,6 +70,16 @@
     assert!(seen.headers.contains_key("chestnutvalve-attempt"));
 }
 
+/// Guards against a port that speaks only one version of HTTP.
+#[tokio::test]
+async fn serves_http2_on_the_same_port() {
+    let (_control, entry) = single().await;
+    let mut worker = Worker::start("w1", |seen| response(200, &seen.head)).await;
+    worker.announce(entry.platform, "rationdesk").await;
+    let reply = send_h2(entry.callers, "/a", &[SERVICE]).await.unwrap();
+    assert_eq!((reply.status, &*reply.body), (200, &b"GET /a HTTP/1.1"[..]));
+}
+
 /// Guards against a truncated response that looks complete, and against its retry being left out.
 #[rstest]
 #[case::length("content-length: 10\r\n", "hello")]
@@ -41,7 +87,7 @@
 #[case::unframed("", "hello")]
 #[tokio::test]
 async fn truncated_response_is_retried_elsewhere(#[case] framing: &str, #[case] part: &str) {
-    let (_control, entry) = single().await;
+    let (control, entry) = single().await;
     let (framing, part) = (framing.to_owned(), part.to_owned());
     let mut bad = Worker::start("bad", move |_| {
         vec![
@@ -54,14 +100,9 @@
     let mut good = Worker::start("good", |_| response(200, "whole")).await;
     bad.announce(entry.platform, "rationdesk").await;
     good.announce(entry.platform, "rationdesk").await;
-    let mut asked = 0;
-    while bad.count() == 0 {
-        asked += 1;
-        assert!(asked < 200, "the bad worker is never picked");
-        let reply = send(entry.callers, "GET", "/", &[SERVICE], b"").await;
-        let reply = reply.unwrap();
-        assert_eq!((reply.status, &*reply.body), (200, &b"whole"[..]));
-    }
+    let whole = |reply: &Reply| (reply.status, &*reply.body) == (200, &b"whole"[..]);
+    until_attempted(&control, &entry, "truncated", whole).await;
+    assert!(bad.count() > 0);
 }
 
 /// Guards against a response that is cut after its start was passed on and ends like a complete one.
@@ -90,10 +131,12 @@
     worker.announce(entry.platform, "rationdesk").await;
     let reply = send(entry.callers, "GET", "/", &[SERVICE], b"").await;
     assert!(reply.is_err(), "a truncated response looked complete");
+    let reply = send_h2(entry.callers, "/", &[SERVICE]).await;
+    assert!(reply.is_err(), "a truncated stream looked complete");
     assert_eq!(
         worker.count(),
-        1,
-        "the request was repeated after its response was passed on"
+        2,
+        "a request was repeated after its response was passed on"
     );
 }
 
@@ -135,7 +178,7 @@
 /// Guards against a refused connection that ends a request although other workers are there.
 #[tokio::test]
 async fn refused_connection_is_retried_on_another_worker() {
-    let (_control, entry) = single().await;
+    let (control, entry) = single().await;
     let mut gone = Worker::start("gone", |_| response(200, "")).await;
     let unused = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
     gone.address = unused.local_addr().unwrap();
@@ -143,10 +186,7 @@
     let mut good = Worker::start("good", |_| response(200, "ok")).await;
     gone.announce(entry.platform, "rationdesk").await;
     good.announce(entry.platform, "rationdesk").await;
-    for _ in 0..50 {
-        let reply = send(entry.callers, "POST", "/", &[SERVICE], b"x").await;
-        assert_eq!(reply.unwrap().status, 200);
-    }
+    until_attempted(&control, &entry, "refused", |reply| reply.status == 200).await;
 }
 
 /// Guards against "not executed" for a request that a worker has received.
--- a/crates/entry/tests/all/sharing.rs
+++ b/crates/entry/tests/all/sharing.rs
@@ -65,28 +65,14 @@
         (&3.into(), &3.into()),
         "{burn}"
     );
-    let metrics = send(entry.platform, "GET", "/metrics", &[], b"").await;
-    let metrics = String::from_utf8(metrics.unwrap().body).unwrap();
-    let value = |name: &str, label: &str| {
-        let mut lines = metrics.lines().filter(|l| l.starts_with(name));
-        let line = lines.find(|l| l.contains(label)).unwrap_or_default();
-        line.rsplit(' ')
-            .next()
-            .unwrap()
-            .parse::<f64>()
-            .unwrap_or(0.0)
-    };
-    assert!(
-        (value("requests_total", "answered") - 3.0).abs() < 0.1,
-        "{metrics}"
-    );
-    assert!(
-        (value("added_latency_ms_count", "") - 3.0).abs() < 0.1,
-        "{metrics}"
-    );
+    let answered = entry.metric("requests_total", "outcome=\"answered\"").await;
+    let latencies = entry.metric("added_latency_ms_count", "").await;
+    assert_eq!((answered, latencies), (3.0, 3.0));
     assert!(
-        value("control_bytes_total", "direction=\"in\"") > 0.0,
-        "{metrics}"
+        entry
+            .metric("control_bytes_total", "direction=\"in\"")
+            .await
+            > 0.0
     );
 }
 
