--- a/crates/bench/src/scenario.rs
+++ b/crates/bench/src/scenario.rs
@@ -115,12 +115,17 @@
     #[must_use]
     #[allow(clippy::cast_precision_loss)]
     pub fn capacity(&self, service: &str) -> f64 {
+        let own = self.classes.iter().filter(|c| c.service == service);
+        let (weights, pauses) = own.fold((0.0, 0.0), |(weights, pauses), c| {
+            (weights + c.weight, pauses + c.weight * c.pauses_ms())
+        });
+        let pause_ms = pauses / f64::max(weights, f64::MIN_POSITIVE);
         let service = self.services.iter().find(|s| s.name == service);
         service.map_or(0.0, |s| {
             let tail = s.tail_percent / 100.0;
-            let mean_ms = s.work_ms as f64 * (1.0 - tail) + s.tail_ms as f64 * tail;
+            let work_ms = s.work_ms as f64 * (1.0 - tail) + s.tail_ms as f64 * tail;
             let slots = s.workers.min(self.scale.workers) as f64 * f64::from(s.slots);
-            slots * 1_000.0 / mean_ms.max(0.1)
+            slots * 1_000.0 / f64::max(work_ms + pause_ms, 0.1)
         })
     }
 
--- a/crates/bench/src/worker/serve.rs
+++ b/crates/bench/src/worker/serve.rs
@@ -245,7 +245,7 @@
 }
 
 /// Size of the pieces in which a paced answer is sent.
-const PIECE_BYTES: usize = 16 * 1024;
+pub const PIECE_BYTES: usize = 16 * 1024;
 
 /// Sends the answer; a paced one pauses before each piece and keeps its slot meanwhile.
 fn deliver(running: Running, order: Order, truncate: bool) -> Response<Body> {
