--- a/crates/entry/src/place.rs
+++ b/crates/entry/src/place.rs
@@ -142,7 +142,7 @@
         }
     }
 
-    /// Records how the attempt ended; returns whether the detector has a suspect now.
+    /// Records how the attempt ended; returns whether the worker should be ejected and is not.
     #[must_use]
     pub fn finish(mut self, verdict: Verdict, latency: Duration) -> bool {
         let sample = Sample { latency, verdict };
@@ -158,7 +158,8 @@
                 typical => typical.mul_f64(1.0 - TYPICAL_WEIGHT) + latency.mul_f64(TYPICAL_WEIGHT),
             };
         }
-        verdict.is_error() && !inner.detector.wanted(now).is_empty()
+        let ejected = inner.detector.is_ejected(now, &self.worker);
+        !ejected && inner.detector.wanted(now).contains(&self.worker)
     }
 }
 
@@ -170,9 +171,13 @@
             verdict: Verdict::Cancelled,
         };
         let sample = self.sample.unwrap_or(cancelled);
-        self.serving
-            .lock()
-            .balancer
-            .finish(now, &self.worker, &sample);
+        let mut inner = self.serving.lock();
+        inner.balancer.finish(now, &self.worker, &sample);
+        if let Some(places) = inner.places.get_mut(&self.worker) {
+            *places -= 1;
+            if *places == 0 {
+                inner.places.remove(&self.worker);
+            }
+        }
     }
 }
