--- a/tests/all/leaving.rs
+++ b/tests/all/leaving.rs
@@ -18,7 +18,7 @@
     Mute,
     /// Entries can't reach each other, and the withdrawal reaches one entry only.
     Cut,
-    /// One entry is frozen during the withdrawal and has requests waiting when it resumes.
+    /// One entry is frozen while the worker leaves without telling, and has requests waiting when it resumes.
     FrozenEntry,
     /// The worker was frozen just before it leaves.
     FrozenWorker,
@@ -70,14 +70,12 @@
     let before = worker.counts(&fleet.http).await.unwrap();
     assert!(before.executed > 0, "the worker had no work before it left");
     let frozen = fleet.entries[1].process().unwrap();
+    let mute = Fault {
+        mute: true,
+        ..Fault::default()
+    };
     match trouble {
-        Trouble::Mute => {
-            let mute = Fault {
-                mute: true,
-                ..Fault::default()
-            };
-            worker.fault(&fleet.http, &mute).await.unwrap();
-        }
+        Trouble::Mute => worker.fault(&fleet.http, &mute).await.unwrap(),
         Trouble::Cut => {
             for (at, entry) in fleet.entries.iter().enumerate() {
                 fleet
@@ -92,7 +90,10 @@
                 }
             }
         }
-        Trouble::FrozenEntry => frozen.freeze().unwrap(),
+        Trouble::FrozenEntry => {
+            worker.fault(&fleet.http, &mute).await.unwrap();
+            frozen.freeze().unwrap();
+        }
         Trouble::FrozenWorker => {
             worker.process().unwrap().freeze().unwrap();
             sleep(Duration::from_millis(1_500)).await;
