Keep the concurrency limit from following its own queue and from staying small

Cause: in trials of four busy entries that share 20 slots of 25 ms, the baseline followed the inflated latency; within 100 s all limits had grown to 20 and the latency was 100 ms. When the service became three times slower, one busy entry stayed at 24 to 43 requests/s for 80 s, of 267 possible, because its limit never left the least value.

Ruled out: slow drift of the baseline alone (latency 55 ms, but the entry stays at 26 requests/s); thresholds of 1.2 and 1.6 instead of 1.4 and 2.0 (the entry reached 180 to 230 requests/s only); faster learning below the upper threshold (85 ms after 140 s).

Conclusion: the baseline is learnt at the least limit; latency under saturation by all entries still grows slowly.

--- a/crates/routing/src/admission/limit.rs
+++ b/crates/routing/src/admission/limit.rs
@@ -16,14 +16,21 @@
 const NEAR: f64 = 1.4;
 /// Factor by which the limit shrinks.
 const SHRINK: f64 = 0.85;
+/// Factors by which the baseline grows with each window at the least limit, above and below [`INFLATED`]. Without
+/// them, a service that had become three times slower kept one busy entry at a tenth of its possible rate.
+const LEARN_FAST: f64 = 1.25;
+const LEARN_SLOWLY: f64 = 1.02;
 /// Shortest time between two reactions to shedding.
 const SHED_INTERVAL: Duration = Duration::from_millis(100);
 /// Attempts after which the first baseline is known.
 const FIRST: u32 = 16;
+/// Attempts after which the baseline only changes slowly.
+const SETTLED: u32 = 100;
 /// Relative change of the baseline with each attempt while the limit is not in use.
 const IDLE_STEP: f64 = 0.01;
-/// Relative change while the limit is in use, when latency may be inflated by this entry's own requests.
-const BUSY_STEP: f64 = 0.000_5;
+/// Relative change while the limit is in use, when latency may be inflated by this entry's own requests. With 0.0005
+/// four busy entries took an inflated latency for the baseline within a minute.
+const BUSY_STEP: f64 = 0.000_02;
 
 /// Median latency of one rank without overload, in seconds.
 #[derive(Clone, Copy, Debug, Default)]
@@ -48,8 +55,15 @@
             return None;
         }
         let ratio = latency / self.seconds;
-        // Equal steps up and down lead to the median.
+        // Equal steps up and down lead to the median; the first ones are large, because the first mean is rough.
+        self.known = self.known.saturating_add(1);
         let step = if busy { BUSY_STEP } else { IDLE_STEP };
+        let first = 0.5 / f64::from(self.known);
+        let step = if self.known < SETTLED {
+            step.max(first)
+        } else {
+            step
+        };
         self.seconds *= 1.0 + if ratio > 1.0 { step } else { -step };
         Some(ratio)
     }
@@ -135,14 +149,26 @@
         self.reached = false;
     }
 
+    /// Raises the baselines at the least limit, where latency is not this entry's doing: the service itself is slower.
+    fn learn(&mut self, factor: f64) {
+        if self.value <= self.least {
+            for baseline in &mut self.baselines {
+                baseline.seconds *= factor;
+            }
+        }
+    }
+
     fn adjust(&mut self) {
         let middle = self.ratios.len() / 2;
         let median = *self.ratios.select_nth_unstable_by(middle, f64::total_cmp).1;
         if median > INFLATED {
+            self.learn(LEARN_FAST);
             self.shrink();
             return;
         }
-        if median < NEAR && self.reached {
+        if median > NEAR {
+            self.learn(LEARN_SLOWLY);
+        } else if self.reached {
             self.value = (self.value + 1.0).min(self.most);
         }
         self.ratios.clear();
--- a/crates/routing/src/admission/share.rs
+++ b/crates/routing/src/admission/share.rs
@@ -4,6 +4,9 @@
 
 /// Weight of the newest service time in the average.
 const NEWEST: f64 = 0.1;
+/// Excess of the credit over the share. Credits follow averages and the limit is at times below the slots; without an
+/// excess the bottom rank had 4.95% of the slots instead of 5%.
+const MARGIN: f64 = 1.03;
 /// Most credit of a rank, in requests, so that a rank that got its share late is not served in bursts.
 const MAX_CREDIT: f64 = 2.0;
 
@@ -81,7 +84,7 @@
             let most = MAX_CREDIT * self.cost(other);
             let credit = &mut self.credit[other.index()];
             if waiting(other) {
-                let share = f64::from(*shares.get(other)) / 100.0;
+                let share = f64::from(*shares.get(other)) / 100.0 * MARGIN;
                 *credit = (*credit + share * cost).min(most);
             } else {
                 *credit = 0.0;
--- a/crates/routing/src/eject/score.rs
+++ b/crates/routing/src/eject/score.rs
@@ -86,6 +86,10 @@
     }
 
     fn sum(&self, now: Instant) -> f64 {
+        // The usual case, without a power.
+        if self.sum <= 0.0 {
+            return 0.0;
+        }
         let idle = self.last.map(|l| now.saturating_duration_since(l));
         let halvings = idle.unwrap_or_default().as_secs_f64() / HALF_LIFE.as_secs_f64();
         self.sum * 0.5_f64.powf(halvings)
