--- /dev/null
+++ b/crates/entry/src/status.rs
@@ -0,0 +1,74 @@
+//! Report on the instance for operators.
+
+use std::time::Duration;
+
+use chestnutvalve_membership::worker::Record;
+use serde_json::{Value, json};
+
+use crate::clock;
+use crate::instance::Instance;
+use crate::serving::Serving;
+
+/// Returns the report.
+#[must_use]
+pub fn report(instance: &Instance) -> Value {
+    let now = clock::now();
+    let in_force = now.saturating_duration_since(instance.follow.since());
+    let (mut services, mut workers) = (Vec::new(), Vec::new());
+    for serving in instance.services.all() {
+        let owners = instance.owners(&serving.name);
+        let owners: Vec<&str> = owners.iter().map(|o| o.entry.as_str()).collect();
+        if owners.contains(&instance.settings.entry.as_str()) {
+            services.push(json!({ "service": serving.name, "owners": owners }));
+            workers.extend(workers_of(instance, &serving));
+        }
+    }
+    let members = instance.follow.state();
+    let members = members.directory.members.values();
+    let entries: Vec<Value> = members
+        .map(|m| json!({"entry": m.entry, "zone": m.zone, "draining": m.draining}))
+        .collect();
+    json!({
+        "entry": instance.settings.entry,
+        "incarnation": instance.incarnation.0,
+        "zone": instance.settings.zone,
+        "version": instance.follow.version(),
+        "in_force_ms": millis(in_force),
+        "draining": instance.is_draining(),
+        "services": services,
+        "workers": workers,
+        "entries": entries,
+    })
+}
+
+fn workers_of(instance: &Instance, serving: &Serving) -> Vec<Value> {
+    let now = clock::now();
+    let service = &serving.name;
+    let ejected = serving.with_detector(|detector, _| detector.held(now));
+    let registry = instance.registry();
+    let describe = |r: &Record| {
+        let fresh = registry.has_proof(now, service, &r.worker);
+        let state = match (r.leaving, ejected.contains(&r.worker), fresh) {
+            (true, _, _) => "leaving",
+            (false, true, _) => "ejected",
+            (false, false, true) => "usable",
+            (false, false, false) => "unproven",
+        };
+        json!({
+            "service": service,
+            "worker": r.worker,
+            "incarnation": r.incarnation.0,
+            "address": r.address.to_string(),
+            "zone": r.zone,
+            "state": state,
+            "proof_age_ms": r.proof.map(|p| millis(now.saturating_duration_since(p))),
+            "load": r.load,
+        })
+    };
+    let records = registry.workers(service);
+    records.into_iter().map(describe).collect()
+}
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/storage/src/store.rs
@@ -0,0 +1,131 @@
+//! Stored state of one replica: a snapshot and the log after it.
+
+use std::path::{Path, PathBuf};
+
+use chestnutvalve_consensus::{Snapshot, Write};
+
+use crate::disk::Disk;
+use crate::error::Error;
+use crate::snapshot;
+use crate::wal::{Batch, Wal};
+
+pub use chestnutvalve_consensus::Restored;
+
+/// Stored state of one replica.
+#[derive(Debug)]
+pub struct Store {
+    path: PathBuf,
+    wal: Wal,
+    disk: Disk,
+    failed: bool,
+}
+
+/// Saves the snapshots of one replica. A large one takes long, and writes of the log go on meanwhile. No two may be saved at
+/// once.
+#[derive(Clone, Debug)]
+pub struct Saver {
+    path: PathBuf,
+    disk: Disk,
+}
+
+impl Saver {
+    /// Makes a snapshot durable in place of the stored one.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the operating system; the replica must then stop.
+    pub fn save(&mut self, snapshot: &Snapshot) -> Result<(), Error> {
+        snapshot::save(&self.path, snapshot, &mut self.disk)
+    }
+}
+
+impl Store {
+    /// Opens or creates the stored state in the folder `path`.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Corrupt`] for a damaged file, and errors of the operating system.
+    pub fn open(path: &Path, mut disk: Disk) -> Result<(Self, Restored), Error> {
+        let snapshot = snapshot::load(&path.join("snapshot"))?;
+        let log = path.join("log");
+        let exists = log.try_exists().map_err(Error::io("opening", &log))?;
+        if !exists && snapshot.position.index > 0 {
+            return Err(Error::Corrupt {
+                file: log,
+                offset: 0,
+                what: "the log of the snapshot is missing",
+            });
+        }
+        let (wal, batches) = if exists {
+            Wal::open(&log, &mut disk)?
+        } else {
+            (
+                Wal::replace(&log, &Batch::default(), &mut disk)?,
+                Vec::new(),
+            )
+        };
+        let mut restored = Restored {
+            snapshot,
+            ..Restored::default()
+        };
+        for batch in batches {
+            if let Some(hard) = batch.hard {
+                restored.hard = hard;
+            }
+            if let Some(first) = batch.entries.first() {
+                let index = first.position.index;
+                let kept = restored
+                    .entries
+                    .partition_point(|entry| entry.position.index < index);
+                restored.entries.truncate(kept);
+                restored.entries.extend(batch.entries);
+            }
+        }
+        let store = Self {
+            path: path.to_owned(),
+            wal,
+            disk,
+            failed: false,
+        };
+        Ok((store, restored))
+    }
+
+    /// Returns what saves snapshots beside the writes of the log.
+    #[must_use]
+    pub fn saver(&self) -> Saver {
+        Saver {
+            path: self.path.join("snapshot"),
+            disk: self.disk.clone(),
+        }
+    }
+
+    /// Makes a write durable.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the operating system. Every later write fails too, because a failed sync may have dropped data
+    /// that a later sync would report as durable.
+    pub fn write(&mut self, write: Write) -> Result<(), Error> {
+        if self.failed {
+            return Err(Error::Failed(self.path.clone()));
+        }
+        let outcome = self.store(write);
+        self.failed = outcome.is_err();
+        outcome
+    }
+
+    fn store(&mut self, write: Write) -> Result<(), Error> {
+        let batch = Batch {
+            hard: write.hard,
+            entries: write.entries,
+        };
+        if let Some(snapshot) = write.snapshot {
+            self.saver().save(&snapshot)?;
+        }
+        if write.replaces_log {
+            self.wal = Wal::replace(&self.path.join("log"), &batch, &mut self.disk)?;
+            return Ok(());
+        }
+        self.wal.append(&batch, &mut self.disk)
+    }
+}
--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -14,7 +14,7 @@
 use tokio::time::timeout;
 
 use crate::server::read;
-use crate::{Error, Frame};
+use crate::{Error, Frame, Traffic};
 
 /// Time to open a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -26,6 +26,7 @@
 pub struct Client {
     peer: SocketAddr,
     connection: Arc<Mutex<Option<SendRequest<Bytes>>>>,
+    traffic: Arc<Traffic>,
 }
 
 impl Client {
@@ -35,9 +36,17 @@
         Self {
             peer,
             connection: Arc::default(),
+            traffic: Arc::default(),
         }
     }
 
+    /// Counts the client's messages in `traffic`.
+    #[must_use]
+    pub fn counted(mut self, traffic: &Arc<Traffic>) -> Self {
+        self.traffic = Arc::clone(traffic);
+        self
+    }
+
     /// Returns the peer's address.
     #[must_use]
     pub fn peer(&self) -> SocketAddr {
@@ -48,8 +57,8 @@
     ///
     /// # Errors
     ///
-    /// Returns the peer's fault, or what went wrong on the way. After [`Error::Timeout`] and a broken connection the peer
-    /// may have handled the call.
+    /// Returns the peer's fault, or what went wrong on the way. After [`Error::Timeout`] and [`Error::Connection`] the peer
+    /// may have handled the call; after [`Error::Unreachable`] it has not.
     pub async fn call<Q: Serialize, A: DeserializeOwned>(
         &self,
         path: &str,
@@ -73,7 +82,7 @@
     async fn exchange(&self, path: &str, frame: &Frame) -> Result<Frame, Error> {
         let sender = self.connected().await?;
         let outcome = self.stream(sender, path, frame).await;
-        if let Err(Error::Connection { .. }) = &outcome {
+        if let Err(Error::Connection { .. } | Error::Unreachable { .. }) = &outcome {
             self.reset().await;
         }
         outcome
@@ -87,13 +96,16 @@
     ) -> Result<Frame, Error> {
         let request = http::Request::post(format!("http://{}/{path}", self.peer)).body(());
         let request = request.map_err(|_| Error::Malformed("path of the call"))?;
-        let mut sender = sender.ready().await.map_err(|e| self.broken(&e))?;
+        let mut sender = sender.ready().await.map_err(|e| self.unreachable(&e))?;
         let sent = sender.send_request(request, false);
         let (response, mut body) = sent.map_err(|e| self.broken(&e))?;
-        body.send_data(frame.to_bytes(), true)
-            .map_err(|e| self.broken(&e))?;
+        let bytes = frame.to_bytes();
+        self.traffic.sent(bytes.len());
+        body.send_data(bytes, true).map_err(|e| self.broken(&e))?;
         let response = response.await.map_err(|e| self.broken(&e))?;
-        Frame::from_bytes(&read(response.into_body()).await?)
+        let bytes = read(response.into_body()).await?;
+        self.traffic.received(bytes.len());
+        Frame::from_bytes(&bytes)
     }
 
     async fn connected(&self) -> Result<SendRequest<Bytes>, Error> {
@@ -102,8 +114,8 @@
             return Ok(sender.clone());
         }
         let opened = timeout(CONNECT_TIMEOUT, open(self.peer)).await;
-        let opened = opened.map_err(|_| self.broken(&"connect timed out"))?;
-        let sender = opened.map_err(|e| self.broken(&e))?;
+        let opened = opened.map_err(|_| self.unreachable(&"connect timed out"))?;
+        let sender = opened.map_err(|e| self.unreachable(&e))?;
         *connection = Some(sender.clone());
         Ok(sender)
     }
@@ -112,6 +124,13 @@
         *self.connection.lock().await = None;
     }
 
+    fn unreachable(&self, cause: &dyn std::fmt::Display) -> Error {
+        Error::Unreachable {
+            peer: self.peer.to_string(),
+            cause: cause.to_string(),
+        }
+    }
+
     fn broken(&self, cause: &dyn std::fmt::Display) -> Error {
         Error::Connection {
             peer: self.peer.to_string(),
