Refuse claims at an instance with another number of ledger groups

Cause: the group of a key depends on the number of groups, which each instance read from its own settings. An instance with another number looked for a claim in the wrong group and granted it again, so that a request could run twice.

Ruled out: a file in the data directory, which a new instance does not have; a check in each batch, because a group that exists only under the other number would accept it.

Conclusion: the first claim fixes the number in the log of group 0, and each instance checks its own number against it before it takes claims.

--- a/crates/control/src/daemon/instance.rs
+++ b/crates/control/src/daemon/instance.rs
@@ -11,7 +11,7 @@
 use chestnutvalve_model::version::Version;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
-use tokio::sync::watch;
+use tokio::sync::{OnceCell, watch};
 use tokio::time::{Instant, timeout};
 
 use super::batcher::Batcher;
@@ -46,6 +46,8 @@
     pub beats: Batcher<Heartbeat, Registered>,
     /// Ledger groups by number.
     pub ledgers: Vec<Arc<Group>>,
+    /// Set once the number of ledger groups is known to be that of the fleet.
+    pub ledger_checked: OnceCell<()>,
     requests: Mutex<Bucket>,
     grants: Mutex<Term>,
     failure: watch::Sender<Option<Fault>>,
@@ -68,6 +70,7 @@
         Ok(Self {
             peers: Peers::default(),
             ledgers: ledgers.map(|_| Arc::default()).collect(),
+            ledger_checked: OnceCell::new(),
             grants: Mutex::default(),
             failure: watch::Sender::new(None),
             network: Network::default(),
--- a/crates/control/src/daemon/ledger.rs
+++ b/crates/control/src/daemon/ledger.rs
@@ -6,6 +6,8 @@
 use chestnutvalve_kernel::Service;
 use chestnutvalve_ledger::{Claimed, Command, Ledger, group};
 use chestnutvalve_model::error::{Fault, Kind};
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
 use tokio::task::JoinSet;
 use tokio::time::{Instant, MissedTickBehavior, interval, timeout};
 
@@ -28,10 +30,51 @@
 /// Interval at which the leader moves log time; retention is at least 60 s.
 const ADVANCE_PERIOD: Duration = Duration::from_secs(5);
 
+/// Command in the log of a ledger group.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+enum Logged {
+    /// Fixes the number of ledger groups of the fleet, unless it is fixed; the result is the fixed number.
+    Groups(u32),
+    /// Commands of the ledger; the result is the list of their answers.
+    Batch(Vec<Command>),
+}
+
+/// State of one ledger group.
+#[derive(Debug, Default)]
+struct State {
+    groups: Option<u32>,
+    ledger: Ledger,
+}
+
+impl State {
+    /// Applies a command; one that does not decode has no effect and no answers.
+    fn apply(&mut self, committed: Committed<'_>) -> Vec<u8> {
+        match codec::decode(committed.command) {
+            Ok(Logged::Groups(groups)) => codec::encode(self.groups.get_or_insert(groups)),
+            Ok(Logged::Batch(commands)) => {
+                let answers = commands.iter().map(|c| self.ledger.apply(c));
+                codec::encode(&answers.collect::<Vec<Option<Claimed>>>())
+            }
+            Err(_) => codec::encode::<Vec<Option<Claimed>>>(&Vec::new()),
+        }
+    }
+
+    fn save(&self) -> Vec<u8> {
+        codec::encode(&(self.groups, self.ledger.save()))
+    }
+
+    fn restore(snapshot: &[u8]) -> Result<Self, Fault> {
+        let (groups, ledger): (Option<u32>, Vec<u8>) = codec::decode(snapshot)?;
+        let ledger = Ledger::restore(&ledger);
+        let ledger = ledger.map_err(|e| Fault::new(Kind::Internal, e.to_string()))?;
+        Ok(Self { groups, ledger })
+    }
+}
+
 /// One ledger group at this instance.
 #[derive(Debug, Default)]
 pub struct Group {
-    ledger: Arc<RwLock<Ledger>>,
+    state: Arc<RwLock<State>>,
     handle: OnceLock<Handle>,
     batches: Batcher<Command, Option<Claimed>>,
 }
@@ -56,44 +99,36 @@
     /// Returns the number of claims and the log time in milliseconds, as far as this replica has applied them.
     #[must_use]
     pub fn size(&self) -> (usize, u64) {
-        let ledger = self.ledger.read().unwrap_or_else(PoisonError::into_inner);
-        (ledger.len(), ledger.now_ms())
+        let state = self.state.read().unwrap_or_else(PoisonError::into_inner);
+        (state.ledger.len(), state.ledger.now_ms())
     }
 
     /// Returns the state machine of the group.
     #[must_use]
     pub fn machine(&self) -> Machine {
-        let applied = Arc::clone(&self.ledger);
-        let (saved, restored) = (Arc::clone(&self.ledger), Arc::clone(&self.ledger));
+        let applied = Arc::clone(&self.state);
+        let (saved, restored) = (Arc::clone(&self.state), Arc::clone(&self.state));
         Machine {
             apply: Box::new(move |committed| {
-                let mut ledger = applied.write().unwrap_or_else(PoisonError::into_inner);
-                apply(&mut ledger, committed)
+                let mut state = applied.write().unwrap_or_else(PoisonError::into_inner);
+                state.apply(committed)
             }),
             save: Box::new(move || saved.read().unwrap_or_else(PoisonError::into_inner).save()),
             restore: Box::new(move |snapshot| {
-                let ledger = Ledger::restore(snapshot);
-                let ledger = ledger.map_err(|e| Fault::new(Kind::Internal, e.to_string()))?;
-                *restored.write().unwrap_or_else(PoisonError::into_inner) = ledger;
+                let state = State::restore(snapshot)?;
+                *restored.write().unwrap_or_else(PoisonError::into_inner) = state;
                 Ok(())
             }),
         }
     }
 
-    async fn commit(&self, commands: Vec<Command>) -> Result<Vec<Option<Claimed>>, Fault> {
-        let proposed = self.handle()?.propose(codec::encode(&commands));
+    async fn commit<A: DeserializeOwned>(&self, command: &Logged) -> Result<A, Fault> {
+        let proposed = self.handle()?.propose(codec::encode(command));
         let late = |_| Fault::new(Kind::ChangeUnconfirmed, "not committed in time");
         codec::decode(&timeout(COMMIT_TIMEOUT, proposed).await.map_err(late)??)
     }
 }
 
-/// Applies a batch; a batch that does not decode has no effect and no answers.
-fn apply(ledger: &mut Ledger, committed: Committed<'_>) -> Vec<u8> {
-    let commands: Vec<Command> = codec::decode(committed.command).unwrap_or_default();
-    let answers: Vec<Option<Claimed>> = commands.iter().map(|c| ledger.apply(c)).collect();
-    codec::encode(&answers)
-}
-
 /// Builds the service that batches claims and moves log time.
 #[must_use]
 pub fn service(instance: &Arc<Instance>) -> Service {
@@ -113,7 +148,7 @@
 async fn batches(group: Arc<Group>) {
     let handle = |commands| {
         let group = Arc::clone(&group);
-        async move { group.commit(commands).await }
+        async move { group.commit(&Logged::Batch(commands)).await }
     };
     group.batches.run(BATCH, weight, handle).await;
 }
@@ -143,7 +178,8 @@
         counted = term.map(|term| (term, now));
         let Some((_, since)) = since else { continue };
         let elapsed_ms = u64::try_from((now - since).as_millis()).unwrap_or(0);
-        if let Err(fault) = group.commit(vec![Command::Advance { elapsed_ms }]).await {
+        let step = Logged::Batch(vec![Command::Advance { elapsed_ms }]);
+        if let Err(fault) = group.commit::<Vec<Option<Claimed>>>(&step).await {
             spdlog::warn!("log time of a ledger group: {fault}");
         }
     }
@@ -158,6 +194,7 @@
     let Command::Claim { key, .. } = &command else {
         return Err(Fault::new(Kind::BadRequest, "expected a claim"));
     };
+    confirm(instance).await?;
     let group = find(instance, key)?;
     let missing = || Fault::new(Kind::Internal, "the ledger gave no answer");
     let answer = group.batches.call(command).await;
@@ -186,10 +223,39 @@
             return Err(Fault::new(Kind::BadRequest, "expected a record or release"));
         }
     };
+    confirm(instance).await?;
     group.batches.call(command).await?;
     Ok(())
 }
 
+/// Checks once that this instance maps keys to the same groups as all others.
+///
+/// An instance with another number in its settings would look for a claim in the wrong group and grant it again.
+async fn confirm(instance: &Instance) -> Result<(), Fault> {
+    let own = instance.settings.ledger_groups;
+    let check = || async move {
+        let missing = || Fault::new(Kind::LedgerUnavailable, "no ledger group");
+        let first = instance.ledgers.first().ok_or_else(missing)?;
+        let fixed: u32 = first.commit(&Logged::Groups(own)).await?;
+        if fixed == own {
+            return Ok(());
+        }
+        let context = format!("ledger_groups is {own} in the settings, but {fixed} in the fleet");
+        spdlog::error!("{context}");
+        Err(Fault::new(Kind::LedgerUnavailable, context))
+    };
+    let checked = instance.ledger_checked.get_or_try_init(check);
+    // While there is no quorum, callers would otherwise wait for the attempts of all others before them.
+    let late = |_| {
+        Fault::new(
+            Kind::LedgerUnavailable,
+            "the groups are not confirmed in time",
+        )
+    };
+    timeout(COMMIT_TIMEOUT, checked).await.map_err(late)??;
+    Ok(())
+}
+
 fn find<'a>(
     instance: &'a Instance,
     key: &chestnutvalve_ledger::Key,
--- a/crates/control/src/daemon/operators.rs
+++ b/crates/control/src/daemon/operators.rs
@@ -90,7 +90,7 @@
         async move {
             let answer = match answer {
                 Some(answer) => answer.await,
-                None => Err(Fault::new(Kind::Overloaded, "too many requests of operators").into()),
+                None => Err(excess().into()),
             };
             match answer {
                 Ok(value) => response(StatusCode::OK, &value),
@@ -235,14 +235,23 @@
 fn metrics(instance: &Arc<Instance>) -> impl Endpoint + 'static + use<> {
     let instance = Arc::clone(instance);
     make(move |_request| {
-        let rendered = instance.meters.render();
+        let rendered = if instance.admit() {
+            let rendered = instance.meters.render();
+            rendered.map_err(|e| Fault::new(Kind::Internal, e.to_string()))
+        } else {
+            Err(excess())
+        };
         async move {
             match rendered {
                 Ok(text) => Response::builder()
                     .content_type("text/plain; version=0.0.4")
                     .body(text),
-                Err(error) => refused(&Fault::new(Kind::Internal, error.to_string()).into()),
+                Err(fault) => refused(&fault.into()),
             }
         }
     })
 }
+
+fn excess() -> Fault {
+    Fault::new(Kind::Overloaded, "too many requests of operators")
+}
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -1,5 +1,6 @@
 //! State machine of the configuration and the entry directory.
 
+use std::borrow::Cow;
 use std::collections::VecDeque;
 
 use chestnutvalve_model::config::{Change, Edit};
@@ -43,12 +44,12 @@
 }
 
 #[derive(Deserialize, Serialize)]
-struct Saved {
-    state: State,
+struct Saved<'a> {
+    state: Cow<'a, State>,
     changed: Version,
-    records: Records,
-    accepted: VecDeque<Accepted>,
-    ids: VecDeque<history::Known>,
+    records: Cow<'a, Records>,
+    accepted: Cow<'a, VecDeque<Accepted>>,
+    ids: Cow<'a, VecDeque<history::Known>>,
 }
 
 impl Store {
@@ -160,11 +161,11 @@
     #[must_use]
     pub fn save(&self) -> Vec<u8> {
         codec::encode(&Saved {
-            state: self.state.clone(),
+            state: Cow::Borrowed(&self.state),
             changed: self.changed,
-            records: self.records.clone(),
-            accepted: self.history.accepted().clone(),
-            ids: self.history.known().clone(),
+            records: Cow::Borrowed(&self.records),
+            accepted: Cow::Borrowed(self.history.accepted()),
+            ids: Cow::Borrowed(self.history.known()),
         })
     }
 
@@ -174,7 +175,7 @@
     ///
     /// Returns [`Kind::Internal`] for a snapshot that does not decode or is older than the present state.
     pub fn restore(&mut self, snapshot: &[u8]) -> Result<(), Fault> {
-        let saved: Saved = codec::decode(snapshot)?;
+        let saved: Saved<'_> = codec::decode(snapshot)?;
         if saved.state.version < self.state.version {
             let context = format!(
                 "snapshot of version {} is older than {}",
@@ -183,10 +184,10 @@
             return Err(Fault::new(Kind::Internal, context));
         }
         *self = Self {
-            state: saved.state,
+            state: saved.state.into_owned(),
             changed: saved.changed,
-            records: saved.records,
-            history: History::from_parts(saved.accepted, saved.ids),
+            records: saved.records.into_owned(),
+            history: History::from_parts(saved.accepted.into_owned(), saved.ids.into_owned()),
         };
         Ok(())
     }
--- /dev/null
+++ b/crates/control/tests/all/harness.rs
@@ -0,0 +1,179 @@
+//! Control instances in one process, and calls to them.
+
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::time::Duration;
+
+use chestnutvalve_control::daemon::{self, Instance};
+use chestnutvalve_control::settings::{Settings, Voter};
+use chestnutvalve_kernel::Registry;
+use chestnutvalve_ledger::{Claimed, Command, Key};
+use chestnutvalve_model::control::{Content, State, Update, Watch};
+use chestnutvalve_model::id::{Control, Incarnation, Zone};
+use chestnutvalve_model::version::Version;
+use chestnutvalve_wire::Client;
+use tempfile::TempDir;
+use tokio::time::{Instant, sleep};
+
+use crate::support::{entry, service};
+
+pub const LIMIT: Duration = Duration::from_secs(10);
+pub const CALL: Duration = Duration::from_secs(3);
+
+pub struct Running {
+    pub registry: Registry,
+    pub instance: Arc<Instance>,
+    pub client: Client,
+}
+
+pub struct Cluster {
+    pub directory: TempDir,
+    pub ledger_groups: u32,
+    pub members: Vec<Voter>,
+    pub running: Vec<Option<Running>>,
+}
+
+pub fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("bind a free port");
+    listener.local_addr().expect("address of the listener")
+}
+
+impl Cluster {
+    pub async fn start(size: usize) -> Self {
+        let name = |n| Control::new(&format!("c{n}")).expect("valid name");
+        let voter = |n| Voter {
+            control: name(n),
+            peers: free_address(),
+        };
+        let mut cluster = Self {
+            directory: TempDir::new().expect("temporary directory"),
+            ledger_groups: 2,
+            members: (0..size).map(voter).collect(),
+            running: Vec::new(),
+        };
+        std::fs::write(cluster.directory.path().join("token"), "operators-token").expect("token");
+        for n in 0..size {
+            let running = cluster.launch(n).await;
+            cluster.running.push(Some(running));
+        }
+        cluster.leader().await;
+        cluster
+    }
+
+    pub async fn launch(&self, n: usize) -> Running {
+        let own = &self.members[n];
+        let settings = Settings {
+            control: own.control.clone(),
+            zone: Zone::new("barre").expect("valid name"),
+            peers: own.peers,
+            operators: free_address(),
+            data: self.directory.path().join(own.control.as_str()),
+            token_file: self.directory.path().join("token"),
+            members: self.members.clone(),
+            voter: true,
+            ledger_groups: self.ledger_groups,
+            log: chestnutvalve_telemetry::log::Threshold::Error,
+        };
+        let mut registry = Registry::default();
+        let instance = daemon::register(&mut registry, settings).expect("register the services");
+        registry.start().await.expect("start the services");
+        Running {
+            registry,
+            instance,
+            client: Client::new(own.peers),
+        }
+    }
+
+    pub async fn stop(&mut self, n: usize) {
+        let running = self.running[n].take().expect("the instance runs");
+        let Running {
+            mut registry,
+            instance,
+            ..
+        } = running;
+        registry.stop().await.expect("stop the services");
+        drop(instance);
+    }
+
+    pub fn alive(&self) -> impl Iterator<Item = (usize, &Running)> {
+        let running = self.running.iter().enumerate();
+        running.filter_map(|(n, running)| Some((n, running.as_ref()?)))
+    }
+
+    pub async fn leader(&self) -> usize {
+        let deadline = Instant::now() + LIMIT;
+        loop {
+            if let Some((n, _)) = self.alive().find(|(_, r)| r.instance.leads().is_some()) {
+                return n;
+            }
+            assert!(Instant::now() < deadline, "no leader");
+            sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    pub async fn follower(&self) -> &Running {
+        let leader = self.leader().await;
+        let follower = self.alive().find(|(n, _)| *n != leader);
+        follower.expect("a second instance runs").1
+    }
+}
+
+pub fn watch(have: Version, wait_ms: u32) -> Watch {
+    Watch {
+        entry: entry("e1"),
+        incarnation: Incarnation(1),
+        have,
+        services: None,
+        wait_ms,
+    }
+}
+
+pub async fn poll(client: &Client, have: Version, wait_ms: u32) -> Update {
+    let answer = client
+        .call("config/watch", &watch(have, wait_ms), CALL)
+        .await;
+    answer.expect("the watch is answered")
+}
+
+/// Follows an instance until its state meets the condition.
+pub async fn follow(client: &Client, condition: impl Fn(&State) -> bool) -> State {
+    let deadline = Instant::now() + LIMIT;
+    let mut state = State::default();
+    while !condition(&state) {
+        assert!(Instant::now() < deadline, "state not reached: {state:?}");
+        match poll(client, state.version, 500).await.content {
+            Content::Unchanged => {}
+            Content::Snapshot(snapshot) => state = snapshot,
+            Content::Records(records) => {
+                for record in &records {
+                    state.apply(record).expect("valid record");
+                }
+            }
+        }
+    }
+    state
+}
+
+pub fn claim(key: &str, attempt: &str) -> Command {
+    Command::Claim {
+        key: Key {
+            service: service("kasa"),
+            customer: None,
+            key: key.to_owned(),
+        },
+        fingerprint: 7,
+        attempt: attempt.to_owned(),
+        retention_s: 600,
+    }
+}
+
+pub async fn claimed(client: &Client, command: &Command) -> Claimed {
+    let deadline = Instant::now() + LIMIT;
+    loop {
+        match client.call("ledger/claim", command, CALL).await {
+            Ok(claimed) => return claimed,
+            Err(error) => assert!(Instant::now() < deadline, "claim: {error}"),
+        }
+        sleep(Duration::from_millis(20)).await;
+    }
+}
--- a/crates/control/tests/all/main.rs
+++ b/crates/control/tests/all/main.rs
@@ -1,6 +1,8 @@
 //! Tests of the control daemon.
 
+mod claims;
 mod cluster;
+mod harness;
 mod heartbeats;
 mod state;
 mod support;
