--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -16,6 +16,7 @@
 pub mod change;
 pub mod history;
 pub mod records;
+pub mod size;
 
 pub use change::Refusal;
 pub use history::{Accepted, History};
@@ -39,6 +40,8 @@
     state: State,
     /// Version of the last accepted change of the configuration.
     changed: Version,
+    /// Encoded size of all exceptions.
+    bytes: usize,
     records: Records,
     history: History,
 }
@@ -98,8 +101,11 @@
             return Ok(first);
         }
         let scopes = records::scopes(&self.state.document, &change.edits);
+        let before = size::named(&self.state.document, &change.edits);
         let edited = self.state.document.edit(&change.edits);
         edited.map_err(|e| Fault::new(Kind::InvalidChange, e.to_string()))?;
+        self.bytes += size::named(&self.state.document, &change.edits);
+        self.bytes -= before;
         let version = self.push(term, Step::Edits(change.edits.clone()), scopes);
         self.changed = version;
         self.history.push(version, change);
@@ -184,6 +190,7 @@
             return Err(Fault::new(Kind::Internal, context));
         }
         *self = Self {
+            bytes: size::of(&saved.state.document),
             state: saved.state.into_owned(),
             changed: saved.changed,
             records: saved.records.into_owned(),
--- a/crates/control/src/state/change.rs
+++ b/crates/control/src/state/change.rs
@@ -6,7 +6,7 @@
 use chestnutvalve_model::version::Version;
 use serde::{Deserialize, Serialize};
 
-use super::Store;
+use super::{Store, size};
 
 /// Most edits of one change.
 pub const MAX_EDITS: usize = 10_000;
@@ -80,10 +80,24 @@
             let context = format!("change id {:?} was used for another change", change.id);
             return Err(Fault::new(Kind::InvalidChange, context).into());
         }
-        if change.expected == self.changed || self.is_unchanged_since(change.expected) {
-            return Ok(None);
+        if change.expected != self.changed && !self.is_unchanged_since(change.expected) {
+            return Err(self.conflict(change.expected));
         }
-        Err(self.conflict(change.expected))
+        self.check_size(&change.edits)?;
+        Ok(None)
+    }
+
+    /// Refuses what could make the document too large to be delivered; removals always pass.
+    fn check_size(&self, edits: &[Edit]) -> Result<(), Fault> {
+        let put = size::put(edits);
+        if put == 0 || self.bytes + put <= size::MAX_BYTES {
+            return Ok(());
+        }
+        let (bytes, limit) = (self.bytes, size::MAX_BYTES);
+        let context = format!(
+            "exceptions: {put} bytes are added to {bytes}; expected at most {limit} in all"
+        );
+        Err(Fault::new(Kind::InvalidChange, context))
     }
 
     fn is_unchanged_since(&self, expected: Version) -> bool {
--- /dev/null
+++ b/crates/control/src/state/size.rs
@@ -0,0 +1,41 @@
+//! Encoded size of the configuration.
+
+use std::collections::BTreeSet;
+
+use chestnutvalve_model::config::{Document, Edit};
+
+use crate::codec;
+
+/// Most encoded bytes of all exceptions. A snapshot for an entry travels in one frame of 64 MiB, together with the
+/// directory.
+pub const MAX_BYTES: usize = 48 * 1024 * 1024;
+
+/// Returns the size of all exceptions.
+#[must_use]
+pub fn of(document: &Document) -> usize {
+    let exceptions = document.exceptions.values();
+    exceptions.map(|e| codec::encode(e).len()).sum()
+}
+
+/// Returns the size of the present exceptions that `edits` name.
+#[must_use]
+pub fn named(document: &Document, edits: &[Edit]) -> usize {
+    let ids = edits.iter().filter_map(|edit| match edit {
+        Edit::SetDefaults(_) => None,
+        Edit::PutException(exception) => Some(&exception.id),
+        Edit::RemoveException(id) => Some(id),
+    });
+    let ids: BTreeSet<&String> = ids.collect();
+    let present = ids.into_iter().filter_map(|id| document.exceptions.get(id));
+    present.map(|e| codec::encode(e).len()).sum()
+}
+
+/// Returns the size of the exceptions that `edits` put.
+#[must_use]
+pub fn put(edits: &[Edit]) -> usize {
+    let sizes = edits.iter().map(|edit| match edit {
+        Edit::PutException(exception) => codec::encode(exception).len(),
+        Edit::SetDefaults(_) | Edit::RemoveException(_) => 0,
+    });
+    sizes.sum()
+}
--- a/crates/control/tests/all/main.rs
+++ b/crates/control/tests/all/main.rs
@@ -4,5 +4,6 @@
 mod cluster;
 mod harness;
 mod heartbeats;
+mod malformed;
 mod state;
 mod support;
--- a/crates/control/tests/all/state.rs
+++ b/crates/control/tests/all/state.rs
@@ -297,3 +297,48 @@
         "edits need a change with author and reason"
     );
 }
+
+/// Guards against an accepted document that is too large for the frame in which entries get it.
+#[test]
+fn document_stays_small_enough_to_be_delivered() {
+    let mut log = Log::default();
+    let reason = "r".repeat(1_000);
+    let fill = |from: usize| -> Vec<Edit> {
+        let ids = from..from + 5_000;
+        ids.map(|n| Edit::PutException(exception(&format!("x{n}"), &reason, Some("kasa"))))
+            .collect()
+    };
+    let mut refused = None;
+    for n in 0..20 {
+        let sent = change(&format!("c{n}"), log.store.changed(), fill(n * 5_000));
+        refused = log.change(&sent).err();
+        if refused.is_some() {
+            break;
+        }
+    }
+    assert_eq!(refused.unwrap().fault.kind, Kind::InvalidChange);
+    assert!(log.store.state().document.exceptions.len() >= 40_000);
+    let everything = update(&log.store, &watch(Version::ZERO, None), false);
+    chestnutvalve_wire::Frame::encode(&everything).expect("fits into a frame");
+    let mut restored = Store::default();
+    restored.restore(&log.store.save()).unwrap();
+    log.store = restored;
+    let expected = log.store.changed();
+    let again = change("again", expected, fill(50_000));
+    assert_eq!(kind(&log.change(&again)), Some(Kind::InvalidChange));
+    let ids: Vec<String> = log
+        .store
+        .state()
+        .document
+        .exceptions
+        .keys()
+        .cloned()
+        .collect();
+    let removals = ids.into_iter().take(9_000).map(Edit::RemoveException);
+    let removed = change("remove", expected, removals.collect());
+    let expected = log.change(&removed).unwrap();
+    assert!(
+        log.change(&change("refill", expected, fill(50_000)))
+            .is_ok()
+    );
+}
