--- a/crates/control/src/daemon/ledger.rs
+++ b/crates/control/src/daemon/ledger.rs
@@ -59,13 +59,18 @@
         }
     }
 
+    /// Returns a snapshot: the number of groups, 0 while it is not fixed, and the ledger.
     fn save(&self) -> Vec<u8> {
-        codec::encode(&(self.groups, self.ledger.save()))
+        let mut snapshot = self.groups.unwrap_or(0).to_le_bytes().to_vec();
+        snapshot.extend(self.ledger.save());
+        snapshot
     }
 
     fn restore(snapshot: &[u8]) -> Result<Self, Fault> {
-        let (groups, ledger): (Option<u32>, Vec<u8>) = codec::decode(snapshot)?;
-        let ledger = Ledger::restore(&ledger);
+        let short = || Fault::new(Kind::Internal, "ledger snapshot is too short");
+        let (groups, ledger) = snapshot.split_first_chunk().ok_or_else(short)?;
+        let groups = Some(u32::from_le_bytes(*groups)).filter(|groups| *groups > 0);
+        let ledger = Ledger::restore(ledger);
         let ledger = ledger.map_err(|e| Fault::new(Kind::Internal, e.to_string()))?;
         Ok(Self { groups, ledger })
     }
--- a/crates/control/tests/all/claims.rs
+++ b/crates/control/tests/all/claims.rs
@@ -114,3 +114,24 @@
         );
     }
 }
+
+/// Guards against claims, or the number of groups, that are lost when the log is compacted into a snapshot.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn claims_survive_compaction_and_restart() {
+    let mut cluster = Cluster::start(1).await;
+    let client = cluster.running[0].as_ref().expect("runs").client.clone();
+    // Each of the two groups takes a snapshot after 1,024 entries.
+    for n in 0..2_600 {
+        let granted = claimed(&client, &claim(&format!("k{n}"), "a1")).await;
+        assert_eq!(granted, Claimed::Granted);
+    }
+    cluster.stop(0).await;
+    let running = cluster.launch(0).await;
+    let client = &running.client;
+    for n in [0, 1, 2, 3, 1_500, 2_599] {
+        let again = claimed(client, &claim(&format!("k{n}"), "a2")).await;
+        assert_eq!(again, Claimed::Unknown, "k{n}");
+    }
+    let kept: usize = running.instance.ledgers.iter().map(|g| g.size().0).sum();
+    assert_eq!(kept, 2_600);
+}
