--- a/crates/control/src/daemon/directory.rs
+++ b/crates/control/src/daemon/directory.rs
@@ -63,7 +63,10 @@
         }
         let steps = {
             let store = instance.store();
-            instance.heartbeats().steps(now, &store.state().directory)
+            let (state, mut heartbeats) = (store.state(), instance.heartbeats());
+            let mut steps = heartbeats.steps(now, &state.directory);
+            steps.extend(heartbeats.resizes(now, &state.owners));
+            steps
         };
         proposal = (!steps.is_empty()).then(|| {
             let instance = Arc::clone(instance);
@@ -90,6 +93,7 @@
 /// Returns [`Kind::NoQuorum`] when this instance does not lead.
 pub fn receive(instance: &Instance, batch: Vec<Heartbeat>) -> Result<Vec<Registered>, Fault> {
     let term = leading(instance)?;
+    instance.meters.heartbeats(batch.len());
     let store = instance.store();
     let mut heartbeats = instance.heartbeats();
     let now = Instant::now().into_std();
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -96,10 +96,9 @@
         if let Some(first) = self.check(&change)? {
             return Ok(first);
         }
-        let document = self.state.document.edited(&change.edits);
-        let document = document.map_err(|e| Fault::new(Kind::InvalidChange, e.to_string()))?;
         let scopes = records::scopes(&self.state.document, &change.edits);
-        self.state.document = document;
+        let edited = self.state.document.edit(&change.edits);
+        edited.map_err(|e| Fault::new(Kind::InvalidChange, e.to_string()))?;
         let version = self.push(term, Step::Edits(change.edits.clone()), scopes);
         self.changed = version;
         self.history.push(version, change);
@@ -111,11 +110,19 @@
             Step::Edits(_) => return,
             Step::Join(member) => member.entry.clone(),
             Step::Leave { entry, .. } => entry.clone(),
+            Step::Resize { service, owners } => {
+                let before = self.state.owners.get(service).copied();
+                self.state.resize(service, *owners);
+                if self.state.owners.get(service).copied() != before {
+                    self.push(term, step, Vec::new());
+                }
+                return;
+            }
         };
         let directory = &mut self.state.directory;
         let before = directory.members.get(&entry).cloned();
         match &mut step {
-            Step::Edits(_) => return,
+            Step::Edits(_) | Step::Resize { .. } => return,
             Step::Join(member) => {
                 keep_draining(before.as_ref(), member);
                 directory.join(member);
@@ -144,7 +151,7 @@
         let after = self.records.after(version)?;
         let steps = after.filter_map(|record| match &record.step {
             Step::Edits(edits) => Some(edits.clone()),
-            Step::Join(_) | Step::Leave { .. } => None,
+            Step::Join(_) | Step::Leave { .. } | Step::Resize { .. } => None,
         });
         Some(steps.flatten().collect())
     }
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -147,7 +147,7 @@
         };
         let request = self.call.request(&attempt, body);
         let check = || self.check(place);
-        let (pool, address) = (&self.instance.pool, place.address);
+        let (pool, address) = (&self.instance.workers, place.address);
         let received = exchange(pool, address, self.call, request, check).await?;
         let headers = &received.parts.headers;
         let echoed = headers.get(name::ATTEMPT);
--- a/crates/entry/src/passed.rs
+++ b/crates/entry/src/passed.rs
@@ -42,7 +42,7 @@
         if let Some(lease) = self.lease.take()
             && self.source.is_complete()
         {
-            self.instance.pool.give_back(lease);
+            lease.give_back();
         }
     }
 
