Tell the admission how failed requests ended

A request without a response gave its place back as cancelled, so that the concurrency limit saw neither timeouts nor shedding, and neither did a request that a second worker answered after the first one had shed it. Both now report what happened.

--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -20,7 +20,7 @@
 use crate::instance::Instance;
 use crate::passed::Answer;
 use crate::peers::Withdrawal;
-use crate::place::Place;
+use crate::place::{Permit, Place};
 use crate::serving::Serving;
 
 /// A request that got no response.
@@ -30,6 +30,8 @@
     pub refusal: Refusal,
     /// What is known about execution, over all attempts.
     pub executed: Executed,
+    /// How the last attempt ended.
+    pub verdict: Verdict,
 }
 
 /// Attempts of one request.
@@ -62,7 +64,23 @@
     /// # Errors
     ///
     /// Returns the caller's error, with what is known about execution.
-    pub async fn run(mut self) -> Result<Answer, Unanswered> {
+    pub async fn run(mut self, permit: Permit) -> Result<Answer, Unanswered> {
+        let started = Instant::now();
+        match self.attempts().await {
+            Ok(mut answer) => {
+                // Shedding shows that too much is sent at once, also when another worker took the request.
+                answer.ending.shed = self.stages.contains(&Stage::ShedByWorker);
+                answer.ending.permit = Some(permit);
+                Ok(answer)
+            }
+            Err(unanswered) => {
+                permit.finish(unanswered.verdict, started.elapsed());
+                Err(unanswered)
+            }
+        }
+    }
+
+    async fn attempts(&mut self) -> Result<Answer, Unanswered> {
         self.serving.deposit();
         let Some(mut place) = self.pick() else {
             let failed = self.no_worker();
@@ -218,6 +236,7 @@
     fn unanswered(&self, failed: Failed) -> Unanswered {
         let executed = evidence::combined(&self.stages);
         Unanswered {
+            verdict: failed.verdict,
             refusal: refusal(failed, executed),
             executed,
         }
--- a/crates/entry/src/once.rs
+++ b/crates/entry/src/once.rs
@@ -139,14 +139,12 @@
             return Err(refusal);
         }
     };
-    match Attempts::new(instance, serving, call).run().await {
-        Ok(mut answer) => {
+    match Attempts::new(instance, serving, call).run(permit).await {
+        Ok(answer) => {
             settle(instance, "ledger/record", claim.record(&answer));
-            answer.ending.permit = Some(permit);
             Ok(answer.into_response(call))
         }
         Err(unanswered) => {
-            drop(permit);
             if unanswered.executed == Executed::No {
                 release(instance, &claim).await;
             }
--- a/crates/entry/src/passed.rs
+++ b/crates/entry/src/passed.rs
@@ -31,6 +31,8 @@
     place: Option<Place>,
     /// Right to run the request.
     pub permit: Option<Permit>,
+    /// Whether a worker shed an earlier attempt.
+    pub shed: bool,
     latency: Duration,
     verdict: Verdict,
 }
@@ -53,6 +55,7 @@
             self.instance.suspects.notify_one();
         }
         if let Some(permit) = self.permit.take() {
+            let verdict = if self.shed { Verdict::Shed } else { verdict };
             permit.finish(verdict, self.latency);
         }
     }
@@ -98,6 +101,7 @@
             lease: Some(lease),
             place,
             permit: None,
+            shed: false,
             latency,
             verdict,
         };
--- a/crates/entry/src/proxy.rs
+++ b/crates/entry/src/proxy.rs
@@ -75,11 +75,8 @@
         return once::run(instance, serving, call).await;
     }
     let permit = serving.admit_call(&call).await?;
-    match Attempts::new(instance, serving, &call).run().await {
-        Ok(mut answer) => {
-            answer.ending.permit = Some(permit);
-            Ok(answer.into_response(&call))
-        }
+    match Attempts::new(instance, serving, &call).run(permit).await {
+        Ok(answer) => Ok(answer.into_response(&call)),
         Err(unanswered) => Err(unanswered.refusal),
     }
 }
