--- a/crates/entry/src/instance.rs
+++ b/crates/entry/src/instance.rs
@@ -189,8 +189,8 @@
             method: None,
             customer: None,
         };
-        let size = document.resolve(&target).entries_per_service;
-        let size = state.owners_of(service, size);
+        let configured = document.resolve(&target).entries_per_service;
+        let size = state.owners_of(service, configured);
         let owners = placement::owners(service, size, &state.directory);
         let members = owners
             .iter()
--- a/tests/all/leaving.rs
+++ b/tests/all/leaving.rs
@@ -18,7 +18,7 @@
     Mute,
     /// Entries can't reach each other, and the withdrawal reaches one entry only.
     Cut,
-    /// One entry is frozen during the withdrawal and has requests waiting when it resumes.
+    /// One entry is frozen while the worker leaves without telling, and has requests waiting when it resumes.
     FrozenEntry,
     /// The worker was frozen just before it leaves.
     FrozenWorker,
@@ -37,6 +37,8 @@
 async fn a_leaving_worker_gets_no_work_after_the_bound(#[case] trouble: Trouble) {
     let mut layout = support::layout();
     layout.links = true;
+    // Entries prefer workers of their own zone; here every entry has to use the leaving worker.
+    layout.zones = vec!["z1".into()];
     layout.services[0].drain_ms = 8_000;
     let fleet = support::start(layout).await;
     // One load for each entry, because callers would leave a silent entry.
@@ -68,14 +70,12 @@
     let before = worker.counts(&fleet.http).await.unwrap();
     assert!(before.executed > 0, "the worker had no work before it left");
     let frozen = fleet.entries[1].process().unwrap();
+    let mute = Fault {
+        mute: true,
+        ..Fault::default()
+    };
     match trouble {
-        Trouble::Mute => {
-            let mute = Fault {
-                mute: true,
-                ..Fault::default()
-            };
-            worker.fault(&fleet.http, &mute).await.unwrap();
-        }
+        Trouble::Mute => worker.fault(&fleet.http, &mute).await.unwrap(),
         Trouble::Cut => {
             for (at, entry) in fleet.entries.iter().enumerate() {
                 fleet
@@ -90,7 +90,10 @@
                 }
             }
         }
-        Trouble::FrozenEntry => frozen.freeze().unwrap(),
+        Trouble::FrozenEntry => {
+            worker.fault(&fleet.http, &mute).await.unwrap();
+            frozen.freeze().unwrap();
+        }
         Trouble::FrozenWorker => {
             worker.process().unwrap().freeze().unwrap();
             sleep(Duration::from_millis(1_500)).await;
@@ -116,7 +119,9 @@
     );
     let last = counts.after_leaving_ms.iter().max().copied().unwrap_or(0);
     println!(
-        "{} arrivals after the start of leaving, the last after {last} ms",
+        "{trouble:?}: {} executions before, {} in all, {} arrivals after the start of leaving, the last after {last} ms",
+        before.executed,
+        counts.executed,
         counts.after_leaving_ms.len()
     );
     assert!(
