--- a/crates/entry/src/exchange.rs
+++ b/crates/entry/src/exchange.rs
@@ -3,6 +3,7 @@
 use std::collections::VecDeque;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -77,7 +78,7 @@
 ///
 /// Returns how far the exchange got.
 pub async fn exchange(
-    pool: &Pool,
+    pool: &Arc<Pool>,
     address: SocketAddr,
     call: &Call,
     mut request: Request<Replay>,
@@ -113,7 +114,7 @@
     Err(Failed::unsent(Kind::ConnectFailed, context))
 }
 
-async fn connect(pool: &Pool, address: SocketAddr, call: &Call) -> Result<Lease, Failed> {
+async fn connect(pool: &Arc<Pool>, address: SocketAddr, call: &Call) -> Result<Lease, Failed> {
     let error = match pool.lease(address, call.deadline).await {
         Ok(lease) => return Ok(lease),
         Err(error) => error,
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -82,7 +82,7 @@
     };
     let request = call.forwarded(&instance.attempt_id(), body);
     let check = || Ok(());
-    let received = exchange(&instance.pool, owner.callers, call, request, check).await?;
+    let received = exchange(&instance.entries, owner.callers, call, request, check).await?;
     let mut answer = Answer::new(instance, call, received, None);
     name::remove_hop_by_hop(&mut answer.parts.headers);
     Ok(answer)
--- a/crates/entry/src/instance.rs
+++ b/crates/entry/src/instance.rs
@@ -32,6 +32,11 @@
 /// requests per second.
 const MAX_CLAIMS: usize = 1_024;
 
+/// Unused connections kept for one worker. A worker with 400 connections has room for 50 owners of its service.
+const MAX_IDLE_TO_WORKER: usize = 8;
+/// Unused connections kept for one other entry.
+const MAX_IDLE_TO_ENTRY: usize = 64;
+
 /// One entry instance.
 #[derive(Debug)]
 pub struct Instance {
@@ -47,8 +52,10 @@
     pub peers: Peers,
     /// Services for which this instance routes.
     pub services: Services,
-    /// Connections to workers and other entries.
-    pub pool: Arc<Pool>,
+    /// Connections to workers.
+    pub workers: Arc<Pool>,
+    /// Connections to other entries, for forwarded requests.
+    pub entries: Arc<Pool>,
     /// Request to stop the process.
     pub shutdown: Shutdown,
     /// Asks for a heartbeat at once.
@@ -89,7 +96,8 @@
             link: Link::new(&settings.control, &traffic),
             peers: Peers::new(&traffic),
             services: Services::new(settings.zone.clone()),
-            pool: Arc::default(),
+            workers: Arc::new(Pool::new(MAX_IDLE_TO_WORKER)),
+            entries: Arc::new(Pool::new(MAX_IDLE_TO_ENTRY)),
             shutdown,
             beat: Notify::new(),
             suspects: Notify::new(),
