Resend before the first answer, and count keyless requests too

They now resend after 400 ms to another entry. The tests of untrue denials also compare that no request that may run only once ran twice, and one case combines full workers with resets, in which a lost attempt can be followed by a refused one.

--- a/tests/all/once.rs
+++ b/tests/all/once.rs
@@ -1,8 +1,10 @@
 //! P4: a request with a key that is not idempotent runs at most once.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+use chestnutvalve_bench::client::Failure;
 use chestnutvalve_bench::fleet::until;
 use chestnutvalve_bench::load::{Call, Caller, Class, Outcome, Verdict};
 use chestnutvalve_kernel::Shutdown;
@@ -50,7 +52,7 @@
 }
 
 /// Most requests of one caller.
-const MOST_CALLS: usize = 400;
+const MOST_CALLS: usize = 300;
 
 /// Callers that send keyed orders until they are told to stop, and resend each one to other entries until it is answered.
 fn callers(fleet: &Running, stop: &Shutdown) -> JoinSet<Vec<(Call, Vec<Outcome>)>> {
@@ -73,7 +75,7 @@
                 let mut outcomes = Vec::new();
                 for resend in 0..4 {
                     let address = addresses[(at + resend) % addresses.len()];
-                    outcomes.push(caller.call_at(&call, address).await);
+                    outcomes.push(impatient(&caller, &call, address).await);
                     if outcomes[resend].verdict == Verdict::Good {
                         break;
                     }
@@ -86,6 +88,20 @@
     callers
 }
 
+/// Time after which a caller resends although its first request may still be in progress.
+const PATIENCE: Duration = Duration::from_millis(400);
+
+async fn impatient(caller: &Caller, call: &Call, address: SocketAddr) -> Outcome {
+    let answer = tokio::time::timeout(PATIENCE, caller.call_at(call, address)).await;
+    answer.unwrap_or(Outcome {
+        verdict: Verdict::Lost(Failure::Timeout),
+        executed: None,
+        status: None,
+        latency: PATIENCE,
+        entry: Some(address),
+    })
+}
+
 async fn collect(mut callers: JoinSet<Vec<(Call, Vec<Outcome>)>>) -> Vec<(Call, Vec<Outcome>)> {
     let mut told = Vec::new();
     while let Some(part) = callers.join_next().await {
--- a/tests/all/truth.rs
+++ b/tests/all/truth.rs
@@ -14,6 +14,9 @@
 /// Deadline that the faults exceed, in milliseconds.
 const SHORT_MS: u32 = 400;
 
+/// Name of the load whose requests may run only once.
+const ONCE: &str = "once";
+
 #[derive(Clone, Copy, Debug)]
 enum Trouble {
     Reset,
@@ -23,13 +26,14 @@
     Slow,
     Truncated,
     Full,
+    FullAndReset,
 }
 
 async fn cause(fleet: &Running, trouble: Trouble, worker: usize, on: bool) {
     let node = &fleet.workers[worker];
     let link = fleet.at(&node.name).unwrap();
     let mode = match trouble {
-        Trouble::Reset => Mode {
+        Trouble::Reset | Trouble::FullAndReset => Mode {
             to_origin: Flow {
                 reset_after: 1,
                 ..Flow::default()
@@ -71,7 +75,8 @@
     link.set(if on { mode } else { Mode::default() });
 }
 
-/// Guards against an entry that calls a request not executed although its bytes reached a worker.
+/// Guards against an entry that calls a request not executed although its bytes reached a worker, and against a second
+/// dispatch of a request that may run only once (P4, also without a key).
 #[rstest::rstest]
 #[case::reset(31, Trouble::Reset)]
 #[case::answers_lost(32, Trouble::AnswersLost)]
@@ -80,42 +85,47 @@
 #[case::slow(35, Trouble::Slow)]
 #[case::truncated(36, Trouble::Truncated)]
 #[case::full(37, Trouble::Full)]
+#[case::full_and_reset(38, Trouble::FullAndReset)]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn not_executed_is_true(#[case] seed: u64, #[case] trouble: Trouble) {
     let mut random = support::random(seed);
     let mut layout = support::layout();
     layout.links = true;
-    let full = matches!(trouble, Trouble::Full);
+    let full = matches!(trouble, Trouble::Full | Trouble::FullAndReset);
     layout.services[0].work_ms = if full { 40 } else { 5 };
     let fleet = support::start(layout).await;
-    let classes = [
-        lookup(),
-        order(),
-        Class {
-            key: false,
-            ..order()
-        },
-    ];
-    let classes = classes.map(|c| Class {
+    let keyless = Class {
+        key: false,
+        ..order()
+    };
+    let short = |c: Class| Class {
         deadline_ms: SHORT_MS,
         ..c
-    });
-    let rate = if full { 400.0 } else { 120.0 };
-    let mut plan = Plan::new(
-        fleet.callers(),
-        classes.to_vec(),
-        rate,
-        Duration::from_secs(5),
-    );
-    plan.seed = seed;
-    let loading = tokio::spawn(async move { load::run(&plan).await });
+    };
+    let rate = if full { 150.0 } else { 50.0 };
+    let mut loads = tokio::task::JoinSet::new();
+    for (name, classes, rate) in [
+        ("lookup", vec![short(lookup())], rate),
+        (ONCE, vec![short(order()), short(keyless)], 2.0 * rate),
+    ] {
+        let mut plan = Plan::new(fleet.callers(), classes, rate, Duration::from_secs(5));
+        plan.seed = seed;
+        plan.name = name.into();
+        loads.spawn(async move { load::run(&plan).await });
+    }
     for _ in 0..8 {
         let worker = random.random_range(0..fleet.workers.len());
         cause(&fleet, trouble, worker, true).await;
         sleep(Duration::from_millis(random.random_range(200..600))).await;
         cause(&fleet, trouble, worker, false).await;
     }
-    let report = loading.await.unwrap().unwrap();
+    let (mut denied, mut good) = (Vec::new(), 0);
+    while let Some(report) = loads.join_next().await {
+        let report = report.unwrap().unwrap();
+        print!("{}", report.table());
+        good += report.total().good;
+        denied.extend(report.not_executed);
+    }
     // Requests that a fault held back on their way may still run now.
     sleep(Duration::from_secs(1)).await;
     let counts = until("workers without work", SOON, async || {
@@ -123,18 +133,22 @@
         (counts.executed == counts.finished + counts.cancelled).then_some(counts)
     });
     let counts = counts.await.unwrap();
-    print!("{}", report.table());
-    let told = report.not_executed.len();
+    let told = denied.len();
     println!(
         "{told} told as not executed, {} executions",
         counts.executed
     );
-    let ran: Vec<_> = report
-        .not_executed
+    denied.retain(|id| counts.requests.contains_key(id));
+    assert!(
+        denied.is_empty(),
+        "told as not executed, but ran: {denied:?}"
+    );
+    let once = counts
+        .requests
         .iter()
-        .filter(|id| counts.requests.contains_key(*id))
-        .collect();
-    assert!(ran.is_empty(), "told as not executed, but ran: {ran:?}");
-    assert!(report.total().good > 0);
+        .filter(|(id, _)| id.starts_with(ONCE));
+    let twice: Vec<_> = once.filter(|(_, runs)| **runs > 1).collect();
+    assert!(twice.is_empty(), "ran more than once: {twice:?}");
+    assert!(good > 0);
     assert!(!full || told > 0, "four workers can't carry this load");
 }
