--- a/crates/entry/src/serving.rs
+++ b/crates/entry/src/serving.rs
@@ -7,6 +7,7 @@
 
 use chestnutvalve_model::config::{Document, Settings, Target};
 use chestnutvalve_model::control::State;
+use chestnutvalve_model::directory::Member;
 use chestnutvalve_model::id::{Customer, Incarnation, Service, Worker, Zone};
 use chestnutvalve_model::rank::Rank;
 use chestnutvalve_model::version::Version;
@@ -22,6 +23,9 @@
 use crate::clock;
 use crate::place::{Permit, Place, Waiting};
 
+/// Time over which the load is counted; heartbeats may follow each other sooner.
+const LOAD_PERIOD: Duration = Duration::from_millis(900);
+
 /// Worker that can take a request.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Candidate {
@@ -48,8 +52,12 @@
     pub name: Service,
     inner: Mutex<Inner>,
     part: Mutex<(Version, Arc<Document>)>,
+    owners: Mutex<Option<(Basis, Arc<Vec<Member>>)>>,
 }
 
+/// What the owners of a service depend on: the state's version, and whether this instance is draining.
+pub type Basis = (Version, bool);
+
 #[derive(Debug)]
 pub(crate) struct Inner {
     pub(crate) balancer: Balancer,
@@ -63,6 +71,16 @@
     /// Attempts in progress.
     pub(crate) places: HashMap<Worker, u32>,
     used: Instant,
+    load: Load,
+}
+
+/// Load over the last full second.
+#[derive(Debug)]
+struct Load {
+    since: Instant,
+    /// Ticket number at that instant.
+    ticket: u64,
+    per_second: u32,
 }
 
 impl Serving {
@@ -81,11 +99,17 @@
             upstreams: HashMap::new(),
             places: HashMap::new(),
             used: clock::now(),
+            load: Load {
+                since: clock::now(),
+                ticket: 0,
+                per_second: 0,
+            },
         };
         Self {
             name,
             inner: Mutex::new(inner),
             part: Mutex::default(),
+            owners: Mutex::default(),
         }
     }
 
@@ -104,6 +128,21 @@
         Arc::clone(&part.1)
     }
 
+    /// Returns the owners of the service, which `place` computes when `basis` has changed.
+    ///
+    /// The placement hashes the whole directory, which would cost more than the rest of a request.
+    pub fn owners(&self, basis: Basis, place: impl FnOnce() -> Vec<Member>) -> Arc<Vec<Member>> {
+        let mut owners = self.owners.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some((known, owners)) = &*owners
+            && *known == basis
+        {
+            return Arc::clone(owners);
+        }
+        let placed = Arc::new(place());
+        *owners = Some((basis, Arc::clone(&placed)));
+        placed
+    }
+
     /// Brings the state in line with the registered workers and the configuration.
     pub fn sync(
         &self,
@@ -150,6 +189,23 @@
         admitted
     }
 
+    /// Returns the requests a second over the last full second or more, refused ones included.
+    #[must_use]
+    pub fn rate(&self, now: Instant) -> u32 {
+        let mut inner = self.lock();
+        let elapsed = now.saturating_duration_since(inner.load.since);
+        if elapsed >= LOAD_PERIOD {
+            let offered = inner.next_ticket - inner.load.ticket;
+            let per_second = u128::from(offered) * 1_000 / elapsed.as_millis().max(1);
+            inner.load = Load {
+                since: now,
+                ticket: inner.next_ticket,
+                per_second: u32::try_from(per_second).unwrap_or(u32::MAX),
+            };
+        }
+        inner.load.per_second
+    }
+
     /// Waits for a place to run; gives up its place in the queue when dropped.
     ///
     /// # Errors
