--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -212,6 +212,7 @@
         instance.registry().expire(now);
         instance.sync_all();
         instance.services.forget_unused(now);
-        instance.pool.close_idle();
+        instance.workers.close_idle();
+        instance.entries.close_idle();
     }
 }
