--- a/crates/ledger/src/snapshot.rs
+++ b/crates/ledger/src/snapshot.rs
@@ -48,11 +48,6 @@
         if read != content.len() {
             return Err(Invalid::Content("bytes left over".to_owned()));
         }
-        let mut ledger = Self::new();
-        ledger.now_ms = now_ms;
-        for (key, claim) in claims {
-            ledger.insert(&key, claim);
-        }
-        Ok(ledger)
+        Ok(Self::rebuild(now_ms, claims))
     }
 }
--- a/crates/ledger/src/state.rs
+++ b/crates/ledger/src/state.rs
@@ -201,8 +201,25 @@
         }
     }
 
+    /// Builds a ledger from its claims.
+    pub(crate) fn rebuild(now_ms: u64, claims: Vec<(Key, Claim)>) -> Self {
+        let claims = claims
+            .into_iter()
+            .map(|(key, claim)| (Arc::new(key), claim));
+        let claims: BTreeMap<Arc<Key>, Claim> = claims.collect();
+        let expiry = claims
+            .iter()
+            .map(|(key, claim)| (claim.expires_ms, Arc::clone(key)));
+        Self {
+            now_ms,
+            expiry: expiry.collect(),
+            outcome_bytes: claims.values().map(Claim::size).sum(),
+            claims,
+        }
+    }
+
     /// Adds or replaces a claim and keeps the expiry index and the size in step.
-    pub(crate) fn insert(&mut self, key: &Key, claim: Claim) {
+    fn insert(&mut self, key: &Key, claim: Claim) {
         let key = self.remove(key).unwrap_or_else(|| Arc::new(key.clone()));
         self.expiry.insert((claim.expires_ms, Arc::clone(&key)));
         self.outcome_bytes += claim.size();
