Scale the concurrency limit with the workers

Cause: an entry configures admission before it knows its workers, and workers come and go. The limit only was kept within the new bounds, so that it started at half of an equal share.

Ruled out: starting again at an equal share on each change, which forgets what was learnt.

Figures: with 0, 20, 40, 8, 0 and 20 slots of 4 entries the limit was 2.5, 5, 5, 1 and 2.5 after each change and is 5, 10, 2, 1 and 5.

Conclusion: the limit changes in proportion to the equal share.

--- a/crates/routing/src/admission/limit.rs
+++ b/crates/routing/src/admission/limit.rs
@@ -73,6 +73,8 @@
 #[derive(Clone, Debug)]
 pub(super) struct Limit {
     value: f64,
+    /// An equal share of the slots.
+    share: f64,
     least: f64,
     most: f64,
     baselines: [Baseline; 3],
@@ -85,7 +87,8 @@
 impl Limit {
     pub(super) fn new(limits: &Limits) -> Self {
         let mut limit = Self {
-            value: 0.0,
+            value: 1.0,
+            share: 1.0,
             least: 1.0,
             most: 1.0,
             baselines: [Baseline::default(); 3],
@@ -94,15 +97,18 @@
             shed_at: None,
         };
         limit.configure(limits);
-        limit.value = share(limits);
         limit
     }
 
-    /// Bounds: from half of an equal share of the slots to all of them, because other entries may be idle.
+    /// Sets the bounds: from half of an equal share of the slots to all of them, because other entries may be idle.
+    ///
+    /// The limit changes in proportion to the share, so that it follows workers that come and go.
     pub(super) fn configure(&mut self, limits: &Limits) {
-        self.least = (share(limits) / 2.0).max(1.0);
+        let before = self.share;
+        self.share = share(limits);
+        self.least = (self.share / 2.0).max(1.0);
         self.most = f64::from(limits.slots).max(1.0);
-        self.value = self.value.clamp(self.least, self.most);
+        self.value = (self.value * self.share / before).clamp(self.least, self.most);
     }
 
     /// Returns whether another request may run and leave `kept` places free.
--- a/crates/routing/tests/admission.rs
+++ b/crates/routing/tests/admission.rs
@@ -271,3 +271,20 @@
     let limit = admission.limit();
     assert!((least..=most).contains(&limit), "limit {limit}");
 }
+
+/// Guards against an entry that starts before its workers, or gains and loses workers, keeping its old limit.
+#[test]
+fn the_limit_follows_the_workers() {
+    let mut admission = Admission::new(limits(10, 0, 4));
+    let mut follow = |slots| {
+        admission.configure(limits(10, slots, 4));
+        admission.limit()
+    };
+    let followed = [20, 40, 8, 0, 20].map(&mut follow);
+    let expected = [5.0, 10.0, 2.0, 1.0, 5.0];
+    let close = followed
+        .iter()
+        .zip(expected)
+        .all(|(limit, e)| (limit - e).abs() < 1e-9);
+    assert!(close, "{followed:?}");
+}
