Follow members that restart at another address

A replica that was started at another address could be heard, but the membership kept the old one: proposals were passed on to it, and a replica that restarted later asked there. The leader now records the address of each member that it hears from, and its own.

Ruled out: addresses from any peer for any member, since an old one could replace a newer.

--- a/crates/consensus/src/replica/change.rs
+++ b/crates/consensus/src/replica/change.rs
@@ -1,5 +1,6 @@
 //! Membership change, planned hand-over and forced recovery.
 
+use std::net::SocketAddr;
 use std::time::Instant;
 
 use super::{Error, RECOVERY_TERM_STEP, Replica, Role};
@@ -17,6 +18,8 @@
     Add(Member),
     /// Makes a caught-up member a voter.
     Promote(ReplicaId),
+    /// Records that a member has another address.
+    Move(ReplicaId, SocketAddr),
     /// Removes a member.
     Remove(ReplicaId),
 }
@@ -39,6 +42,7 @@
         let members = match change {
             Change::Add(member) => add(members, member)?,
             Change::Promote(id) => self.promote(members, id)?,
+            Change::Move(id, address) => relocate(members, id, address)?,
             Change::Remove(id) => remove(members, id)?,
         };
         let position = self.append_own(Payload::Members(members));
@@ -199,6 +203,17 @@
     Ok(members.with(member))
 }
 
+fn relocate(members: &Membership, id: ReplicaId, address: SocketAddr) -> Result<Membership, Error> {
+    match members.get(id) {
+        Some(member) if member.address != address => Ok(members.with(Member {
+            address,
+            ..member.clone()
+        })),
+        Some(_) => Err(Error::ChangeRefused("the member has that address")),
+        None => Err(Error::ChangeRefused("no such member")),
+    }
+}
+
 fn remove(members: &Membership, id: ReplicaId) -> Result<Membership, Error> {
     if members.get(id).is_none() {
         return Err(Error::ChangeRefused("no such member"));
--- a/crates/control/src/replica/driver.rs
+++ b/crates/control/src/replica/driver.rs
@@ -131,7 +131,13 @@
         ended
     });
     let driver = Driver {
-        links: Links::new(network.clone(), options.group.clone(), id, options.address),
+        links: Links::new(
+            network.clone(),
+            inputs.clone(),
+            options.group.clone(),
+            id,
+            options.address,
+        ),
         replica,
         machine,
         options,
@@ -149,7 +155,7 @@
         stop: None,
         _directory: directory,
     };
-    network.register(&handle.group, inputs.clone());
+    network.register(&handle.group, inputs.clone(), handle.view.clone());
     let (network, group) = (network.clone(), handle.group.clone());
     tokio::spawn(async move {
         let outcome = driver.run(received, proposed).await;
@@ -226,6 +232,7 @@
     fn carry_out(&mut self) -> Result<(), Fault> {
         let now = Instant::now().into_std();
         self.apply()?;
+        self.correct_address(self.replica.id(), self.options.address);
         self.link();
         for (to, message) in self.replica.take_messages(now) {
             self.links.send(to, message);
--- a/crates/control/src/replica/driver/group.rs
+++ b/crates/control/src/replica/driver/group.rs
@@ -7,7 +7,7 @@
 
 use super::Driver;
 use crate::replica::Role;
-use crate::replica::handle::View;
+use crate::replica::handle::{Leader, View};
 
 impl Driver {
     pub(super) fn link(&mut self) {
@@ -36,7 +36,11 @@
         let view = View {
             role,
             term: self.replica.term(),
-            leader: leader.map(|m| (m.name.clone(), m.address)),
+            leader: leader.map(|member| Leader {
+                id: member.id,
+                name: member.name.clone(),
+                address: member.address,
+            }),
             commit: self.replica.commit(),
             applied: self.applied,
             quorum_until: self.replica.quorum_until(now).map(Instant::from_std),
@@ -48,7 +52,7 @@
         }
         self.view.send_if_modified(|current| {
             if (current.term, &current.leader) != (view.term, &view.leader) {
-                let leader = view.leader.as_ref().map_or("none", |(name, _)| name);
+                let leader = view.leader.as_ref().map_or("none", |leader| &leader.name);
                 let (group, term) = (&self.options.group, view.term);
                 spdlog::info!("group {group}: term {term}, leader {leader}");
             }
--- a/crates/control/src/replica/driver/input.rs
+++ b/crates/control/src/replica/driver/input.rs
@@ -1,8 +1,9 @@
 //! Inputs: messages of other replicas, proposals, membership changes, stop.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
-use chestnutvalve_consensus::{self as consensus, Change, Kind, Member, Position};
+use chestnutvalve_consensus::{self as consensus, Change, Kind, Member, Position, ReplicaId};
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
@@ -21,6 +22,12 @@
         let now = Instant::now().into_std();
         match input {
             Input::Step(envelope) => self.step(now, envelope),
+            Input::Leader(id, address) => {
+                // Whoever hears a leader knows its address better than others do.
+                if self.replica.leader().is_none() {
+                    self.links.set(id, address);
+                }
+            }
             Input::Propose(proposal) => self.propose(proposal),
             Input::Hello(hello, done) => {
                 let _ = done.send(self.greet(now, &hello));
@@ -57,12 +64,23 @@
         if envelope.to != self.replica.id() {
             return;
         }
-        self.links.set(envelope.from, envelope.address);
+        let (from, address) = (envelope.from, envelope.address);
+        self.links.set(from, address);
+        self.correct_address(from, address);
         for message in envelope.messages {
             self.replica.step(now, envelope.from, message);
         }
     }
 
+    /// Records the address of a member that was started at another one, the leader itself included.
+    pub(super) fn correct_address(&mut self, id: ReplicaId, address: SocketAddr) {
+        let member = self.replica.membership().0.get(id);
+        if member.is_some_and(|member| member.address != address) {
+            // Only the leader can, and not during another change; the next message is another occasion.
+            let _ = self.replica.change(Change::Move(id, address));
+        }
+    }
+
     pub(super) fn propose(&mut self, proposal: Proposal) {
         let appended = self.replica.propose(proposal.command);
         self.wait(appended, proposal.done);
--- a/crates/control/src/replica/handle.rs
+++ b/crates/control/src/replica/handle.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use chestnutvalve_consensus::{Change, Membership};
+use chestnutvalve_consensus::{Change, Membership, ReplicaId};
 use chestnutvalve_model::error::{Fault, Kind};
 use chestnutvalve_wire::Error;
 use tokio::sync::{mpsc, oneshot, watch};
@@ -22,12 +22,20 @@
 /// Time between attempts when the known leader refuses.
 const RETRY_PERIOD: Duration = Duration::from_millis(50);
 
+/// The leader, as a replica knows it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(super) struct Leader {
+    pub id: ReplicaId,
+    pub name: String,
+    pub address: SocketAddr,
+}
+
 /// What the driver publishes.
 #[derive(Clone, Debug, PartialEq)]
 pub(super) struct View {
     pub role: Role,
     pub term: u64,
-    pub leader: Option<(String, SocketAddr)>,
+    pub leader: Option<Leader>,
     pub commit: u64,
     pub applied: u64,
     pub quorum_until: Option<Instant>,
@@ -87,13 +95,13 @@
         if role == Role::Leader {
             return self.append(command.to_vec(), deadline).await;
         }
-        let (name, address) = leader.ok_or_else(|| no_quorum("no leader is known"))?;
+        let leader = leader.ok_or_else(|| no_quorum("no leader is known"))?;
         let forward = Forward {
             group: self.group.clone(),
             command: command.into(),
         };
         let left = deadline.saturating_duration_since(Instant::now());
-        let client = self.network.client(address);
+        let client = self.network.client(leader.address);
         let outcome = client.call("replica/propose", &forward, left).await;
         outcome
             .map(|result: chestnutvalve_consensus::Blob| result.to_vec())
@@ -101,7 +109,10 @@
                 Error::Fault(fault) => fault,
                 Error::Unreachable { .. } => no_quorum(&error.to_string()),
                 Error::TooLarge { .. } => Fault::new(Kind::TooLarge, error.to_string()),
-                error => unconfirmed(&format!("passing a proposal on to {name}: {error}")),
+                error => unconfirmed(&format!(
+                    "passing a proposal on to {}: {error}",
+                    leader.name
+                )),
             })
     }
 
@@ -127,7 +138,7 @@
         Status {
             role: view.role,
             term: view.term,
-            leader: view.leader.as_ref().map(|(name, _)| name.clone()),
+            leader: view.leader.as_ref().map(|leader| leader.name.clone()),
             commit: view.commit,
             applied: view.applied,
             quorum: self.end.borrow().is_none()
--- a/crates/control/src/replica/link.rs
+++ b/crates/control/src/replica/link.rs
@@ -8,7 +8,7 @@
 use chestnutvalve_wire::Client;
 use tokio::sync::mpsc;
 
-use super::network::{Envelope, Network};
+use super::network::{Envelope, Hint, Input, Network};
 
 /// Time for a peer to take messages; it does no disk work before it answers.
 const STEP_TIMEOUT: Duration = Duration::from_secs(1);
@@ -28,13 +28,21 @@
     group: String,
     id: ReplicaId,
     address: SocketAddr,
+    inputs: mpsc::Sender<Input>,
     peers: HashMap<ReplicaId, Link>,
 }
 
 impl Links {
-    pub fn new(network: Network, group: String, id: ReplicaId, address: SocketAddr) -> Self {
+    pub fn new(
+        network: Network,
+        inputs: mpsc::Sender<Input>,
+        group: String,
+        id: ReplicaId,
+        address: SocketAddr,
+    ) -> Self {
         Self {
             network,
+            inputs,
             group,
             id,
             address,
@@ -55,7 +63,8 @@
             to,
             messages: Vec::new(),
         };
-        tokio::spawn(run(self.network.client(address), envelope, received));
+        let client = self.network.client(address);
+        tokio::spawn(run(client, envelope, received, self.inputs.clone()));
         self.peers.insert(to, Link { address, queue });
     }
 
@@ -72,8 +81,18 @@
     }
 }
 
+/// Returns whether only a replica without a leader sends this message.
+fn seeks_leader(message: &Message) -> bool {
+    matches!(message, Message::Inquire | Message::PreVote { .. })
+}
+
 /// Sends queued messages until the queue's sender is dropped.
-async fn run(client: Client, mut envelope: Envelope, mut queue: mpsc::Receiver<Message>) {
+async fn run(
+    client: Client,
+    mut envelope: Envelope,
+    mut queue: mpsc::Receiver<Message>,
+    inputs: mpsc::Sender<Input>,
+) {
     while let Some(message) = queue.recv().await {
         let mut size = message.size();
         envelope.messages.push(message);
@@ -83,13 +102,18 @@
             size += message.size();
             envelope.messages.push(message);
         }
-        let sent = client.call::<_, ()>("consensus/step", &envelope, STEP_TIMEOUT);
-        if let Err(error) = sent.await {
-            spdlog::debug!(
+        let sent = client.call::<_, Hint>("consensus/step", &envelope, STEP_TIMEOUT);
+        match sent.await {
+            Ok(Some((leader, address))) if envelope.messages.iter().any(seeks_leader) => {
+                // The next question brings the answer again.
+                let _ = inputs.try_send(Input::Leader(leader, address));
+            }
+            Ok(_) => {}
+            Err(error) => spdlog::debug!(
                 "group {}: messages to {}: {error}",
                 envelope.group,
                 envelope.to
-            );
+            ),
         }
         envelope.messages.clear();
     }
--- a/crates/control/src/replica/network.rs
+++ b/crates/control/src/replica/network.rs
@@ -8,7 +8,9 @@
 use chestnutvalve_model::error::{Fault, Kind};
 use chestnutvalve_wire::{Client, Router};
 use serde::{Deserialize, Serialize};
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
+
+use super::handle::View;
 
 /// Messages of one replica to another.
 #[derive(Clone, Debug, Deserialize, Serialize)]
@@ -22,6 +24,9 @@
     pub messages: Vec<Message>,
 }
 
+/// Leader as the receiver of messages knows it, for a sender that has an old address of it.
+pub(super) type Hint = Option<(ReplicaId, SocketAddr)>;
+
 /// Proposal that is passed on to the leader.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub(super) struct Forward {
@@ -68,6 +73,7 @@
 /// Input of a driver.
 pub(super) enum Input {
     Step(Envelope),
+    Leader(ReplicaId, SocketAddr),
     Propose(Proposal),
     Hello(Hello, oneshot::Sender<Greeting>),
     Joined(super::join::Finding),
@@ -80,7 +86,14 @@
 #[derive(Clone, Debug, Default)]
 pub struct Network {
     clients: Arc<Mutex<HashMap<SocketAddr, Client>>>,
-    groups: Arc<Mutex<HashMap<String, mpsc::Sender<Input>>>>,
+    groups: Arc<Mutex<HashMap<String, Group>>>,
+}
+
+/// Where the messages of a group go, and what its replica knows.
+#[derive(Clone, Debug)]
+struct Group {
+    inbox: mpsc::Sender<Input>,
+    view: watch::Receiver<View>,
 }
 
 impl Network {
@@ -100,11 +113,13 @@
         let (step, propose, hello) = (self.clone(), self.clone(), self.clone());
         router
             .route("consensus/step", move |envelope: Envelope| {
-                let inbox = step.inbox(&envelope.group);
+                let group = step.group(&envelope.group);
                 async move {
+                    let group = group?;
                     // A replica that can't keep up may lose messages; they are sent again.
-                    let _ = inbox?.try_send(Input::Step(envelope));
-                    Ok(())
+                    let _ = group.inbox.try_send(Input::Step(envelope));
+                    let view = group.view.borrow();
+                    Ok(view.leader.as_ref().map(|l| (l.id, l.address)) as Hint)
                 }
             })
             .route("replica/propose", move |forward: Forward| {
@@ -134,21 +149,33 @@
             })
     }
 
-    fn inbox(&self, group: &str) -> Result<mpsc::Sender<Input>, Fault> {
+    fn group(&self, name: &str) -> Result<Group, Fault> {
         let groups = self.groups.lock().unwrap_or_else(PoisonError::into_inner);
-        let inbox = groups.get(group).cloned();
-        inbox.ok_or_else(|| Fault::new(Kind::NoQuorum, format!("no replica of group {group:?}")))
+        let group = groups.get(name).cloned();
+        group.ok_or_else(|| Fault::new(Kind::NoQuorum, format!("no replica of group {name:?}")))
+    }
+
+    fn inbox(&self, group: &str) -> Result<mpsc::Sender<Input>, Fault> {
+        Ok(self.group(group)?.inbox)
     }
 
-    pub(super) fn register(&self, group: &str, inbox: mpsc::Sender<Input>) {
+    pub(super) fn register(
+        &self,
+        name: &str,
+        inbox: mpsc::Sender<Input>,
+        view: watch::Receiver<View>,
+    ) {
         let mut groups = self.groups.lock().unwrap_or_else(PoisonError::into_inner);
-        groups.insert(group.to_owned(), inbox);
+        groups.insert(name.to_owned(), Group { inbox, view });
     }
 
     /// Removes the route of a replica that has stopped, unless another one of the group has started.
     pub(super) fn unregister(&self, group: &str, inbox: &mpsc::Sender<Input>) {
         let mut groups = self.groups.lock().unwrap_or_else(PoisonError::into_inner);
-        if groups.get(group).is_some_and(|own| own.same_channel(inbox)) {
+        if groups
+            .get(group)
+            .is_some_and(|own| own.inbox.same_channel(inbox))
+        {
             groups.remove(group);
         }
     }
--- a/crates/control/tests/replica/disk.rs
+++ b/crates/control/tests/replica/disk.rs
@@ -223,6 +223,27 @@
     assert!(fault.unwrap_err().context.contains("rolled back"));
 }
 
+/// Guards against a replica that is lost to its group because it was started at another address.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_replica_may_restart_at_another_address() {
+    let mut cluster = Cluster::start(3).await;
+    cluster.handle(0).propose(b"first".to_vec()).await.unwrap();
+    for number in 0..3 {
+        cluster.crash(number).await;
+        cluster.peers[number].address.set_port(0);
+        cluster.restart(number).await;
+        cluster.wait_commands(number, 1).await;
+        let leader = cluster.wait_leader().await;
+        cluster
+            .handle(leader)
+            .propose(b"next".to_vec())
+            .await
+            .unwrap();
+        cluster.wait_commands(number, number + 2).await;
+    }
+    cluster.handle(0).propose(b"last".to_vec()).await.unwrap();
+}
+
 /// Guards against a further instance that gets a vote although it was started as a learner, or that does not follow.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_relay_follows_without_a_vote() {
