--- a/crates/control/tests/all/main.rs
+++ b/crates/control/tests/all/main.rs
@@ -1,6 +1,9 @@
 //! Tests of the control daemon.
 
+mod claims;
 mod cluster;
+mod harness;
 mod heartbeats;
+mod malformed;
 mod state;
 mod support;
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -20,7 +20,7 @@
 use crate::instance::Instance;
 use crate::passed::Answer;
 use crate::peers::Withdrawal;
-use crate::place::Place;
+use crate::place::{Permit, Place};
 use crate::serving::Serving;
 
 /// A request that got no response.
@@ -30,6 +30,8 @@
     pub refusal: Refusal,
     /// What is known about execution, over all attempts.
     pub executed: Executed,
+    /// How the last attempt ended.
+    pub verdict: Verdict,
 }
 
 /// Attempts of one request.
@@ -62,7 +64,23 @@
     /// # Errors
     ///
     /// Returns the caller's error, with what is known about execution.
-    pub async fn run(mut self) -> Result<Answer, Unanswered> {
+    pub async fn run(mut self, permit: Permit) -> Result<Answer, Unanswered> {
+        let started = Instant::now();
+        match self.attempts().await {
+            Ok(mut answer) => {
+                // Shedding shows that too much is sent at once, also when another worker took the request.
+                answer.ending.shed = self.stages.contains(&Stage::ShedByWorker);
+                answer.ending.permit = Some(permit);
+                Ok(answer)
+            }
+            Err(unanswered) => {
+                permit.finish(unanswered.verdict, started.elapsed());
+                Err(unanswered)
+            }
+        }
+    }
+
+    async fn attempts(&mut self) -> Result<Answer, Unanswered> {
         self.serving.deposit();
         let Some(mut place) = self.pick() else {
             let failed = self.no_worker();
@@ -122,8 +140,9 @@
         };
         if is_shed(&received.parts) {
             self.instance.meters.attempt(Verdict::Shed);
-            // Shedding is not an error of the worker, so that it raises no suspicion.
-            let _ = place.finish(Verdict::Shed, received.latency);
+            if place.finish(Verdict::Shed, received.latency) {
+                self.instance.suspects.notify_one();
+            }
             let context = "the worker refused the request";
             return Err(Failed {
                 stage: Stage::ShedByWorker,
@@ -146,7 +165,7 @@
         };
         let request = self.call.request(&attempt, body);
         let check = || self.check(place);
-        let (pool, address) = (&self.instance.pool, place.address);
+        let (pool, address) = (&self.instance.workers, place.address);
         let received = exchange(pool, address, self.call, request, check).await?;
         let headers = &received.parts.headers;
         let echoed = headers.get(name::ATTEMPT);
@@ -217,6 +236,7 @@
     fn unanswered(&self, failed: Failed) -> Unanswered {
         let executed = evidence::combined(&self.stages);
         Unanswered {
+            verdict: failed.verdict,
             refusal: refusal(failed, executed),
             executed,
         }
--- a/crates/entry/src/exchange.rs
+++ b/crates/entry/src/exchange.rs
@@ -3,6 +3,7 @@
 use std::collections::VecDeque;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -77,7 +78,7 @@
 ///
 /// Returns how far the exchange got.
 pub async fn exchange(
-    pool: &Pool,
+    pool: &Arc<Pool>,
     address: SocketAddr,
     call: &Call,
     mut request: Request<Replay>,
@@ -113,7 +114,7 @@
     Err(Failed::unsent(Kind::ConnectFailed, context))
 }
 
-async fn connect(pool: &Pool, address: SocketAddr, call: &Call) -> Result<Lease, Failed> {
+async fn connect(pool: &Arc<Pool>, address: SocketAddr, call: &Call) -> Result<Lease, Failed> {
     let error = match pool.lease(address, call.deadline).await {
         Ok(lease) => return Ok(lease),
         Err(error) => error,
@@ -172,9 +173,15 @@
             parts.status,
             StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED
         );
-    bodiless
-        || parts.headers.contains_key(header::CONTENT_LENGTH)
-        || parts.headers.contains_key(header::TRANSFER_ENCODING)
+    bodiless || parts.headers.contains_key(header::CONTENT_LENGTH) || is_chunked(parts)
+}
+
+/// Returns whether the body is chunked; with any other last coding it ends with the connection.
+fn is_chunked(parts: &response::Parts) -> bool {
+    let mut codings = parts.headers.get_all(header::TRANSFER_ENCODING).iter();
+    let last = codings.next_back().and_then(|value| value.to_str().ok());
+    let last = last.and_then(|value| value.rsplit(',').next());
+    last.is_some_and(|coding| coding.trim().eq_ignore_ascii_case("chunked"))
 }
 
 /// Reads the start of a body; returns whether it is the whole body.
--- a/crates/entry/src/instance.rs
+++ b/crates/entry/src/instance.rs
@@ -9,7 +9,8 @@
 use chestnutvalve_burn::Counters;
 use chestnutvalve_kernel::Shutdown;
 use chestnutvalve_membership::worker::{Announcement, Record, Registry};
-use chestnutvalve_model::config::Target;
+use chestnutvalve_model::config::{Document, Target};
+use chestnutvalve_model::control::State;
 use chestnutvalve_model::directory::Member;
 use chestnutvalve_model::id::{Incarnation, Service, Worker};
 use chestnutvalve_routing::placement;
@@ -31,6 +32,11 @@
 /// requests per second.
 const MAX_CLAIMS: usize = 1_024;
 
+/// Unused connections kept for one worker. A worker with 400 connections has room for 50 owners of its service.
+const MAX_IDLE_TO_WORKER: usize = 8;
+/// Unused connections kept for one other entry.
+const MAX_IDLE_TO_ENTRY: usize = 64;
+
 /// One entry instance.
 #[derive(Debug)]
 pub struct Instance {
@@ -46,8 +52,10 @@
     pub peers: Peers,
     /// Services for which this instance routes.
     pub services: Services,
-    /// Connections to workers and other entries.
-    pub pool: Arc<Pool>,
+    /// Connections to workers.
+    pub workers: Arc<Pool>,
+    /// Connections to other entries, for forwarded requests.
+    pub entries: Arc<Pool>,
     /// Request to stop the process.
     pub shutdown: Shutdown,
     /// Asks for a heartbeat at once.
@@ -88,7 +96,8 @@
             link: Link::new(&settings.control, &traffic),
             peers: Peers::new(&traffic),
             services: Services::new(settings.zone.clone()),
-            pool: Arc::default(),
+            workers: Arc::new(Pool::new(MAX_IDLE_TO_WORKER)),
+            entries: Arc::new(Pool::new(MAX_IDLE_TO_ENTRY)),
             shutdown,
             beat: Notify::new(),
             suspects: Notify::new(),
@@ -156,8 +165,20 @@
     ///
     /// With an empty directory, before the first contact with a control instance, the instance owns every service.
     #[must_use]
-    pub fn owners(&self, service: &Service) -> Vec<Member> {
+    pub fn owners(&self, service: &Service) -> Arc<Vec<Member>> {
         let state = self.follow.state();
+        match self.services.get(service) {
+            Some(serving) => {
+                let basis = (state.version, self.is_draining());
+                serving.owners(basis, || {
+                    self.place(&state, &serving.document(&state), service)
+                })
+            }
+            None => Arc::new(self.place(&state, &state.document, service)),
+        }
+    }
+
+    fn place(&self, state: &State, document: &Document, service: &Service) -> Vec<Member> {
         if state.directory.members.is_empty() {
             let alone = (!self.is_draining()).then(|| self.member());
             return alone.into_iter().collect();
@@ -168,11 +189,8 @@
             method: None,
             customer: None,
         };
-        let size = match self.services.get(service) {
-            Some(serving) => serving.document(&state).resolve(&target),
-            None => state.document.resolve(&target),
-        };
-        let size = usize::from(size.entries_per_service);
+        let configured = document.resolve(&target).entries_per_service;
+        let size = state.owners_of(service, configured);
         let owners = placement::owners(service, size, &state.directory);
         let members = owners
             .iter()
@@ -191,8 +209,9 @@
     /// Returns the owners of a service other than this instance.
     #[must_use]
     pub fn other_owners(&self, service: &Service) -> Vec<Member> {
-        let owners = self.owners(service).into_iter();
-        owners.filter(|o| !self.is_me(o)).collect()
+        let owners = self.owners(service);
+        let others = owners.iter().filter(|o| !self.is_me(o));
+        others.cloned().collect()
     }
 
     fn is_me(&self, member: &Member) -> bool {
--- a/crates/entry/src/pool.rs
+++ b/crates/entry/src/pool.rs
@@ -17,8 +17,6 @@
 
 use crate::replay::Replay;
 
-/// Unused connections kept for one address.
-const MAX_IDLE: usize = 64;
 /// Time for which an unused connection is kept; servers commonly close theirs after 5 s or more.
 const IDLE_TIME: Duration = Duration::from_secs(4);
 /// Time for a connection to become ready after a complete exchange.
@@ -31,8 +29,9 @@
 const MAX_HEADERS: usize = 128;
 
 /// Unused connections by address.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Pool {
+    max_idle: usize,
     idle: Mutex<HashMap<SocketAddr, Vec<Idle>>>,
 }
 
@@ -56,6 +55,7 @@
 /// A connection in use by one exchange; closed when dropped.
 #[derive(Debug)]
 pub struct Lease {
+    pool: Arc<Pool>,
     address: SocketAddr,
     sender: SendRequest<Replay>,
     driver: Driver,
@@ -73,23 +73,36 @@
 }
 
 impl Pool {
+    /// Creates an empty pool that keeps `max_idle` connections for each address.
+    #[must_use]
+    pub fn new(max_idle: usize) -> Self {
+        Self {
+            max_idle,
+            idle: Mutex::default(),
+        }
+    }
+
     /// Returns a kept connection or opens one.
     ///
     /// # Errors
     ///
     /// Returns the error of the connection attempt, of kind `TimedOut` when it took too long.
-    pub async fn lease(&self, address: SocketAddr, deadline: Instant) -> std::io::Result<Lease> {
+    pub async fn lease(
+        self: &Arc<Self>,
+        address: SocketAddr,
+        deadline: Instant,
+    ) -> std::io::Result<Lease> {
         if let Some(lease) = self.kept(address) {
             return Ok(lease);
         }
         let limit = deadline.min(Instant::now() + CONNECT_TIMEOUT);
-        match timeout_at(limit, open(address)).await {
+        match timeout_at(limit, open(self, address)).await {
             Ok(opened) => opened,
             Err(_) => Err(std::io::ErrorKind::TimedOut.into()),
         }
     }
 
-    fn kept(&self, address: SocketAddr) -> Option<Lease> {
+    fn kept(self: &Arc<Self>, address: SocketAddr) -> Option<Lease> {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let list = idle.get_mut(&address)?;
         while let Some(Idle {
@@ -100,6 +113,7 @@
         {
             if since.elapsed() < IDLE_TIME && sender.is_ready() {
                 return Some(Lease {
+                    pool: Arc::clone(self),
                     address,
                     sender,
                     driver,
@@ -119,16 +133,18 @@
             !list.is_empty()
         });
     }
+}
 
-    /// Takes back a connection after a complete exchange.
-    pub fn give_back(self: &Arc<Self>, lease: Lease) {
-        let pool = Arc::clone(self);
-        let Lease {
+impl Lease {
+    /// Returns the connection to the pool after a complete exchange.
+    pub fn give_back(self) {
+        let Self {
+            pool,
             address,
             mut sender,
             driver,
             ..
-        } = lease;
+        } = self;
         tokio::spawn(async move {
             // The connection becomes ready when its driver has seen the end of the exchange.
             if !matches!(timeout(READY_TIMEOUT, sender.ready()).await, Ok(Ok(()))) {
@@ -136,7 +152,7 @@
             }
             let mut idle = pool.idle.lock().unwrap_or_else(PoisonError::into_inner);
             let list = idle.entry(address).or_default();
-            if list.len() < MAX_IDLE {
+            if list.len() < pool.max_idle {
                 list.push(Idle {
                     sender,
                     driver,
@@ -145,9 +161,7 @@
             }
         });
     }
-}
 
-impl Lease {
     /// Sends a request and waits for the head of the response.
     ///
     /// # Errors
@@ -162,7 +176,7 @@
     }
 }
 
-async fn open(address: SocketAddr) -> std::io::Result<Lease> {
+async fn open(pool: &Arc<Pool>, address: SocketAddr) -> std::io::Result<Lease> {
     let socket = TcpStream::connect(address).await?;
     socket.set_nodelay(true)?;
     let handshake = http1::Builder::new()
@@ -176,6 +190,7 @@
         }
     });
     Ok(Lease {
+        pool: Arc::clone(pool),
         address,
         sender,
         driver: Driver(task.abort_handle()),
