--- a/crates/control/tests/all/harness.rs
+++ b/crates/control/tests/all/harness.rs
@@ -2,6 +2,7 @@
 
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 use chestnutvalve_control::daemon::{self, Instance};
@@ -33,9 +34,20 @@
     pub running: Vec<Option<Running>>,
 }
 
+/// Next port to try.
+static NEXT: AtomicU32 = AtomicU32::new(0);
+
+/// Returns a free address below the range from which the system takes ports of outgoing connections.
 pub fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("bind a free port");
-    listener.local_addr().expect("address of the listener")
+    let start = std::process::id().wrapping_mul(257);
+    loop {
+        let number = start.wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed));
+        let port = u16::try_from(10_000 + number % 22_000).expect("below 32,000");
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        if TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
 }
 
 impl Cluster {
--- a/tests/all/control.rs
+++ b/tests/all/control.rs
@@ -1,11 +1,12 @@
 //! Control daemon and operator commands as processes.
 
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Output, Stdio};
 use std::time::{Duration, Instant};
 
+use chestnutvalve_bench::fleet::port;
 use rstest::rstest;
 use tempfile::TempDir;
 
@@ -20,8 +21,7 @@
 }
 
 fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("bind a free port");
-    listener.local_addr().expect("address of the listener")
+    port::free().expect("a free port")
 }
 
 impl Control {
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -3,6 +3,7 @@
 mod complete;
 mod config;
 mod control;
+mod demo;
 mod floor;
 mod leaving;
 mod once;
