Take an entry out of the directory when it has stopped

Cause: a stopped entry stayed in the directory as draining until it expired, so that a restart of the fleet left dead names in `status` and in every entry's placement.

Ruled out: leaving at the start of the drain, because peers forward to draining entries and callers use kept addresses until the end.

Conclusion: the entry sends `directory/leave` after its last request, with 500 ms at most.

--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -126,6 +126,8 @@
         spdlog::info!("shutting down");
         self.registry.stop().await?;
         spdlog::info!("all requests are finished");
+        // Without this message the directory names the instance until it expires.
+        link::leave(&self.instance).await;
         Ok(())
     }
 }
--- a/crates/entry/src/link.rs
+++ b/crates/entry/src/link.rs
@@ -28,6 +28,8 @@
 const HEARTBEAT_PERIOD: Duration = Duration::from_secs(1);
 /// Time for one heartbeat at one control instance.
 const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(700);
+/// Time for the last message of an instance that stops.
+const LEAVE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time for a peer entry to send the state.
 const FETCH_TIMEOUT: Duration = Duration::from_secs(2);
 /// Load from which a service is reported, in requests a second; idle services then cost no control traffic.
@@ -224,3 +226,14 @@
     rates.truncate(MAX_RATES);
     rates
 }
+
+/// Takes the instance out of the directory; when no control instance answers, it expires.
+pub async fn leave(instance: &Instance) {
+    let left = (instance.settings.entry.clone(), instance.incarnation);
+    let call = instance.link.call("directory/leave", &left, LEAVE_TIMEOUT);
+    match timeout(LEAVE_TIMEOUT, call).await {
+        Ok(Ok(())) => {}
+        Ok(Err(error)) => spdlog::debug!("leaving the directory: {error}"),
+        Err(_) => spdlog::debug!("leaving the directory: no answer in time"),
+    }
+}
