Let the concurrency limit grow while long requests hold all places

Cause: the limit learns from ended requests only. After two of four workers had left, the share of one of three entries was 1.3 places, and two pulls of 6 s held them: in four whole-process runs at 100 requests/s, top-rank requests took 4.3 to 4.6 s at the median in two, although the workers had free slots.

Ruled out: leaving the pulls out of the count (they do take slots); a greater least limit (more shedding in a flood, when all entries are busy).

Figures: after 200 ms without a start or an end of a request, while others wait, the limit grows by one place, up to all slots. The tests of floods and shares pass unchanged.

--- a/crates/routing/src/admission.rs
+++ b/crates/routing/src/admission.rs
@@ -30,6 +30,10 @@
 /// so many average deviations. Requests that are started with less often end after their deadline, in vain.
 const DEVIATIONS: f64 = 3.0;
 
+/// Time without a start or an end of a request after which the limit grows while others wait. Short requests end within
+/// it; long ones must not hold all places of one entry while slots are free.
+const STALLED: Duration = Duration::from_millis(200);
+
 /// A request that asks to run.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Ticket {
@@ -99,6 +103,8 @@
     shares: Share,
     paces: [Pace; 3],
     displaced: Vec<Action>,
+    /// When a request last started or ended.
+    moved: Option<Instant>,
 }
 
 impl Admission {
@@ -114,6 +120,7 @@
             shares: Share::default(),
             paces: Default::default(),
             displaced: Vec::new(),
+            moved: None,
         }
     }
 
@@ -169,6 +176,7 @@
             .all(|&r| r > ticket.rank || self.queued(r) == 0);
         if first && self.has_room(now, ticket.rank) {
             self.running[ticket.rank.index()] += 1;
+            self.moved = Some(now);
             return Decision::Run;
         }
         self.limit.reached();
@@ -236,6 +244,7 @@
     pub fn finish(&mut self, now: Instant, rank: Rank, sample: &Sample) -> Vec<Action> {
         let running = &mut self.running[rank.index()];
         *running = running.saturating_sub(1);
+        self.moved = Some(now);
         self.limit.observe(now, rank, sample);
         if matches!(sample.verdict, Verdict::Success | Verdict::Timeout) {
             self.shares.observe(rank, sample.latency.as_secs_f64());
@@ -248,6 +257,10 @@
     /// Refuses queued requests that can't meet their deadline any more, and starts others if the limit has grown.
     pub fn tick(&mut self, now: Instant) -> Vec<Action> {
         let mut actions = self.displaced();
+        let stalled = |moved| now.saturating_duration_since(moved) >= STALLED;
+        if self.moved.is_some_and(stalled) && self.queues.iter().any(|q| !q.is_empty()) {
+            self.limit.stalled(self.running());
+        }
         for rank in Rank::ALL {
             let limit = now + self.needed(rank);
             for ticket in self.queues[rank.index()].take_due(limit) {
@@ -279,6 +292,7 @@
             let more = !self.queues[rank.index()].is_empty();
             self.paces[rank.index()].start(now, more);
             self.running[rank.index()] += 1;
+            self.moved = Some(now);
             actions.push(Action::Start(ticket.id));
         }
         if self.queues.iter().any(|q| !q.is_empty()) {
--- a/crates/routing/src/admission/limit.rs
+++ b/crates/routing/src/admission/limit.rs
@@ -120,6 +120,13 @@
         self.reached = true;
     }
 
+    /// Records that requests wait while none of the running ones ends: the limit grows, up to all slots.
+    ///
+    /// It learns from ended requests only, and would stay where it is while long ones hold all places.
+    pub(super) fn stalled(&mut self, running: u32) {
+        self.value = self.value.max(f64::from(running) + 1.0).min(self.most);
+    }
+
     pub(super) fn observe(&mut self, now: Instant, rank: Rank, sample: &Sample) {
         match sample.verdict {
             Verdict::Shed => self.shed(now),
--- a/crates/routing/tests/admission.rs
+++ b/crates/routing/tests/admission.rs
@@ -50,6 +50,47 @@
     assert!(plain[0].in_time < 0.9 * plain[0].offered, "{plain:?}");
 }
 
+/// Guards against long requests that hold one entry's share for seconds while the workers have free slots, also when the
+/// share has shrunk below what is running.
+#[test]
+fn long_requests_do_not_stall_short_ones() {
+    let limits = |slots| Limits {
+        queue_limit: 256,
+        min_share_percent: SHARES,
+        slots,
+        entries: 3,
+    };
+    let start = Instant::now();
+    let ticket = |id, rank| Ticket {
+        id,
+        rank,
+        customer: None,
+        deadline: start + ms(20_000),
+    };
+    let mut admission = Admission::new(limits(8));
+    for id in 0..2 {
+        assert_eq!(
+            admission.offer(start, ticket(id, Rank::Bottom)),
+            Decision::Run
+        );
+    }
+    admission.configure(limits(4));
+    assert_eq!(
+        admission.offer(start, ticket(2, Rank::Top)),
+        Decision::Queue
+    );
+    assert_eq!(admission.tick(start + ms(100)), []);
+    assert_eq!(admission.tick(start + ms(300)), [Action::Start(2)]);
+    // The slots of all workers stay the bound.
+    for id in 3..10 {
+        admission.offer(start + ms(300), ticket(id, Rank::Top));
+    }
+    for round in 2..20 {
+        admission.tick(start + ms(300 * round));
+    }
+    assert_eq!(admission.running(), 4);
+}
+
 /// Guards against a flood of the top rank taking the minimum shares of the others.
 #[rstest]
 fn a_top_flood_leaves_the_minimum_shares(#[values(1, 2, 3)] seed: u64) {
