End claimed requests before their claim can expire

Cause: a caller's deadline may be an hour while a claim is kept for as little as 60 s. The claim of a request that still ran could expire, and a resend would have run it again.

Ruled out: extending claims while a request runs (an entry that crashes could not); a greater least retention alone, since deadlines come from callers.

Figures: tests of the two crates pass; the new case of a timeout above half of the retention was accepted before and is refused now.

Conclusion: the deadline of a request with a claim is at most half of the retention, and the configuration refuses a non-idempotent timeout above that.

--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -80,7 +80,6 @@
         let path = path.unwrap_or_else(|| PathAndQuery::from_static("/"));
         let (settings, route) =
             resolve(instance, &service, &path, &parts.method, customer.as_ref());
-        let (deadline, stated) = deadline(&parts.headers, &settings)?;
         let key = text(&parts.headers, &name::IDEMPOTENCY_KEY)?.map(str::to_owned);
         if key
             .as_ref()
@@ -89,10 +88,13 @@
             let expected = format!("idempotency-key: expected 1 to {MAX_KEY_BYTES} characters");
             return Err(bad(expected));
         }
+        let idempotent = settings.idempotent || parts.method.is_safe();
+        let claimed = !idempotent && key.is_some();
+        let (deadline, stated) = deadline(&parts.headers, &settings, claimed)?;
         let hops = number(&parts.headers, &name::FORWARDED)?.unwrap_or(0);
         clean(&mut parts.headers, &parts.uri);
         Ok(Self {
-            idempotent: settings.idempotent || parts.method.is_safe(),
+            idempotent,
             hops: u32::try_from(hops).unwrap_or(u32::MAX),
             service,
             customer,
@@ -172,10 +174,23 @@
     host.rsplit_once(':').map_or(host, |(host, _)| host)
 }
 
-fn deadline(headers: &HeaderMap, settings: &Settings) -> Result<(Instant, bool), Refusal> {
+/// Returns the deadline and whether the caller stated it.
+///
+/// A claimed request ends within half of the retention of its claim. Otherwise the claim could expire while the request
+/// still runs, and a resend would run a second time.
+fn deadline(
+    headers: &HeaderMap,
+    settings: &Settings,
+    claimed: bool,
+) -> Result<(Instant, bool), Refusal> {
     let stated = number(headers, &name::DEADLINE)?;
     let left = stated.unwrap_or(settings.timeout_ms.into());
-    let left = Duration::from_millis(left.min(MAX_DEADLINE_MS));
+    let most = if claimed {
+        u64::from(settings.once_retention_s) * 1_000 / 2
+    } else {
+        MAX_DEADLINE_MS
+    };
+    let left = Duration::from_millis(left.min(MAX_DEADLINE_MS).min(most));
     Ok((Instant::now() + left, stated.is_some()))
 }
 
--- a/crates/model/src/config/validate.rs
+++ b/crates/model/src/config/validate.rs
@@ -138,6 +138,11 @@
     within("queue_limit", s.queue_limit.into(), 1, 100_000)?;
     within("retry_percent", s.retry_percent.into(), 0, 50)?;
     within("once_retention_s", s.once_retention_s.into(), 60, 604_800)?;
+    // A request must end long before its claim expires, or a resend could run while the first still does.
+    let longest = u64::from(s.once_retention_s) * 1_000 / 2;
+    if !s.idempotent {
+        within("timeout_ms", s.timeout_ms.into(), 10, longest)?;
+    }
     within("address_ttl_ms", s.address_ttl_ms.into(), 100, 60_000)?;
     within("warm_up_ms", s.warm_up_ms.into(), 0, 600_000)?;
     let share = &s.min_share_percent;
--- a/crates/model/tests/config.rs
+++ b/crates/model/tests/config.rs
@@ -85,6 +85,14 @@
     exception("x", Match::default(), timeout(1)),
     "exceptions.x.set.timeout_ms"
 )]
+#[case::claim_expires_before_the_timeout(
+    exception(
+        "x",
+        Match::default(),
+        Overrides { once_retention_s: Some(60), ..timeout(30_001) }
+    ),
+    "exceptions.x.set.timeout_ms"
+)]
 #[case::service_wide_setting_on_a_path(
     exception(
         "x",
