Refuse calls that waited too long for their batch

Cause: while no leader answers, claims queue up, and those at the end of the queue could be committed after their entry had given up and told the caller that nothing ran. The key then stays claimed until the entry's release arrives.

Ruled out: a shorter queue, which would also refuse a burst that a leader handles in time.

--- a/crates/control/src/daemon/batcher.rs
+++ b/crates/control/src/daemon/batcher.rs
@@ -13,7 +13,7 @@
 const MAX_BATCHES: usize = 4;
 
 type Reply<A> = oneshot::Sender<Result<A, Fault>>;
-type Waiting<Q, A> = (Q, Reply<A>);
+type Waiting<Q, A> = (Q, Reply<A>, Instant);
 
 /// Queue of calls with questions `Q` and answers `A`.
 #[derive(Debug)]
@@ -31,6 +31,8 @@
     pub size: usize,
     /// Most weight of one batch.
     pub weight: usize,
+    /// Longest time for which a call waits for its batch; its caller has given up then and may have acted on that.
+    pub age: Duration,
 }
 
 impl<Q, A> Default for Batcher<Q, A> {
@@ -52,7 +54,8 @@
     pub async fn call(&self, question: Q) -> Result<A, Fault> {
         let (reply, answer) = oneshot::channel();
         let full = |_| Fault::new(Kind::NoQuorum, "too many calls wait for the leader");
-        self.queue.try_send((question, reply)).map_err(full)?;
+        let waiting = (question, reply, Instant::now());
+        self.queue.try_send(waiting).map_err(full)?;
         let stopped = |_| Fault::new(Kind::ChangeUnconfirmed, "the instance is stopping");
         answer.await.map_err(stopped)?
     }
@@ -73,7 +76,10 @@
                 return;
             };
             let batch = collect(&mut received, limits, weigh).await;
-            let (questions, replies): (Vec<Q>, Vec<Reply<A>>) = batch.into_iter().unzip();
+            let batch = batch
+                .into_iter()
+                .map(|(question, reply, _)| (question, reply));
+            let (questions, replies): (Vec<Q>, Vec<Reply<A>>) = batch.unzip();
             let answers = handle(questions);
             tokio::spawn(async move {
                 reply(replies, answers.await);
@@ -98,6 +104,11 @@
             Some(deadline) => timeout_at(deadline, received.recv()).await.ok().flatten(),
         };
         let Some(next) = next else { break };
+        if next.2.elapsed() > limits.age {
+            let late = Fault::new(Kind::NoQuorum, "the call waited too long for its batch");
+            let _ = next.1.send(Err(late));
+            continue;
+        }
         weight += weigh(&next.0);
         batch.push(next);
         deadline.get_or_insert_with(|| Instant::now() + limits.delay);
--- a/crates/control/src/daemon/directory.rs
+++ b/crates/control/src/daemon/directory.rs
@@ -24,6 +24,7 @@
     delay: Duration::from_millis(50),
     size: 1_024,
     weight: usize::MAX,
+    age: LEADER_TIMEOUT,
 };
 /// Time for the leader to answer.
 const LEADER_TIMEOUT: Duration = Duration::from_millis(500);
--- a/crates/control/src/daemon/ledger.rs
+++ b/crates/control/src/daemon/ledger.rs
@@ -23,6 +23,7 @@
     delay: Duration::ZERO,
     size: 1_024,
     weight: 4 * 1024 * 1024,
+    age: COMMIT_TIMEOUT,
 };
 /// Time for a batch to be committed. Entries ask again after 500 ms; a batch that waits longer for a leader would claim
 /// for requests that were refused meanwhile.
--- a/crates/control/tests/all/main.rs
+++ b/crates/control/tests/all/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the control daemon.
 
+mod batcher;
 mod claims;
 mod cluster;
 mod harness;
