Try a shed request again after a pause when all workers are full

Cause: with all workers tried, a shed request went back to its caller although a place is free again after about one service time.

The pause is the usual duration, 5 to 50 ms and at most a quarter of the time left; the retry budget still bounds the tries.

--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashSet;
 use std::sync::Arc;
+use std::time::Duration;
 
 use chestnutvalve_membership::worker::Record;
 use chestnutvalve_model::error::{Executed, Kind};
@@ -10,7 +11,7 @@
 use chestnutvalve_routing::retry;
 use chestnutvalve_routing::sample::Verdict;
 use http::{HeaderMap, HeaderValue};
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep};
 
 use crate::answer::Refusal;
 use crate::call::Call;
@@ -23,6 +24,9 @@
 use crate::place::{Permit, Place};
 use crate::serving::Serving;
 
+/// Least and greatest pause after all workers have shed a request.
+const SHED_PAUSE: (Duration, Duration) = (Duration::from_millis(5), Duration::from_millis(50));
+
 /// A request that got no response.
 #[derive(Debug)]
 pub struct Unanswered {
@@ -91,15 +95,19 @@
             match outcome {
                 Ok(answer) => {
                     self.stages.push(Stage::Answered);
-                    let next = answer.parts.status.is_server_error().then(|| self.next());
-                    match next.flatten() {
+                    let next = if answer.parts.status.is_server_error() {
+                        self.next().await
+                    } else {
+                        None
+                    };
+                    match next {
                         Some(next) => place = next,
                         None => return Ok(answer),
                     }
                 }
                 Err(failed) => {
                     self.stages.push(failed.stage);
-                    match self.next() {
+                    match self.next().await {
                         Some(next) => place = next,
                         None => return Err(self.unanswered(failed)),
                     }
@@ -115,13 +123,20 @@
     }
 
     /// Returns the place for a further attempt, if one is allowed.
-    fn next(&mut self) -> Option<Place> {
+    async fn next(&mut self) -> Option<Place> {
         let executed = evidence::combined(&self.stages);
         let (left, typical) = (self.call.left(), self.serving.typical());
         if !retry::allowed(self.call.idempotent, executed, left, typical) {
             return None;
         }
-        let place = self.pick()?;
+        let mut place = self.pick();
+        if place.is_none() && self.stages.last() == Some(&Stage::ShedByWorker) {
+            // All workers are full; one of them is free again after about the usual duration.
+            sleep(typical.clamp(SHED_PAUSE.0, SHED_PAUSE.1).min(left / 4)).await;
+            self.tried.clear();
+            place = self.pick();
+        }
+        let place = place?;
         self.serving.withdraw().then_some(place)
     }
 
--- a/crates/entry/tests/all/proxy.rs
+++ b/crates/entry/tests/all/proxy.rs
@@ -189,6 +189,25 @@
     until_attempted(&control, &entry, "refused", |reply| reply.status == 200).await;
 }
 
+/// Guards against a refusal of the caller while the only worker is full for a moment.
+#[tokio::test]
+async fn shed_request_is_tried_again() {
+    let (_control, entry) = single().await;
+    let asked = std::sync::atomic::AtomicUsize::new(0);
+    let mut worker = Worker::start("w1", move |_| {
+        if asked.fetch_add(1, std::sync::atomic::Ordering::SeqCst) > 0 {
+            return response(200, "ok");
+        }
+        let text = "HTTP/1.1 503 X\r\nchestnutvalve-executed: no\r\ncontent-length: 0\r\n\r\n";
+        vec![Step::Write(text.as_bytes().to_vec())]
+    })
+    .await;
+    worker.announce(entry.platform, "rationdesk").await;
+    let reply = send(entry.callers, "POST", "/", &[SERVICE], b"x").await;
+    assert_eq!(reply.unwrap().status, 200);
+    assert_eq!(worker.count(), 2);
+}
+
 /// Guards against "not executed" for a request that a worker has received.
 #[tokio::test]
 async fn timed_out_dispatch_is_unknown() {
