--- a/crates/bench/src/command.rs
+++ b/crates/bench/src/command.rs
@@ -33,7 +33,15 @@
             return ExitCode::from(EXIT_FAILED);
         }
     };
-    match runtime.block_on(dispatch(&matches)) {
+    let measured = matches.subcommand_name();
+    let measured = measured.is_some_and(|name| matches!(name, "scenario" | "capacity" | "load"));
+    let outcome = runtime.block_on(async {
+        if measured {
+            return interruptible(dispatch(&matches)).await;
+        }
+        dispatch(&matches).await
+    });
+    match outcome {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("{error}");
@@ -42,6 +50,17 @@
     }
 }
 
+/// Drops a measurement on SIGTERM or SIGINT, which ends the processes that it has started.
+async fn interruptible(run: impl Future<Output = Result<(), Error>>) -> Result<(), Error> {
+    tokio::select! {
+        ended = run => ended,
+        signal = signal_received() => {
+            signal.map_err(Error::system("waiting for a signal"))?;
+            Err(Error::Value("interrupted".into()))
+        }
+    }
+}
+
 fn option(name: &'static str, default: &'static str, help: &'static str) -> Arg {
     let option = Arg::new(name).long(name).help(help).value_name("VALUE");
     if default.is_empty() {
