Keep the place of a request that a full worker refused

Cause: a refusal takes about a millisecond, and the place in the admission that it gave back at once started the next queued request into the same full workers. Under a flood the queues of all ranks drained into refusals, so that the top rank had no advantage.

Ruled out: a lower adaptive limit alone.

Now a refused request keeps its place and is offered to another worker, from the second refusal on after a quarter of the typical duration (2 to 50 ms), until its deadline leaves no time. Nothing ran, so that no retry budget is needed; the pause bounds the offers.

--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashSet;
 use std::sync::Arc;
+use std::time::Duration;
 
 use chestnutvalve_membership::worker::Record;
 use chestnutvalve_model::error::{Executed, Kind};
@@ -10,7 +11,7 @@
 use chestnutvalve_routing::retry;
 use chestnutvalve_routing::sample::Verdict;
 use http::{HeaderMap, HeaderValue};
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep};
 
 use crate::answer::Refusal;
 use crate::call::Call;
@@ -23,6 +24,9 @@
 use crate::place::{Permit, Place};
 use crate::serving::Serving;
 
+/// Shortest and longest pause before a refused request is offered to the workers again.
+const OFFER_PAUSE: (Duration, Duration) = (Duration::from_millis(2), Duration::from_millis(50));
+
 /// A request that got no response.
 #[derive(Debug)]
 pub struct Unanswered {
@@ -99,7 +103,12 @@
                 }
                 Err(failed) => {
                     self.stages.push(failed.stage);
-                    match self.next() {
+                    let next = if failed.stage == Stage::ShedByWorker {
+                        self.offer_again().await
+                    } else {
+                        self.next()
+                    };
+                    match next {
                         Some(next) => place = next,
                         None => return Err(self.unanswered(failed)),
                     }
@@ -125,6 +134,27 @@
         self.serving.withdraw().then_some(place)
     }
 
+    /// Offers a request that a full worker refused to another worker; from the second refusal on, after a pause.
+    ///
+    /// The request keeps its place in the admission meanwhile. A place given back after a refusal starts the next queued
+    /// request into the same full workers, so that refusals empty the queues of all ranks alike. The pause bounds the
+    /// offers, which need no retry budget.
+    async fn offer_again(&mut self) -> Option<Place> {
+        if evidence::combined(&self.stages) != Executed::No || self.call.source.is_dropped() {
+            return None;
+        }
+        if self.stages.len() > 1 {
+            let typical = self.serving.typical();
+            let pause = (typical / 4).clamp(OFFER_PAUSE.0, OFFER_PAUSE.1);
+            if self.call.left() < pause + typical {
+                return None;
+            }
+            sleep(pause).await;
+            self.tried.clear();
+        }
+        self.pick()
+    }
+
     async fn attempt(&self, place: Place) -> Result<Answer, Failed> {
         let started = Instant::now();
         let outcome = self.send(&place).await;
