--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -24,8 +24,8 @@
 use crate::place::{Permit, Place};
 use crate::serving::Serving;
 
-/// Shortest and longest pause before a refused request is offered to the workers again.
-const OFFER_PAUSE: (Duration, Duration) = (Duration::from_millis(2), Duration::from_millis(50));
+/// Least and greatest pause after all workers have shed a request.
+const SHED_PAUSE: (Duration, Duration) = (Duration::from_millis(5), Duration::from_millis(50));
 
 /// A request that got no response.
 #[derive(Debug)]
@@ -95,20 +95,19 @@
             match outcome {
                 Ok(answer) => {
                     self.stages.push(Stage::Answered);
-                    let next = answer.parts.status.is_server_error().then(|| self.next());
-                    match next.flatten() {
+                    let next = if answer.parts.status.is_server_error() {
+                        self.next().await
+                    } else {
+                        None
+                    };
+                    match next {
                         Some(next) => place = next,
                         None => return Ok(answer),
                     }
                 }
                 Err(failed) => {
                     self.stages.push(failed.stage);
-                    let next = if failed.stage == Stage::ShedByWorker {
-                        self.offer_again().await
-                    } else {
-                        self.next()
-                    };
-                    match next {
+                    match self.next().await {
                         Some(next) => place = next,
                         None => return Err(self.unanswered(failed)),
                     }
@@ -124,35 +123,21 @@
     }
 
     /// Returns the place for a further attempt, if one is allowed.
-    fn next(&mut self) -> Option<Place> {
+    async fn next(&mut self) -> Option<Place> {
         let executed = evidence::combined(&self.stages);
         let (left, typical) = (self.call.left(), self.serving.typical());
         if !retry::allowed(self.call.idempotent, executed, left, typical) {
             return None;
         }
-        let place = self.pick()?;
-        self.serving.withdraw().then_some(place)
-    }
-
-    /// Offers a request that a full worker refused to another worker; from the second refusal on, after a pause.
-    ///
-    /// The request keeps its place in the admission meanwhile. A place given back after a refusal starts the next queued
-    /// request into the same full workers, so that refusals empty the queues of all ranks alike. The pause bounds the
-    /// offers, which need no retry budget.
-    async fn offer_again(&mut self) -> Option<Place> {
-        if evidence::combined(&self.stages) != Executed::No || self.call.source.is_dropped() {
-            return None;
-        }
-        if self.stages.len() > 1 {
-            let typical = self.serving.typical();
-            let pause = (typical / 4).clamp(OFFER_PAUSE.0, OFFER_PAUSE.1);
-            if self.call.left() < pause + typical {
-                return None;
-            }
-            sleep(pause).await;
+        let mut place = self.pick();
+        if place.is_none() && self.stages.last() == Some(&Stage::ShedByWorker) {
+            // All workers are full; one of them is free again after about the usual duration.
+            sleep(typical.clamp(SHED_PAUSE.0, SHED_PAUSE.1).min(left / 4)).await;
             self.tried.clear();
+            place = self.pick();
         }
-        self.pick()
+        let place = place?;
+        self.serving.withdraw().then_some(place)
     }
 
     async fn attempt(&self, place: Place) -> Result<Answer, Failed> {
