Prefer the own availability zone only while a good worker is free there

Cause: a worker that failed half its requests kept 5 to 9% of its service's traffic in the scaled deployment. The balancer takes free workers of its own zone first, and with the good workers of the zone busy, the bad one was the only candidate whatever its suspicion.

Ruled out: missing evidence (errors of answers that are retried are counted when the body is complete); refused grants (the floor of 70% leaves room for one of 6 workers).

Conclusion: the zone is preferred while one of its free workers is not suspicious.

--- a/crates/routing/src/balance.rs
+++ b/crates/routing/src/balance.rs
@@ -2,7 +2,8 @@
 //!
 //! A few candidates are drawn, with less chance for suspicious and new workers, and the one with the lowest cost is
 //! taken. The cost follows from this entry's own requests in flight and latencies; the load that a worker reports adds
-//! what other entries send to it. Workers of the own availability zone come first while one of them has a free slot.
+//! what other entries send to it. Workers of the own availability zone come first while one of them
+//! that is not suspicious has a free slot.
 
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
@@ -29,6 +30,8 @@
 const SUSPICION_POWER: i32 = 2;
 /// Additional cost of full suspicion, as a multiple of the cost.
 const SUSPICION_COST: f64 = 9.0;
+/// Suspicion from which a worker is no reason to stay in the own availability zone.
+const SUSPICIOUS: f64 = 0.5;
 /// Additional cost of another availability zone, as a multiple of the cost.
 const REMOTE_COST: f64 = 0.5;
 
@@ -194,8 +197,11 @@
         let free = ordered
             .iter()
             .filter(|c| c.order.is_finite() && c.state.has_free_slot(now));
-        cheapest(&mut free.clone().filter(is_own).take(self.candidates))
-            .or_else(|| cheapest(&mut free.clone().take(self.candidates)))
+        let own = free.clone().filter(is_own);
+        // A suspicious worker must not be taken only because the others of the zone have no free slot.
+        let zone_serves = own.clone().any(|c| c.suspicion < SUSPICIOUS);
+        let own = cheapest(&mut own.take(self.candidates)).filter(|_| zone_serves);
+        own.or_else(|| cheapest(&mut free.clone().take(self.candidates)))
             // Without a free slot, suspicious and new workers help out at their cost.
             .or_else(|| cheapest(&mut ordered.iter()))
     }
--- a/crates/routing/tests/rules.rs
+++ b/crates/routing/tests/rules.rs
@@ -11,6 +11,7 @@
 use chestnutvalve_routing::evidence::{Stage, combined, executed};
 use chestnutvalve_routing::placement::{home, owners};
 use chestnutvalve_routing::retry::{Budget, allowed};
+use chestnutvalve_routing::sample::{Sample, Verdict};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use rstest::rstest;
@@ -224,3 +225,52 @@
     budget.deposit();
     assert!(!budget.withdraw());
 }
+
+/// Guards against the preference for the own availability zone sending requests to its only free worker, a bad one.
+#[test]
+fn suspicious_worker_is_not_taken_for_its_zone() {
+    let now = Instant::now();
+    let (own, other) = (Zone::new("barre").unwrap(), Zone::new("keene").unwrap());
+    let mut balancer = Balancer::new(own.clone());
+    let workers = [
+        ("bad", &own),
+        ("busy", &own),
+        ("w1", &other),
+        ("w2", &other),
+        ("w3", &other),
+    ];
+    let name = |name: &str| Worker::new(name).unwrap();
+    for (worker, zone) in workers {
+        balancer.upsert(
+            now,
+            Upstream {
+                worker: name(worker),
+                zone: zone.clone(),
+                slots: 2,
+                warm_up: Duration::ZERO,
+            },
+        );
+    }
+    let (bad, busy) = (name("bad"), name("busy"));
+    let mut random = StdRng::seed_from_u64(5);
+    for _ in 0..2 {
+        balancer
+            .pick(now, |w| *w == busy, |_| 0.0, &mut random)
+            .unwrap();
+    }
+    let suspicion = |w: &Worker| if *w == bad { 0.95 } else { 0.0 };
+    let mut taken = 0;
+    for _ in 0..1_000 {
+        let worker = balancer
+            .pick(now, |_| true, suspicion, &mut random)
+            .unwrap();
+        taken += u32::from(worker == bad);
+        let sample = Sample {
+            latency: Duration::from_millis(10),
+            verdict: Verdict::Cancelled,
+        };
+        balancer.finish(now, &worker, &sample);
+    }
+    // The target is below 2% of the traffic.
+    assert!(taken < 20, "{taken} of 1000 requests");
+}
