Cut entries from the ledger in one direction around claims

Cause: at-most-once execution was not proved for a claim that reaches the ledger while its answer is lost, nor for the reverse.

Ruled out: a cut of both directions only, which the killed control instances cover.

--- a/tests/all/once.rs
+++ b/tests/all/once.rs
@@ -6,6 +6,7 @@
 
 use chestnutvalve_bench::client::Failure;
 use chestnutvalve_bench::fleet::until;
+use chestnutvalve_bench::forward::Mode;
 use chestnutvalve_bench::load::{Call, Caller, Class, Outcome, Verdict};
 use chestnutvalve_kernel::Shutdown;
 use rand::RngExt;
@@ -157,6 +158,43 @@
     check(&fleet, &told).await;
 }
 
+/// Guards against a second run, or a false denial, when a claim reaches the ledger and its answer is lost, or the reverse.
+#[rstest::rstest]
+#[case::claims_lost(15, Mode::cut_requests())]
+#[case::answers_lost(16, Mode::cut_answers())]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_key_runs_once_when_entry_and_ledger_hear_one_way(#[case] seed: u64, #[case] mode: Mode) {
+    let mut random = support::random(seed);
+    let mut layout = support::layout();
+    layout.links = true;
+    let fleet = support::start(layout).await;
+    let stop = Shutdown::default();
+    let sending = callers(&fleet, &stop);
+    let links = |entry: &str, mode: Mode| {
+        for control in &fleet.controls {
+            let link = fleet.at(&format!("{entry}-{}", control.name));
+            link.unwrap().set(mode);
+        }
+    };
+    for _ in 0..6 {
+        sleep(Duration::from_millis(random.random_range(50..400))).await;
+        let entry = &fleet.entries[random.random_range(0..3)].name;
+        links(entry, mode);
+        sleep(Duration::from_millis(random.random_range(300..2_500))).await;
+        links(entry, Mode::default());
+    }
+    stop.request();
+    let told = collect(sending).await;
+    let denied = |o: &Outcome| o.executed.as_deref() == Some("no");
+    let denied = told
+        .iter()
+        .flat_map(|(_, outcomes)| outcomes)
+        .filter(|o| denied(o));
+    let denied = denied.count();
+    println!("{denied} answers deny the execution");
+    check(&fleet, &told).await;
+}
+
 /// Guards against an entry that is frozen between claim and dispatch and runs the request after a resend was answered.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn an_entry_frozen_around_claim_and_dispatch_does_not_run_a_request_twice() {
