Name the resend time of the test callers and the number of answers of the burn report

Cause: a test constant had a figurative name, and the report said '1 entries'.

Ruled out: a plural rule for one line of text.

Conclusion: names and texts read plainly.

--- a/crates/cli/src/burn.rs
+++ b/crates/cli/src/burn.rs
@@ -92,7 +92,7 @@
 #[must_use]
 pub fn text(report: &Report) -> String {
     let mut lines = vec![format!(
-        "{} entries answered, counting for at least {} s",
+        "answers: {}, counting for at least {} s",
         report.entries, report.counted_s
     )];
     let unreachable = report.unreachable.iter();
--- a/tests/all/once.rs
+++ b/tests/all/once.rs
@@ -76,7 +76,7 @@
                 let mut outcomes = Vec::new();
                 for resend in 0..4 {
                     let address = addresses[(at + resend) % addresses.len()];
-                    outcomes.push(impatient(&caller, &call, address).await);
+                    outcomes.push(call_once(&caller, &call, address).await);
                     if outcomes[resend].verdict == Verdict::Good {
                         break;
                     }
@@ -90,15 +90,15 @@
 }
 
 /// Time after which a caller resends although its first request may still be in progress.
-const PATIENCE: Duration = Duration::from_millis(400);
+const RESEND_AFTER: Duration = Duration::from_millis(400);
 
-async fn impatient(caller: &Caller, call: &Call, address: SocketAddr) -> Outcome {
-    let answer = tokio::time::timeout(PATIENCE, caller.call_at(call, address)).await;
+async fn call_once(caller: &Caller, call: &Call, address: SocketAddr) -> Outcome {
+    let answer = tokio::time::timeout(RESEND_AFTER, caller.call_at(call, address)).await;
     answer.unwrap_or(Outcome {
         verdict: Verdict::Lost(Failure::Timeout),
         executed: None,
         status: None,
-        latency: PATIENCE,
+        latency: RESEND_AFTER,
         entry: Some(address),
     })
 }
