Let urgent requests ask full workers more often

Cause: entries that share workers don't see each other's queues.

Ruled out: factors of 1, 3 and 9 for the pause of the ranks.

Conclusion: the pause before a refused request is offered again grows with the rank.

--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -27,6 +27,10 @@
 /// Shortest and longest pause before a refused request is offered to the workers again.
 const OFFER_PAUSE: (Duration, Duration) = (Duration::from_millis(2), Duration::from_millis(50));
 
+/// Factor of the pause by rank. Entries that share workers don't see each other's queues, so that a free slot goes to the
+/// request that asks most often.
+const OFFER_FACTOR: [u32; 3] = [1, 2, 4];
+
 /// A request that got no response.
 #[derive(Debug)]
 pub struct Unanswered {
@@ -153,7 +157,9 @@
             return Some(place);
         }
         let typical = self.serving.typical();
-        let pause = (typical / 4).clamp(OFFER_PAUSE.0, OFFER_PAUSE.1);
+        let (shortest, longest) = OFFER_PAUSE;
+        let pause =
+            (typical / 4).clamp(shortest, longest) * OFFER_FACTOR[self.call.settings.rank.index()];
         if self.call.left() < pause + typical {
             return None;
         }
