Limit the connections of the internal protocol and close idle ones

Cause: the internal listener took any number of connections. A client behind a one-way partition opens a new connection after each timeout, and the server never hears that the old ones are gone, so that an hour of such a partition would have left thousands of them.

Ruled out: a limit alone, which the lost connections of one peer would use up; TCP keepalive, which needs a library for socket options and takes longer.

Figures: tests only: with a limit of 1 the second connection is refused and the first goes on; an idle connection gives its place back.

Conclusion: at most 4,096 connections, closed in order after 20 s without a call and by force 20 s later.

--- a/crates/wire/src/server.rs
+++ b/crates/wire/src/server.rs
@@ -23,6 +23,11 @@
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time for a client to finish the h2 handshake.
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(5);
+/// Connections that a server has by default: one from each entry of the target size and room for reconnects.
+pub const MAX_CONNECTIONS: usize = 4_096;
+/// Time without a call after which a connection is closed. A client behind a one-way partition opens a new connection after
+/// each timeout, and the server never hears that the old ones are gone.
+pub const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 /// Calls in progress on one connection.
 const MAX_STREAMS: u32 = 1_024;
 /// Flow-control window; a snapshot passes in few round trips.
@@ -71,6 +76,8 @@
 #[derive(Debug)]
 pub struct Server {
     listener: TcpListener,
+    most: usize,
+    idle: Duration,
 }
 
 impl Server {
@@ -82,9 +89,25 @@
     pub async fn bind(address: SocketAddr) -> std::io::Result<Self> {
         Ok(Self {
             listener: TcpListener::bind(address).await?,
+            most: MAX_CONNECTIONS,
+            idle: IDLE_TIMEOUT,
         })
     }
 
+    /// Sets the number of connections that are served at a time; the default is [`MAX_CONNECTIONS`].
+    #[must_use]
+    pub fn with_connections(mut self, most: usize) -> Self {
+        self.most = most;
+        self
+    }
+
+    /// Sets the time without a call after which a connection is closed; the default is [`IDLE_TIMEOUT`].
+    #[must_use]
+    pub fn with_idle(mut self, idle: Duration) -> Self {
+        self.idle = idle;
+        self
+    }
+
     /// Returns the bound address.
     ///
     /// # Errors
@@ -101,10 +124,13 @@
         loop {
             tokio::select! {
                 accepted = self.listener.accept() => match accepted {
+                    Ok((_, peer)) if connections.len() >= self.most => {
+                        spdlog::warn!("internal connection from {peer} refused: {} are open", self.most);
+                    }
                     Ok((socket, peer)) => {
-                        let router = Arc::clone(&router);
+                        let (router, idle) = (Arc::clone(&router), self.idle);
                         connections.spawn(async move {
-                            if let Err(error) = connection(socket, router).await {
+                            if let Err(error) = connection(socket, router, idle).await {
                                 spdlog::debug!("internal connection from {peer}: {error}");
                             }
                         });
@@ -120,7 +146,7 @@
     }
 }
 
-async fn connection(socket: TcpStream, router: Arc<Router>) -> std::io::Result<()> {
+async fn connection(socket: TcpStream, router: Arc<Router>, idle: Duration) -> std::io::Result<()> {
     socket.set_nodelay(true)?;
     let mut builder = h2::server::Builder::new();
     builder
@@ -132,14 +158,29 @@
         return Ok(());
     };
     let mut connection = connection.map_err(std::io::Error::other)?;
-    let mut calls = JoinSet::new();
-    while let Some(accepted) = connection.accept().await {
+    let (mut calls, mut closing) = (JoinSet::new(), false);
+    loop {
+        let accepted = match timeout(idle, connection.accept()).await {
+            Ok(Some(accepted)) => accepted,
+            Ok(None) => return Ok(()),
+            Err(_) => {
+                while calls.try_join_next().is_some() {}
+                if calls.is_empty() && closing {
+                    return Ok(());
+                }
+                if calls.is_empty() {
+                    // A call that is on its way is still answered.
+                    connection.graceful_shutdown();
+                    closing = true;
+                }
+                continue;
+            }
+        };
         let (request, respond) = accepted.map_err(std::io::Error::other)?;
         let router = Arc::clone(&router);
         calls.spawn(call(request, respond, router));
         while calls.try_join_next().is_some() {}
     }
-    Ok(())
 }
 
 async fn call(
--- a/crates/wire/tests/frame.rs
+++ b/crates/wire/tests/frame.rs
@@ -93,3 +93,66 @@
         .await;
     assert!(matches!(silent, Err(Error::Timeout { .. })), "{silent:?}");
 }
+
+/// Guards against peers that use up the process's descriptors with connections.
+#[tokio::test]
+async fn connection_beyond_the_limit_is_refused_and_the_first_one_goes_on() {
+    let server = Server::bind("127.0.0.1:0".parse().unwrap())
+        .await
+        .unwrap()
+        .with_connections(1);
+    let address = server.address().unwrap();
+    let router = Router::default().route("test/echo", |n: u64| async move { Ok::<_, Fault>(n) });
+    tokio::spawn(server.serve(router));
+    let (first, second) = (Client::new(address), Client::new(address));
+    assert_eq!(
+        first
+            .call::<_, u64>("test/echo", &1_u64, LIMIT)
+            .await
+            .unwrap(),
+        1
+    );
+    let refused = second.call::<_, u64>("test/echo", &2_u64, LIMIT).await;
+    let closed = matches!(
+        refused,
+        Err(Error::Connection { .. } | Error::Unreachable { .. })
+    );
+    assert!(closed, "{refused:?}");
+    assert_eq!(
+        first
+            .call::<_, u64>("test/echo", &3_u64, LIMIT)
+            .await
+            .unwrap(),
+        3
+    );
+}
+
+/// Guards against connections of peers that have gone away unheard taking the places of live ones.
+#[tokio::test]
+async fn idle_connection_gives_its_place_back() {
+    let server = Server::bind("127.0.0.1:0".parse().unwrap()).await.unwrap();
+    let server = server
+        .with_connections(1)
+        .with_idle(Duration::from_millis(100));
+    let address = server.address().unwrap();
+    let router = Router::default().route("test/echo", |n: u64| async move { Ok::<_, Fault>(n) });
+    tokio::spawn(server.serve(router));
+    let (first, second) = (Client::new(address), Client::new(address));
+    assert_eq!(
+        first
+            .call::<_, u64>("test/echo", &1_u64, LIMIT)
+            .await
+            .unwrap(),
+        1
+    );
+    let until_served = async {
+        while second
+            .call::<_, u64>("test/echo", &2_u64, LIMIT)
+            .await
+            .is_err()
+        {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    tokio::time::timeout(LIMIT, until_served).await.unwrap();
+}
