--- a/crates/wire/tests/frame.rs
+++ b/crates/wire/tests/frame.rs
@@ -94,63 +94,41 @@
     assert!(matches!(silent, Err(Error::Timeout { .. })), "{silent:?}");
 }
 
+/// Starts a server that echoes numbers and returns two clients, each with a connection of its own.
+async fn echoing(limit: impl FnOnce(Server) -> Server) -> (Client, Client) {
+    let server = Server::bind("127.0.0.1:0".parse().unwrap()).await.unwrap();
+    let address = server.address().unwrap();
+    let router = Router::default().route("test/echo", |n: u64| async move { Ok::<_, Fault>(n) });
+    tokio::spawn(limit(server).serve(router));
+    (Client::new(address), Client::new(address))
+}
+
+async fn echo(client: &Client, number: u64) -> Result<u64, Error> {
+    client.call("test/echo", &number, LIMIT).await
+}
+
 /// Guards against peers that use up the process's descriptors with connections.
 #[tokio::test]
 async fn connection_beyond_the_limit_is_refused_and_the_first_one_goes_on() {
-    let server = Server::bind("127.0.0.1:0".parse().unwrap())
-        .await
-        .unwrap()
-        .with_connections(1);
-    let address = server.address().unwrap();
-    let router = Router::default().route("test/echo", |n: u64| async move { Ok::<_, Fault>(n) });
-    tokio::spawn(server.serve(router));
-    let (first, second) = (Client::new(address), Client::new(address));
-    assert_eq!(
-        first
-            .call::<_, u64>("test/echo", &1_u64, LIMIT)
-            .await
-            .unwrap(),
-        1
-    );
-    let refused = second.call::<_, u64>("test/echo", &2_u64, LIMIT).await;
+    let (first, second) = echoing(|server| server.with_connections(1)).await;
+    assert_eq!(echo(&first, 1).await.unwrap(), 1);
+    let refused = echo(&second, 2).await;
     let closed = matches!(
         refused,
         Err(Error::Connection { .. } | Error::Unreachable { .. })
     );
     assert!(closed, "{refused:?}");
-    assert_eq!(
-        first
-            .call::<_, u64>("test/echo", &3_u64, LIMIT)
-            .await
-            .unwrap(),
-        3
-    );
+    assert_eq!(echo(&first, 3).await.unwrap(), 3);
 }
 
 /// Guards against connections of peers that have gone away unheard taking the places of live ones.
 #[tokio::test]
 async fn idle_connection_gives_its_place_back() {
-    let server = Server::bind("127.0.0.1:0".parse().unwrap()).await.unwrap();
-    let server = server
-        .with_connections(1)
-        .with_idle(Duration::from_millis(100));
-    let address = server.address().unwrap();
-    let router = Router::default().route("test/echo", |n: u64| async move { Ok::<_, Fault>(n) });
-    tokio::spawn(server.serve(router));
-    let (first, second) = (Client::new(address), Client::new(address));
-    assert_eq!(
-        first
-            .call::<_, u64>("test/echo", &1_u64, LIMIT)
-            .await
-            .unwrap(),
-        1
-    );
+    let idle = Duration::from_millis(100);
+    let (first, second) = echoing(|server| server.with_connections(1).with_idle(idle)).await;
+    assert_eq!(echo(&first, 1).await.unwrap(), 1);
     let until_served = async {
-        while second
-            .call::<_, u64>("test/echo", &2_u64, LIMIT)
-            .await
-            .is_err()
-        {
+        while echo(&second, 2).await.is_err() {
             tokio::time::sleep(Duration::from_millis(20)).await;
         }
     };
