--- a/crates/cli/tests/cli.rs
+++ b/crates/cli/tests/cli.rs
@@ -25,6 +25,7 @@
             incarnation: Incarnation(17),
             zone: Zone::new("keene").unwrap(),
             callers: address,
+            gateway: None,
             platform: address,
             peers: address,
             draining,
--- a/crates/control/src/daemon.rs
+++ b/crates/control/src/daemon.rs
@@ -56,8 +56,23 @@
 ///
 /// Returns the first error; running services are stopped before.
 pub async fn run(settings: Settings) -> Result<(), Error> {
+    run_with(settings, |_| Vec::new()).await
+}
+
+/// Runs a control instance with the services that `more` builds around it.
+///
+/// # Errors
+///
+/// As [`run`].
+pub async fn run_with(
+    settings: Settings,
+    more: impl FnOnce(&Arc<Instance>) -> Vec<Service>,
+) -> Result<(), Error> {
     let mut registry = Registry::default();
     let instance = register(&mut registry, settings)?;
+    for service in more(&instance) {
+        registry.register(service)?;
+    }
     registry.start().await?;
     spdlog::info!("control instance serves");
     let end = tokio::select! {
@@ -76,7 +91,7 @@
 /// Returns an error for wrong settings, an unusable token file or a name that is taken.
 pub fn register(registry: &mut Registry, settings: Settings) -> Result<Arc<Instance>, Error> {
     settings.check()?;
-    let token = Token::read(&settings.token_file)?;
+    let token = Token::of(settings.token_file.as_deref())?;
     let instance = Arc::new(Instance::new(settings, token)?);
     instance.meters.observe(&instance);
     // The replicas stop before the internal protocol does, so that a leader can hand over.
--- a/crates/control/src/daemon/instance.rs
+++ b/crates/control/src/daemon/instance.rs
@@ -8,6 +8,8 @@
 use chestnutvalve_model::config::Change;
 use chestnutvalve_model::control::{Heartbeat, Registered};
 use chestnutvalve_model::error::{Fault, Kind};
+use chestnutvalve_model::routes::Publication;
+use chestnutvalve_model::upstream::Event;
 use chestnutvalve_model::version::Version;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -30,6 +32,8 @@
 /// Time for a proposal to be committed and applied.
 /// The replica gives up after 5 s and then knows more about the outcome than this limit tells.
 const PROPOSE_TIMEOUT: Duration = Duration::from_secs(6);
+/// Time for the leader to answer a read. Operators ask the next instance after a second.
+const READ_TIMEOUT: Duration = Duration::from_millis(800);
 
 /// Shared state of one control instance.
 #[derive(Debug)]
@@ -252,6 +256,66 @@
         self.propose::<Outcome>(&Command::Change(change)).await?
     }
 
+    /// Replaces the route table; returns the label in force.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Kind::InvalidChange`], [`Kind::VersionConflict`], or as [`Instance::propose`] does.
+    pub async fn publish(&self, publication: Publication) -> Result<u64, Fault> {
+        // An invalid document stays invalid, so that it needs no place in the log.
+        let checked = publication.table();
+        checked.map_err(|e| Fault::new(Kind::InvalidChange, e.to_string()))?;
+        let command = Command::Publish(publication);
+        self.propose::<Result<u64, Fault>>(&command).await?
+    }
+
+    /// Returns the operator's route document, confirmed to be the newest.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Kind::NoQuorum`] when that can't be confirmed, and [`Kind::NotFound`] before the first publication.
+    pub async fn published(&self) -> Result<Vec<u8>, Fault> {
+        if !self.has_lease() {
+            let read = self.call_leader("leader/published", &(), READ_TIMEOUT);
+            return read.await;
+        }
+        self.own_published()
+    }
+
+    /// Returns the operator's route document while this instance is certainly the leader.
+    ///
+    /// # Errors
+    ///
+    /// As [`Instance::published`].
+    pub fn own_published(&self) -> Result<Vec<u8>, Fault> {
+        let store = self.store();
+        // The lease is checked after the state is locked, so that no later leader can have committed anything newer.
+        if !self.has_lease() {
+            let context = "this instance can't be sure to have the newest state";
+            return Err(Fault::new(Kind::NoQuorum, context));
+        }
+        let missing = || Fault::new(Kind::NotFound, "nothing was published yet");
+        store
+            .published()
+            .source()
+            .map(<[u8]>::to_vec)
+            .ok_or_else(missing)
+    }
+
+    /// Registers an event of a worker; returns once it is committed, or at once when it changes nothing.
+    ///
+    /// # Errors
+    ///
+    /// As [`Instance::propose`].
+    pub async fn register(&self, event: Event) -> Result<(), Fault> {
+        if !self.is_stale() && !self.store().state().roster.is_news(&event) {
+            return Ok(());
+        }
+        let version: Version = self.propose(&Command::Workers(vec![event])).await?;
+        spdlog::debug!("registered workers at version {version}");
+        Ok(())
+    }
+
     /// Calls the leader of the config group.
     ///
     /// # Errors
--- a/crates/control/src/daemon/internal.rs
+++ b/crates/control/src/daemon/internal.rs
@@ -85,6 +85,7 @@
     let (batches, overviews) = (Arc::clone(instance), Arc::clone(instance));
     let (entries, leaves) = (Arc::clone(instance), Arc::clone(instance));
     let (asks, actions) = (Arc::clone(instance), Arc::clone(instance));
+    let reads = Arc::clone(instance);
     router
         .route("leader/heartbeats", move |batch: Vec<Heartbeat>| {
             let instance = Arc::clone(&batches);
@@ -102,6 +103,10 @@
             let instance = Arc::clone(&leaves);
             async move { directory::receive_leave(&instance, &left) }
         })
+        .route("leader/published", move |(): ()| {
+            let instance = Arc::clone(&reads);
+            async move { instance.own_published() }
+        })
         .route("leader/entries", move |(): ()| {
             let instance = Arc::clone(&entries);
             async move {
--- a/crates/control/src/daemon/token.rs
+++ b/crates/control/src/daemon/token.rs
@@ -32,9 +32,18 @@
 
 /// Secret that changes must carry.
 #[derive(Clone)]
-pub struct Token(Vec<u8>);
+pub struct Token(Option<Vec<u8>>);
 
 impl Token {
+    /// Reads the token of the settings; without a file no header carries it.
+    ///
+    /// # Errors
+    ///
+    /// As [`Token::read`].
+    pub fn of(path: Option<&Path>) -> Result<Self, Error> {
+        path.map_or(Ok(Self(None)), Self::read)
+    }
+
     /// Reads the token from the first and only line of a file.
     ///
     /// # Errors
@@ -56,7 +65,7 @@
     pub fn new(text: &str) -> Option<Self> {
         let accepted = (MIN_BYTES..=MAX_BYTES).contains(&text.len())
             && text.bytes().all(|b| b.is_ascii_graphic());
-        accepted.then(|| Self(text.as_bytes().to_owned()))
+        accepted.then(|| Self(Some(text.as_bytes().to_owned())))
     }
 
     /// Returns whether an `authorization` header carries this token.
@@ -69,8 +78,11 @@
 
     /// Compares all bytes whatever the first difference is, so that the time tells nothing about the token.
     fn equals(&self, given: &[u8]) -> bool {
-        let mut difference = u8::from(self.0.len() != given.len());
-        for (at, expected) in self.0.iter().enumerate() {
+        let Some(token) = &self.0 else {
+            return false;
+        };
+        let mut difference = u8::from(token.len() != given.len());
+        for (at, expected) in token.iter().enumerate() {
             let found = given.get(at).copied().unwrap_or(0);
             difference = black_box(difference | (expected ^ found));
         }
--- a/crates/control/src/daemon/watch.rs
+++ b/crates/control/src/daemon/watch.rs
@@ -1,5 +1,6 @@
 //! Long polls for configuration and directory records.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use chestnutvalve_model::control::{Content, State, Update, Watch};
@@ -22,7 +23,8 @@
     loop {
         versions.borrow_and_update();
         let stale = instance.is_stale();
-        let update = update(&instance.store(), watch, stale);
+        let mut update = update(&instance.store(), watch, stale);
+        update.controls = instance.controls().into_values().collect();
         if stale || update.content != Content::Unchanged || Instant::now() >= deadline {
             instance.meters.watch(name(&update.content), stale);
             return update;
@@ -47,6 +49,7 @@
     Update {
         stale,
         version: store.state().version,
+        controls: Vec::new(),
         content: content(store, watch),
     }
 }
@@ -73,6 +76,8 @@
                 ),
                 directory: state.directory.clone(),
                 owners: state.owners.clone(),
+                routes: Arc::clone(&state.routes),
+                roster: Arc::clone(&state.roster),
             })
         },
         Content::Records,
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -37,14 +37,15 @@
     pub operators: SocketAddr,
     /// Data directory.
     pub data: PathBuf,
-    /// File with the operators' token.
-    pub token_file: PathBuf,
+    /// File with the operators' token; without one, operators can read but not change anything here.
+    #[serde(default)]
+    pub token_file: Option<PathBuf>,
     /// First voters of every group.
     pub members: Vec<Voter>,
     /// Whether the instance votes when it joins; `false` makes it a relay that only serves entries.
     #[serde(default = "yes")]
     pub voter: bool,
-    /// Number of ledger groups.
+    /// Number of ledger groups; 0 where no caller sends idempotency keys.
     #[serde(default = "one")]
     pub ledger_groups: u32,
     /// Level below which log messages are dropped.
@@ -92,8 +93,8 @@
             let expected = "an address other than that of peers";
             return Err(Invalid::new("operators", self.operators, expected));
         }
-        if !(1..=MAX_LEDGER_GROUPS).contains(&self.ledger_groups) {
-            let expected = format!("1 to {MAX_LEDGER_GROUPS}");
+        if self.ledger_groups > MAX_LEDGER_GROUPS {
+            let expected = format!("0 to {MAX_LEDGER_GROUPS}");
             return Err(Invalid::new("ledger_groups", self.ledger_groups, expected));
         }
         Ok(())
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -2,11 +2,14 @@
 
 use std::borrow::Cow;
 use std::collections::VecDeque;
+use std::sync::Arc;
 
 use chestnutvalve_model::config::{Change, Edit};
 use chestnutvalve_model::control::{Record, State, Step};
 use chestnutvalve_model::directory::Member;
 use chestnutvalve_model::error::{Fault, Kind};
+use chestnutvalve_model::routes::Publication;
+use chestnutvalve_model::upstream::Event;
 use chestnutvalve_model::version::Version;
 use serde::{Deserialize, Serialize};
 
@@ -15,11 +18,13 @@
 
 pub mod change;
 pub mod history;
+pub mod publish;
 pub mod records;
 pub mod size;
 
 pub use change::Refusal;
 pub use history::{Accepted, History};
+pub use publish::Published;
 pub use records::Records;
 
 /// Command in the log of the config group.
@@ -29,6 +34,10 @@
     Change(Change),
     /// Steps of the entry directory, in order.
     Directory(Vec<Step>),
+    /// Replacement of all routes by an operator.
+    Publish(Publication),
+    /// Events of registered workers, in order.
+    Workers(Vec<Event>),
 }
 
 /// Result of a [`Command::Change`].
@@ -44,6 +53,7 @@
     bytes: usize,
     records: Records,
     history: History,
+    published: Published,
 }
 
 #[derive(Deserialize, Serialize)]
@@ -53,6 +63,7 @@
     records: Cow<'a, Records>,
     accepted: Cow<'a, VecDeque<Accepted>>,
     ids: Cow<'a, VecDeque<history::Known>>,
+    published: Cow<'a, Published>,
 }
 
 impl Store {
@@ -92,6 +103,18 @@
                 }
                 codec::encode(&self.state.version)
             }
+            Ok(Command::Publish(publication)) => {
+                codec::encode(&self.publish(committed.term, publication))
+            }
+            Ok(Command::Workers(events)) => {
+                for event in events {
+                    if self.state.roster.is_news(&event) {
+                        Arc::make_mut(&mut self.state.roster).apply(&event);
+                        self.push(committed.term, Step::Worker(event), Vec::new());
+                    }
+                }
+                codec::encode(&self.state.version)
+            }
             Err(fault) => codec::encode::<Outcome>(&Err(fault.into())),
         }
     }
@@ -114,7 +137,7 @@
 
     fn direct(&mut self, term: u64, mut step: Step) {
         let entry = match &step {
-            Step::Edits(_) => return,
+            Step::Edits(_) | Step::Routes(_) | Step::Worker(_) => return,
             Step::Join(member) => member.entry.clone(),
             Step::Leave { entry, .. } => entry.clone(),
             Step::Resize { service, owners } => {
@@ -129,7 +152,7 @@
         let directory = &mut self.state.directory;
         let before = directory.members.get(&entry).cloned();
         match &mut step {
-            Step::Edits(_) | Step::Resize { .. } => return,
+            Step::Edits(_) | Step::Resize { .. } | Step::Routes(_) | Step::Worker(_) => return,
             Step::Join(member) => {
                 keep_draining(before.as_ref(), member);
                 directory.join(member);
@@ -158,7 +181,11 @@
         let after = self.records.after(version)?;
         let steps = after.filter_map(|record| match &record.step {
             Step::Edits(edits) => Some(edits.clone()),
-            Step::Join(_) | Step::Leave { .. } | Step::Resize { .. } => None,
+            Step::Join(_)
+            | Step::Leave { .. }
+            | Step::Resize { .. }
+            | Step::Routes(_)
+            | Step::Worker(_) => None,
         });
         Some(steps.flatten().collect())
     }
@@ -172,6 +199,7 @@
             records: Cow::Borrowed(&self.records),
             accepted: Cow::Borrowed(self.history.accepted()),
             ids: Cow::Borrowed(self.history.known()),
+            published: Cow::Borrowed(&self.published),
         })
     }
 
@@ -195,6 +223,7 @@
             changed: saved.changed,
             records: saved.records.into_owned(),
             history: History::from_parts(saved.accepted.into_owned(), saved.ids.into_owned()),
+            published: saved.published.into_owned(),
         };
         Ok(())
     }
--- /dev/null
+++ b/crates/control/src/state/publish.rs
@@ -0,0 +1,88 @@
+//! Publication of a whole route table, with compare-and-set on the operators' labels.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+use chestnutvalve_model::control::Step;
+use chestnutvalve_model::error::{Fault, Kind};
+use chestnutvalve_model::routes::Publication;
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_128;
+
+use super::Store;
+
+/// Accepted documents that are recognised when they are sent again. Resends come within seconds; a day has some hundreds
+/// of publications.
+const MAX_ACCEPTED: usize = 4_096;
+
+/// The document in force and the digests of those accepted before.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct Published {
+    source: Vec<u8>,
+    accepted: VecDeque<u128>,
+}
+
+impl Published {
+    /// Returns the operator's document in force, `None` before the first publication.
+    #[must_use]
+    pub fn source(&self) -> Option<&[u8]> {
+        (!self.source.is_empty()).then_some(&self.source)
+    }
+
+    fn has_accepted(&self, digest: u128) -> bool {
+        self.accepted.contains(&digest)
+    }
+}
+
+impl Store {
+    /// Returns the publication in force.
+    #[must_use]
+    pub fn published(&self) -> &Published {
+        &self.published
+    }
+
+    /// Checks a publication; returns whether it was accepted before.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Kind::InvalidChange`] for a wrong field or a label that does not grow and [`Kind::VersionConflict`] when
+    /// another table is in force than the one that the publication replaces.
+    pub fn check_publication(&self, publication: &Publication) -> Result<bool, Fault> {
+        if self.published.has_accepted(xxh3_128(&publication.source)) {
+            return Ok(true);
+        }
+        let (current, base) = (self.state.routes.label, publication.base);
+        if base != current {
+            let context = format!("base {base:x}, but version {current:x} is in force");
+            return Err(Fault::new(Kind::VersionConflict, context));
+        }
+        if publication.label <= current {
+            let label = publication.label;
+            let context = format!("version {label:x} is not above version {current:x}");
+            return Err(Fault::new(Kind::InvalidChange, context));
+        }
+        let checked = publication.table();
+        checked.map_err(|e| Fault::new(Kind::InvalidChange, e.to_string()))?;
+        Ok(false)
+    }
+
+    /// Applies a publication; returns the label in force.
+    pub(super) fn publish(&mut self, term: u64, publication: Publication) -> Result<u64, Fault> {
+        if self.check_publication(&publication)? {
+            return Ok(self.state.routes.label);
+        }
+        let table = publication.table();
+        let table = table.map_err(|e| Fault::new(Kind::InvalidChange, e.to_string()))?;
+        let delta = self.state.routes.delta(&table);
+        self.published
+            .accepted
+            .push_back(xxh3_128(&publication.source));
+        if self.published.accepted.len() > MAX_ACCEPTED {
+            self.published.accepted.pop_front();
+        }
+        self.published.source = publication.source;
+        Arc::make_mut(&mut self.state.routes).apply(&delta);
+        self.push(term, Step::Routes(delta), Vec::new());
+        Ok(publication.label)
+    }
+}
--- a/crates/control/tests/all/harness.rs
+++ b/crates/control/tests/all/harness.rs
@@ -80,7 +80,7 @@
             peers: own.peers,
             operators: free_address(),
             data: self.directory.path().join(own.control.as_str()),
-            token_file: self.directory.path().join("token"),
+            token_file: Some(self.directory.path().join("token")),
             members: self.members.clone(),
             voter: true,
             ledger_groups: self.ledger_groups,
--- a/crates/control/tests/all/heartbeats.rs
+++ b/crates/control/tests/all/heartbeats.rs
@@ -62,7 +62,7 @@
                     Step::Leave { entry, incarnation } => {
                         self.directory.leave(entry, *incarnation);
                     }
-                    Step::Edits(_) | Step::Resize { .. } => {}
+                    Step::Edits(_) | Step::Resize { .. } | Step::Routes(_) | Step::Worker(_) => {}
                 }
                 all.push((ms, step));
             }
--- a/crates/control/tests/all/support.rs
+++ b/crates/control/tests/all/support.rs
@@ -57,6 +57,7 @@
         incarnation: Incarnation(incarnation),
         zone: Zone::new("keene").expect("valid name"),
         callers: address,
+        gateway: None,
         platform: address,
         peers: address,
         draining: false,
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -12,9 +12,10 @@
 use tokio::net::TcpListener;
 use tokio::sync::{Mutex, oneshot};
 use tokio::task::JoinHandle;
-use tokio::time::{MissedTickBehavior, interval, sleep};
+use tokio::time::{MissedTickBehavior, interval, sleep, timeout};
 
 use crate::clock;
+use crate::gateway::{self, Gateway};
 use crate::instance::Instance;
 use crate::settings::{Advertise, Settings};
 use crate::{callers, eject, link, peers, platform};
@@ -24,6 +25,15 @@
 /// Time for control instances and callers to learn of the drain beyond the time that addresses are kept.
 const DRAIN_MARGIN: Duration = Duration::from_millis(500);
 
+/// Time for which a stopping gateway still accepts connections: callers keep an address answer for up to 2 s and need
+/// a moment to learn of the drain.
+const GATEWAY_DRAIN: Duration = Duration::from_secs(3);
+/// Time after that for the requests in progress. Together they stay below the 6 s after which a process is killed.
+const GATEWAY_FINISH: Duration = Duration::from_millis(2_500);
+/// Time between two looks at the gateway's queues. A queue moves with every response; this covers workers that come back
+/// and requests whose time is up.
+const GATEWAY_TICK: Duration = Duration::from_millis(50);
+
 /// A listener that can't be opened, or a service that fails to start or stop.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
@@ -53,12 +63,29 @@
 }
 
 impl Daemon {
-    /// Opens the listeners and starts all services.
+    /// Opens the listeners and starts all services, with the default settings of the gateway.
     ///
     /// # Errors
     ///
     /// Returns an error when a listener can't be opened.
     pub async fn start(settings: Settings, shutdown: Shutdown) -> Result<Self, Error> {
+        Self::start_with(settings, gateway::Settings::default(), shutdown, |_| {
+            Vec::new()
+        })
+        .await
+    }
+
+    /// Opens the listeners and starts all services, and those that `more` builds around the instance.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when a listener can't be opened.
+    pub async fn start_with(
+        settings: Settings,
+        gateway: gateway::Settings,
+        shutdown: Shutdown,
+        more: impl FnOnce(&Arc<Instance>) -> Vec<Service>,
+    ) -> Result<Self, Error> {
         let listen = |purpose, address| {
             move |cause| Error::Listen {
                 purpose,
@@ -75,6 +102,13 @@
         let platform = platform.map_err(listen("platform", for_platform))?;
         let peers = Server::bind(for_peers).await;
         let peers = peers.map_err(listen("peers", for_peers))?;
+        let front = match settings.gateway {
+            Some(address) => {
+                let bound = TcpListener::bind(address).await;
+                Some(bound.map_err(listen("gateway", address))?)
+            }
+            None => None,
+        };
         let bound = Advertise {
             callers: callers.local_addr().unwrap_or(for_callers),
             platform: platform
@@ -87,23 +121,40 @@
         let advertise = settings.advertise.unwrap_or(bound);
         let instance = Arc::new(Instance::new(settings, advertise, shutdown)?);
         let mut registry = Registry::default();
-        registry.register(background("peers", {
+        registry.register(Service::background("peers", {
             let router = peers::router(&instance);
             async move { peers.serve(router).await }
         }))?;
         registry.register(platform_service(&instance, platform))?;
-        registry.register(background("watch", link::watch(Arc::clone(&instance))))?;
-        registry.register(background("pulls", peers::pull(Arc::clone(&instance))))?;
-        registry.register(background("ejections", eject::run(Arc::clone(&instance))))?;
-        registry.register(background(
+        registry.register(Service::background(
+            "watch",
+            link::watch(Arc::clone(&instance)),
+        ))?;
+        registry.register(Service::background(
+            "pulls",
+            peers::pull(Arc::clone(&instance)),
+        ))?;
+        registry.register(Service::background(
+            "ejections",
+            eject::run(Arc::clone(&instance)),
+        ))?;
+        registry.register(Service::background(
             "housekeeping",
             housekeeping(Arc::clone(&instance)),
         ))?;
-        registry.register(background(
+        registry.register(Service::background(
             "heartbeats",
             link::heartbeats(Arc::clone(&instance)),
         ))?;
+        for service in more(&instance) {
+            registry.register(service)?;
+        }
         registry.register(callers_service(&instance, callers))?;
+        if let Some(listener) = front {
+            for service in gateway_services(&instance, gateway, listener) {
+                registry.register(service)?;
+            }
+        }
         registry.start().await?;
         let entry = &instance.settings.entry;
         spdlog::info!("entry {entry} serves callers on {}", bound.callers);
@@ -132,26 +183,9 @@
     }
 }
 
-/// A service that runs a future until it is stopped.
-fn background(name: &'static str, run: impl Future<Output = ()> + Send + 'static) -> Service {
-    let task: Arc<Mutex<Option<JoinHandle<()>>>> = Arc::default();
-    let started = Arc::clone(&task);
-    Service::new(name, Arc::new(()))
-        .on_start(move || async move {
-            *started.lock().await = Some(tokio::spawn(run));
-            Ok(())
-        })
-        .on_stop(move || async move {
-            if let Some(task) = task.lock().await.take() {
-                task.abort();
-            }
-            Ok(())
-        })
-}
-
 fn platform_service(instance: &Arc<Instance>, acceptor: impl Acceptor + 'static) -> Service {
     let routes = platform::routes(Arc::clone(instance));
-    background("platform", async move {
+    Service::background("platform", async move {
         let server = poem::Server::new_with_acceptor(acceptor);
         if let Err(error) = server.run(routes).await {
             spdlog::error!("platform listener: {error}");
@@ -176,8 +210,11 @@
             Ok(())
         })
         .on_stop(move || async move {
-            draining.drain();
-            sleep(drain_time(&draining)).await;
+            // The gateway, if there is one, has waited for the callers already.
+            if !draining.is_draining() {
+                draining.drain();
+                sleep(drain_time(&draining)).await;
+            }
             let _ = stop.send(());
             if let Some(task) = task.lock().await.take() {
                 task.await.map_err(|e| Failure(e.to_string()))?;
@@ -187,6 +224,56 @@
         })
 }
 
+/// The gateway's listener, which is stopped before all others, and the task that follows the registered workers.
+fn gateway_services(
+    instance: &Arc<Instance>,
+    settings: gateway::Settings,
+    listener: TcpListener,
+) -> [Service; 2] {
+    let gateway = Arc::new(Gateway::new(instance, settings));
+    let (stop, stopped) = oneshot::channel::<()>();
+    let task: Arc<Mutex<Option<JoinHandle<()>>>> = Arc::default();
+    let started = Arc::clone(&task);
+    let draining = Arc::clone(instance);
+    let serving = Arc::clone(&gateway);
+    let listener = Service::new("gateway", Arc::clone(&gateway))
+        .on_start(move || async move {
+            let stop = async {
+                let _ = stopped.await;
+            };
+            let run = gateway::listener::serve(serving, listener, stop);
+            *started.lock().await = Some(tokio::spawn(run));
+            Ok(())
+        })
+        .on_stop(move || async move {
+            draining.drain();
+            sleep(GATEWAY_DRAIN).await;
+            let _ = stop.send(());
+            if let Some(task) = task.lock().await.take() {
+                if let Ok(ended) = timeout(GATEWAY_FINISH, task).await {
+                    ended.map_err(|e| Failure(e.to_string()))?;
+                } else {
+                    spdlog::warn!("requests are still in progress; ending anyway");
+                }
+            }
+            Ok(())
+        });
+    let upkeep = async move {
+        let follow = gateway::follow(Arc::clone(&gateway));
+        let ticks = async {
+            let mut ticks = interval(GATEWAY_TICK);
+            ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+            loop {
+                ticks.tick().await;
+                gateway.tick();
+                gateway.pool.close_idle();
+            }
+        };
+        tokio::join!(follow, ticks);
+    };
+    [Service::background("gateway upkeep", upkeep), listener]
+}
+
 /// Returns the time for which callers may still use an address answer from before the drain.
 fn drain_time(instance: &Instance) -> Duration {
     let state = instance.follow.state();
--- /dev/null
+++ b/crates/entry/src/gateway.rs
@@ -0,0 +1,197 @@
+//! Gateway: routes callers' requests by host and path to workers that are registered with the control group.
+//!
+//! A request passes the modules in one direction: [`listener`] accepts it, [`inbound`] reads it, [`lane`] admits it and
+//! chooses a worker, [`attempt`] exchanges it with the worker, [`relay`] passes the response on.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use chestnutvalve_model::control::State;
+use chestnutvalve_model::id::{Service, Worker};
+use chestnutvalve_model::routes::Route;
+use chestnutvalve_routing::schedule::Spec;
+
+use crate::clock;
+use crate::instance::Instance;
+use crate::pool::Pool;
+
+pub mod attempt;
+pub mod dialect;
+pub mod inbound;
+pub mod lane;
+pub mod listener;
+pub mod places;
+pub mod proxy;
+pub mod relay;
+
+pub use dialect::Dialect;
+use lane::Lane;
+
+/// Unused connections kept for one worker, two for each of its usual slots.
+const MAX_IDLE: usize = 4;
+
+/// What the fleet as a whole may do to the workers of one service.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Budget {
+    /// Further attempts as a share of the requests.
+    pub share: f64,
+    /// Further attempts beside that share in each window.
+    pub extra: f64,
+    /// Length of the window.
+    pub window: Duration,
+}
+
+impl Default for Budget {
+    /// Returns a tenth of the requests, and ten attempts in ten seconds.
+    fn default() -> Self {
+        Self {
+            share: 0.1,
+            extra: 10.0,
+            window: Duration::from_secs(10),
+        }
+    }
+}
+
+/// Settings of the gateway.
+#[derive(Clone, Debug, Default)]
+pub struct Settings {
+    /// Names of the headers.
+    pub dialect: Dialect,
+    /// Further attempts that the fleet may make.
+    pub budget: Budget,
+}
+
+/// Gateway of one entry.
+#[derive(Debug)]
+pub struct Gateway {
+    /// The entry.
+    pub instance: Arc<Instance>,
+    /// Settings.
+    pub settings: Settings,
+    /// Connections to workers.
+    pub pool: Arc<Pool>,
+    lanes: Mutex<HashMap<Service, Arc<Lane>>>,
+    /// Accumulated weights by route and service, for an even spread of a split.
+    splits: Mutex<HashMap<String, Vec<f64>>>,
+    tickets: AtomicU64,
+}
+
+impl Gateway {
+    /// Creates the gateway of an entry.
+    #[must_use]
+    pub fn new(instance: &Arc<Instance>, settings: Settings) -> Self {
+        Self {
+            instance: Arc::clone(instance),
+            settings,
+            pool: Arc::new(Pool::new(MAX_IDLE)),
+            lanes: Mutex::default(),
+            splits: Mutex::default(),
+            tickets: AtomicU64::new(0),
+        }
+    }
+
+    /// Returns an id that no other request at this entry has.
+    pub fn ticket(&self) -> u64 {
+        self.tickets.fetch_add(1, Ordering::Relaxed)
+    }
+
+    /// Returns the lane of a service.
+    #[must_use]
+    pub fn lane(&self, service: &Service) -> Arc<Lane> {
+        let mut lanes = self.lanes.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(lane) = lanes.get(service) {
+            return Arc::clone(lane);
+        }
+        let zone = self.instance.settings.zone.clone();
+        let lane = Arc::new(Lane::new(service.clone(), zone, self.part()));
+        let state = self.instance.follow.state();
+        lane.sync(&specs(&state, service));
+        lanes.insert(service.clone(), Arc::clone(&lane));
+        lane
+    }
+
+    /// Returns this entry's part of the retry budget: that of one of the entries that are named for a host.
+    fn part(&self) -> Budget {
+        let owners = u32::try_from(places::OWNERS).unwrap_or(u32::MAX);
+        let Budget {
+            share,
+            extra,
+            window,
+        } = self.settings.budget;
+        Budget {
+            share,
+            extra: extra / f64::from(owners),
+            window,
+        }
+    }
+
+    /// Brings all lanes in line with the registered workers.
+    pub fn sync(&self) {
+        let state = self.instance.follow.state();
+        let lanes = self.lanes.lock().unwrap_or_else(PoisonError::into_inner);
+        for (service, lane) in lanes.iter() {
+            lane.sync(&specs(&state, service));
+        }
+    }
+
+    /// Looks at the queues of all lanes.
+    pub fn tick(&self) {
+        let lanes = self.lanes.lock().unwrap_or_else(PoisonError::into_inner);
+        for lane in lanes.values() {
+            lane.tick(clock::now());
+        }
+    }
+
+    /// Chooses the service of a request on a route, so that after each request the parts are as near to the weights as
+    /// whole requests allow.
+    #[must_use]
+    pub fn choose<'a>(&self, route: &'a Route) -> Option<&'a Service> {
+        if let [only] = route.split.as_slice() {
+            return Some(&only.service);
+        }
+        let total: f64 = route.split.iter().map(|s| s.weight).sum();
+        let mut splits = self.splits.lock().unwrap_or_else(PoisonError::into_inner);
+        let credits = splits.entry(route.name.clone()).or_default();
+        credits.resize(route.split.len(), 0.0);
+        for (credit, share) in credits.iter_mut().zip(&route.split) {
+            *credit += share.weight / total;
+        }
+        let weighted = |at: &usize| route.split[*at].weight > 0.0;
+        let best = (0..credits.len()).filter(weighted);
+        let best = best.max_by(|a, b| credits[*a].total_cmp(&credits[*b]))?;
+        credits[best] -= 1.0;
+        Some(&route.split[best].service)
+    }
+}
+
+fn specs(state: &State, service: &Service) -> BTreeMap<Worker, lane::Member> {
+    let workers = state.roster.workers.values();
+    let workers = workers.filter(|w| w.service == *service && !w.leaving);
+    let member = |w: &chestnutvalve_model::upstream::Announcement| {
+        let spec = Spec {
+            incarnation: w.incarnation,
+            zone: w.zone.clone(),
+            slots: w.slots,
+            warm_up: Duration::from_millis(w.warm_up_ms),
+        };
+        (
+            w.worker.clone(),
+            lane::Member {
+                spec,
+                address: w.address,
+            },
+        )
+    };
+    workers.map(member).collect()
+}
+
+/// Follows the state and keeps the lanes in line with it until dropped.
+pub async fn follow(gateway: Arc<Gateway>) {
+    let mut states = gateway.instance.follow.subscribe();
+    while states.changed().await.is_ok() {
+        states.borrow_and_update();
+        gateway.sync();
+    }
+}
--- /dev/null
+++ b/crates/entry/src/gateway/attempt.rs
@@ -0,0 +1,197 @@
+//! One exchange of a request with a worker, up to the point at which the response is passed on.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use bytes::Bytes;
+use chestnutvalve_routing::schedule::Outcome;
+use http::{Response, StatusCode, header, response};
+use http_body::{Body as _, Frame};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use tokio::time::{Instant, timeout_at};
+
+use super::Gateway;
+use super::inbound::Inbound;
+use super::lane::Seat;
+use crate::pool::{Failure, Lease};
+
+/// Part of a response that is held back, so that one that breaks off within it can be replaced by another attempt, in
+/// bytes. Most responses are smaller; downloads must not fill the memory.
+const HELD_BYTES: usize = 64 * 1024;
+/// Longest time for which the start of a response is held back; a slow transfer must reach its caller as it comes.
+const HELD_TIME: Duration = Duration::from_millis(50);
+/// Kept connections that may turn out to be closed before a new one is opened.
+const MAX_STALE: usize = 4;
+/// Time for which a kept connection may have been idle when it carries a request that must not run twice. A worker may
+/// drop an idle connection without notice, and then nobody knows whether the request arrived.
+const FRESH: Duration = Duration::from_secs(2);
+
+/// A response of which nothing was passed on yet.
+#[derive(Debug)]
+pub struct Received {
+    /// Head of the response.
+    pub parts: response::Parts,
+    /// First part of the body.
+    pub held: VecDeque<Frame<Bytes>>,
+    /// Rest of the body, if it is not complete.
+    pub rest: Option<Incoming>,
+    /// Connection of the exchange.
+    pub lease: Lease,
+    /// Place at the worker.
+    pub seat: Seat,
+}
+
+/// Why there is no response to pass on.
+#[derive(Debug)]
+pub enum Failed {
+    /// The request was certainly not executed.
+    NotExecuted(String),
+    /// The request may have been executed.
+    Unknown(String),
+    /// The worker did not answer in time.
+    Timeout,
+}
+
+/// Exchanges a request with the worker of `seat`.
+///
+/// # Errors
+///
+/// Returns what is known about execution.
+pub async fn attempt(gateway: &Gateway, inbound: &Inbound, seat: Seat) -> Result<Received, Failed> {
+    let Some(body) = inbound.source.replay() else {
+        return Err(Failed::NotExecuted("the request body is not kept".into()));
+    };
+    let dialect = &gateway.settings.dialect;
+    let mut request = inbound.request(dialect, seat.worker.as_str(), body);
+    let fresh = (!inbound.route.kind.is_idempotent()).then_some(FRESH);
+    for _ in 0..=MAX_STALE {
+        let lease = gateway
+            .pool
+            .lease_fresh(seat.address, inbound.deadline, fresh);
+        let mut lease = match lease.await {
+            Ok(lease) => lease,
+            Err(error) => {
+                seat.finish(Outcome::Failure);
+                return Err(Failed::NotExecuted(format!("connecting: {error}")));
+            }
+        };
+        if inbound.left().is_zero() {
+            return Err(Failed::NotExecuted("the time is up".into()));
+        }
+        match timeout_at(inbound.deadline, lease.send(request)).await {
+            Ok(Ok(response)) => return receive(gateway, inbound, seat, lease, response).await,
+            Ok(Err(Failure::NotSent(unsent))) if lease.reused => request = *unsent,
+            Ok(Err(Failure::NotSent(_))) => {
+                seat.finish(Outcome::Failure);
+                return Err(Failed::NotExecuted("the connection was closed".into()));
+            }
+            Ok(Err(Failure::Broken(error))) => {
+                seat.finish(fault(inbound));
+                return Err(Failed::Unknown(format!("the exchange broke: {error}")));
+            }
+            Err(_) => {
+                seat.finish(Outcome::Failure);
+                return Err(Failed::Timeout);
+            }
+        }
+    }
+    Err(Failed::NotExecuted("kept connections were closed".into()))
+}
+
+/// Returns whether a broken exchange is the worker's fault or that of a caller whose body broke off.
+fn fault(inbound: &Inbound) -> Outcome {
+    if inbound.source.has_failed() {
+        Outcome::Cancelled
+    } else {
+        Outcome::Failure
+    }
+}
+
+async fn receive(
+    gateway: &Gateway,
+    inbound: &Inbound,
+    seat: Seat,
+    lease: Lease,
+    response: Response<Incoming>,
+) -> Result<Received, Failed> {
+    let (parts, mut body) = response.into_parts();
+    let dialect = &gateway.settings.dialect;
+    let text = |name| parts.headers.get(name).and_then(|v| v.to_str().ok());
+    if let Some(load) = text(&dialect.load).and_then(dialect.read_load) {
+        gateway.lane(&inbound.service).report(&seat.worker, load);
+    }
+    let echoed = text(&dialect.request_id);
+    if echoed.is_some_and(|echoed| echoed != inbound.id) {
+        seat.finish(Outcome::Failure);
+        let context = "the response belongs to another request";
+        return Err(Failed::Unknown(context.into()));
+    }
+    if parts.headers.contains_key(&dialect.not_executed) {
+        let status = parts.status;
+        seat.finish(if status == StatusCode::MISDIRECTED_REQUEST {
+            Outcome::Gone
+        } else {
+            Outcome::Shed
+        });
+        let mut unused = VecDeque::new();
+        let complete = timeout_at(inbound.deadline, hold(&mut body, &mut unused)).await;
+        if matches!(complete, Ok(Ok(true))) && inbound.source.is_complete() {
+            lease.give_back();
+        }
+        return Err(Failed::NotExecuted(format!(
+            "the worker refused with {status}"
+        )));
+    }
+    if parts.status == StatusCode::MISDIRECTED_REQUEST {
+        seat.finish(Outcome::Gone);
+        return Err(Failed::NotExecuted("another worker has the address".into()));
+    }
+    let signed = parts.headers.contains_key(&dialect.signature);
+    if parts.status.is_success()
+        && (!signed || parts.headers.contains_key(header::CONTENT_ENCODING))
+    {
+        seat.finish(Outcome::Failure);
+        let context = "the response is not that of a worker";
+        return Err(Failed::Unknown(context.into()));
+    }
+    let mut held = VecDeque::new();
+    match timeout_at(inbound.deadline, hold(&mut body, &mut held)).await {
+        Ok(Ok(complete)) => Ok(Received {
+            rest: (!complete).then_some(body),
+            parts,
+            held,
+            lease,
+            seat,
+        }),
+        Ok(Err(error)) => {
+            seat.finish(fault(inbound));
+            Err(Failed::Unknown(format!("the response broke off: {error}")))
+        }
+        Err(_) => {
+            seat.finish(Outcome::Failure);
+            Err(Failed::Timeout)
+        }
+    }
+}
+
+/// Reads the start of a body; returns whether it is the whole body.
+async fn hold(body: &mut Incoming, held: &mut VecDeque<Frame<Bytes>>) -> hyper::Result<bool> {
+    let until = Instant::now() + HELD_TIME;
+    let mut bytes = 0;
+    while !body.is_end_stream() {
+        match timeout_at(until, body.frame()).await {
+            Ok(None) => return Ok(true),
+            Ok(Some(frame)) => {
+                let frame = frame?;
+                bytes += frame.data_ref().map_or(0, Bytes::len);
+                held.push_back(frame);
+                if bytes >= HELD_BYTES && !body.is_end_stream() {
+                    return Ok(false);
+                }
+            }
+            Err(_) => return Ok(false),
+        }
+    }
+    Ok(true)
+}
--- /dev/null
+++ b/crates/entry/src/gateway/inbound.rs
@@ -0,0 +1,161 @@
+//! A caller's request as the gateway reads it.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use chestnutvalve_model::error::Kind;
+use chestnutvalve_model::id::Service;
+use chestnutvalve_model::routes::Route;
+use http::uri::PathAndQuery;
+use http::{HeaderMap, HeaderValue, Method, Request, Uri, Version, header};
+use hyper::body::Incoming;
+use tokio::time::Instant;
+
+use super::Gateway;
+use super::dialect::Dialect;
+use crate::answer::Refusal;
+use crate::header as name;
+use crate::replay::{Replay, Source};
+
+/// Longest deadline that a caller may state, in milliseconds: one hour, beyond every timeout of a route.
+const MAX_DEADLINE_MS: u64 = 3_600_000;
+
+/// A request to be routed.
+#[derive(Debug)]
+pub struct Inbound {
+    /// Id that the caller gave the request.
+    pub id: String,
+    /// Route of the request.
+    pub route: Route,
+    /// Service that serves it.
+    pub service: Service,
+    /// Version of the route table that decided.
+    pub label: u64,
+    /// When the request arrived.
+    pub arrived: Instant,
+    /// Instant by which the caller gets an answer.
+    pub deadline: Instant,
+    /// Body of the request.
+    pub source: Source,
+    method: Method,
+    path: PathAndQuery,
+    headers: HeaderMap,
+}
+
+impl Inbound {
+    /// Reads a request that arrived at `arrived`.
+    ///
+    /// # Errors
+    ///
+    /// Refuses a malformed request, one that no route matches, and every request before the first route table.
+    pub fn read(
+        gateway: &Gateway,
+        request: Request<Incoming>,
+        arrived: Instant,
+    ) -> Result<Self, Refusal> {
+        let (parts, body) = request.into_parts();
+        let dialect = &gateway.settings.dialect;
+        let path = parts.uri.path_and_query().cloned();
+        let path = path.unwrap_or_else(|| PathAndQuery::from_static("/"));
+        let state = gateway.instance.follow.state();
+        let table = Arc::clone(&state.routes);
+        if table.label == 0 {
+            let context = "this instance has no route table yet";
+            return Err(Refusal::new(Kind::NoEligibleWorker, context));
+        }
+        if parts.version < Version::HTTP_11 {
+            let context = "HTTP/1.1 is required";
+            return Err(Refusal::new(Kind::BadRequest, context));
+        }
+        let host = host(&parts.uri, &parts.headers)?;
+        let route = table.find(host, path.path()).ok_or_else(|| {
+            let (label, path) = (table.label, path.path());
+            let context = format!("no route for {host}{path} in version {label:x}");
+            Refusal::new(Kind::NotFound, context)
+        })?;
+        let length = body.size_hint().lower();
+        if length > table.limits.body_bytes {
+            let limit = table.limits.body_bytes;
+            let context = format!("body of {length} bytes; expected at most {limit}");
+            return Err(Refusal::new(Kind::TooLarge, context));
+        }
+        let service = gateway.choose(route).cloned().ok_or_else(|| {
+            let context = format!("route {} leads to no service", route.name);
+            Refusal::new(Kind::NoEligibleWorker, context)
+        })?;
+        let mut headers = parts.headers;
+        let deadline = arrived + time_left(dialect, &headers, route)?;
+        let id = headers.get(&dialect.request_id);
+        let id = id.and_then(|id| id.to_str().ok()).unwrap_or_default();
+        let id = id.to_owned();
+        name::remove_hop_by_hop(&mut headers);
+        headers.remove(header::EXPECT);
+        headers.remove(&dialect.worker);
+        Ok(Self {
+            id,
+            route: route.clone(),
+            service,
+            label: table.label,
+            arrived,
+            deadline,
+            source: Source::new(body),
+            method: parts.method,
+            path,
+            headers,
+        })
+    }
+
+    /// Returns the time left.
+    #[must_use]
+    pub fn left(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+
+    /// Returns whether the request has no body.
+    #[must_use]
+    pub fn is_head(&self) -> bool {
+        self.method == Method::HEAD
+    }
+
+    /// Returns the request of one attempt at `worker`.
+    #[must_use]
+    pub fn request(&self, dialect: &Dialect, worker: &str, body: Replay) -> Request<Replay> {
+        let mut request = Request::new(body);
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = Uri::from(self.path.clone());
+        *request.headers_mut() = self.headers.clone();
+        let headers = request.headers_mut();
+        let left = u64::try_from(self.left().as_millis()).unwrap_or(u64::MAX);
+        headers.insert(&dialect.deadline, left.max(1).into());
+        if let Ok(worker) = HeaderValue::from_str(worker) {
+            headers.insert(&dialect.worker, worker);
+        }
+        request
+    }
+}
+
+use http_body::Body as _;
+
+fn host<'a>(uri: &'a Uri, headers: &'a HeaderMap) -> Result<&'a str, Refusal> {
+    let stated = headers.get(header::HOST).and_then(|h| h.to_str().ok());
+    let host = uri.host().or(stated);
+    let host = host.ok_or_else(|| Refusal::new(Kind::BadRequest, "the host is missing"))?;
+    Ok(host.rsplit_once(':').map_or(host, |(host, _)| host))
+}
+
+fn time_left(dialect: &Dialect, headers: &HeaderMap, route: &Route) -> Result<Duration, Refusal> {
+    let limit = Duration::from_millis(route.timeout_ms);
+    let Some(stated) = headers.get(&dialect.deadline) else {
+        return Ok(limit);
+    };
+    let stated = stated
+        .to_str()
+        .ok()
+        .and_then(|text| text.trim().parse().ok());
+    let invalid = || {
+        let context = format!("{}: expected a number of milliseconds", dialect.deadline);
+        Refusal::new(Kind::BadRequest, context)
+    };
+    let stated: u64 = stated.ok_or_else(invalid)?;
+    Ok(limit.min(Duration::from_millis(stated.min(MAX_DEADLINE_MS))))
+}
--- /dev/null
+++ b/crates/entry/src/gateway/lane.rs
@@ -0,0 +1,252 @@
+//! Lane of one service: the schedule, its waiting requests and its retry allowance.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use chestnutvalve_model::id::{Service, Worker, Zone};
+use chestnutvalve_routing::retry::Allowance;
+use chestnutvalve_routing::schedule::{
+    Action, Decision, Outcome, Reason, Refusal, Request, Schedule, Spec,
+};
+use tokio::sync::oneshot;
+
+use super::Budget;
+use crate::clock;
+
+/// A registered worker.
+#[derive(Clone, Debug)]
+pub struct Member {
+    /// Properties for the schedule.
+    pub spec: Spec,
+    /// Address at which it takes requests.
+    pub address: SocketAddr,
+}
+
+/// Worker and instant of the dispatch, or the refusal of a waiting request.
+type Answer = Result<(Worker, Instant), Refusal>;
+
+/// Lane of one service.
+#[derive(Debug)]
+pub struct Lane {
+    /// Name of the service.
+    pub service: Service,
+    inner: Mutex<Inner>,
+}
+
+#[derive(Debug)]
+struct Inner {
+    schedule: Schedule,
+    members: BTreeMap<Worker, Member>,
+    waiters: HashMap<u64, oneshot::Sender<Answer>>,
+    allowance: Allowance,
+}
+
+impl Lane {
+    /// Creates the lane of a service at an entry in `zone`.
+    #[must_use]
+    pub fn new(service: Service, zone: Zone, budget: Budget) -> Self {
+        let Budget {
+            share,
+            extra,
+            window,
+        } = budget;
+        let inner = Inner {
+            schedule: Schedule::new(zone),
+            members: BTreeMap::new(),
+            waiters: HashMap::new(),
+            allowance: Allowance::new(clock::now(), share, extra, window),
+        };
+        Self {
+            service,
+            inner: Mutex::new(inner),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Brings the workers in line with the registered ones.
+    pub fn sync(&self, members: &BTreeMap<Worker, Member>) {
+        let now = clock::now();
+        let specs: Vec<(Worker, Spec)> = members
+            .iter()
+            .map(|(worker, member)| (worker.clone(), member.spec.clone()))
+            .collect();
+        let mut inner = self.lock();
+        inner.schedule.sync(now, &specs);
+        inner.members.clone_from(members);
+        let actions = inner.schedule.tick(now);
+        inner.act(now, actions);
+    }
+
+    /// Looks at the queue.
+    pub fn tick(&self, now: Instant) {
+        let mut inner = self.lock();
+        if inner.schedule.waiting() > 0 {
+            let actions = inner.schedule.tick(now);
+            inner.act(now, actions);
+        }
+    }
+
+    /// Counts a request of a caller, which earns a part of a further attempt.
+    pub fn deposit(&self) {
+        self.lock().allowance.deposit();
+    }
+
+    /// Takes one further attempt; returns whether there was one.
+    #[must_use]
+    pub fn withdraw(&self) -> bool {
+        self.lock().allowance.withdraw(clock::now())
+    }
+
+    /// Returns the time after which a response is unusually late.
+    #[must_use]
+    pub fn slow(&self) -> Duration {
+        self.lock().schedule.slow()
+    }
+
+    /// Returns the usual response time.
+    #[must_use]
+    pub fn typical(&self) -> Duration {
+        self.lock().schedule.typical()
+    }
+
+    /// Records the load that a worker reports.
+    pub fn report(&self, worker: &Worker, load: u32) {
+        self.lock().schedule.report(clock::now(), worker, load);
+    }
+
+    /// Waits for a place at a worker; gives up the place in the queue when dropped.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal of the schedule.
+    pub async fn admit(self: &Arc<Self>, request: Request) -> Result<Seat, Refusal> {
+        let id = request.id;
+        let receiver = {
+            let mut inner = self.lock();
+            let now = clock::now();
+            match inner.schedule.offer(now, request) {
+                Decision::Send(worker) => return inner.seat(self, worker, now),
+                Decision::Refuse(refusal) => return Err(refusal),
+                Decision::Wait => {
+                    let (sender, receiver) = oneshot::channel();
+                    inner.waiters.insert(id, sender);
+                    receiver
+                }
+            }
+        };
+        let mut waiting = Waiting {
+            lane: Arc::clone(self),
+            id,
+            receiver,
+            answered: false,
+        };
+        let answer = (&mut waiting.receiver).await;
+        waiting.answered = true;
+        let lost = Refusal {
+            reason: Reason::NoWorker,
+            retry_after: Duration::ZERO,
+        };
+        let (worker, started) = answer.unwrap_or(Err(lost))?;
+        self.lock().seat(self, worker, started)
+    }
+
+    /// Takes a place at another worker at once, if one has room.
+    #[must_use]
+    pub fn another(self: &Arc<Self>, request: &Request) -> Option<Seat> {
+        let now = clock::now();
+        let mut inner = self.lock();
+        let worker = inner.schedule.another(now, request)?;
+        inner.seat(self, worker, now).ok()
+    }
+}
+
+impl Inner {
+    fn seat(&self, lane: &Arc<Lane>, worker: Worker, started: Instant) -> Result<Seat, Refusal> {
+        let gone = Refusal {
+            reason: Reason::NoWorker,
+            retry_after: Duration::ZERO,
+        };
+        let member = self.members.get(&worker).ok_or(gone)?;
+        Ok(Seat {
+            lane: Arc::clone(lane),
+            address: member.address,
+            worker,
+            started,
+            outcome: Outcome::Cancelled,
+        })
+    }
+
+    fn act(&mut self, now: Instant, actions: Vec<Action>) {
+        for action in actions {
+            let (id, answer) = match action {
+                Action::Send(id, worker) => (id, Ok((worker, now))),
+                Action::Refuse(id, refusal) => (id, Err(refusal)),
+            };
+            // A request that was dropped meanwhile gives its place back itself.
+            if let Some(waiter) = self.waiters.remove(&id) {
+                let _ = waiter.send(answer);
+            }
+        }
+    }
+}
+
+/// A request in the queue.
+struct Waiting {
+    lane: Arc<Lane>,
+    id: u64,
+    receiver: oneshot::Receiver<Answer>,
+    answered: bool,
+}
+
+impl Drop for Waiting {
+    fn drop(&mut self) {
+        if self.answered {
+            return;
+        }
+        let mut inner = self.lane.lock();
+        inner.waiters.remove(&self.id);
+        if !inner.schedule.cancel(self.id)
+            && let Ok(Ok((worker, started))) = self.receiver.try_recv()
+        {
+            let now = clock::now();
+            let outcome = Outcome::Cancelled;
+            let actions = inner.schedule.finish(now, &worker, started, outcome);
+            inner.act(now, actions);
+        }
+    }
+}
+
+/// Place of one attempt at a worker; given back when dropped.
+#[derive(Debug)]
+pub struct Seat {
+    lane: Arc<Lane>,
+    /// Worker of the attempt.
+    pub worker: Worker,
+    /// Address of the worker.
+    pub address: SocketAddr,
+    started: Instant,
+    outcome: Outcome,
+}
+
+impl Seat {
+    /// Gives the place back with what the attempt says about the worker.
+    pub fn finish(mut self, outcome: Outcome) {
+        self.outcome = outcome;
+    }
+}
+
+impl Drop for Seat {
+    fn drop(&mut self) {
+        let mut inner = self.lane.lock();
+        let now = clock::now();
+        let actions = inner
+            .schedule
+            .finish(now, &self.worker, self.started, self.outcome);
+        inner.act(now, actions);
+    }
+}
--- /dev/null
+++ b/crates/entry/src/gateway/proxy.rs
@@ -0,0 +1,271 @@
+//! Treatment of one request: admission, attempts, answer.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use chestnutvalve_model::error::{Executed, Kind};
+use chestnutvalve_model::id::Worker;
+use chestnutvalve_routing::schedule::{self, Reason};
+use http::{Request, Response};
+use hyper::body::Incoming;
+use tokio::time::{Instant, sleep};
+
+use super::Gateway;
+use super::attempt::{Failed, Received, attempt};
+use super::inbound::Inbound;
+use super::lane::{Lane, Seat};
+use super::relay::relay;
+use crate::answer::{self, Body, Refusal};
+
+/// Attempts that reached no worker which are made beside the attempts of the route.
+const MAX_UNSENT: usize = 3;
+/// Time before the deadline at which the caller gets the answer that there is none, for the way back.
+const ANSWER_MARGIN: Duration = Duration::from_millis(10);
+
+/// Answers a request that arrived at `arrived`.
+pub async fn handle(
+    gateway: &Arc<Gateway>,
+    request: Request<Incoming>,
+    arrived: Instant,
+) -> Response<Body> {
+    let inbound = match Inbound::read(gateway, request, arrived) {
+        Ok(inbound) => inbound,
+        Err(refusal) => {
+            spdlog::debug!("refused: {}", refusal.fault);
+            return respond(gateway, &refusal);
+        }
+    };
+    let mut exchange = Exchange::new(gateway, &inbound);
+    let outcome = exchange.run().await;
+    let (attempts, waited) = (exchange.sent, exchange.waited);
+    let (id, service, route) = (&inbound.id, &inbound.service, &inbound.route.name);
+    let took = arrived.elapsed().as_millis();
+    match outcome {
+        Ok(received) => {
+            let (status, worker) = (received.parts.status.as_u16(), &received.seat.worker);
+            spdlog::info!(
+                "answered", kv: {id:, route:, service:, worker:, status, attempts, waited_ms = waited.as_millis(), took_ms = took, label = inbound.label}
+            );
+            relay(received, &inbound.source, inbound.deadline)
+        }
+        Err(refusal) => {
+            let (code, cause) = (refusal.fault.kind.answer().code, &refusal.fault.context);
+            spdlog::info!(
+                "not answered", kv: {id:, route:, service:, code, cause:, attempts, waited_ms = waited.as_millis(), took_ms = took, label = inbound.label}
+            );
+            gateway.instance.meters.refusal(refusal.fault.kind);
+            respond(gateway, &refusal)
+        }
+    }
+}
+
+/// Returns the response of a refusal.
+fn respond(gateway: &Gateway, refusal: &Refusal) -> Response<Body> {
+    let dialect = &gateway.settings.dialect;
+    let mut response = answer::refusal(refusal);
+    if let Some(after) = refusal.retry_after {
+        let value = (dialect.write_retry_after)(after);
+        response.headers_mut().insert(&dialect.retry_after, value);
+    }
+    response
+}
+
+/// Attempts of one request.
+struct Exchange<'a> {
+    gateway: &'a Arc<Gateway>,
+    inbound: &'a Inbound,
+    lane: Arc<Lane>,
+    tried: Vec<Worker>,
+    /// Attempts that may have been executed.
+    sent: u8,
+    unsent: usize,
+    executed: Executed,
+    waited: Duration,
+}
+
+impl<'a> Exchange<'a> {
+    fn new(gateway: &'a Arc<Gateway>, inbound: &'a Inbound) -> Self {
+        let lane = gateway.lane(&inbound.service);
+        lane.deposit();
+        Self {
+            gateway,
+            inbound,
+            lane,
+            tried: Vec::new(),
+            sent: 0,
+            unsent: 0,
+            executed: Executed::No,
+            waited: Duration::ZERO,
+        }
+    }
+
+    async fn run(&mut self) -> Result<Received, Refusal> {
+        let mut seat = self.admit().await?;
+        loop {
+            let raced = self.race(seat).await;
+            let failed = match raced {
+                Ok(received) => {
+                    if !received.parts.status.is_server_error() {
+                        return Ok(received);
+                    }
+                    self.executed = Executed::Unknown;
+                    match self.next() {
+                        Some(next) => {
+                            seat = next;
+                            continue;
+                        }
+                        None => return Ok(received),
+                    }
+                }
+                Err(failed) => failed,
+            };
+            seat = self.after(failed).await?;
+        }
+    }
+
+    /// Returns the place of the next attempt after a failed one.
+    async fn after(&mut self, failed: Failed) -> Result<Seat, Refusal> {
+        let idempotent = self.inbound.route.kind.is_idempotent();
+        match failed {
+            Failed::NotExecuted(cause) => {
+                self.sent = self.sent.saturating_sub(1);
+                self.unsent += 1;
+                if self.executed != Executed::No && !idempotent {
+                    return Err(Refusal::new(Kind::UpstreamBroken, cause));
+                }
+                let again = self.unsent <= MAX_UNSENT && self.lane.withdraw();
+                if !again {
+                    return Err(self.refused(Kind::RefusedByUpstream, cause, None));
+                }
+                match self.place() {
+                    Some(seat) => Ok(seat),
+                    None => self.admit().await,
+                }
+            }
+            Failed::Unknown(cause) => {
+                self.executed = Executed::Unknown;
+                self.next()
+                    .ok_or_else(|| Refusal::new(Kind::UpstreamBroken, cause))
+            }
+            Failed::Timeout => {
+                self.executed = Executed::Unknown;
+                let context = "no complete response in time";
+                Err(Refusal::new(Kind::UpstreamTimeout, context))
+            }
+        }
+    }
+
+    /// Waits for a place at a worker.
+    async fn admit(&mut self) -> Result<Seat, Refusal> {
+        let asked = Instant::now();
+        let admitted = self.lane.admit(self.request()).await;
+        self.waited += asked.elapsed();
+        let seat = admitted.map_err(|refusal| {
+            let schedule::Refusal {
+                reason,
+                retry_after,
+            } = refusal;
+            let (kind, cause) = match reason {
+                Reason::NoWorker => (Kind::NoEligibleWorker, "no worker may take the request"),
+                Reason::Overload => (Kind::Overloaded, "it could not be answered in time"),
+            };
+            self.refused(kind, cause, Some(retry_after))
+        })?;
+        self.note(&seat);
+        Ok(seat)
+    }
+
+    /// Takes a place for a further attempt of a request that may run more than once, if the budget allows it.
+    fn next(&mut self) -> Option<Seat> {
+        let inbound = self.inbound;
+        let allowed = inbound.route.kind.is_idempotent()
+            && self.sent < inbound.route.attempts
+            && inbound.left() > self.lane.typical()
+            && !inbound.source.is_dropped();
+        if !allowed {
+            return None;
+        }
+        let seat = self.place()?;
+        if !self.lane.withdraw() {
+            return None;
+        }
+        Some(seat)
+    }
+
+    fn place(&mut self) -> Option<Seat> {
+        let seat = self.lane.another(&self.request())?;
+        self.note(&seat);
+        Some(seat)
+    }
+
+    fn note(&mut self, seat: &Seat) {
+        self.tried.push(seat.worker.clone());
+        self.sent += 1;
+    }
+
+    fn request(&self) -> schedule::Request {
+        let inbound = self.inbound;
+        let target = Duration::from_millis(inbound.route.target_ms);
+        schedule::Request {
+            id: self.gateway.ticket(),
+            rank: inbound.route.rank,
+            download: inbound.route.kind == chestnutvalve_model::routes::Kind::Download,
+            target: (inbound.arrived + target).into_std(),
+            deadline: (inbound.deadline - ANSWER_MARGIN).into_std(),
+            tried: self.tried.clone(),
+        }
+    }
+
+    /// Exchanges the request with one worker, and with a second one when the first is unusually late. The first good
+    /// answer counts; the other exchange is cancelled.
+    async fn race(&mut self, seat: Seat) -> Result<Received, Failed> {
+        let (gateway, inbound) = (self.gateway, self.inbound);
+        let slow = self.lane.slow();
+        let mut first = std::pin::pin!(attempt(gateway, inbound, seat));
+        tokio::select! {
+            outcome = &mut first => return outcome,
+            () = sleep(slow) => {}
+        }
+        let Some(second) = self.next() else {
+            return first.await;
+        };
+        let mut second = std::pin::pin!(attempt(gateway, inbound, second));
+        let good = |outcome: &Result<Received, Failed>| {
+            let received = outcome.as_ref();
+            received.is_ok_and(|r| !r.parts.status.is_server_error())
+        };
+        let (outcome, first_ended) = tokio::select! {
+            outcome = &mut first => (outcome, true),
+            outcome = &mut second => (outcome, false),
+        };
+        if good(&outcome) {
+            return outcome;
+        }
+        // The one that ended says nothing about the other, which may still be running.
+        self.executed = Executed::Unknown;
+        let other = if first_ended {
+            second.await
+        } else {
+            first.await
+        };
+        match other {
+            Err(Failed::NotExecuted(cause)) => Err(Failed::Unknown(cause)),
+            other => other,
+        }
+    }
+
+    /// Builds a refusal that never says "not executed" when an attempt may have run.
+    fn refused(
+        &self,
+        kind: Kind,
+        cause: impl Into<String>,
+        retry_after: Option<Duration>,
+    ) -> Refusal {
+        if self.executed != Executed::No {
+            return Refusal::new(Kind::UpstreamBroken, cause);
+        }
+        let mut refusal = Refusal::new(kind, cause);
+        refusal.retry_after = Some(retry_after.unwrap_or(self.lane.typical()));
+        refusal
+    }
+}
--- /dev/null
+++ b/crates/entry/src/gateway/relay.rs
@@ -0,0 +1,135 @@
+//! Body of a response that is passed on, and what happens when it ends.
+
+use std::collections::VecDeque;
+use std::pin::Pin;
+use std::task::{Context, Poll, ready};
+
+use bytes::Bytes;
+use chestnutvalve_routing::schedule::Outcome;
+use http::Response;
+use http_body::{Body, Frame, SizeHint};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use tokio::time::{Instant, Sleep, sleep_until};
+
+use super::attempt::Received;
+use super::lane::Seat;
+use crate::answer::{self, Broken};
+use crate::header as name;
+use crate::pool::Lease;
+use crate::replay::Source;
+
+/// A response body on its way to the caller. Dropping it closes the worker's connection, which cancels the request.
+struct Relay {
+    held: VecDeque<Frame<Bytes>>,
+    rest: Option<Incoming>,
+    source: Source,
+    lease: Option<Lease>,
+    seat: Option<Seat>,
+    outcome: Outcome,
+    deadline: Pin<Box<Sleep>>,
+}
+
+/// Returns the response for the caller; a transfer that lasts beyond `deadline` is broken off.
+#[must_use]
+pub fn relay(received: Received, source: &Source, deadline: Instant) -> Response<answer::Body> {
+    let Received {
+        mut parts,
+        held,
+        rest,
+        lease,
+        seat,
+    } = received;
+    let outcome = if parts.status.is_server_error() {
+        Outcome::Failure
+    } else {
+        Outcome::Success
+    };
+    name::remove_hop_by_hop(&mut parts.headers);
+    let mut relay = Relay {
+        held,
+        rest,
+        source: source.clone(),
+        lease: Some(lease),
+        seat: Some(seat),
+        outcome,
+        deadline: Box::pin(sleep_until(deadline)),
+    };
+    if relay.rest.is_none() {
+        relay.complete();
+    }
+    Response::from_parts(parts, relay.boxed_unsync())
+}
+
+impl Relay {
+    fn complete(&mut self) {
+        self.rest = None;
+        if let Some(seat) = self.seat.take() {
+            seat.finish(self.outcome);
+        }
+        // A worker that answered before it read the whole request would take the rest for the next one.
+        if let Some(lease) = self.lease.take()
+            && self.source.is_complete()
+        {
+            lease.give_back();
+        }
+    }
+
+    fn fail(&mut self, error: Broken) -> Poll<Option<Result<Frame<Bytes>, Broken>>> {
+        self.rest = None;
+        if let Some(seat) = self.seat.take() {
+            seat.finish(Outcome::Failure);
+        }
+        self.lease = None;
+        Poll::Ready(Some(Err(error)))
+    }
+}
+
+impl Body for Relay {
+    type Data = Bytes;
+    type Error = Broken;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Broken>>> {
+        let this = self.get_mut();
+        if let Some(frame) = this.held.pop_front() {
+            return Poll::Ready(Some(Ok(frame)));
+        }
+        let Some(rest) = &mut this.rest else {
+            return Poll::Ready(None);
+        };
+        match Pin::new(&mut *rest).poll_frame(cx) {
+            Poll::Ready(Some(Ok(frame))) => {
+                if rest.is_end_stream() {
+                    this.complete();
+                }
+                Poll::Ready(Some(Ok(frame)))
+            }
+            Poll::Ready(None) => {
+                this.complete();
+                Poll::Ready(None)
+            }
+            Poll::Ready(Some(Err(error))) => this.fail(error.into()),
+            Poll::Pending => {
+                ready!(this.deadline.as_mut().poll(cx));
+                this.fail("the response did not arrive in time".into())
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.held.is_empty() && self.rest.is_none()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        let held = self.held.iter().filter_map(Frame::data_ref);
+        let held = held.map(Bytes::len).sum::<usize>() as u64;
+        let rest = self.rest.as_ref().map(Body::size_hint);
+        match rest.map_or(Some(0), |hint| hint.exact()) {
+            Some(left) => SizeHint::with_exact(held + left),
+            None => SizeHint::default(),
+        }
+    }
+}
--- a/crates/entry/src/instance.rs
+++ b/crates/entry/src/instance.rs
@@ -129,6 +129,12 @@
         self.draining.load(Ordering::Relaxed)
     }
 
+    /// Returns whether the instance can serve routed requests: it has routes and is not shutting down.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        !self.is_draining() && self.follow.state().routes.label > 0
+    }
+
     /// Marks the instance as shutting down and announces it.
     pub fn drain(&self) {
         self.draining.store(true, Ordering::Relaxed);
@@ -143,6 +149,7 @@
             incarnation: self.incarnation,
             zone: self.settings.zone.clone(),
             callers: self.advertise.callers,
+            gateway: self.settings.gateway,
             platform: self.advertise.platform,
             peers: self.advertise.peers,
             draining: self.is_draining(),
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod exchange;
 pub mod follow;
 pub mod forward;
+pub mod gateway;
 pub mod header;
 pub mod instance;
 pub mod link;
--- a/crates/entry/src/link.rs
+++ b/crates/entry/src/link.rs
@@ -1,8 +1,9 @@
 //! Connection to the control instances: watch, heartbeats and calls to any reachable instance.
 
 use std::cmp::Reverse;
-use std::sync::Arc;
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, PoisonError, RwLock};
 use std::time::Duration;
 
 use chestnutvalve_model::control::{Heartbeat, Rate, Registered, State, Update, Watch};
@@ -40,25 +41,87 @@
 /// Clients of the control instances.
 #[derive(Debug)]
 pub struct Link {
-    clients: Vec<Client>,
+    /// Addresses from the settings, which serve until the group has told its members, and when none of those answers.
+    configured: Mutex<Vec<SocketAddr>>,
+    clients: RwLock<Vec<Client>>,
+    traffic: Arc<Traffic>,
     current: AtomicUsize,
 }
 
 impl Link {
     /// Creates the clients, starting at a random instance so that entries spread over all of them.
     #[must_use]
-    pub fn new(control: &[std::net::SocketAddr], traffic: &Arc<Traffic>) -> Self {
-        let client = |a: &std::net::SocketAddr| Client::new(*a).counted(traffic);
-        let clients: Vec<Client> = control.iter().map(client).collect();
-        let start = rand::random_range(0..clients.len().max(1));
-        Self {
-            clients,
+    pub fn new(control: &[SocketAddr], traffic: &Arc<Traffic>) -> Self {
+        let start = rand::random_range(0..control.len().max(1));
+        let link = Self {
+            configured: Mutex::new(control.to_vec()),
+            clients: RwLock::default(),
+            traffic: Arc::clone(traffic),
             current: AtomicUsize::new(start),
+        };
+        link.adopt(control);
+        link
+    }
+
+    /// Takes other addresses from the settings, and tries them beside the known members.
+    pub fn configure(&self, control: &[SocketAddr]) {
+        let mut configured = self.configured.lock();
+        let configured = configured.as_deref_mut();
+        if let Ok(configured) = configured {
+            control.clone_into(configured);
+        }
+        self.widen();
+    }
+
+    /// Adds the configured addresses to the known members.
+    fn widen(&self) {
+        let mut all: Vec<SocketAddr> = self.clients().iter().map(Client::peer).collect();
+        let configured = self.configured.lock();
+        let configured = configured.unwrap_or_else(PoisonError::into_inner).clone();
+        for address in configured {
+            if !all.contains(&address) {
+                all.push(address);
+            }
         }
+        self.adopt(&all);
+    }
+
+    /// Replaces the control instances by the members that the group has told; known ones keep their connections.
+    pub fn adopt(&self, members: &[SocketAddr]) {
+        let mut clients = self.clients.write().unwrap_or_else(PoisonError::into_inner);
+        let same = members.len() == clients.len()
+            && members
+                .iter()
+                .all(|m| clients.iter().any(|c| c.peer() == *m));
+        if members.is_empty() || same {
+            return;
+        }
+        let current = clients.get(self.current() % clients.len().max(1));
+        let current = current.map(Client::peer);
+        let kept = |address: &SocketAddr| clients.iter().find(|c| c.peer() == *address).cloned();
+        let opened = |address: &SocketAddr| Client::new(*address).counted(&self.traffic);
+        let next = members.iter().map(|m| kept(m).unwrap_or_else(|| opened(m)));
+        *clients = next.collect();
+        if let Some(at) = members.iter().position(|m| Some(*m) == current) {
+            self.current.store(at, Ordering::Relaxed);
+        }
+    }
+
+    fn clients(&self) -> Vec<Client> {
+        let clients = self.clients.read();
+        clients.unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// Returns the number of control instances that are tried in turn.
+    fn count(&self) -> usize {
+        let clients = self.clients.read();
+        clients.unwrap_or_else(PoisonError::into_inner).len().max(1)
     }
 
-    fn at(&self, index: usize) -> Option<&Client> {
-        self.clients.get(index % self.clients.len().max(1))
+    fn at(&self, index: usize) -> Option<Client> {
+        let clients = self.clients.read();
+        let clients = clients.unwrap_or_else(PoisonError::into_inner);
+        clients.get(index % clients.len().max(1)).cloned()
     }
 
     fn current(&self) -> usize {
@@ -67,7 +130,7 @@
 
     /// Moves on from the instance at `index`, unless another task has done so.
     fn leave(&self, index: usize) {
-        let next = (index + 1) % self.clients.len().max(1);
+        let next = (index + 1) % self.count();
         let _ = self
             .current
             .compare_exchange(index, next, Ordering::Relaxed, Ordering::Relaxed);
@@ -86,7 +149,7 @@
     ) -> Result<A, Error> {
         let first = self.current();
         let mut outcome = Err(Error::Malformed("no control instance is configured"));
-        for offset in 0..self.clients.len() {
+        for offset in 0..self.count() {
             let Some(client) = self.at(first + offset) else {
                 break;
             };
@@ -110,7 +173,8 @@
                 spdlog::debug!("watch: {cause}");
                 instance.link.leave(index);
                 failures += 1;
-                if failures % instance.settings.control.len() == 0 {
+                if failures % instance.link.count() == 0 {
+                    instance.link.widen();
                     fetch(&instance).await;
                     sleep(WATCH_PAUSE).await;
                 }
@@ -134,6 +198,7 @@
         .await;
     let update = update.map_err(|e| e.to_string())?;
     let version = update.version;
+    instance.link.adopt(&update.controls);
     let adopted = instance.follow.adopt(update.content);
     if adopted.map_err(|e| e.to_string())? {
         spdlog::info!("state {version} is in force");
--- a/crates/entry/src/pool.rs
+++ b/crates/entry/src/pool.rs
@@ -92,7 +92,21 @@
         address: SocketAddr,
         deadline: Instant,
     ) -> std::io::Result<Lease> {
-        if let Some(lease) = self.kept(address) {
+        self.lease_fresh(address, deadline, None).await
+    }
+
+    /// Returns a kept connection that was unused for at most `fresh`, or opens one.
+    ///
+    /// # Errors
+    ///
+    /// As [`Pool::lease`].
+    pub async fn lease_fresh(
+        self: &Arc<Self>,
+        address: SocketAddr,
+        deadline: Instant,
+        fresh: Option<Duration>,
+    ) -> std::io::Result<Lease> {
+        if let Some(lease) = self.kept(address, fresh.unwrap_or(IDLE_TIME)) {
             return Ok(lease);
         }
         let limit = deadline.min(Instant::now() + CONNECT_TIMEOUT);
@@ -102,7 +116,7 @@
         }
     }
 
-    fn kept(self: &Arc<Self>, address: SocketAddr) -> Option<Lease> {
+    fn kept(self: &Arc<Self>, address: SocketAddr, fresh: Duration) -> Option<Lease> {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let list = idle.get_mut(&address)?;
         while let Some(Idle {
@@ -111,7 +125,7 @@
             since,
         }) = list.pop()
         {
-            if since.elapsed() < IDLE_TIME && sender.is_ready() {
+            if since.elapsed() < fresh.min(IDLE_TIME) && sender.is_ready() {
                 return Some(Lease {
                     pool: Arc::clone(self),
                     address,
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -28,6 +28,9 @@
     pub zone: Zone,
     /// Listening address for callers.
     pub callers: SocketAddr,
+    /// Listening and reachable address for callers whose requests are routed by host and path.
+    #[serde(default)]
+    pub gateway: Option<SocketAddr>,
     /// Listening address for workers and operators.
     pub platform: SocketAddr,
     /// Listening address of the internal protocol.
--- a/crates/entry/tests/all/control.rs
+++ b/crates/entry/tests/all/control.rs
@@ -121,6 +121,7 @@
         if newer || Instant::now() >= until {
             return Update {
                 stale: false,
+                controls: Vec::new(),
                 version: current.version,
                 content: if newer {
                     Content::Snapshot(current)
--- a/crates/kernel/src/service.rs
+++ b/crates/kernel/src/service.rs
@@ -6,6 +6,9 @@
 use std::pin::Pin;
 use std::sync::Arc;
 
+use tokio::sync::Mutex;
+use tokio::task::JoinHandle;
+
 /// Future of a start or stop step.
 pub type Step = Pin<Box<dyn Future<Output = Result<(), Failure>> + Send>>;
 
@@ -35,6 +38,24 @@
         }
     }
 
+    /// Creates a service that runs a future from its start until it is stopped.
+    #[must_use]
+    pub fn background(name: &'static str, run: impl Future<Output = ()> + Send + 'static) -> Self {
+        let task: Arc<Mutex<Option<JoinHandle<()>>>> = Arc::default();
+        let started = Arc::clone(&task);
+        Self::new(name, Arc::new(()))
+            .on_start(move || async move {
+                *started.lock().await = Some(tokio::spawn(run));
+                Ok(())
+            })
+            .on_stop(move || async move {
+                if let Some(task) = task.lock().await.take() {
+                    task.abort();
+                }
+                Ok(())
+            })
+    }
+
     /// Sets what starts the service.
     #[must_use]
     pub fn on_start<F, Fut>(mut self, start: F) -> Self
--- a/crates/model/src/control.rs
+++ b/crates/model/src/control.rs
@@ -1,12 +1,15 @@
 //! Messages between entries and control instances.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
 
 use crate::config::{Document, Edit};
 use crate::directory::{Directory, Member};
 use crate::id::{Entry, Incarnation, Service, Worker};
+use crate::routes::{Delta, Table};
+use crate::upstream::{Event, Roster};
 use crate::version::Version;
 
 /// Long poll for everything after a version.
@@ -32,6 +35,8 @@
     pub stale: bool,
     /// Version after applying `content`.
     pub version: Version,
+    /// Internal addresses of the control instances, which change when one is replaced.
+    pub controls: Vec<std::net::SocketAddr>,
     /// What has changed.
     pub content: Content,
 }
@@ -77,6 +82,10 @@
         /// Least number of owners; 0 leaves it to the configuration.
         owners: u8,
     },
+    /// The routes changed.
+    Routes(Delta),
+    /// A registered worker came, changed or left.
+    Worker(Event),
 }
 
 /// State that entries follow.
@@ -90,6 +99,10 @@
     pub directory: Directory,
     /// Least number of owners of the services whose load calls for more than a few.
     pub owners: BTreeMap<Service, u8>,
+    /// Routes by host and path.
+    pub routes: Arc<Table>,
+    /// Workers that are registered with the control group.
+    pub roster: Arc<Roster>,
 }
 
 impl State {
@@ -108,6 +121,8 @@
             Step::Join(member) => self.directory.join(member),
             Step::Leave { entry, incarnation } => self.directory.leave(entry, *incarnation),
             Step::Resize { service, owners } => self.resize(service, *owners),
+            Step::Routes(delta) => Arc::make_mut(&mut self.routes).apply(delta),
+            Step::Worker(event) => Arc::make_mut(&mut self.roster).apply(event),
         }
         self.version = record.version;
         Ok(())
--- a/crates/model/src/directory.rs
+++ b/crates/model/src/directory.rs
@@ -18,6 +18,8 @@
     pub zone: Zone,
     /// Address for callers' requests and address questions.
     pub callers: SocketAddr,
+    /// Address for callers whose requests are routed by host and path, if the instance has such a listener.
+    pub gateway: Option<SocketAddr>,
     /// Address for announcements, metrics and reports.
     pub platform: SocketAddr,
     /// Address of the internal protocol.
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -8,4 +8,6 @@
 pub mod error;
 pub mod id;
 pub mod rank;
+pub mod routes;
+pub mod upstream;
 pub mod version;
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -10,3 +10,4 @@
 pub mod placement;
 pub mod retry;
 pub mod sample;
+pub mod schedule;
--- a/crates/routing/src/retry.rs
+++ b/crates/routing/src/retry.rs
@@ -58,3 +58,47 @@
 pub fn allowed(idempotent: bool, executed: Executed, left: Duration, typical: Duration) -> bool {
     (idempotent || executed == Executed::No) && !left.is_zero() && left >= typical
 }
+
+/// Allowance for further attempts at one service, as this entry's part of what the fleet may use.
+///
+/// In any window the fleet may send a share of the requests again, and a fixed number beside. Each entry earns the share
+/// for its own requests and gets an equal part of the fixed number, half of it saved up and half spread over the window.
+#[derive(Clone, Debug)]
+pub struct Allowance {
+    share: f64,
+    burst: f64,
+    per_second: f64,
+    tokens: f64,
+    at: std::time::Instant,
+}
+
+impl Allowance {
+    /// Creates an allowance of `share` of the requests and `extra` attempts in each `window`.
+    #[must_use]
+    pub fn new(now: std::time::Instant, share: f64, extra: f64, window: Duration) -> Self {
+        Self {
+            share,
+            burst: extra / 2.0,
+            per_second: extra / 2.0 / window.as_secs_f64(),
+            tokens: extra / 2.0,
+            at: now,
+        }
+    }
+
+    /// Records a request of a caller.
+    pub fn deposit(&mut self) {
+        self.tokens = (self.tokens + self.share).min(self.burst.max(1.0));
+    }
+
+    /// Takes one further attempt; returns whether there was one.
+    pub fn withdraw(&mut self, now: std::time::Instant) -> bool {
+        let passed = now.saturating_duration_since(self.at).as_secs_f64();
+        self.at = now;
+        self.tokens = (self.tokens + passed * self.per_second).min(self.burst.max(1.0));
+        let enough = self.tokens >= 1.0;
+        if enough {
+            self.tokens -= 1.0;
+        }
+        enough
+    }
+}
--- /dev/null
+++ b/crates/routing/src/schedule.rs
@@ -0,0 +1,306 @@
+//! Schedule of one service at one entry: which worker gets a request, which requests wait, and which are refused.
+//!
+//! Load pattern: orders arrive at 90 to 120% of what their workers can do for some seconds, while some workers are slow,
+//! shed or are gone, and other entries send to the same workers. Workers run their queues in order, so that a request sent
+//! too early waits behind less urgent ones. The schedule therefore keeps requests here until a worker is likely to have a
+//! free slot, gives places to the most urgent rank first, and refuses at once what can't be answered in time.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::{Duration, Instant};
+
+use chestnutvalve_model::id::{Worker, Zone};
+use chestnutvalve_model::rank::Rank;
+
+mod pace;
+mod upstream;
+
+pub use upstream::{Outcome, Spec};
+
+use pace::Pace;
+use upstream::Upstream;
+
+/// Shortest and longest time that a refused caller is told to wait. Callers honour at most a third of the time they have
+/// left, which is below 2 s on the deployments.
+const RETRY_AFTER: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(2));
+/// Share of the workers that may be avoided because of failures at the same time. The fleet must keep 70% of the healthy
+/// workers of a service in use.
+const MAX_AVOIDED: f64 = 0.25;
+/// Extra load, in slots, that a worker in another availability zone is taken to have. A small response is worth a
+/// short detour only; a download is worth one queued request.
+const ZONE_COST: f64 = 0.3;
+const ZONE_COST_DOWNLOAD: f64 = 1.0;
+/// Part of the time left that the expected wait may take. The estimate is a mean, so that a fifth is kept in reserve.
+const WAIT_SHARE: f64 = 0.8;
+
+/// A request that asks for a worker.
+#[derive(Clone, Debug)]
+pub struct Request {
+    /// Unique id of the request at this entry.
+    pub id: u64,
+    /// Urgency.
+    pub rank: Rank,
+    /// Whether the response is large.
+    pub download: bool,
+    /// Instant after which a response is worth less.
+    pub target: Instant,
+    /// Instant after which the caller has no use for a response.
+    pub deadline: Instant,
+    /// Workers that were tried before.
+    pub tried: Vec<Worker>,
+}
+
+/// Immediate answer to an offered request.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Decision {
+    /// The request goes to this worker now.
+    Send(Worker),
+    /// The request waits; an [`Action`] follows.
+    Wait,
+    /// The request is refused.
+    Refuse(Refusal),
+}
+
+/// Why a request is refused.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Refusal {
+    /// Reason.
+    pub reason: Reason,
+    /// Time after which a new attempt makes sense.
+    pub retry_after: Duration,
+}
+
+/// Reason of a refusal.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Reason {
+    /// No worker may take the request.
+    NoWorker,
+    /// The request could not be answered in time.
+    Overload,
+}
+
+/// Later answer to a waiting request.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Action {
+    /// The request with this id goes to this worker now.
+    Send(u64, Worker),
+    /// The request with this id is refused.
+    Refuse(u64, Refusal),
+}
+
+/// Schedule of one service.
+#[derive(Clone, Debug)]
+pub struct Schedule {
+    zone: Zone,
+    upstreams: BTreeMap<Worker, Upstream>,
+    queues: [VecDeque<Request>; 3],
+    pace: Pace,
+}
+
+impl Schedule {
+    /// Creates the schedule of a service at an entry in `zone`.
+    #[must_use]
+    pub fn new(zone: Zone) -> Self {
+        Self {
+            zone,
+            upstreams: BTreeMap::new(),
+            queues: Default::default(),
+            pace: Pace::default(),
+        }
+    }
+
+    /// Brings the workers in line with the registered ones; a later run of a worker starts without a record.
+    pub fn sync(&mut self, now: Instant, specs: &[(Worker, Spec)]) {
+        self.upstreams
+            .retain(|worker, _| specs.iter().any(|(known, _)| known == worker));
+        for (worker, spec) in specs {
+            match self.upstreams.get_mut(worker) {
+                Some(upstream) if upstream.is_run_of(spec) => upstream.update(spec),
+                _ => {
+                    let upstream = Upstream::new(now, spec.clone());
+                    self.upstreams.insert(worker.clone(), upstream);
+                }
+            }
+        }
+    }
+
+    /// Returns the number of waiting requests.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        self.queues.iter().map(VecDeque::len).sum()
+    }
+
+    /// Returns the number of workers that may take requests.
+    #[must_use]
+    pub fn usable(&self) -> usize {
+        self.upstreams.values().filter(|u| !u.is_gone()).count()
+    }
+
+    /// Returns the usual time from dispatch to response.
+    #[must_use]
+    pub fn typical(&self) -> Duration {
+        self.pace.typical()
+    }
+
+    /// Returns the typical deviation above which a response is late enough to ask a second worker.
+    #[must_use]
+    pub fn slow(&self) -> Duration {
+        self.pace.slow()
+    }
+
+    /// Decides on a request.
+    pub fn offer(&mut self, now: Instant, request: Request) -> Decision {
+        if self.usable() == 0 {
+            return Decision::Refuse(self.refusal(Reason::NoWorker, Duration::ZERO));
+        }
+        let rank = request.rank.index();
+        let first = self.queues[..=rank].iter().all(VecDeque::is_empty);
+        if first && let Some(worker) = self.place(now, &request) {
+            return Decision::Send(worker);
+        }
+        let wait = self.expected_wait(request.rank);
+        let left = request.deadline.saturating_duration_since(now);
+        let needed = wait.div_f64(WAIT_SHARE) + self.pace.typical();
+        if needed > left {
+            let excess = needed.saturating_sub(left);
+            return Decision::Refuse(self.refusal(Reason::Overload, excess));
+        }
+        self.queues[rank].push_back(request);
+        Decision::Wait
+    }
+
+    /// Takes back a waiting request whose caller has gone; returns whether it was waiting.
+    pub fn cancel(&mut self, id: u64) -> bool {
+        let before = self.waiting();
+        for queue in &mut self.queues {
+            queue.retain(|request| request.id != id);
+        }
+        self.waiting() < before
+    }
+
+    /// Chooses another worker for a request that was sent before; it does not wait.
+    pub fn another(&mut self, now: Instant, request: &Request) -> Option<Worker> {
+        self.place(now, request)
+    }
+
+    /// Records the end of an attempt.
+    pub fn finish(
+        &mut self,
+        now: Instant,
+        worker: &Worker,
+        started: Instant,
+        outcome: Outcome,
+    ) -> Vec<Action> {
+        let avoided = self.upstreams.values().filter(|u| u.is_avoided(now));
+        let avoided = avoided.count() + 1;
+        #[allow(
+            clippy::cast_precision_loss,
+            reason = "there are some hundreds of workers"
+        )]
+        let may_avoid = avoided as f64 <= (self.upstreams.len() as f64 * MAX_AVOIDED).max(1.0);
+        let typical = self.pace.typical();
+        if let Some(upstream) = self.upstreams.get_mut(worker) {
+            upstream.finish(now, started, outcome, typical, may_avoid);
+        }
+        if outcome == Outcome::Success {
+            self.pace.served(now.saturating_duration_since(started));
+        }
+        self.pace.ended(now);
+        self.start(now)
+    }
+
+    /// Records the load that a worker reports: requests that run and wait there, from all entries.
+    pub fn report(&mut self, now: Instant, worker: &Worker, load: u32) {
+        if let Some(upstream) = self.upstreams.get_mut(worker) {
+            upstream.report(now, load);
+        }
+    }
+
+    /// Refuses waiting requests that can no longer be answered in time, and starts others if there is room.
+    pub fn tick(&mut self, now: Instant) -> Vec<Action> {
+        let mut actions = Vec::new();
+        let typical = self.pace.typical();
+        for queue in 0..self.queues.len() {
+            let late = |r: &Request| now + typical > r.deadline;
+            let (late, kept) = self.queues[queue].drain(..).partition(late);
+            self.queues[queue] = kept;
+            let late: VecDeque<Request> = late;
+            for request in late {
+                let refusal = self.refusal(Reason::Overload, Duration::ZERO);
+                actions.push(Action::Refuse(request.id, refusal));
+            }
+        }
+        actions.extend(self.start(now));
+        actions
+    }
+
+    /// Gives free places to waiting requests, the most urgent rank first.
+    ///
+    /// Within a rank those come first that can still meet their target, in order of arrival. The others are worth less
+    /// and serve the callers best when they fill the gaps.
+    fn start(&mut self, now: Instant) -> Vec<Action> {
+        let mut actions = Vec::new();
+        let typical = self.pace.typical();
+        for rank in 0..self.queues.len() {
+            loop {
+                let queue = &self.queues[rank];
+                let in_time = queue.iter().position(|r| now + typical <= r.target);
+                let Some(next) = in_time.or_else(|| (!queue.is_empty()).then_some(0)) else {
+                    break;
+                };
+                let request = self.queues[rank][next].clone();
+                let Some(worker) = self.place(now, &request) else {
+                    return actions;
+                };
+                self.queues[rank].remove(next);
+                actions.push(Action::Send(request.id, worker));
+            }
+        }
+        actions
+    }
+
+    /// Takes a place at the worker that is likely to answer first, if one has room.
+    fn place(&mut self, now: Instant, request: &Request) -> Option<Worker> {
+        let typical = self.pace.typical();
+        let usable = |(worker, upstream): &(&Worker, &Upstream)| {
+            !upstream.is_gone() && !request.tried.contains(worker)
+        };
+        let cost = |upstream: &Upstream| {
+            let near = upstream.zone() == &self.zone;
+            let detour = match (near, request.download) {
+                (true, _) => 0.0,
+                (false, true) => ZONE_COST_DOWNLOAD,
+                (false, false) => ZONE_COST,
+            };
+            upstream.cost(now, typical) + detour
+        };
+        let all = || self.upstreams.iter().filter(usable);
+        let cheapest = |avoided: bool| {
+            all()
+                .filter(|(_, u)| u.has_room(now) && u.is_avoided(now) == avoided)
+                .map(|(worker, u)| (cost(u), worker))
+                .min_by(|a, b| a.0.total_cmp(&b.0))
+                .map(|(_, worker)| worker.clone())
+        };
+        // Workers that failed lately are better than none once all others are gone, not once they are full.
+        let others_gone = || all().all(|(_, u)| u.is_avoided(now));
+        let worker = cheapest(false).or_else(|| others_gone().then(|| cheapest(true)).flatten())?;
+        let upstream = self.upstreams.get_mut(&worker)?;
+        upstream.start(now);
+        Some(worker)
+    }
+
+    /// Returns the expected wait of a request that joins the queue of its rank.
+    fn expected_wait(&self, rank: Rank) -> Duration {
+        let ahead: usize = self.queues[..=rank.index()].iter().map(VecDeque::len).sum();
+        let running: u32 = self.upstreams.values().map(Upstream::running).sum();
+        self.pace.wait(ahead, running)
+    }
+
+    fn refusal(&self, reason: Reason, excess: Duration) -> Refusal {
+        let retry_after = excess.max(self.pace.typical());
+        Refusal {
+            reason,
+            retry_after: retry_after.clamp(RETRY_AFTER.0, RETRY_AFTER.1),
+        }
+    }
+}
--- /dev/null
+++ b/crates/routing/src/schedule/pace.rs
@@ -0,0 +1,78 @@
+//! Speed at which the workers of a service answer this entry.
+
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+/// Weight of a new response time in the typical one.
+const WEIGHT: f64 = 0.05;
+/// Response time assumed before the first response.
+const FIRST: Duration = Duration::from_millis(100);
+/// Ends of requests from which the rate is taken.
+const WINDOW: usize = 24;
+/// Deviations above the typical response time that make a response slow. Work times have a log-normal spread of 0.5 to
+/// 0.8, so that about one in fifty is slower.
+const SLOW_DEVIATIONS: f64 = 4.0;
+/// Least time after which a response counts as slow.
+const LEAST_SLOW: Duration = Duration::from_millis(100);
+
+/// Response times and rate of ends.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Pace {
+    /// Mean response time and mean deviation, in seconds.
+    mean: Option<(f64, f64)>,
+    ends: VecDeque<Instant>,
+}
+
+impl Pace {
+    /// Records a response.
+    pub(super) fn served(&mut self, time: Duration) {
+        let time = time.as_secs_f64();
+        self.mean = Some(match self.mean {
+            None => (time, time / 2.0),
+            Some((mean, deviation)) => (
+                mean + WEIGHT * (time - mean),
+                deviation + WEIGHT * ((time - mean).abs() - deviation),
+            ),
+        });
+    }
+
+    /// Records the end of an attempt, which frees a place.
+    pub(super) fn ended(&mut self, now: Instant) {
+        self.ends.push_back(now);
+        if self.ends.len() > WINDOW {
+            self.ends.pop_front();
+        }
+    }
+
+    /// Returns the usual response time.
+    pub(super) fn typical(&self) -> Duration {
+        self.mean
+            .map_or(FIRST, |(mean, _)| Duration::from_secs_f64(mean))
+    }
+
+    /// Returns the time after which a response is unusually late.
+    pub(super) fn slow(&self) -> Duration {
+        let slow = self
+            .mean
+            .map_or(4.0 * FIRST.as_secs_f64(), |(mean, deviation)| {
+                mean + SLOW_DEVIATIONS * deviation
+            });
+        Duration::from_secs_f64(slow).max(LEAST_SLOW)
+    }
+
+    /// Returns the expected wait behind `ahead` requests while `running` ones run: at the rate at which places became
+    /// free lately, because slots at workers that other entries use say little about the places left to this one.
+    pub(super) fn wait(&self, ahead: usize, running: u32) -> Duration {
+        let by_slots = f64::from(running.max(1)) / self.typical().as_secs_f64();
+        let observed = match (self.ends.front(), self.ends.back()) {
+            (Some(first), Some(last)) if self.ends.len() == WINDOW && last > first => {
+                let gaps = u32::try_from(WINDOW - 1).unwrap_or(u32::MAX);
+                Some(f64::from(gaps) / (*last - *first).as_secs_f64())
+            }
+            _ => None,
+        };
+        let rate = observed.map_or(by_slots, |rate| rate.min(by_slots));
+        let ahead = f64::from(u32::try_from(ahead).unwrap_or(u32::MAX)) + 1.0;
+        Duration::from_secs_f64((ahead / rate).clamp(0.0, 3_600.0))
+    }
+}
--- /dev/null
+++ b/crates/routing/src/schedule/upstream.rs
@@ -0,0 +1,185 @@
+//! What one entry knows of one worker.
+
+use std::time::{Duration, Instant};
+
+use chestnutvalve_model::id::{Incarnation, Zone};
+
+/// Time in which half of the reported requests of other entries are taken to have ended.
+const REPORT_HALF_LIFE: Duration = Duration::from_millis(250);
+/// Requests beyond its slots that a worker is given, so that it need not wait for the next one. One for each of many
+/// entries would fill its queue.
+const AHEAD: f64 = 0.0;
+/// Factor on the cost of a worker that has just started.
+const COLD: f64 = 2.0;
+/// Weight of a new attempt in the rate of failures.
+const FAILURE_WEIGHT: f64 = 0.3;
+/// Extra load, in slots, of a worker that fails all requests.
+const FAILURE_COST: f64 = 6.0;
+/// Time for which a worker is avoided after a failure, and its factor for one that fails all requests. A worker that
+/// recovers must get requests again after 2 s.
+const AVOIDED: Duration = Duration::from_millis(800);
+const AVOIDED_FACTOR: f64 = 2.0;
+/// Time for which a worker that shed a request is taken to be full.
+const FULL: Duration = Duration::from_millis(100);
+/// Weight of a new response time in the worker's own.
+const TIME_WEIGHT: f64 = 0.2;
+/// Bounds of the worker's response time relative to that of the service.
+const SPEED: (f64, f64) = (0.5, 10.0);
+/// Multiple of the usual response time after which an unanswered request speaks against a worker.
+const OVERDUE: u32 = 6;
+
+/// Registered properties of a worker.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Spec {
+    /// Run of the worker.
+    pub incarnation: Incarnation,
+    /// Its availability zone.
+    pub zone: Zone,
+    /// Requests that it runs at the same time.
+    pub slots: u32,
+    /// Time for which it stays slow after it became known.
+    pub warm_up: Duration,
+}
+
+/// How an attempt ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Outcome {
+    /// The worker answered.
+    Success,
+    /// The worker failed the request, broke off or did not answer in time.
+    Failure,
+    /// The worker refused the request because it is full.
+    Shed,
+    /// Another worker has the address, or this one does not serve any more.
+    Gone,
+    /// The caller has gone; this says nothing about the worker.
+    Cancelled,
+}
+
+/// Knowledge about one worker.
+#[derive(Clone, Debug)]
+pub(super) struct Upstream {
+    spec: Spec,
+    warm_at: Instant,
+    gone: bool,
+    /// When the requests in progress were sent.
+    running: Vec<Instant>,
+    /// Requests of other entries, and when they were reported.
+    others: Option<(Instant, f64)>,
+    failures: f64,
+    avoided_until: Option<Instant>,
+    full_until: Option<Instant>,
+    /// Mean response time, in seconds.
+    time: Option<f64>,
+}
+
+impl Upstream {
+    pub(super) fn new(now: Instant, spec: Spec) -> Self {
+        Self {
+            warm_at: now + spec.warm_up,
+            spec,
+            gone: false,
+            running: Vec::new(),
+            others: None,
+            failures: 0.0,
+            avoided_until: None,
+            full_until: None,
+            time: None,
+        }
+    }
+
+    pub(super) fn is_run_of(&self, spec: &Spec) -> bool {
+        self.spec.incarnation == spec.incarnation
+    }
+
+    pub(super) fn update(&mut self, spec: &Spec) {
+        self.spec = spec.clone();
+    }
+
+    pub(super) fn zone(&self) -> &Zone {
+        &self.spec.zone
+    }
+
+    pub(super) fn is_gone(&self) -> bool {
+        self.gone
+    }
+
+    pub(super) fn running(&self) -> u32 {
+        u32::try_from(self.running.len()).unwrap_or(u32::MAX)
+    }
+
+    pub(super) fn is_avoided(&self, now: Instant) -> bool {
+        self.avoided_until.is_some_and(|until| now < until)
+    }
+
+    /// Returns the estimated number of requests at the worker.
+    fn load(&self, now: Instant) -> f64 {
+        let others = self.others.map_or(0.0, |(at, others)| {
+            let age = now.saturating_duration_since(at).as_secs_f64();
+            others * 0.5_f64.powf(age / REPORT_HALF_LIFE.as_secs_f64())
+        });
+        f64::from(self.running()) + others
+    }
+
+    pub(super) fn has_room(&self, now: Instant) -> bool {
+        let full = self.full_until.is_some_and(|until| now < until);
+        !full && self.load(now) + 0.5 <= f64::from(self.spec.slots) + AHEAD
+    }
+
+    /// Returns what a request at this worker costs, in slots.
+    pub(super) fn cost(&self, now: Instant, typical: Duration) -> f64 {
+        let typical = typical.as_secs_f64();
+        let speed = self.time.map_or(1.0, |time| time / typical);
+        let cold = if now < self.warm_at { COLD } else { 1.0 };
+        let overdue = typical * f64::from(OVERDUE);
+        let late = self
+            .running
+            .iter()
+            .filter(|started| now.saturating_duration_since(**started).as_secs_f64() > overdue);
+        let late = f64::from(u32::try_from(late.count()).unwrap_or(u32::MAX));
+        let slots = f64::from(self.spec.slots.max(1));
+        let load = (self.load(now) + 1.0) / slots;
+        load * speed.clamp(SPEED.0, SPEED.1) * cold + FAILURE_COST * self.failures + late
+    }
+
+    pub(super) fn start(&mut self, now: Instant) {
+        self.running.push(now);
+    }
+
+    pub(super) fn report(&mut self, now: Instant, load: u32) {
+        // The worker counts this entry's requests too; the one whose response carries the report has ended.
+        let own = self.running().saturating_sub(1);
+        self.others = Some((now, f64::from(load.saturating_sub(own))));
+    }
+
+    pub(super) fn finish(
+        &mut self,
+        now: Instant,
+        started: Instant,
+        outcome: Outcome,
+        typical: Duration,
+        may_avoid: bool,
+    ) {
+        if let Some(at) = self.running.iter().position(|at| *at == started) {
+            self.running.swap_remove(at);
+        }
+        match outcome {
+            Outcome::Success => {
+                self.failures *= 1.0 - FAILURE_WEIGHT;
+                let time = now.saturating_duration_since(started).as_secs_f64();
+                let before = self.time.unwrap_or(typical.as_secs_f64());
+                self.time = Some(before + TIME_WEIGHT * (time - before));
+            }
+            Outcome::Failure => {
+                self.failures += FAILURE_WEIGHT * (1.0 - self.failures);
+                if may_avoid {
+                    let factor = 1.0 + AVOIDED_FACTOR * self.failures;
+                    self.avoided_until = Some(now + AVOIDED.mul_f64(factor));
+                }
+            }
+            Outcome::Shed => self.full_until = Some(now + FULL),
+            Outcome::Gone => self.gone = true,
+            Outcome::Cancelled => {}
+        }
+    }
+}
--- a/crates/routing/tests/rules.rs
+++ b/crates/routing/tests/rules.rs
@@ -27,6 +27,7 @@
         incarnation: Incarnation(1),
         zone: Zone::new(&format!("z{}", index % 3)).unwrap(),
         callers: address,
+        gateway: None,
         platform: address,
         peers: address,
         draining: false,
