Share failures among the entries of a service, and weigh them as a probability

Cause: a worker that fails most requests answers at once, looks idle and draws requests. The retry budget was split over three entries where nine serve.

Ruled out: longer pauses after a failure alone; workers recover after some seconds and must be used again. A health check shows nothing of these faults.

--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -10,7 +10,7 @@
 use chestnutvalve_wire::Server;
 use poem::listener::{Acceptor, Listener};
 use tokio::net::TcpListener;
-use tokio::sync::{Mutex, oneshot};
+use tokio::sync::{Mutex, mpsc, oneshot};
 use tokio::task::JoinHandle;
 use tokio::time::{MissedTickBehavior, interval, sleep, timeout};
 
@@ -121,8 +121,11 @@
         let advertise = settings.advertise.unwrap_or(bound);
         let instance = Arc::new(Instance::new(settings, advertise, shutdown)?);
         let mut registry = Registry::default();
+        let (sightings, seen) = mpsc::channel(gateway::evidence::MAX_WAITING);
+        let gateway = Arc::new(Gateway::new(&instance, gateway, sightings));
         registry.register(Service::background("peers", {
             let router = peers::router(&instance);
+            let router = gateway::evidence::route(router, &gateway);
             async move { peers.serve(router).await }
         }))?;
         registry.register(platform_service(&instance, platform))?;
@@ -151,7 +154,7 @@
         }
         registry.register(callers_service(&instance, callers))?;
         if let Some(listener) = front {
-            for service in gateway_services(&instance, gateway, listener) {
+            for service in gateway_services(&gateway, listener, seen) {
                 registry.register(service)?;
             }
         }
@@ -226,16 +229,16 @@
 
 /// The gateway's listener, which is stopped before all others, and the task that follows the registered workers.
 fn gateway_services(
-    instance: &Arc<Instance>,
-    settings: gateway::Settings,
+    gateway: &Arc<Gateway>,
     listener: TcpListener,
+    seen: mpsc::Receiver<gateway::evidence::Sighting>,
 ) -> [Service; 2] {
-    let gateway = Arc::new(Gateway::new(instance, settings));
     let (stop, stopped) = oneshot::channel::<()>();
     let task: Arc<Mutex<Option<JoinHandle<()>>>> = Arc::default();
     let started = Arc::clone(&task);
-    let draining = Arc::clone(instance);
-    let serving = Arc::clone(&gateway);
+    let draining = Arc::clone(&gateway.instance);
+    let serving = Arc::clone(gateway);
+    let gateway = Arc::clone(gateway);
     let listener = Service::new("gateway", Arc::clone(&gateway))
         .on_start(move || async move {
             let stop = async {
@@ -260,6 +263,7 @@
         });
     let upkeep = async move {
         let follow = gateway::follow(Arc::clone(&gateway));
+        let share = gateway::evidence::share(Arc::clone(&gateway), seen);
         let ticks = async {
             let mut ticks = interval(GATEWAY_TICK);
             ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
@@ -269,7 +273,7 @@
                 gateway.pool.close_idle();
             }
         };
-        tokio::join!(follow, ticks);
+        tokio::join!(follow, share, ticks);
     };
     [Service::background("gateway upkeep", upkeep), listener]
 }
--- a/crates/entry/src/gateway.rs
+++ b/crates/entry/src/gateway.rs
@@ -3,7 +3,8 @@
 //! A request passes the modules in one direction: [`listener`] accepts it, [`inbound`] reads it, [`lane`] admits it and
 //! chooses a worker, [`attempt`] exchanges it with the worker, [`relay`] passes the response on.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
@@ -11,7 +12,10 @@
 use chestnutvalve_model::control::State;
 use chestnutvalve_model::id::{Service, Worker};
 use chestnutvalve_model::routes::Route;
+use chestnutvalve_model::version::Version;
+use chestnutvalve_routing::retry::Bounds;
 use chestnutvalve_routing::schedule::Spec;
+use tokio::sync::mpsc;
 
 use crate::clock;
 use crate::instance::Instance;
@@ -19,6 +23,7 @@
 
 pub mod attempt;
 pub mod dialect;
+pub mod evidence;
 pub mod inbound;
 pub mod lane;
 pub mod listener;
@@ -27,42 +32,39 @@
 pub mod relay;
 
 pub use dialect::Dialect;
+use evidence::Sighting;
 use lane::Lane;
 
 /// Unused connections kept for one worker, two for each of its usual slots.
 const MAX_IDLE: usize = 4;
 
-/// What the fleet as a whole may do to the workers of one service.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Budget {
-    /// Further attempts as a share of the requests.
-    pub share: f64,
-    /// Further attempts beside that share in each window.
-    pub extra: f64,
-    /// Length of the window.
-    pub window: Duration,
+/// Further attempts that the fleet makes without a setting: a tenth of the requests, and ten in ten seconds.
+const DEFAULT_BUDGET: Bounds = Bounds {
+    share: 0.1,
+    extra: 10.0,
+    window: Duration::from_secs(10),
+};
+/// Part of the fleet's budget that is used. Windows slide, and callers may use an entry that is no longer named.
+const BUDGET_SHARE: f64 = 0.85;
+
+/// Settings of the gateway.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Names of the headers.
+    pub dialect: Dialect,
+    /// Further attempts at one service that all entries together may make.
+    pub budget: Bounds,
 }
 
-impl Default for Budget {
-    /// Returns a tenth of the requests, and ten attempts in ten seconds.
+impl Default for Settings {
     fn default() -> Self {
         Self {
-            share: 0.1,
-            extra: 10.0,
-            window: Duration::from_secs(10),
+            dialect: Dialect::default(),
+            budget: DEFAULT_BUDGET,
         }
     }
 }
 
-/// Settings of the gateway.
-#[derive(Clone, Debug, Default)]
-pub struct Settings {
-    /// Names of the headers.
-    pub dialect: Dialect,
-    /// Further attempts that the fleet may make.
-    pub budget: Budget,
-}
-
 /// Gateway of one entry.
 #[derive(Debug)]
 pub struct Gateway {
@@ -76,13 +78,22 @@
     /// Accumulated weights by route and service, for an even spread of a split.
     splits: Mutex<HashMap<String, Vec<f64>>>,
     tickets: AtomicU64,
+    sightings: mpsc::Sender<Sighting>,
+    /// Entries that serve a service, as of a version of the state.
+    listeners: Mutex<HashMap<Service, (Version, Arc<BTreeSet<SocketAddr>>)>>,
 }
 
 impl Gateway {
-    /// Creates the gateway of an entry.
+    /// Creates the gateway of an entry; what it sees of workers goes to `sightings`.
     #[must_use]
-    pub fn new(instance: &Arc<Instance>, settings: Settings) -> Self {
+    pub fn new(
+        instance: &Arc<Instance>,
+        settings: Settings,
+        sightings: mpsc::Sender<Sighting>,
+    ) -> Self {
         Self {
+            sightings,
+            listeners: Mutex::default(),
             instance: Arc::clone(instance),
             settings,
             pool: Arc::new(Pool::new(MAX_IDLE)),
@@ -105,24 +116,50 @@
             return Arc::clone(lane);
         }
         let zone = self.instance.settings.zone.clone();
-        let lane = Arc::new(Lane::new(service.clone(), zone, self.part()));
         let state = self.instance.follow.state();
-        lane.sync(&specs(&state, service));
+        let budget = self.part(service);
+        let lane = Lane::new(service.clone(), zone, budget, self.sightings.clone());
+        lane.sync(&specs(&state, service), budget);
+        let lane = Arc::new(lane);
         lanes.insert(service.clone(), Arc::clone(&lane));
         lane
     }
 
-    /// Returns this entry's part of the retry budget: that of one of the entries that are named for a host.
-    fn part(&self) -> Budget {
-        let owners = u32::try_from(places::OWNERS).unwrap_or(u32::MAX);
-        let Budget {
+    /// Returns the internal addresses of the entries that serve a service.
+    #[must_use]
+    pub fn listeners(&self, service: &Service) -> Arc<BTreeSet<SocketAddr>> {
+        let state = self.instance.follow.state();
+        let known = self.listeners.lock();
+        let mut known = known.unwrap_or_else(PoisonError::into_inner);
+        if let Some((version, listeners)) = known.get(service)
+            && *version == state.version
+        {
+            return Arc::clone(listeners);
+        }
+        let listeners = Arc::new(evidence::listeners(&state, service));
+        let entry = (state.version, Arc::clone(&listeners));
+        known.insert(service.clone(), entry);
+        listeners
+    }
+
+    /// Returns this entry's part of the retry budget at a service. Only entries that are named for its hosts get one of
+    /// the fixed number; each earns its share with the requests that it gets.
+    fn part(&self, service: &Service) -> Bounds {
+        let listeners = self.listeners(service);
+        let Bounds {
             share,
             extra,
             window,
         } = self.settings.budget;
-        Budget {
-            share,
-            extra: extra / f64::from(owners),
+        let parts = u32::try_from(listeners.len()).unwrap_or(u32::MAX).max(1);
+        let named = listeners.contains(&self.instance.member().peers);
+        Bounds {
+            share: share * BUDGET_SHARE,
+            extra: if named {
+                extra * BUDGET_SHARE / f64::from(parts)
+            } else {
+                0.0
+            },
             window,
         }
     }
@@ -132,7 +169,7 @@
         let state = self.instance.follow.state();
         let lanes = self.lanes.lock().unwrap_or_else(PoisonError::into_inner);
         for (service, lane) in lanes.iter() {
-            lane.sync(&specs(&state, service));
+            lane.sync(&specs(&state, service), self.part(service));
         }
     }
 
--- /dev/null
+++ b/crates/entry/src/gateway/evidence.rs
@@ -0,0 +1,113 @@
+//! What the entries of a service tell each other about its workers.
+//!
+//! Load pattern: one entry sees a few requests a second at each worker, and a bad worker fails one request at every entry
+//! before all have found out. Sharing the first failure costs one message to each of the others.
+
+use std::collections::{BTreeSet, HashMap};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use chestnutvalve_model::control::State;
+use chestnutvalve_model::error::Fault;
+use chestnutvalve_model::id::{Incarnation, Service, Worker};
+use chestnutvalve_routing::schedule::Evidence;
+use chestnutvalve_wire::{Error, Router};
+use serde::{Deserialize, Serialize};
+use tokio::sync::mpsc;
+
+use super::{Gateway, places};
+use crate::instance::Instance;
+
+/// Sightings that wait to be passed on, several seconds' worth at the worst rate of failures.
+pub const MAX_WAITING: usize = 1_024;
+/// Most entries that hear of one sighting. Beyond it the messages cost more than the failures that they spare.
+pub const MAX_LISTENERS: usize = 24;
+/// Time for another entry to take a sighting; later it is of little worth.
+const PUSH_TIMEOUT: Duration = Duration::from_millis(300);
+/// Sightings in one message.
+const MAX_BATCH: usize = 64;
+
+/// What an attempt has shown of a worker.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Sighting {
+    /// Service of the worker.
+    pub service: Service,
+    /// The worker.
+    pub worker: Worker,
+    /// Run of the worker.
+    pub incarnation: Incarnation,
+    /// Whether the attempt failed.
+    pub failed: bool,
+}
+
+impl Sighting {
+    /// Returns what the sighting shows.
+    #[must_use]
+    pub fn evidence(&self) -> Evidence {
+        if self.failed {
+            Evidence::Failure
+        } else {
+            Evidence::Success
+        }
+    }
+}
+
+/// Returns the internal addresses of the entries that serve a service: those that are named for its hosts.
+#[must_use]
+pub fn listeners(state: &State, service: &Service) -> BTreeSet<SocketAddr> {
+    let routes = state.routes.routes.values();
+    let leads = |r: &&chestnutvalve_model::routes::Route| {
+        r.split.iter().any(|share| share.service == *service)
+    };
+    let hosts: BTreeSet<&str> = routes.filter(leads).map(|r| r.host.as_str()).collect();
+    let named = hosts
+        .iter()
+        .flat_map(|host| places::owners(&state.directory, host));
+    named.map(|m| m.peers).take(MAX_LISTENERS).collect()
+}
+
+/// Passes sightings on until dropped.
+pub async fn share(gateway: Arc<Gateway>, mut sightings: mpsc::Receiver<Sighting>) {
+    let mut batch = Vec::new();
+    while sightings.recv_many(&mut batch, MAX_BATCH).await > 0 {
+        let mut messages: HashMap<SocketAddr, Vec<Sighting>> = HashMap::new();
+        for sighting in batch.drain(..) {
+            for listener in gateway.listeners(&sighting.service).iter() {
+                messages
+                    .entry(*listener)
+                    .or_default()
+                    .push(sighting.clone());
+            }
+        }
+        let own = gateway.instance.member().peers;
+        for (listener, message) in messages {
+            if listener != own {
+                tokio::spawn(push(Arc::clone(&gateway.instance), listener, message));
+            }
+        }
+    }
+}
+
+async fn push(instance: Arc<Instance>, listener: SocketAddr, message: Vec<Sighting>) {
+    let client = instance.peers.client(listener);
+    let told: Result<(), Error> = client.call(PATH, &message, PUSH_TIMEOUT).await;
+    if let Err(error) = told {
+        spdlog::debug!("sightings for {listener}: {error}");
+    }
+}
+
+/// Path of the internal call.
+const PATH: &str = "gateway/sightings";
+
+/// Adds the handler of other entries' sightings.
+#[must_use]
+pub fn route(router: Router, gateway: &Arc<Gateway>) -> Router {
+    let gateway = Arc::clone(gateway);
+    router.route(PATH, move |message: Vec<Sighting>| {
+        for sighting in &message {
+            gateway.lane(&sighting.service).hear(sighting);
+        }
+        async { Ok::<(), Fault>(()) }
+    })
+}
--- a/crates/entry/src/gateway/lane.rs
+++ b/crates/entry/src/gateway/lane.rs
@@ -6,13 +6,13 @@
 use std::time::{Duration, Instant};
 
 use chestnutvalve_model::id::{Service, Worker, Zone};
-use chestnutvalve_routing::retry::Allowance;
+use chestnutvalve_routing::retry::{Allowance, Bounds};
 use chestnutvalve_routing::schedule::{
-    Action, Decision, Outcome, Reason, Refusal, Request, Schedule, Spec,
+    Action, Decision, Evidence, Outcome, Reason, Refusal, Request, Schedule, Spec,
 };
-use tokio::sync::oneshot;
+use tokio::sync::{mpsc, oneshot};
 
-use super::Budget;
+use super::evidence::Sighting;
 use crate::clock;
 
 /// A registered worker.
@@ -33,6 +33,7 @@
     /// Name of the service.
     pub service: Service,
     inner: Mutex<Inner>,
+    sightings: mpsc::Sender<Sighting>,
 }
 
 #[derive(Debug)]
@@ -44,23 +45,24 @@
 }
 
 impl Lane {
-    /// Creates the lane of a service at an entry in `zone`.
+    /// Creates the lane of a service at an entry in `zone`; what it sees of workers goes to `sightings`.
     #[must_use]
-    pub fn new(service: Service, zone: Zone, budget: Budget) -> Self {
-        let Budget {
-            share,
-            extra,
-            window,
-        } = budget;
+    pub fn new(
+        service: Service,
+        zone: Zone,
+        budget: Bounds,
+        sightings: mpsc::Sender<Sighting>,
+    ) -> Self {
         let inner = Inner {
             schedule: Schedule::new(zone),
             members: BTreeMap::new(),
             waiters: HashMap::new(),
-            allowance: Allowance::new(clock::now(), share, extra, window),
+            allowance: Allowance::new(budget),
         };
         Self {
             service,
             inner: Mutex::new(inner),
+            sightings,
         }
     }
 
@@ -68,8 +70,8 @@
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Brings the workers in line with the registered ones.
-    pub fn sync(&self, members: &BTreeMap<Worker, Member>) {
+    /// Brings the workers and this entry's part of the budget in line with the state.
+    pub fn sync(&self, members: &BTreeMap<Worker, Member>, budget: Bounds) {
         let now = clock::now();
         let specs: Vec<(Worker, Spec)> = members
             .iter()
@@ -78,6 +80,7 @@
         let mut inner = self.lock();
         inner.schedule.sync(now, &specs);
         inner.members.clone_from(members);
+        inner.allowance.configure(budget);
         let actions = inner.schedule.tick(now);
         inner.act(now, actions);
     }
@@ -114,6 +117,46 @@
         self.lock().schedule.typical()
     }
 
+    /// Records that a request is unusually late at a worker.
+    pub fn late(&self, worker: &Worker) {
+        let mut inner = self.lock();
+        inner.schedule.observe(clock::now(), worker, Evidence::Late);
+    }
+
+    /// Records what another entry has seen of a run of a worker.
+    pub fn hear(&self, sighting: &Sighting) {
+        let mut inner = self.lock();
+        let member = inner.members.get(&sighting.worker);
+        if member.is_some_and(|m| m.spec.incarnation == sighting.incarnation) {
+            let evidence = sighting.evidence();
+            inner
+                .schedule
+                .observe(clock::now(), &sighting.worker, evidence);
+        }
+    }
+
+    /// Passes on what an attempt has shown, if other entries should know. A full channel loses it: the others then find
+    /// out for themselves.
+    fn share(&self, inner: &Inner, now: Instant, worker: &Worker, outcome: Outcome) {
+        let failed = match outcome {
+            Outcome::Failure => true,
+            Outcome::Success if inner.schedule.is_doubtful(now, worker) => false,
+            _ => return,
+        };
+        let Some(member) = inner.members.get(worker) else {
+            return;
+        };
+        let sighting = Sighting {
+            service: self.service.clone(),
+            worker: worker.clone(),
+            incarnation: member.spec.incarnation,
+            failed,
+        };
+        if self.sightings.try_send(sighting).is_err() {
+            spdlog::debug!("a sighting of {worker} is not passed on: too many wait");
+        }
+    }
+
     /// Records the load that a worker reports.
     pub fn report(&self, worker: &Worker, load: u32) {
         self.lock().schedule.report(clock::now(), worker, load);
@@ -244,6 +287,7 @@
     fn drop(&mut self) {
         let mut inner = self.lane.lock();
         let now = clock::now();
+        self.lane.share(&inner, now, &self.worker, self.outcome);
         let actions = inner
             .schedule
             .finish(now, &self.worker, self.started, self.outcome);
--- a/crates/entry/src/gateway/proxy.rs
+++ b/crates/entry/src/gateway/proxy.rs
@@ -210,6 +210,7 @@
             id: self.gateway.ticket(),
             rank: inbound.route.rank,
             download: inbound.route.kind == chestnutvalve_model::routes::Kind::Download,
+            once: !inbound.route.kind.is_idempotent(),
             target: (inbound.arrived + target).into_std(),
             deadline: (inbound.deadline - ANSWER_MARGIN).into_std(),
             tried: self.tried.clone(),
@@ -221,10 +222,11 @@
     async fn race(&mut self, seat: Seat) -> Result<Received, Failed> {
         let (gateway, inbound) = (self.gateway, self.inbound);
         let slow = self.lane.slow();
+        let worker = seat.worker.clone();
         let mut first = std::pin::pin!(attempt(gateway, inbound, seat));
         tokio::select! {
             outcome = &mut first => return outcome,
-            () = sleep(slow) => {}
+            () = sleep(slow) => self.lane.late(&worker),
         }
         let Some(second) = self.next() else {
             return first.await;
--- a/crates/routing/src/retry.rs
+++ b/crates/routing/src/retry.rs
@@ -62,43 +62,61 @@
 /// Allowance for further attempts at one service, as this entry's part of what the fleet may use.
 ///
 /// In any window the fleet may send a share of the requests again, and a fixed number beside. Each entry earns the share
-/// for its own requests and gets an equal part of the fixed number, half of it saved up and half spread over the window.
+/// for its own requests and a part of the fixed number, half of it saved up and half spread over the window.
 #[derive(Clone, Debug)]
 pub struct Allowance {
-    share: f64,
-    burst: f64,
-    per_second: f64,
+    bounds: Bounds,
     tokens: f64,
-    at: std::time::Instant,
+    at: Option<std::time::Instant>,
+}
+
+/// Part of an entry in the allowance of the fleet.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Bounds {
+    /// Further attempts earned with each request.
+    pub share: f64,
+    /// Further attempts beside these in each window.
+    pub extra: f64,
+    /// Length of the window.
+    pub window: Duration,
 }
 
 impl Allowance {
-    /// Creates an allowance of `share` of the requests and `extra` attempts in each `window`.
+    /// Creates an empty allowance.
     #[must_use]
-    pub fn new(now: std::time::Instant, share: f64, extra: f64, window: Duration) -> Self {
+    pub fn new(bounds: Bounds) -> Self {
         Self {
-            share,
-            burst: extra / 2.0,
-            per_second: extra / 2.0 / window.as_secs_f64(),
-            tokens: extra / 2.0,
-            at: now,
+            bounds,
+            tokens: 0.0,
+            at: None,
         }
     }
 
+    /// Changes the entry's part.
+    pub fn configure(&mut self, bounds: Bounds) {
+        self.bounds = bounds;
+    }
+
     /// Records a request of a caller.
     pub fn deposit(&mut self) {
-        self.tokens = (self.tokens + self.share).min(self.burst.max(1.0));
+        self.tokens = (self.tokens + self.bounds.share).min(self.most());
     }
 
     /// Takes one further attempt; returns whether there was one.
     pub fn withdraw(&mut self, now: std::time::Instant) -> bool {
-        let passed = now.saturating_duration_since(self.at).as_secs_f64();
-        self.at = now;
-        self.tokens = (self.tokens + passed * self.per_second).min(self.burst.max(1.0));
+        let since = self.at.replace(now).unwrap_or(now);
+        let passed = now.saturating_duration_since(since).as_secs_f64();
+        let earned = passed * self.bounds.extra / 2.0 / self.bounds.window.as_secs_f64();
+        self.tokens = (self.tokens + earned).min(self.most());
         let enough = self.tokens >= 1.0;
         if enough {
             self.tokens -= 1.0;
         }
         enough
     }
+
+    /// Returns how many further attempts can be saved up; one at least, or none could ever be made.
+    fn most(&self) -> f64 {
+        (self.bounds.extra / 2.0).max(1.0)
+    }
 }
--- a/crates/routing/src/schedule.rs
+++ b/crates/routing/src/schedule.rs
@@ -12,8 +12,10 @@
 use chestnutvalve_model::rank::Rank;
 
 mod pace;
+mod trust;
 mod upstream;
 
+pub use trust::Evidence;
 pub use upstream::{Outcome, Spec};
 
 use pace::Pace;
@@ -22,9 +24,6 @@
 /// Shortest and longest time that a refused caller is told to wait. Callers honour at most a third of the time they have
 /// left, which is below 2 s on the deployments.
 const RETRY_AFTER: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(2));
-/// Share of the workers that may be avoided because of failures at the same time. The fleet must keep 70% of the healthy
-/// workers of a service in use.
-const MAX_AVOIDED: f64 = 0.25;
 /// Extra load, in slots, that a worker in another availability zone is taken to have. A small response is worth a
 /// short detour only; a download is worth one queued request.
 const ZONE_COST: f64 = 0.3;
@@ -41,6 +40,8 @@
     pub rank: Rank,
     /// Whether the response is large.
     pub download: bool,
+    /// Whether the request must not run twice.
+    pub once: bool,
     /// Instant after which a response is worth less.
     pub target: Instant,
     /// Instant after which the caller has no use for a response.
@@ -190,16 +191,9 @@
         started: Instant,
         outcome: Outcome,
     ) -> Vec<Action> {
-        let avoided = self.upstreams.values().filter(|u| u.is_avoided(now));
-        let avoided = avoided.count() + 1;
-        #[allow(
-            clippy::cast_precision_loss,
-            reason = "there are some hundreds of workers"
-        )]
-        let may_avoid = avoided as f64 <= (self.upstreams.len() as f64 * MAX_AVOIDED).max(1.0);
         let typical = self.pace.typical();
         if let Some(upstream) = self.upstreams.get_mut(worker) {
-            upstream.finish(now, started, outcome, typical, may_avoid);
+            upstream.finish(now, started, outcome, typical);
         }
         if outcome == Outcome::Success {
             self.pace.served(now.saturating_duration_since(started));
@@ -208,6 +202,20 @@
         self.start(now)
     }
 
+    /// Records what an attempt shows of a worker while it is in progress, or at another entry.
+    pub fn observe(&mut self, now: Instant, worker: &Worker, evidence: Evidence) {
+        if let Some(upstream) = self.upstreams.get_mut(worker) {
+            upstream.observe(now, evidence);
+        }
+    }
+
+    /// Returns whether a worker was seen to fail lately, so that a success is news.
+    #[must_use]
+    pub fn is_doubtful(&self, now: Instant, worker: &Worker) -> bool {
+        let upstream = self.upstreams.get(worker);
+        upstream.is_some_and(|u| u.is_doubtful(now))
+    }
+
     /// Records the load that a worker reports: requests that run and wait there, from all entries.
     pub fn report(&mut self, now: Instant, worker: &Worker, load: u32) {
         if let Some(upstream) = self.upstreams.get_mut(worker) {
@@ -271,7 +279,7 @@
                 (false, true) => ZONE_COST_DOWNLOAD,
                 (false, false) => ZONE_COST,
             };
-            upstream.cost(now, typical) + detour
+            upstream.cost(now, typical, request.once) + detour
         };
         let all = || self.upstreams.iter().filter(usable);
         let cheapest = |avoided: bool| {
--- /dev/null
+++ b/crates/routing/src/schedule/trust.rs
@@ -0,0 +1,82 @@
+//! Probability that a worker is bad.
+//!
+//! Load pattern: any worker may answer most of its requests with errors for some seconds while its health check passes. It
+//! answers at once, so that it looks idle and would draw all requests. The filter weighs each attempt by how likely a bad
+//! and a healthy worker would have shown it, and forgets with the time for which such a fault usually lasts.
+
+use std::time::{Duration, Instant};
+
+/// Probability that a worker is bad when nothing was seen of it lately: about as many workers as fail at any time.
+const PRIOR: f64 = 0.1;
+/// Time in which what was seen loses most of its worth. Faults last some seconds.
+const MEMORY: Duration = Duration::from_secs(3);
+/// Bounds of the probability, so that no number of equal results outweighs a later different one.
+const BOUNDS: (f64, f64) = (0.003, 0.99);
+/// Probability from which a worker gets requests only when all others are as bad. A single failure leads above it for
+/// about 2 s, the time after which a worker must be tried again.
+const AVOIDED: f64 = 0.5;
+/// Probability from which a success is news for other entries.
+const DOUBTFUL: f64 = 0.2;
+
+/// What an attempt shows.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Evidence {
+    /// The worker answered.
+    Success,
+    /// The worker failed the request.
+    Failure,
+    /// The answer is unusually late.
+    Late,
+    /// The worker refused the request.
+    Shed,
+}
+
+impl Evidence {
+    /// Returns how much likelier a bad worker shows this than a healthy one. Bad workers fail 40 to 90% of their requests,
+    /// healthy ones 1.2%; unusual lateness and refusals have other causes too.
+    fn likelihood(self) -> f64 {
+        match self {
+            Self::Success => 0.15,
+            Self::Failure => 50.0,
+            Self::Late => 4.0,
+            Self::Shed => 2.0,
+        }
+    }
+}
+
+/// Probability that a worker is bad, as of an instant.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Trust {
+    bad: f64,
+    at: Instant,
+}
+
+impl Trust {
+    pub(super) fn new(now: Instant) -> Self {
+        Self {
+            bad: PRIOR,
+            at: now,
+        }
+    }
+
+    /// Returns the probability that the worker is bad.
+    pub(super) fn bad(&self, now: Instant) -> f64 {
+        let age = now.saturating_duration_since(self.at).as_secs_f64();
+        PRIOR + (self.bad - PRIOR) * (-age / MEMORY.as_secs_f64()).exp()
+    }
+
+    pub(super) fn is_avoided(&self, now: Instant) -> bool {
+        self.bad(now) >= AVOIDED
+    }
+
+    pub(super) fn is_doubtful(&self, now: Instant) -> bool {
+        self.bad(now) >= DOUBTFUL
+    }
+
+    pub(super) fn observe(&mut self, now: Instant, evidence: Evidence) {
+        let before = self.bad(now);
+        let odds = before / (1.0 - before) * evidence.likelihood();
+        self.bad = (odds / (1.0 + odds)).clamp(BOUNDS.0, BOUNDS.1);
+        self.at = now;
+    }
+}
--- a/crates/routing/src/schedule/upstream.rs
+++ b/crates/routing/src/schedule/upstream.rs
@@ -4,6 +4,8 @@
 
 use chestnutvalve_model::id::{Incarnation, Zone};
 
+use super::trust::{Evidence, Trust};
+
 /// Time in which half of the reported requests of other entries are taken to have ended.
 const REPORT_HALF_LIFE: Duration = Duration::from_millis(250);
 /// Requests beyond its slots that a worker is given, so that it need not wait for the next one. One for each of many
@@ -11,14 +13,10 @@
 const AHEAD: f64 = 0.0;
 /// Factor on the cost of a worker that has just started.
 const COLD: f64 = 2.0;
-/// Weight of a new attempt in the rate of failures.
-const FAILURE_WEIGHT: f64 = 0.3;
-/// Extra load, in slots, of a worker that fails all requests.
-const FAILURE_COST: f64 = 6.0;
-/// Time for which a worker is avoided after a failure, and its factor for one that fails all requests. A worker that
-/// recovers must get requests again after 2 s.
-const AVOIDED: Duration = Duration::from_millis(800);
-const AVOIDED_FACTOR: f64 = 2.0;
+/// Extra load, in slots, of a worker that is certainly bad. A failed request that must not run twice is lost, the others
+/// cost a further attempt.
+const BAD_COST: f64 = 2.0;
+const BAD_COST_ONCE: f64 = 4.0;
 /// Time for which a worker that shed a request is taken to be full.
 const FULL: Duration = Duration::from_millis(100);
 /// Weight of a new response time in the worker's own.
@@ -66,8 +64,7 @@
     running: Vec<Instant>,
     /// Requests of other entries, and when they were reported.
     others: Option<(Instant, f64)>,
-    failures: f64,
-    avoided_until: Option<Instant>,
+    trust: Trust,
     full_until: Option<Instant>,
     /// Mean response time, in seconds.
     time: Option<f64>,
@@ -81,8 +78,7 @@
             gone: false,
             running: Vec::new(),
             others: None,
-            failures: 0.0,
-            avoided_until: None,
+            trust: Trust::new(now),
             full_until: None,
             time: None,
         }
@@ -109,7 +105,15 @@
     }
 
     pub(super) fn is_avoided(&self, now: Instant) -> bool {
-        self.avoided_until.is_some_and(|until| now < until)
+        self.trust.is_avoided(now)
+    }
+
+    pub(super) fn is_doubtful(&self, now: Instant) -> bool {
+        self.trust.is_doubtful(now)
+    }
+
+    pub(super) fn observe(&mut self, now: Instant, evidence: Evidence) {
+        self.trust.observe(now, evidence);
     }
 
     /// Returns the estimated number of requests at the worker.
@@ -127,7 +131,7 @@
     }
 
     /// Returns what a request at this worker costs, in slots.
-    pub(super) fn cost(&self, now: Instant, typical: Duration) -> f64 {
+    pub(super) fn cost(&self, now: Instant, typical: Duration, once: bool) -> f64 {
         let typical = typical.as_secs_f64();
         let speed = self.time.map_or(1.0, |time| time / typical);
         let cold = if now < self.warm_at { COLD } else { 1.0 };
@@ -139,7 +143,8 @@
         let late = f64::from(u32::try_from(late.count()).unwrap_or(u32::MAX));
         let slots = f64::from(self.spec.slots.max(1));
         let load = (self.load(now) + 1.0) / slots;
-        load * speed.clamp(SPEED.0, SPEED.1) * cold + FAILURE_COST * self.failures + late
+        let bad = if once { BAD_COST_ONCE } else { BAD_COST };
+        load * speed.clamp(SPEED.0, SPEED.1) * cold + bad * self.trust.bad(now) + late
     }
 
     pub(super) fn start(&mut self, now: Instant) {
@@ -158,26 +163,22 @@
         started: Instant,
         outcome: Outcome,
         typical: Duration,
-        may_avoid: bool,
     ) {
         if let Some(at) = self.running.iter().position(|at| *at == started) {
             self.running.swap_remove(at);
         }
         match outcome {
             Outcome::Success => {
-                self.failures *= 1.0 - FAILURE_WEIGHT;
                 let time = now.saturating_duration_since(started).as_secs_f64();
                 let before = self.time.unwrap_or(typical.as_secs_f64());
                 self.time = Some(before + TIME_WEIGHT * (time - before));
+                self.observe(now, Evidence::Success);
             }
-            Outcome::Failure => {
-                self.failures += FAILURE_WEIGHT * (1.0 - self.failures);
-                if may_avoid {
-                    let factor = 1.0 + AVOIDED_FACTOR * self.failures;
-                    self.avoided_until = Some(now + AVOIDED.mul_f64(factor));
-                }
+            Outcome::Failure => self.observe(now, Evidence::Failure),
+            Outcome::Shed => {
+                self.full_until = Some(now + FULL);
+                self.observe(now, Evidence::Shed);
             }
-            Outcome::Shed => self.full_until = Some(now + FULL),
             Outcome::Gone => self.gone = true,
             Outcome::Cancelled => {}
         }
