Release a lock before the control addresses of a reload are adopted

Cause: an entry that reloaded its settings waited for a lock that it held itself.

Ruled out: the replacement of a control instance before it; entries were at the newest state and silent from the reload on.

Conclusion: mended; a test reloads and would not end before.

--- a/crates/entry/src/link.rs
+++ b/crates/entry/src/link.rs
@@ -3,7 +3,7 @@
 use std::cmp::Reverse;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, PoisonError, RwLock};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 use std::time::Duration;
 
 use chestnutvalve_model::control::{Heartbeat, Rate, Registered, State, Update, Watch};
@@ -65,19 +65,19 @@
 
     /// Takes other addresses from the settings, and tries them beside the known members.
     pub fn configure(&self, control: &[SocketAddr]) {
-        let mut configured = self.configured.lock();
-        let configured = configured.as_deref_mut();
-        if let Ok(configured) = configured {
-            control.clone_into(configured);
-        }
+        control.clone_into(&mut self.configured());
         self.widen();
     }
 
+    fn configured(&self) -> MutexGuard<'_, Vec<SocketAddr>> {
+        let configured = self.configured.lock();
+        configured.unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Adds the configured addresses to the known members.
     fn widen(&self) {
-        let mut all: Vec<SocketAddr> = self.clients().iter().map(Client::peer).collect();
-        let configured = self.configured.lock();
-        let configured = configured.unwrap_or_else(PoisonError::into_inner).clone();
+        let mut all = self.addresses();
+        let configured = self.configured().clone();
         for address in configured {
             if !all.contains(&address) {
                 all.push(address);
@@ -112,6 +112,12 @@
         clients.unwrap_or_else(PoisonError::into_inner).clone()
     }
 
+    /// Returns the addresses of the control instances that are tried in turn.
+    #[must_use]
+    pub fn addresses(&self) -> Vec<SocketAddr> {
+        self.clients().iter().map(Client::peer).collect()
+    }
+
     /// Returns the number of control instances that are tried in turn.
     fn count(&self) -> usize {
         let clients = self.clients.read();
--- a/crates/entry/tests/all/main.rs
+++ b/crates/entry/tests/all/main.rs
@@ -3,6 +3,7 @@
 mod control;
 mod drain;
 mod fleet;
+mod link;
 mod once;
 mod proxy;
 mod sharing;
