Refuse what would be late under lasting overload, and spread requests over equal workers

A second test showed that sequential requests all go to one of two equal workers, so that nothing is known of the other.

Tests of routes, workers, publications and the gateway.

--- a/crates/control/tests/all/main.rs
+++ b/crates/control/tests/all/main.rs
@@ -6,5 +6,6 @@
 mod harness;
 mod heartbeats;
 mod malformed;
+mod publish;
 mod state;
 mod support;
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -111,6 +111,7 @@
         };
         let bound = Advertise {
             callers: callers.local_addr().unwrap_or(for_callers),
+            gateway: front.as_ref().and_then(|front| front.local_addr().ok()),
             platform: platform
                 .local_addr()
                 .first()
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -276,7 +276,12 @@
         Failed::unsent(Kind::NoEligibleWorker, context)
     }
 
-    fn unanswered(&self, failed: Failed) -> Unanswered {
+    fn unanswered(&self, mut failed: Failed) -> Unanswered {
+        // Offers to full workers end when the time is up; the refusals say more about the cause than the clock does.
+        if failed.kind == Kind::DeadlineBeforeDispatch && self.stages.contains(&Stage::ShedByWorker)
+        {
+            failed.kind = Kind::RefusedByUpstream;
+        }
         let executed = evidence::combined(&self.stages);
         Unanswered {
             verdict: failed.verdict,
--- a/crates/entry/src/gateway.rs
+++ b/crates/entry/src/gateway.rs
@@ -65,6 +65,9 @@
     }
 }
 
+/// Internal addresses of the entries that serve a service.
+type Listeners = Arc<BTreeSet<SocketAddr>>;
+
 /// Gateway of one entry.
 #[derive(Debug)]
 pub struct Gateway {
@@ -80,7 +83,7 @@
     tickets: AtomicU64,
     sightings: mpsc::Sender<Sighting>,
     /// Entries that serve a service, as of a version of the state.
-    listeners: Mutex<HashMap<Service, (Version, Arc<BTreeSet<SocketAddr>>)>>,
+    listeners: Mutex<HashMap<Service, (Version, Listeners)>>,
 }
 
 impl Gateway {
@@ -99,7 +102,8 @@
             pool: Arc::new(Pool::new(MAX_IDLE)),
             lanes: Mutex::default(),
             splits: Mutex::default(),
-            tickets: AtomicU64::new(0),
+            // Entries must not spread their requests alike.
+            tickets: AtomicU64::new(rand::random()),
         }
     }
 
@@ -127,7 +131,7 @@
 
     /// Returns the internal addresses of the entries that serve a service.
     #[must_use]
-    pub fn listeners(&self, service: &Service) -> Arc<BTreeSet<SocketAddr>> {
+    pub fn listeners(&self, service: &Service) -> Listeners {
         let state = self.instance.follow.state();
         let known = self.listeners.lock();
         let mut known = known.unwrap_or_else(PoisonError::into_inner);
--- a/crates/entry/src/instance.rs
+++ b/crates/entry/src/instance.rs
@@ -149,7 +149,7 @@
             incarnation: self.incarnation,
             zone: self.settings.zone.clone(),
             callers: self.advertise.callers,
-            gateway: self.settings.gateway,
+            gateway: self.advertise.gateway,
             platform: self.advertise.platform,
             peers: self.advertise.peers,
             draining: self.is_draining(),
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -12,6 +12,9 @@
 pub struct Advertise {
     /// Address for callers.
     pub callers: SocketAddr,
+    /// Address for callers whose requests are routed by host and path.
+    #[serde(default)]
+    pub gateway: Option<SocketAddr>,
     /// Address for workers and operators.
     pub platform: SocketAddr,
     /// Address of the internal protocol.
@@ -28,7 +31,7 @@
     pub zone: Zone,
     /// Listening address for callers.
     pub callers: SocketAddr,
-    /// Listening and reachable address for callers whose requests are routed by host and path.
+    /// Listening address for callers whose requests are routed by host and path.
     #[serde(default)]
     pub gateway: Option<SocketAddr>,
     /// Listening address for workers and operators.
--- a/crates/entry/tests/all/fleet.rs
+++ b/crates/entry/tests/all/fleet.rs
@@ -19,6 +19,7 @@
     pub callers: SocketAddr,
     pub platform: SocketAddr,
     pub peers: SocketAddr,
+    pub gateway: SocketAddr,
     pub shutdown: Shutdown,
     pub running: JoinHandle<()>,
     instance: std::sync::Arc<chestnutvalve_entry::instance::Instance>,
@@ -32,7 +33,7 @@
     pub async fn start_with(name: &str, control: SocketAddr, hint: &[SocketAddr]) -> Self {
         let any = "127.0.0.1:0";
         let settings = serde_json::json!({
-            "entry": name, "zone": "z1", "callers": any, "platform": any, "peers": any,
+            "entry": name, "zone": "z1", "callers": any, "platform": any, "peers": any, "gateway": any,
             "control": [control], "peers_hint": hint,
         });
         let settings: Settings = serde_json::from_value(settings).unwrap();
@@ -44,6 +45,7 @@
             callers: member.callers,
             platform: member.platform,
             peers: member.peers,
+            gateway: member.gateway.unwrap(),
             shutdown,
             running: tokio::spawn(async move { daemon.run().await.unwrap() }),
             instance,
@@ -136,7 +138,9 @@
         hyper::client::conn::http1::handshake(TokioIo::new(socket)).await?;
     let driver = tokio::spawn(connection);
     let mut request = http::Request::builder().method(method).uri(path);
-    request = request.header("host", address.to_string());
+    if !headers.iter().any(|(name, _)| *name == "host") {
+        request = request.header("host", address.to_string());
+    }
     for (name, value) in headers {
         request = request.header(*name, *value);
     }
--- /dev/null
+++ b/crates/entry/tests/all/gateway.rs
@@ -0,0 +1,427 @@
+//! Requests that are routed by host and path to registered workers.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use chestnutvalve_model::id::{Incarnation, Service, Worker as Name, Zone};
+use chestnutvalve_model::rank::Rank;
+use chestnutvalve_model::routes::{Kind, Limits, Route, Share, Table, Target};
+use chestnutvalve_model::upstream::{Announcement, Event};
+use rstest::rstest;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::{Instant, sleep, timeout};
+
+use crate::control::Control;
+use crate::fleet::{Entry, Reply, send, until};
+use crate::worker::{Seen, Step, Worker};
+
+const SERVICE: &str = "lookup";
+
+fn route(prefix: &str, kind: Kind) -> Route {
+    Route {
+        name: prefix.to_owned(),
+        host: "a.example".to_owned(),
+        prefix: prefix.to_owned(),
+        kind,
+        timeout_ms: 1_000,
+        target_ms: 500,
+        rank: Rank::Middle,
+        split: vec![Share {
+            service: Service::new(SERVICE).unwrap(),
+            weight: 1.0,
+        }],
+        attempts: 2,
+    }
+}
+
+fn table(label: u64, routes: Vec<Route>) -> Table {
+    let target = Target {
+        health: "/healthz".to_owned(),
+        max_connections: 100,
+    };
+    Table {
+        label,
+        routes: routes.into_iter().map(|r| (r.place(), r)).collect(),
+        services: BTreeMap::from([(Service::new(SERVICE).unwrap(), target)]),
+        limits: Limits::default(),
+    }
+}
+
+fn announced(worker: &Worker, incarnation: u64, leaving: bool) -> Event {
+    Event::Announced(Announcement {
+        worker: Name::new(&worker.name).unwrap(),
+        incarnation: Incarnation(incarnation),
+        service: Service::new(SERVICE).unwrap(),
+        address: worker.address,
+        zone: Zone::new("z1").unwrap(),
+        slots: 2,
+        warm_up_ms: 0,
+        leaving,
+    })
+}
+
+impl Control {
+    fn publish(&self, table: Table) {
+        let mut state = self.state.lock().unwrap();
+        state.routes = Arc::new(table);
+        state.version.revision += 1;
+    }
+
+    fn register(&self, event: &Event) {
+        let mut state = self.state.lock().unwrap();
+        Arc::make_mut(&mut state.roster).apply(event);
+        state.version.revision += 1;
+    }
+}
+
+/// Starts a control instance, an entry with an idempotent route at `/` and one that must not repeat at `/once/`, and
+/// registers the workers.
+async fn fleet(workers: &[&Worker]) -> (Control, Entry) {
+    let control = Control::start().await;
+    let routes = vec![route("/", Kind::Idempotent), route("/once/", Kind::Once)];
+    control.publish(table(1, routes));
+    for worker in workers {
+        control.register(&announced(worker, 1, false));
+    }
+    let entry = Entry::start("e1", control.address).await;
+    let known = workers.len();
+    until("workers", || entry.state().roster.workers.len() == known).await;
+    until("directory", || !entry.state().directory.members.is_empty()).await;
+    (control, entry)
+}
+
+/// Returns a worker's response, which repeats the id of the request.
+fn answer(seen: &Seen, status: u16, more: &str, body: &str) -> Vec<Step> {
+    let id = seen.headers.get("chestnutvalve-attempt").cloned();
+    let id = id.unwrap_or_default();
+    let length = body.len();
+    let text = format!(
+        "HTTP/1.1 {status} X\r\nchestnutvalve-attempt: {id}\r\nchestnutvalve-signature: s\r\n{more}content-length: {length}\r\n\r\n{body}"
+    );
+    vec![Step::Write(text.into_bytes())]
+}
+
+fn good(seen: &Seen) -> Vec<Step> {
+    answer(seen, 200, "", "ok")
+}
+
+fn shed(seen: &Seen) -> Vec<Step> {
+    answer(seen, 503, "chestnutvalve-not-executed: 1\r\n", "")
+}
+
+async fn ask(entry: &Entry, path: &str) -> Reply {
+    ask_as(entry, path, "id-1").await
+}
+
+async fn ask_as(entry: &Entry, path: &str, id: &str) -> Reply {
+    let headers = [("host", "a.example"), ("chestnutvalve-attempt", id)];
+    exchange(entry.gateway, path, &headers).await.unwrap()
+}
+
+async fn exchange(
+    address: SocketAddr,
+    path: &str,
+    headers: &[(&str, &str)],
+) -> Result<Reply, Box<dyn std::error::Error + Send + Sync>> {
+    let method = if path.starts_with("/once/") {
+        "POST"
+    } else {
+        "GET"
+    };
+    send(address, method, path, headers, b"").await
+}
+
+fn paths(worker: &Worker) -> Vec<String> {
+    let seen = worker.seen.lock().unwrap();
+    let path = |s: &Seen| s.head.split(' ').nth(1).unwrap().to_owned();
+    seen.iter().map(path).collect()
+}
+
+/// Guards against requests that no configuration allows, and against a 404 from an entry that knows no routes yet.
+#[tokio::test]
+async fn only_routed_requests_reach_a_worker() {
+    let worker = Worker::start("w1", good).await;
+    let control = Control::start().await;
+    let entry = Entry::start("e1", control.address).await;
+    assert_eq!(ask(&entry, "/x").await.status, 503);
+    control.publish(table(1, vec![route("/a/", Kind::Idempotent)]));
+    until("routes", || entry.state().routes.label == 1).await;
+    let refused = ask(&entry, "/a/x").await;
+    assert_eq!(
+        (refused.status, refused.header("chestnutvalve-executed")),
+        (503, "no")
+    );
+    control.register(&announced(&worker, 1, false));
+    until("worker", || entry.state().roster.workers.len() == 1).await;
+    let reply = ask(&entry, "/a/x?y=1").await;
+    assert_eq!((reply.status, &reply.body[..]), (200, &b"ok"[..]));
+    assert_eq!(ask(&entry, "/b/x").await.status, 404);
+    assert_eq!(paths(&worker), ["/a/x?y=1"]);
+    let seen = worker.seen.lock().unwrap()[0].clone();
+    assert_eq!(seen.headers["chestnutvalve-expected-worker"], "w1");
+}
+
+/// Guards against a worker's failure that is repeated although the request must not run twice, and against one that is not
+/// repeated although it may.
+#[rstest]
+#[case::idempotent("/x", 200, 2)]
+#[case::once("/once/x", 500, 1)]
+#[tokio::test]
+async fn a_failed_request_runs_again_only_if_it_may(
+    #[case] path: &str,
+    #[case] status: u16,
+    #[case] runs: usize,
+) {
+    let fine = Worker::start("w1", |seen| {
+        let mut steps = vec![Step::Wait(Duration::from_millis(20))];
+        steps.extend(good(seen));
+        steps
+    })
+    .await;
+    let bad = Worker::start("w2", |seen| answer(seen, 500, "", "no")).await;
+    let (control, entry) = fleet(&[&fine]).await;
+    // The budget of an entry grows with its requests; these earn more than one further attempt.
+    for n in 0..30 {
+        assert_eq!(ask_as(&entry, path, &format!("id-{n}")).await.status, 200);
+    }
+    control.register(&announced(&bad, 1, false));
+    until("worker", || entry.state().roster.workers.len() == 2).await;
+    // The lane follows the state in a task of its own.
+    sleep(Duration::from_millis(100)).await;
+    // The second of two requests goes to the worker that has nothing to do.
+    let pair = tokio::join!(ask_as(&entry, path, "a"), ask_as(&entry, path, "b"));
+    let mut statuses = [pair.0.status, pair.1.status];
+    statuses.sort_unstable();
+    assert_eq!((statuses, bad.count()), ([200, status], 1));
+    assert_eq!(fine.count() + bad.count(), 30 + 1 + runs);
+}
+
+/// Guards against a refusal that says "not executed" although the request may have run.
+#[rstest]
+#[case::reset(vec![Step::Close])]
+#[case::no_response(vec![Step::Write(b"nonsense\r\n\r\n".to_vec()), Step::Close])]
+#[case::truncated(vec![Step::Write(b"HTTP/1.1 200 X\r\nchestnutvalve-signature: s\r\ncontent-length: 9\r\n\r\nab".to_vec()), Step::Close])]
+#[case::unsigned(vec![Step::Write(b"HTTP/1.1 200 X\r\ncontent-length: 2\r\n\r\nok".to_vec())])]
+#[case::other_request(vec![Step::Write(b"HTTP/1.1 200 X\r\nchestnutvalve-attempt: other\r\nchestnutvalve-signature: s\r\ncontent-length: 2\r\n\r\nok".to_vec())])]
+#[tokio::test]
+async fn an_unknown_outcome_is_no_promise(#[case] steps: Vec<Step>) {
+    let worker = Worker::start("w1", move |_: &Seen| steps.clone()).await;
+    let (_control, entry) = fleet(&[&worker]).await;
+    let reply = ask(&entry, "/once/x").await;
+    assert_eq!(reply.status, 502);
+    assert_eq!(reply.header("chestnutvalve-executed"), "unknown");
+    assert_eq!(worker.count(), 1);
+}
+
+/// Guards against a refused request that is given up although another worker has room, and against a refusal that leaves
+/// the caller without a time to come back.
+#[tokio::test]
+async fn a_request_that_was_not_executed_goes_to_another_worker() {
+    let full = Worker::start("w1", shed).await;
+    let (_control, entry) = fleet(&[&full]).await;
+    for _ in 0..10 {
+        let reply = ask(&entry, "/once/x").await;
+        assert_eq!(
+            (reply.status, reply.header("chestnutvalve-executed")),
+            (503, "no")
+        );
+        assert_ne!(reply.header("retry-after-ms"), "");
+    }
+}
+
+/// Guards against requests for a worker that is leaving, whose address belongs to another one, or which has been replaced.
+#[tokio::test]
+async fn gone_workers_get_no_requests() {
+    let old = Worker::start("w1", |seen| answer(seen, 421, "", "")).await;
+    let other = Worker::start("w2", good).await;
+    let (control, entry) = fleet(&[&old, &other]).await;
+    for n in 0..20 {
+        ask_as(&entry, "/x", &format!("id-{n}")).await;
+    }
+    assert!(old.count() <= 1, "{} requests", old.count());
+    control.register(&announced(&other, 1, true));
+    until("leaving", || {
+        let name = Name::new("w2").unwrap();
+        entry.state().roster.workers[&name].leaving
+    })
+    .await;
+    let before = other.count();
+    assert_eq!(ask(&entry, "/x").await.status, 503);
+    assert_eq!(other.count(), before);
+}
+
+/// Guards against callers that wait for a worker which does not answer, and against workers that are told more time than
+/// is left.
+#[tokio::test]
+async fn the_time_limit_of_the_route_holds() {
+    let worker = Worker::start("w1", |_| vec![Step::Wait(Duration::from_secs(5))]).await;
+    let (_control, entry) = fleet(&[&worker]).await;
+    let started = Instant::now();
+    let reply = ask(&entry, "/once/x").await;
+    assert_eq!(
+        (reply.status, reply.header("chestnutvalve-executed")),
+        (504, "unknown")
+    );
+    assert!(
+        started.elapsed() < Duration::from_millis(1_250),
+        "{:?}",
+        started.elapsed()
+    );
+    let seen = worker.seen.lock().unwrap()[0].clone();
+    let left: u64 = seen.headers["chestnutvalve-deadline-ms"].parse().unwrap();
+    assert!((900..=1_000).contains(&left), "{left} ms");
+}
+
+/// Guards against idempotent requests that wait out their time at a silent worker while others answer.
+#[tokio::test]
+async fn a_silent_worker_does_not_hold_an_idempotent_request() {
+    let silent = Worker::start("w1", |_| vec![Step::Wait(Duration::from_secs(5))]).await;
+    let fine = Worker::start("w2", good).await;
+    let (_control, entry) = fleet(&[&silent, &fine]).await;
+    let mut unanswered = 0;
+    for n in 0..20 {
+        let reply = ask_as(&entry, "/x", &format!("id-{n}")).await;
+        unanswered += u32::from(reply.status != 200);
+    }
+    assert!(silent.count() >= 1);
+    // The first one may find no budget for a second worker.
+    assert!(unanswered <= 1, "{unanswered} without an answer");
+}
+
+/// Guards against work for a caller that has gone.
+#[tokio::test]
+async fn a_caller_that_leaves_cancels_its_request() {
+    let worker = Worker::start("w1", |_| vec![Step::Wait(Duration::from_secs(5))]).await;
+    let (_control, entry) = fleet(&[&worker]).await;
+    let mut caller = TcpStream::connect(entry.gateway).await.unwrap();
+    let request = b"GET /x HTTP/1.1\r\nhost: a.example\r\n\r\n";
+    caller.write_all(request).await.unwrap();
+    until("request", || worker.count() == 1).await;
+    drop(caller);
+    let cancelled = || worker.cancelled.load(Ordering::SeqCst) == 1;
+    timeout(Duration::from_millis(500), until("cancellation", cancelled))
+        .await
+        .unwrap();
+}
+
+/// Guards against responses in another order than the requests on a connection, and against a deadline that starts only
+/// when the earlier response has ended.
+#[tokio::test]
+async fn pipelined_requests_are_answered_in_order() {
+    let worker = Worker::start("w1", |seen| {
+        let mut steps = vec![Step::Wait(Duration::from_millis(100))];
+        let path = seen.head.split(' ').nth(1).unwrap().to_owned();
+        steps.extend(answer(seen, 200, "", &path));
+        steps
+    })
+    .await;
+    let (_control, entry) = fleet(&[&worker]).await;
+    let mut caller = TcpStream::connect(entry.gateway).await.unwrap();
+    let deadline = "chestnutvalve-deadline-ms: 900";
+    let request = |n| format!("GET /{n} HTTP/1.1\r\nhost: a.example\r\n{deadline}\r\n\r\n");
+    let requests = [0, 1, 2].map(request).concat();
+    caller.write_all(requests.as_bytes()).await.unwrap();
+    let mut received = String::new();
+    while received.matches("HTTP/1.1 200").count() < 3 || !received.ends_with("/2") {
+        let mut bytes = [0; 4_096];
+        let read = timeout(Duration::from_secs(2), caller.read(&mut bytes)).await;
+        let read = read.unwrap().unwrap();
+        assert_ne!(read, 0, "{received}");
+        received.push_str(std::str::from_utf8(&bytes[..read]).unwrap());
+    }
+    let order: Vec<usize> = (0..3)
+        .map(|n| received.find(&format!("\r\n\r\n/{n}")).unwrap())
+        .collect();
+    assert!(order.is_sorted(), "{received}");
+    let seen = worker.seen.lock().unwrap().clone();
+    let left = |n: usize| {
+        seen[n].headers["chestnutvalve-deadline-ms"]
+            .parse::<u64>()
+            .unwrap()
+    };
+    assert!(left(2) <= 720, "the third had {} of 900 ms left", left(2));
+}
+
+/// Guards against a response without a length that is refused, and against one that was reset and looks complete.
+#[rstest]
+#[case::ended(false)]
+#[case::reset(true)]
+#[tokio::test]
+async fn a_response_may_end_with_its_connection(#[case] broken: bool) {
+    let worker = Worker::start("w1", move |seen| {
+        let id = seen.headers["chestnutvalve-attempt"].clone();
+        let head = format!(
+            "HTTP/1.1 200 X\r\nchestnutvalve-attempt: {id}\r\nchestnutvalve-signature: s\r\ntransfer-encoding: chunked\r\n\r\n"
+        );
+        let plain = head.replace("transfer-encoding: chunked\r\n", "");
+        if broken {
+            vec![Step::Write(format!("{head}2\r\nok\r\n").into_bytes()), Step::Close]
+        } else {
+            vec![Step::Write(format!("{plain}ok").into_bytes()), Step::Close]
+        }
+    })
+    .await;
+    let (_control, entry) = fleet(&[&worker]).await;
+    let reply = ask(&entry, "/once/x").await;
+    if broken {
+        assert_eq!(reply.status, 502);
+    } else {
+        assert_eq!((reply.status, &reply.body[..]), (200, &b"ok"[..]));
+    }
+}
+
+/// Guards against requests that a planned stop cuts off or refuses while the caller's connection is open.
+#[tokio::test]
+async fn a_planned_stop_answers_what_it_has_read() {
+    let worker = Worker::start("w1", |seen| {
+        let mut steps = vec![Step::Wait(Duration::from_millis(300))];
+        steps.extend(good(seen));
+        steps
+    })
+    .await;
+    let (_control, entry) = fleet(&[&worker]).await;
+    let address = entry.gateway;
+    let headers = [("host", "a.example"), ("chestnutvalve-attempt", "id-1")];
+    let request = tokio::spawn(async move { exchange(address, "/x", &headers).await });
+    until("request", || worker.count() == 1).await;
+    entry.shutdown.request();
+    assert_eq!(request.await.unwrap().unwrap().status, 200);
+    // Callers that have not heard of the stop still get answers, and are told to go elsewhere.
+    sleep(Duration::from_millis(200)).await;
+    let late = ask_as(&entry, "/x", "id-2").await;
+    assert_eq!((late.status, late.header("connection")), (200, "close"));
+}
+
+/// Guards against each entry finding out a failing worker by its own requests.
+#[tokio::test]
+async fn entries_tell_each_other_of_failures() {
+    let bad = Worker::start("w1", |seen| answer(seen, 500, "", "no")).await;
+    let fine = Worker::start("w2", good).await;
+    let (control, first) = fleet(&[&bad, &fine]).await;
+    let second = Entry::start("e2", control.address).await;
+    first.knows(2).await;
+    second.knows(2).await;
+    // The second entry has a record of both workers only once it serves the service.
+    ask_as(&second, "/x", "id-0").await;
+    for n in 0..40 {
+        ask_as(&first, "/x", &format!("id-1-{n}")).await;
+        if bad.count() > 0 {
+            break;
+        }
+    }
+    assert!(bad.count() > 0);
+    sleep(Duration::from_millis(200)).await;
+    let before = bad.count();
+    for n in 0..20 {
+        ask_as(&second, "/x", &format!("id-2-{n}")).await;
+    }
+    assert_eq!(
+        bad.count(),
+        before,
+        "the second entry asked the failing worker"
+    );
+}
--- a/crates/entry/tests/all/main.rs
+++ b/crates/entry/tests/all/main.rs
@@ -3,6 +3,7 @@
 mod control;
 mod drain;
 mod fleet;
+mod gateway;
 mod link;
 mod once;
 mod proxy;
--- /dev/null
+++ b/crates/model/tests/routes.rs
@@ -0,0 +1,131 @@
+//! Route tables: what is refused, what a difference carries, and which route a request takes.
+
+use std::collections::BTreeMap;
+
+use chestnutvalve_model::id::Service;
+use chestnutvalve_model::rank::Rank;
+use chestnutvalve_model::routes::{Kind, Limits, Publication, Route, Share, Target};
+use rstest::rstest;
+
+fn service(name: &str) -> Service {
+    Service::new(name).unwrap()
+}
+
+fn route(name: &str, host: &str, prefix: &str) -> Route {
+    Route {
+        name: name.to_owned(),
+        host: host.to_owned(),
+        prefix: prefix.to_owned(),
+        kind: Kind::Idempotent,
+        timeout_ms: 2_000,
+        target_ms: 800,
+        rank: Rank::Middle,
+        split: vec![Share {
+            service: service("lookup"),
+            weight: 1.0,
+        }],
+        attempts: 2,
+    }
+}
+
+fn publication(routes: Vec<Route>) -> Publication {
+    let target = Target {
+        health: "/healthz".to_owned(),
+        max_connections: 400,
+    };
+    Publication {
+        label: 1,
+        base: 0,
+        routes,
+        services: BTreeMap::from([(service("lookup"), target)]),
+        limits: Limits::default(),
+        source: Vec::new(),
+    }
+}
+
+/// Guards against an invalid document that comes into force.
+#[rstest]
+#[case::unknown_service(|r: &mut Route| r.split[0].service = service("other"))]
+#[case::weight_below_zero(|r: &mut Route| r.split[0].weight = -1.0)]
+#[case::no_weight(|r: &mut Route| r.split[0].weight = 0.0)]
+#[case::weight_not_a_number(|r: &mut Route| r.split[0].weight = f64::NAN)]
+#[case::no_service(|r: &mut Route| r.split.clear())]
+#[case::target_a_minute_above_timeout(|r: &mut Route| r.target_ms = 62_000)]
+#[case::prefix_without_slash(|r: &mut Route| r.prefix = "/a".to_owned())]
+#[case::no_host(|r: &mut Route| r.host.clear())]
+#[case::same_place(|r: &mut Route| r.prefix = "/".to_owned())]
+fn an_invalid_document_is_refused(#[case] spoil: fn(&mut Route)) {
+    let mut wrong = route("r2", "a.example", "/a/");
+    assert!(
+        publication(vec![route("r1", "a.example", "/"), wrong.clone()])
+            .table()
+            .is_ok()
+    );
+    spoil(&mut wrong);
+    let refused = publication(vec![route("r1", "a.example", "/"), wrong]).table();
+    let refused = refused.unwrap_err();
+    assert!(refused.path.starts_with("routes[1]"), "{refused}");
+}
+
+/// Guards against a valid document that is refused.
+#[rstest]
+#[case::target_above_timeout(|r: &mut Route| r.target_ms = 61_999)]
+#[case::one_part_without_weight(|r: &mut Route| r.split.push(Share { service: service("lookup"), weight: 0.0 }))]
+#[case::same_name(|r: &mut Route| r.name = "r1".to_owned())]
+fn an_unusual_document_is_accepted(#[case] change: fn(&mut Route)) {
+    let mut unusual = route("r2", "a.example", "/a/");
+    change(&mut unusual);
+    let table = publication(vec![route("r1", "a.example", "/"), unusual]).table();
+    assert!(table.is_ok(), "{table:?}");
+}
+
+/// Guards against a request that takes the route of a shorter prefix, of another host or of a path that only begins alike.
+#[rstest]
+#[case("a.example", "/x", Some("root"))]
+#[case("a.example", "/one/x", Some("one"))]
+#[case("a.example", "/one/two/", Some("two"))]
+#[case("a.example", "/one/two/three/four", Some("two"))]
+#[case("a.example", "/onemore/x", Some("root"))]
+#[case("a.example", "/one", Some("root"))]
+#[case("b.example", "/one/x", None)]
+#[case("b.example", "/two/x", Some("other"))]
+fn the_longest_prefix_of_the_host_wins(
+    #[case] host: &str,
+    #[case] path: &str,
+    #[case] expected: Option<&str>,
+) {
+    let routes = vec![
+        route("root", "a.example", "/"),
+        route("one", "a.example", "/one/"),
+        route("two", "a.example", "/one/two/"),
+        route("other", "b.example", "/two/"),
+    ];
+    let table = publication(routes).table().unwrap();
+    let found = table.find(host, path).map(|r| r.name.as_str());
+    assert_eq!(found, expected);
+}
+
+/// Guards against an entry whose table differs from the published one after it has applied the difference.
+#[test]
+fn a_difference_leads_to_the_next_table() {
+    let before = publication(vec![
+        route("r1", "a.example", "/"),
+        route("r2", "a.example", "/gone/"),
+        route("r3", "a.example", "/changed/"),
+    ]);
+    let mut next = publication(vec![
+        route("r1", "a.example", "/"),
+        route("r3", "a.example", "/changed/"),
+        route("r4", "b.example", "/new/"),
+    ]);
+    next.label = 9;
+    next.limits.idle_ms = 1;
+    next.routes[1].timeout_ms = 7;
+    let (mut table, next) = (before.table().unwrap(), next.table().unwrap());
+    let delta = table.delta(&next);
+    assert_eq!(delta.put.len(), 2);
+    assert_eq!(delta.removed.len(), 1);
+    assert_eq!(delta.services, None);
+    table.apply(&delta);
+    assert_eq!(table, next);
+}
--- /dev/null
+++ b/crates/model/tests/upstream.rs
@@ -0,0 +1,101 @@
+//! Registered workers: late, repeated and contradicting announcements.
+
+use std::net::SocketAddr;
+
+use chestnutvalve_model::id::{Incarnation, Service, Worker, Zone};
+use chestnutvalve_model::upstream::{Announcement, Event, Roster};
+
+fn worker(name: &str) -> Worker {
+    Worker::new(name).unwrap()
+}
+
+fn announcement(name: &str, incarnation: u64, port: u16) -> Announcement {
+    Announcement {
+        worker: worker(name),
+        incarnation: Incarnation(incarnation),
+        service: Service::new("lookup").unwrap(),
+        address: SocketAddr::from(([127, 0, 0, 1], port)),
+        zone: Zone::new("z1").unwrap(),
+        slots: 2,
+        warm_up_ms: 0,
+        leaving: false,
+    }
+}
+
+fn departed(name: &str, incarnation: Option<u64>) -> Event {
+    Event::Departed {
+        worker: worker(name),
+        incarnation: incarnation.map(Incarnation),
+    }
+}
+
+fn roster(events: &[Event]) -> Roster {
+    let mut roster = Roster::default();
+    for event in events {
+        roster.apply(event);
+    }
+    roster
+}
+
+/// Guards against log records for heartbeats that say nothing new.
+#[test]
+fn a_repeated_announcement_is_no_news() {
+    let first = announcement("a", 1, 1);
+    let known = roster(&[Event::Announced(first.clone())]);
+    let mut warmer = first.clone();
+    warmer.warm_up_ms = 500;
+    assert!(!known.is_news(&Event::Announced(warmer)));
+    let mut moved = first;
+    moved.address.set_port(2);
+    assert!(known.is_news(&Event::Announced(moved)));
+}
+
+/// Guards against new requests for a leaving worker after a late announcement.
+#[test]
+fn leaving_is_final_for_one_run() {
+    let ready = announcement("a", 1, 1);
+    let mut leaving = ready.clone();
+    leaving.leaving = true;
+    let known = roster(&[Event::Announced(leaving.clone())]);
+    assert!(!known.is_news(&Event::Announced(ready)));
+    let next = announcement("a", 2, 1);
+    assert!(known.is_news(&Event::Announced(next)));
+}
+
+/// Guards against a worker that comes back through an announcement which a partition has delayed.
+#[test]
+fn a_departed_run_does_not_come_back() {
+    let known = roster(&[
+        Event::Announced(announcement("a", 5, 1)),
+        departed("a", Some(5)),
+    ]);
+    assert!(known.workers.is_empty());
+    assert!(!known.is_news(&Event::Announced(announcement("a", 5, 1))));
+    assert!(known.is_news(&Event::Announced(announcement("a", 6, 1))));
+}
+
+/// Guards against a farewell of an earlier run that removes the present one.
+#[test]
+fn a_late_farewell_does_not_remove_a_later_run() {
+    let known = roster(&[Event::Announced(announcement("a", 6, 1))]);
+    assert!(!known.is_news(&departed("a", Some(5))));
+    assert!(known.is_news(&departed("a", Some(6))));
+    assert!(known.is_news(&departed("a", None)));
+    assert!(!known.is_news(&departed("b", None)));
+}
+
+/// Guards against two workers at one address, of which one is gone.
+#[test]
+fn an_address_belongs_to_the_worker_that_started_last() {
+    let mut known = roster(&[
+        Event::Announced(announcement("old", 5, 1)),
+        Event::Announced(announcement("new", 6, 1)),
+    ]);
+    assert_eq!(known.workers.keys().collect::<Vec<_>>(), [&worker("new")]);
+    let late = Event::Announced(announcement("old", 5, 1));
+    assert!(!known.is_news(&late));
+    known.apply(&late);
+    assert_eq!(known.workers.len(), 1);
+    // An older worker that was never heard before can't have the address either.
+    assert!(!known.is_news(&Event::Announced(announcement("older", 4, 1))));
+}
--- a/crates/routing/src/schedule.rs
+++ b/crates/routing/src/schedule.rs
@@ -10,6 +10,7 @@
 
 use chestnutvalve_model::id::{Worker, Zone};
 use chestnutvalve_model::rank::Rank;
+use xxhash_rust::xxh3::Xxh3;
 
 mod pace;
 mod trust;
@@ -28,8 +29,10 @@
 /// short detour only; a download is worth one queued request.
 const ZONE_COST: f64 = 0.3;
 const ZONE_COST_DOWNLOAD: f64 = 1.0;
+/// Most by which equally loaded workers differ for one request, in slots.
+const SPREAD: f64 = 0.25;
 /// Part of the time left that the expected wait may take. The estimate is a mean, so that a fifth is kept in reserve.
-const WAIT_SHARE: f64 = 0.8;
+const WAIT_SHARE: f64 = 0.7;
 
 /// A request that asks for a worker.
 #[derive(Clone, Debug)]
@@ -159,8 +162,16 @@
             return Decision::Send(worker);
         }
         let wait = self.expected_wait(request.rank);
-        let left = request.deadline.saturating_duration_since(now);
-        let needed = wait.div_f64(WAIT_SHARE) + self.pace.typical();
+        let typical = self.pace.typical();
+        // While more arrives than the workers can do, each request that is answered late makes another one late too.
+        let in_time = now + typical <= request.target;
+        let until = if in_time {
+            request.target.min(request.deadline)
+        } else {
+            request.deadline
+        };
+        let left = until.saturating_duration_since(now);
+        let needed = wait.div_f64(WAIT_SHARE) + typical;
         if needed > left {
             let excess = needed.saturating_sub(left);
             return Decision::Refuse(self.refusal(Reason::Overload, excess));
@@ -227,12 +238,18 @@
     pub fn tick(&mut self, now: Instant) -> Vec<Action> {
         let mut actions = Vec::new();
         let typical = self.pace.typical();
-        for queue in 0..self.queues.len() {
-            let late = |r: &Request| now + typical > r.deadline;
-            let (late, kept) = self.queues[queue].drain(..).partition(late);
-            self.queues[queue] = kept;
-            let late: VecDeque<Request> = late;
-            for request in late {
+        for rank in Rank::ALL {
+            // A request that misses its target waits behind all that don't, so that its wait is that of the whole queue.
+            let wait = self.expected_wait(rank);
+            let hopeless = |r: &Request| {
+                let late = now + typical > r.target;
+                let needed = if late { wait + typical } else { typical };
+                now + needed > r.deadline
+            };
+            let queue = &mut self.queues[rank.index()];
+            let (gone, kept): (VecDeque<_>, _) = queue.drain(..).partition(hopeless);
+            *queue = kept;
+            for request in gone {
                 let refusal = self.refusal(Reason::Overload, Duration::ZERO);
                 actions.push(Action::Refuse(request.id, refusal));
             }
@@ -281,11 +298,18 @@
             };
             upstream.cost(now, typical, request.once) + detour
         };
+        // Without a spread, the worker that was a little faster would get all requests, and nothing would be known of
+        // the others when they are needed.
+        let spread = |worker: &Worker| {
+            let mut hash = Xxh3::with_seed(request.id);
+            hash.update(worker.as_str().as_bytes());
+            f64::from(low(hash.digest())) / f64::from(u32::MAX) * SPREAD
+        };
         let all = || self.upstreams.iter().filter(usable);
         let cheapest = |avoided: bool| {
             all()
                 .filter(|(_, u)| u.has_room(now) && u.is_avoided(now) == avoided)
-                .map(|(worker, u)| (cost(u), worker))
+                .map(|(worker, u)| (cost(u) + spread(worker), worker))
                 .min_by(|a, b| a.0.total_cmp(&b.0))
                 .map(|(_, worker)| worker.clone())
         };
@@ -294,6 +318,7 @@
         let worker = cheapest(false).or_else(|| others_gone().then(|| cheapest(true)).flatten())?;
         let upstream = self.upstreams.get_mut(&worker)?;
         upstream.start(now);
+        self.pace.started(request.rank);
         Some(worker)
     }
 
@@ -301,7 +326,7 @@
     fn expected_wait(&self, rank: Rank) -> Duration {
         let ahead: usize = self.queues[..=rank.index()].iter().map(VecDeque::len).sum();
         let running: u32 = self.upstreams.values().map(Upstream::running).sum();
-        self.pace.wait(ahead, running)
+        self.pace.wait(rank, ahead, running)
     }
 
     fn refusal(&self, reason: Reason, excess: Duration) -> Refusal {
@@ -312,3 +337,8 @@
         }
     }
 }
+
+/// Returns the low half of a number.
+fn low(number: u64) -> u32 {
+    u32::try_from(number & u64::from(u32::MAX)).unwrap_or(u32::MAX)
+}
--- a/crates/routing/src/schedule/pace.rs
+++ b/crates/routing/src/schedule/pace.rs
@@ -3,12 +3,16 @@
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
+use chestnutvalve_model::rank::Rank;
+
 /// Weight of a new response time in the typical one.
 const WEIGHT: f64 = 0.05;
 /// Response time assumed before the first response.
 const FIRST: Duration = Duration::from_millis(100);
 /// Ends of requests from which the rate is taken.
 const WINDOW: usize = 24;
+/// Least share of the places that a rank is taken to get.
+const LEAST_SHARE: f64 = 0.05;
 /// Deviations above the typical response time that make a response slow. Work times have a log-normal spread of 0.5 to
 /// 0.8, so that about one in fifty is slower.
 const SLOW_DEVIATIONS: f64 = 4.0;
@@ -21,6 +25,8 @@
     /// Mean response time and mean deviation, in seconds.
     mean: Option<(f64, f64)>,
     ends: VecDeque<Instant>,
+    /// Ranks of the last requests that got a place.
+    starts: VecDeque<Rank>,
 }
 
 impl Pace {
@@ -44,6 +50,22 @@
         }
     }
 
+    /// Records that a request of a rank got a place.
+    pub(super) fn started(&mut self, rank: Rank) {
+        self.starts.push_back(rank);
+        if self.starts.len() > WINDOW {
+            self.starts.pop_front();
+        }
+    }
+
+    /// Returns the share of the places that more urgent requests leave to a rank.
+    fn left_to(&self, rank: Rank) -> f64 {
+        let count = |n: usize| f64::from(u32::try_from(n).unwrap_or(u32::MAX));
+        let left = self.starts.iter().filter(|r| **r >= rank).count();
+        let share = (count(left) + 1.0) / (count(self.starts.len()) + 1.0);
+        share.max(LEAST_SHARE)
+    }
+
     /// Returns the usual response time.
     pub(super) fn typical(&self) -> Duration {
         self.mean
@@ -60,9 +82,10 @@
         Duration::from_secs_f64(slow).max(LEAST_SLOW)
     }
 
-    /// Returns the expected wait behind `ahead` requests while `running` ones run: at the rate at which places became
-    /// free lately, because slots at workers that other entries use say little about the places left to this one.
-    pub(super) fn wait(&self, ahead: usize, running: u32) -> Duration {
+    /// Returns the expected wait of a request of a rank behind `ahead` others while `running` ones run: at the rate at
+    /// which places became free lately, because slots at workers that other entries use say little about the places
+    /// left to this one, less what more urgent requests that have yet to come will take.
+    pub(super) fn wait(&self, rank: Rank, ahead: usize, running: u32) -> Duration {
         let by_slots = f64::from(running.max(1)) / self.typical().as_secs_f64();
         let observed = match (self.ends.front(), self.ends.back()) {
             (Some(first), Some(last)) if self.ends.len() == WINDOW && last > first => {
@@ -71,7 +94,7 @@
             }
             _ => None,
         };
-        let rate = observed.map_or(by_slots, |rate| rate.min(by_slots));
+        let rate = observed.map_or(by_slots, |rate| rate.min(by_slots)) * self.left_to(rank);
         let ahead = f64::from(u32::try_from(ahead).unwrap_or(u32::MAX)) + 1.0;
         Duration::from_secs_f64((ahead / rate).clamp(0.0, 3_600.0))
     }
--- a/crates/routing/src/schedule/upstream.rs
+++ b/crates/routing/src/schedule/upstream.rs
@@ -21,6 +21,10 @@
 const FULL: Duration = Duration::from_millis(100);
 /// Weight of a new response time in the worker's own.
 const TIME_WEIGHT: f64 = 0.2;
+/// Time in which a worker's response time loses most of its worth. A worker that was slow must be tried again.
+const TIME_MEMORY: Duration = Duration::from_secs(5);
+/// Difference of response times that does not matter.
+const SHORT: Duration = Duration::from_millis(5);
 /// Bounds of the worker's response time relative to that of the service.
 const SPEED: (f64, f64) = (0.5, 10.0);
 /// Multiple of the usual response time after which an unanswered request speaks against a worker.
@@ -66,8 +70,8 @@
     others: Option<(Instant, f64)>,
     trust: Trust,
     full_until: Option<Instant>,
-    /// Mean response time, in seconds.
-    time: Option<f64>,
+    /// Mean response time, in seconds, and when it was last observed.
+    time: Option<(f64, Instant)>,
 }
 
 impl Upstream {
@@ -133,7 +137,12 @@
     /// Returns what a request at this worker costs, in slots.
     pub(super) fn cost(&self, now: Instant, typical: Duration, once: bool) -> f64 {
         let typical = typical.as_secs_f64();
-        let speed = self.time.map_or(1.0, |time| time / typical);
+        let speed = self.time.map_or(1.0, |(time, at)| {
+            let age = now.saturating_duration_since(at).as_secs_f64();
+            let fading = (-age / TIME_MEMORY.as_secs_f64()).exp();
+            let short = SHORT.as_secs_f64();
+            1.0 + fading * ((time + short) / (typical + short) - 1.0)
+        });
         let cold = if now < self.warm_at { COLD } else { 1.0 };
         let overdue = typical * f64::from(OVERDUE);
         let late = self
@@ -170,8 +179,8 @@
         match outcome {
             Outcome::Success => {
                 let time = now.saturating_duration_since(started).as_secs_f64();
-                let before = self.time.unwrap_or(typical.as_secs_f64());
-                self.time = Some(before + TIME_WEIGHT * (time - before));
+                let before = self.time.map_or(typical.as_secs_f64(), |(time, _)| time);
+                self.time = Some((before + TIME_WEIGHT * (time - before), now));
                 self.observe(now, Evidence::Success);
             }
             Outcome::Failure => self.observe(now, Evidence::Failure),
