--- a/crates/entry/src/gateway/places.rs
+++ b/crates/entry/src/gateway/places.rs
@@ -10,7 +10,7 @@
 /// Entries that are named for a host to the callers of one availability zone. Few entries see enough of a service's
 /// requests to find a gray worker and to know what is in flight; the loss of one of three costs a third until callers
 /// move on.
-pub const OWNERS: usize = 3;
+pub const OWNERS: usize = 2;
 /// Least entries of the caller's availability zone that must be left before only those are named.
 const LEAST: usize = 2;
 
--- a/crates/routing/src/schedule.rs
+++ b/crates/routing/src/schedule.rs
@@ -209,7 +209,6 @@
         if outcome == Outcome::Success {
             self.pace.served(now.saturating_duration_since(started));
         }
-        self.pace.ended(now);
         self.start(now)
     }
 
--- a/crates/routing/src/schedule/pace.rs
+++ b/crates/routing/src/schedule/pace.rs
@@ -1,7 +1,7 @@
-//! Speed at which the workers of a service answer this entry.
+//! Speed at which the workers of a service answer this entry, and what is left of it for each rank.
 
 use std::collections::VecDeque;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use chestnutvalve_model::rank::Rank;
 
@@ -9,7 +9,7 @@
 const WEIGHT: f64 = 0.05;
 /// Response time assumed before the first response.
 const FIRST: Duration = Duration::from_millis(100);
-/// Ends of requests from which the rate is taken.
+/// Starts of requests from which the shares of the ranks are taken.
 const WINDOW: usize = 24;
 /// Least share of the places that a rank is taken to get.
 const LEAST_SHARE: f64 = 0.05;
@@ -19,12 +19,11 @@
 /// Least time after which a response counts as slow.
 const LEAST_SLOW: Duration = Duration::from_millis(100);
 
-/// Response times and rate of ends.
+/// Response times and shares of the ranks.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Pace {
     /// Mean response time and mean deviation, in seconds.
     mean: Option<(f64, f64)>,
-    ends: VecDeque<Instant>,
     /// Ranks of the last requests that got a place.
     starts: VecDeque<Rank>,
 }
@@ -42,14 +41,6 @@
         });
     }
 
-    /// Records the end of an attempt, which frees a place.
-    pub(super) fn ended(&mut self, now: Instant) {
-        self.ends.push_back(now);
-        if self.ends.len() > WINDOW {
-            self.ends.pop_front();
-        }
-    }
-
     /// Records that a request of a rank got a place.
     pub(super) fn started(&mut self, rank: Rank) {
         self.starts.push_back(rank);
@@ -82,20 +73,13 @@
         Duration::from_secs_f64(slow).max(LEAST_SLOW)
     }
 
-    /// Returns the expected wait of a request of a rank behind `ahead` others while `running` ones run: at the rate at
-    /// which places became free lately, because slots at workers that other entries use say little about the places
-    /// left to this one, less what more urgent requests that have yet to come will take.
+    /// Returns the expected wait of a request of a rank behind `ahead` others while `running` ones run, which are all
+    /// that this entry has room for: slots that other entries use are not its own. More urgent requests that have yet to
+    /// come take their share.
     pub(super) fn wait(&self, rank: Rank, ahead: usize, running: u32) -> Duration {
-        let by_slots = f64::from(running.max(1)) / self.typical().as_secs_f64();
-        let observed = match (self.ends.front(), self.ends.back()) {
-            (Some(first), Some(last)) if self.ends.len() == WINDOW && last > first => {
-                let gaps = u32::try_from(WINDOW - 1).unwrap_or(u32::MAX);
-                Some(f64::from(gaps) / (*last - *first).as_secs_f64())
-            }
-            _ => None,
-        };
-        let rate = observed.map_or(by_slots, |rate| rate.min(by_slots)) * self.left_to(rank);
+        let rate = f64::from(running.max(1)) / self.typical().as_secs_f64();
         let ahead = f64::from(u32::try_from(ahead).unwrap_or(u32::MAX)) + 1.0;
-        Duration::from_secs_f64((ahead / rate).clamp(0.0, 3_600.0))
+        let wait = ahead / (rate * self.left_to(rank));
+        Duration::from_secs_f64(wait.clamp(0.0, 3_600.0))
     }
 }
