Ask a worker that failed lately rather than refuse

Cause: while most workers of a service had failed lately or could not be reached, requests were refused although avoided workers were idle, and the wait was reckoned from the one request in progress instead of the entry's part of the slots.

--- a/crates/entry/src/gateway.rs
+++ b/crates/entry/src/gateway.rs
@@ -123,7 +123,7 @@
         let state = self.instance.follow.state();
         let budget = self.part(service);
         let lane = Lane::new(service.clone(), zone, budget, self.sightings.clone());
-        lane.sync(&specs(&state, service), budget);
+        lane.sync(&specs(&state, service), budget, self.entries(service));
         let lane = Arc::new(lane);
         lanes.insert(service.clone(), Arc::clone(&lane));
         lane
@@ -146,6 +146,12 @@
         listeners
     }
 
+    /// Returns the number of entries that serve a service.
+    fn entries(&self, service: &Service) -> u32 {
+        let entries = self.listeners(service).len();
+        u32::try_from(entries).unwrap_or(u32::MAX).max(1)
+    }
+
     /// Returns this entry's part of the retry budget at a service. Only entries that are named for its hosts get one of
     /// the fixed number; each earns its share with the requests that it gets.
     fn part(&self, service: &Service) -> Bounds {
@@ -155,7 +161,7 @@
             extra,
             window,
         } = self.settings.budget;
-        let parts = u32::try_from(listeners.len()).unwrap_or(u32::MAX).max(1);
+        let parts = self.entries(service);
         let named = listeners.contains(&self.instance.member().peers);
         Bounds {
             share: share * BUDGET_SHARE,
@@ -173,7 +179,8 @@
         let state = self.instance.follow.state();
         let lanes = self.lanes.lock().unwrap_or_else(PoisonError::into_inner);
         for (service, lane) in lanes.iter() {
-            lane.sync(&specs(&state, service), self.part(service));
+            let entries = self.entries(service);
+            lane.sync(&specs(&state, service), self.part(service), entries);
         }
     }
 
--- a/crates/entry/src/gateway/lane.rs
+++ b/crates/entry/src/gateway/lane.rs
@@ -70,15 +70,15 @@
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Brings the workers and this entry's part of the budget in line with the state.
-    pub fn sync(&self, members: &BTreeMap<Worker, Member>, budget: Bounds) {
+    /// Brings the workers, this entry's part of the budget and the number of entries in line with the state.
+    pub fn sync(&self, members: &BTreeMap<Worker, Member>, budget: Bounds, entries: u32) {
         let now = clock::now();
         let specs: Vec<(Worker, Spec)> = members
             .iter()
             .map(|(worker, member)| (worker.clone(), member.spec.clone()))
             .collect();
         let mut inner = self.lock();
-        inner.schedule.sync(now, &specs);
+        inner.schedule.sync(now, &specs, entries);
         inner.members.clone_from(members);
         inner.allowance.configure(budget);
         let actions = inner.schedule.tick(now);
--- a/crates/routing/src/schedule.rs
+++ b/crates/routing/src/schedule.rs
@@ -95,6 +95,8 @@
 #[derive(Clone, Debug)]
 pub struct Schedule {
     zone: Zone,
+    /// Entries that send to the same workers.
+    entries: u32,
     upstreams: BTreeMap<Worker, Upstream>,
     queues: [VecDeque<Request>; 3],
     pace: Pace,
@@ -106,14 +108,17 @@
     pub fn new(zone: Zone) -> Self {
         Self {
             zone,
+            entries: 1,
             upstreams: BTreeMap::new(),
             queues: Default::default(),
             pace: Pace::default(),
         }
     }
 
-    /// Brings the workers in line with the registered ones; a later run of a worker starts without a record.
-    pub fn sync(&mut self, now: Instant, specs: &[(Worker, Spec)]) {
+    /// Brings the workers in line with the registered ones, which `entries` share; a later run of a worker starts without a
+    /// record.
+    pub fn sync(&mut self, now: Instant, specs: &[(Worker, Spec)], entries: u32) {
+        self.entries = entries.max(1);
         self.upstreams
             .retain(|worker, _| specs.iter().any(|(known, _)| known == worker));
         for (worker, spec) in specs {
@@ -161,12 +166,12 @@
         if first && let Some(worker) = self.place(now, &request) {
             return Decision::Send(worker);
         }
-        let wait = self.expected_wait(request.rank);
+        let wait = self.expected_wait(now, request.rank);
         let typical = self.pace.typical();
         // While more arrives than the workers can do, each request that is answered late makes another one late too. A
         // queue that is shorter than what is in progress is no sign of that, and a late response is better than none.
         let in_time = now + typical <= request.target;
-        let until = if in_time && self.is_long(request.rank) {
+        let until = if in_time && self.is_long(now, request.rank) {
             request.target.min(request.deadline)
         } else {
             request.deadline
@@ -174,6 +179,10 @@
         let left = until.saturating_duration_since(now);
         let needed = wait.div_f64(WAIT_SHARE) + typical;
         if needed > left {
+            // A worker that failed lately may answer; a refusal never does.
+            if let Some(worker) = self.place_at(now, &request, true) {
+                return Decision::Send(worker);
+            }
             let excess = needed.saturating_sub(left);
             return Decision::Refuse(self.refusal(Reason::Overload, excess));
         }
@@ -240,7 +249,7 @@
         let typical = self.pace.typical();
         for rank in Rank::ALL {
             // A request that misses its target waits behind all that don't, so that its wait is that of the whole queue.
-            let wait = self.expected_wait(rank);
+            let wait = self.expected_wait(now, rank);
             let hopeless = |r: &Request| {
                 let late = now + typical > r.target;
                 let needed = if late { wait + typical } else { typical };
@@ -283,8 +292,23 @@
         actions
     }
 
-    /// Takes a place at the worker that is likely to answer first, if one has room.
+    /// Takes a place at the worker that is likely to answer first, if one has room. Workers that failed lately are better
+    /// than none once all others are gone, not once they are full.
     fn place(&mut self, now: Instant, request: &Request) -> Option<Worker> {
+        let placed = self.place_at(now, request, false);
+        let mut others = self.upstreams.iter();
+        let others_gone = others.all(|(worker, upstream)| {
+            upstream.is_gone() || upstream.is_avoided(now) || request.tried.contains(worker)
+        });
+        placed.or_else(|| {
+            others_gone
+                .then(|| self.place_at(now, request, true))
+                .flatten()
+        })
+    }
+
+    /// Takes a place at a worker that is avoided or not.
+    fn place_at(&mut self, now: Instant, request: &Request, avoided: bool) -> Option<Worker> {
         let typical = self.pace.typical();
         let usable = |(worker, upstream): &(&Worker, &Upstream)| {
             !upstream.is_gone() && !request.tried.contains(worker)
@@ -306,16 +330,10 @@
             f64::from(low(hash.digest())) / f64::from(u32::MAX) * SPREAD
         };
         let all = || self.upstreams.iter().filter(usable);
-        let cheapest = |avoided: bool| {
-            all()
-                .filter(|(_, u)| u.has_room(now) && u.is_avoided(now) == avoided)
-                .map(|(worker, u)| (cost(u) + spread(worker), worker))
-                .min_by(|a, b| a.0.total_cmp(&b.0))
-                .map(|(_, worker)| worker.clone())
-        };
-        // Workers that failed lately are better than none once all others are gone, not once they are full.
-        let others_gone = || all().all(|(_, u)| u.is_avoided(now));
-        let worker = cheapest(false).or_else(|| others_gone().then(|| cheapest(true)).flatten())?;
+        let candidates = all().filter(|(_, u)| u.has_room(now) && u.is_avoided(now) == avoided);
+        let costs = candidates.map(|(worker, u)| (cost(u) + spread(worker), worker));
+        let cheapest = costs.min_by(|a, b| a.0.total_cmp(&b.0));
+        let worker = cheapest.map(|(_, worker)| worker.clone())?;
         let upstream = self.upstreams.get_mut(&worker)?;
         upstream.start(now);
         self.pace.started(request.rank);
@@ -323,20 +341,23 @@
     }
 
     /// Returns whether more requests wait before one of a rank than are in progress.
-    fn is_long(&self, rank: Rank) -> bool {
-        let (ahead, running) = self.ahead(rank);
+    fn is_long(&self, now: Instant, rank: Rank) -> bool {
+        let (ahead, running) = self.ahead(now, rank);
         ahead > usize::try_from(running).unwrap_or(usize::MAX)
     }
 
-    /// Returns the waiting requests that are served before one of a rank, and those in progress.
-    fn ahead(&self, rank: Rank) -> (usize, u32) {
+    /// Returns the waiting requests that are served before one of a rank, and those that this entry has in progress, or its
+    /// part of the slots if that is more.
+    fn ahead(&self, now: Instant, rank: Rank) -> (usize, u32) {
         let ahead = self.queues[..=rank.index()].iter().map(VecDeque::len).sum();
-        (ahead, self.upstreams.values().map(Upstream::running).sum())
+        let running: u32 = self.upstreams.values().map(Upstream::running).sum();
+        let slots: u32 = self.upstreams.values().map(|u| u.slots(now)).sum();
+        (ahead, running.max(slots / self.entries))
     }
 
     /// Returns the expected wait of a request that joins the queue of its rank.
-    fn expected_wait(&self, rank: Rank) -> Duration {
-        let (ahead, running) = self.ahead(rank);
+    fn expected_wait(&self, now: Instant, rank: Rank) -> Duration {
+        let (ahead, running) = self.ahead(now, rank);
         self.pace.wait(rank, ahead, running)
     }
 
--- a/crates/routing/src/schedule/upstream.rs
+++ b/crates/routing/src/schedule/upstream.rs
@@ -109,6 +109,15 @@
         &self.spec.zone
     }
 
+    /// Returns the slots that requests may use now.
+    pub(super) fn slots(&self, now: Instant) -> u32 {
+        if self.gone || self.is_avoided(now) {
+            0
+        } else {
+            self.spec.slots
+        }
+    }
+
     pub(super) fn is_gone(&self) -> bool {
         self.gone
     }
--- a/crates/routing/tests/schedule.rs
+++ b/crates/routing/tests/schedule.rs
@@ -54,10 +54,10 @@
     }
 }
 
-fn schedule(now: Instant, workers: usize) -> Schedule {
+fn schedule(now: Instant, workers: usize, entries: u32) -> Schedule {
     let mut schedule = Schedule::new(zone());
     let specs: Vec<_> = (0..workers).map(|w| (worker(w), spec())).collect();
-    schedule.sync(now, &specs);
+    schedule.sync(now, &specs, entries);
     schedule
 }
 
@@ -132,7 +132,7 @@
         let way = if planned {
             Way::Schedules(
                 (0..ENTRIES)
-                    .map(|_| schedule(start, load.workers))
+                    .map(|_| schedule(start, load.workers, 4))
                     .collect(),
             )
         } else {
@@ -402,7 +402,7 @@
 #[test]
 fn without_workers_a_request_is_refused_at_once() {
     let now = Instant::now();
-    let mut schedule = schedule(now, 0);
+    let mut schedule = schedule(now, 0, 1);
     let Decision::Refuse(refusal) = schedule.offer(now, request(1, now, Rank::Top)) else {
         panic!("the request was not refused");
     };
@@ -413,7 +413,7 @@
 #[test]
 fn a_free_place_goes_to_the_most_urgent_request() {
     let now = Instant::now();
-    let mut schedule = schedule(now, 1);
+    let mut schedule = schedule(now, 1, 1);
     for id in 0..2 {
         let decision = schedule.offer(now, request(id, now, Rank::Bottom));
         assert_eq!(decision, Decision::Send(worker(0)));
@@ -437,7 +437,7 @@
 #[test]
 fn a_cancelled_request_no_longer_waits() {
     let now = Instant::now();
-    let mut schedule = schedule(now, 1);
+    let mut schedule = schedule(now, 1, 1);
     for id in 0..2 {
         schedule.offer(now, request(id, now, Rank::Top));
     }
@@ -457,16 +457,16 @@
 #[test]
 fn a_later_run_starts_without_a_record() {
     let now = Instant::now();
-    let mut schedule = schedule(now, 1);
+    let mut schedule = schedule(now, 1, 1);
     schedule.offer(now, request(1, now, Rank::Top));
     schedule.finish(now, &worker(0), now, Outcome::Gone);
     assert_eq!(schedule.usable(), 0);
-    schedule.sync(now, &[(worker(0), spec())]);
+    schedule.sync(now, &[(worker(0), spec())], 1);
     assert_eq!(schedule.usable(), 0);
     let later = Spec {
         incarnation: Incarnation(2),
         ..spec()
     };
-    schedule.sync(now, &[(worker(0), later)]);
+    schedule.sync(now, &[(worker(0), later)], 1);
     assert_eq!(schedule.usable(), 1);
 }
