--- a/crates/cli/src/demo.rs
+++ b/crates/cli/src/demo.rs
@@ -119,6 +119,7 @@
         zone: name(Zone::new("demo"))?,
         callers: addresses.callers,
         gateway: None,
+        link_mbps: chestnutvalve_entry::settings::DEFAULT_LINK_MBPS,
         platform: addresses.platform,
         peers: addresses.peers,
         advertise: None,
--- a/crates/cli/tests/cli.rs
+++ b/crates/cli/tests/cli.rs
@@ -26,6 +26,7 @@
             zone: Zone::new("keene").unwrap(),
             callers: address,
             gateway: None,
+            link_mbps: 1_000,
             platform: address,
             peers: address,
             draining,
--- a/crates/control/tests/all/support.rs
+++ b/crates/control/tests/all/support.rs
@@ -58,6 +58,7 @@
         zone: Zone::new("keene").expect("valid name"),
         callers: address,
         gateway: None,
+        link_mbps: 1_000,
         platform: address,
         peers: address,
         draining: false,
--- a/crates/entry/src/gateway/attempt.rs
+++ b/crates/entry/src/gateway/attempt.rs
@@ -72,18 +72,21 @@
     let mut request = inbound.request(dialect, seat.worker.as_str(), body);
     let fresh = (!inbound.route.kind.is_idempotent()).then_some(FRESH);
     for _ in 0..=MAX_STALE {
-        let lease = gateway
-            .pool
-            .lease_fresh(seat.address, inbound.deadline, fresh);
+        let limit = inbound.deadline.min(Instant::now() + CONNECT_TIMEOUT);
+        let lease = gateway.pool.lease_fresh(seat.address, limit, fresh);
         let mut lease = match lease.await {
             Ok(lease) => lease,
             Err(error) => {
-                seat.finish(Outcome::Failure);
-                return Err(Failed::NotExecuted(format!("connecting: {error}")));
+                // A worker that refuses connections is down for all entries, a silent one maybe only for this one.
+                seat.finish(match error.kind() {
+                    ErrorKind::ConnectionRefused => Outcome::Failure,
+                    _ => Outcome::Unreachable,
+                });
+                return Err(Failed::Unreached(format!("connecting: {error}")));
             }
         };
         if inbound.left().is_zero() {
-            return Err(Failed::NotExecuted("the time is up".into()));
+            return Err(Failed::Unreached("the time is up".into()));
         }
         match timeout_at(inbound.deadline, lease.send(request)).await {
             Ok(Ok(response)) => return receive(gateway, inbound, seat, lease, response).await,
--- a/crates/entry/src/gateway/evidence.rs
+++ b/crates/entry/src/gateway/evidence.rs
@@ -61,9 +61,7 @@
         r.split.iter().any(|share| share.service == *service)
     };
     let hosts: BTreeSet<&str> = routes.filter(leads).map(|r| r.host.as_str()).collect();
-    let named = hosts
-        .iter()
-        .flat_map(|host| places::owners(&state.directory, host));
+    let named = hosts.iter().flat_map(|host| places::owners(state, host));
     named.map(|m| m.peers).take(MAX_LISTENERS).collect()
 }
 
--- a/crates/entry/src/gateway/places.rs
+++ b/crates/entry/src/gateway/places.rs
@@ -3,23 +3,31 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
+use chestnutvalve_model::control::State;
 use chestnutvalve_model::directory::{Directory, Member};
 use chestnutvalve_model::id::{Service, Zone};
+use chestnutvalve_model::routes::Kind;
 use chestnutvalve_routing::placement;
 
-/// Entries that are named for a host to the callers of one availability zone. Few entries see enough of a service's
-/// requests to find a gray worker and to know what is in flight; the loss of one of three costs a third until callers
-/// move on.
-pub const OWNERS: usize = 2;
+/// Entries of an availability zone that are named for a host. Few entries see enough of a service's requests to find a
+/// gray worker and to know what is in flight; one would see more, but its loss takes the zone's callers with it.
+const OWNERS: usize = 2;
+/// Bandwidth below which an entry can't carry the downloads of several callers, in megabits a second: a large download of
+/// half a megabyte takes a tenth of a second of such a link.
+const NARROW_MBPS: u32 = 40;
+/// Entries of an availability zone that are named for a host without downloads where links are narrow. Responses of 5 kB
+/// at 120 requests a second and zone take 5 megabits a second.
+const NARROW_OWNERS: usize = 4;
 /// Least entries of the caller's availability zone that must be left before only those are named.
 const LEAST: usize = 2;
 
 /// Returns the addresses for the callers of `host` in `zone`.
 #[must_use]
-pub fn places(directory: &Directory, host: &str, zone: Option<&Zone>) -> Vec<SocketAddr> {
+pub fn places(state: &State, host: &str, zone: Option<&Zone>) -> Vec<SocketAddr> {
+    let directory = &state.directory;
     let near = zone.map(|zone| in_zone(directory, zone));
     let near = near.filter(|near| near.members.len() >= LEAST);
-    let named = named(near.as_ref().unwrap_or(directory), host);
+    let named = named(state, near.as_ref().unwrap_or(directory), host);
     named.map_or_else(Vec::new, |named| {
         named
             .iter()
@@ -30,10 +38,11 @@
 
 /// Returns all entries that are named for `host` to the callers of any zone.
 #[must_use]
-pub fn owners(directory: &Directory, host: &str) -> Vec<Member> {
+pub fn owners(state: &State, host: &str) -> Vec<Member> {
+    let directory = &state.directory;
     let zones: BTreeSet<&Zone> = directory.members.values().map(|m| &m.zone).collect();
     let parts = zones.into_iter().map(|zone| in_zone(directory, zone));
-    let parts = parts.filter_map(|part| named(&part, host));
+    let parts = parts.filter_map(|part| named(state, &part, host));
     parts.flatten().collect()
 }
 
@@ -45,10 +54,25 @@
     }
 }
 
-fn named(candidates: &Directory, host: &str) -> Option<Vec<Member>> {
+/// Returns how many entries of a zone are named for a host: all where links are narrow and the host has downloads.
+fn number(state: &State, candidates: &Directory, host: &str) -> usize {
+    let links = candidates.members.values().map(|m| m.link_mbps);
+    if links.min().is_none_or(|link| link >= NARROW_MBPS) {
+        return OWNERS;
+    }
+    let routes = state.routes.routes.values();
+    let mut routes = routes.filter(|r| r.host == host);
+    if routes.any(|r| r.kind == Kind::Download) {
+        candidates.members.len()
+    } else {
+        NARROW_OWNERS
+    }
+}
+
+fn named(state: &State, candidates: &Directory, host: &str) -> Option<Vec<Member>> {
     // A host that is no name of the product can't have a route that it serves.
     let subject = Service::new(host).ok()?;
-    let owners = placement::owners(&subject, OWNERS, candidates);
+    let owners = placement::owners(&subject, number(state, candidates, host), candidates);
     let members = owners.iter().filter_map(|o| candidates.members.get(o));
     Some(members.cloned().collect())
 }
--- a/crates/entry/src/instance.rs
+++ b/crates/entry/src/instance.rs
@@ -150,6 +150,7 @@
             zone: self.settings.zone.clone(),
             callers: self.advertise.callers,
             gateway: self.advertise.gateway,
+            link_mbps: self.settings.link_mbps,
             platform: self.advertise.platform,
             peers: self.advertise.peers,
             draining: self.is_draining(),
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -6,6 +6,13 @@
 use chestnutvalve_telemetry::log::Threshold;
 use serde::Deserialize;
 
+/// Bandwidth of a link without a setting, in megabits a second.
+pub const DEFAULT_LINK_MBPS: u32 = 1_000;
+
+fn default_link_mbps() -> u32 {
+    DEFAULT_LINK_MBPS
+}
+
 /// Addresses under which others reach the instance.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -46,6 +53,9 @@
     /// Internal addresses of entry instances from which the state is fetched while no control instance is reachable.
     #[serde(default)]
     pub peers_hint: Vec<SocketAddr>,
+    /// Bandwidth of the instance's link, in megabits a second.
+    #[serde(default = "default_link_mbps")]
+    pub link_mbps: u32,
     /// Level below which log messages are dropped.
     #[serde(default)]
     pub log: Threshold,
--- a/crates/model/src/directory.rs
+++ b/crates/model/src/directory.rs
@@ -24,6 +24,8 @@
     pub platform: SocketAddr,
     /// Address of the internal protocol.
     pub peers: SocketAddr,
+    /// Bandwidth of the instance's link, in megabits a second.
+    pub link_mbps: u32,
     /// Whether the instance is shutting down: it serves kept answers but is given in no new one.
     pub draining: bool,
 }
--- a/crates/routing/tests/rules.rs
+++ b/crates/routing/tests/rules.rs
@@ -28,6 +28,7 @@
         zone: Zone::new(&format!("z{}", index % 3)).unwrap(),
         callers: address,
         gateway: None,
+        link_mbps: 1_000,
         platform: address,
         peers: address,
         draining: false,
