--- a/crates/bench/src/command.rs
+++ b/crates/bench/src/command.rs
@@ -15,6 +15,7 @@
 use crate::forward::{Forwarder, Mode, command as control};
 use crate::load;
 use crate::scenario;
+use crate::soak;
 use crate::worker;
 
 /// Exit code for wrong arguments or a run that could not be made.
@@ -173,10 +174,15 @@
         .arg(option("entries", "3,12,24,48", "Numbers of entries"))
         .arg(option("workers", "10,100,400", "Numbers of workers"))
         .arg(number("seconds", "15", "Duration of each measurement"));
+    let soak = Command::new("soak")
+        .about("Runs a small fleet under random faults and checks what callers and operators were told")
+        .arg(number("seed", "1", "First seed"))
+        .arg(number("seeds", "1", "Number of seeds, one after the other"))
+        .arg(number("seconds", "12", "Time with faults for each seed"));
     Command::new("chestnutvalve-bench")
         .about("Stand-in workers, caller load, fault injection and measurements")
         .subcommand_required(true)
-        .subcommands([worker, load, forward, scenario, capacity])
+        .subcommands([worker, load, forward, scenario, capacity, soak])
 }
 
 async fn dispatch(matches: &ArgMatches) -> Result<(), Error> {
@@ -186,6 +192,7 @@
         Some(("forward", arguments)) => run_forward(arguments).await,
         Some(("scenario", arguments)) => run_scenario(arguments).await,
         Some(("capacity", arguments)) => run_capacity(arguments).await,
+        Some(("soak", arguments)) => run_soak(arguments).await,
         _ => Err(Error::Value("unknown command".into())),
     }
 }
@@ -307,3 +314,35 @@
     };
     capacity::run(&Programs::beside_this()?, &plan).await
 }
+
+async fn run_soak(arguments: &ArgMatches) -> Result<(), Error> {
+    let programs = Programs::beside_this()?;
+    let (first, seeds): (u64, u64) = (take(arguments, "seed"), take(arguments, "seeds"));
+    let duration = Duration::from_secs(take(arguments, "seconds"));
+    let mut failed = Vec::new();
+    for seed in first..first.saturating_add(seeds) {
+        let report = soak::run(&programs, seed, duration).await?;
+        let soak::Report {
+            broken,
+            faults,
+            good,
+            denied,
+            changes,
+        } = report;
+        let faults_seen = faults.len();
+        println!(
+            "seed {seed}: {faults_seen} faults, {good} good answers, {denied} told as not executed, {changes} changes"
+        );
+        if !broken.is_empty() {
+            failed.push(seed);
+            faults.iter().for_each(|fault| println!("  {fault}"));
+            broken.iter().for_each(|text| println!("  BROKEN {text}"));
+        }
+    }
+    if failed.is_empty() {
+        return Ok(());
+    }
+    Err(Error::Value(format!(
+        "broken promises with seeds {failed:?}"
+    )))
+}
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod load;
 pub mod payload;
 pub mod scenario;
+pub mod soak;
 pub mod worker;
 
 pub use error::Error;
--- /dev/null
+++ b/crates/bench/src/soak.rs
@@ -0,0 +1,341 @@
+//! Randomized fault soak over real processes.
+//!
+//! Faults are injected from outside: links of the loopback forwarder that delay, lose or reset bytes, signals that stop,
+//! freeze, kill and restart, and workers that misbehave. They come in series and overlap. What callers were told is compared
+//! with what workers have executed, and the configuration with what operators were told. A seed fixes the faults and
+//! their order, while the moments vary with the machine.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use chestnutvalve_model::config::{Edit, Overrides};
+use chestnutvalve_model::rank::Rank;
+use chestnutvalve_model::version::Version;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use tokio::time::{Instant, sleep};
+
+use crate::Error;
+use crate::fleet::{Fleet, Layout, Programs, Service, layout::route, until};
+use crate::forward::{Flow, Mode};
+use crate::load::{self, Class, Plan};
+use crate::worker::Fault;
+
+/// Service of the soak.
+const SERVICE: &str = "soak";
+/// Name of the loads whose requests must not run twice.
+const ONCE: &str = "once";
+/// Requests a second of each load. A few dozen processes on one machine carry them beside other work.
+const RATE: f64 = 40.0;
+/// Longest time for the fleet to be whole again after the last fault: election, expiry of members and proofs, and the
+/// start of processes on a busy machine.
+const RECOVERY: Duration = Duration::from_secs(30);
+/// Time between two looks at the versions in force.
+const LOOK: Duration = Duration::from_millis(200);
+/// Time between two changes of the configuration.
+const CHANGE: Duration = Duration::from_millis(900);
+
+/// What one seed has shown.
+#[derive(Clone, Debug, Default)]
+pub struct Report {
+    /// Broken promises.
+    pub broken: Vec<String>,
+    /// Faults in order.
+    pub faults: Vec<String>,
+    /// Requests with a whole answer.
+    pub good: u64,
+    /// Requests that callers were told did not run.
+    pub denied: usize,
+    /// Changes that operators were told are accepted.
+    pub changes: usize,
+}
+
+/// One fault that can be ended.
+#[derive(Clone, Debug)]
+enum Trouble {
+    Link(String, Mode),
+    FrozenEntry(usize),
+    FrozenControl(usize),
+    FrozenWorker(usize),
+    KilledEntry(usize),
+    KilledControl(usize),
+    StoppedEntry(usize),
+    Worker(usize, Fault),
+}
+
+impl Trouble {
+    /// Returns what the fault takes out; at most one of each is out at a time, which the fleet must survive.
+    fn subject(&self) -> &'static str {
+        match self {
+            Self::Link(..) => "link",
+            Self::FrozenEntry(_) | Self::KilledEntry(_) | Self::StoppedEntry(_) => "entry",
+            Self::FrozenControl(_) | Self::KilledControl(_) => "control",
+            Self::FrozenWorker(_) | Self::Worker(..) => "worker",
+        }
+    }
+
+    fn draw(random: &mut StdRng, links: &[String]) -> Self {
+        let third = random.random_range(0..3);
+        let worker = random.random_range(0..4);
+        match random.random_range(0..9) {
+            0 | 1 => {
+                let link = links[random.random_range(0..links.len())].clone();
+                Self::Link(link, mode(random))
+            }
+            2 => Self::FrozenEntry(third),
+            3 => Self::FrozenControl(third),
+            4 => Self::FrozenWorker(worker),
+            5 => Self::KilledEntry(third),
+            6 => Self::KilledControl(third),
+            7 => Self::StoppedEntry(third),
+            _ => Self::Worker(worker, fault(random)),
+        }
+    }
+}
+
+fn mode(random: &mut StdRng) -> Mode {
+    match random.random_range(0..5) {
+        0 => Mode::cut(),
+        1 => Mode::cut_answers(),
+        2 => Mode::cut_requests(),
+        3 => Mode::delay(Duration::from_millis(random.random_range(20..400))),
+        _ => Mode {
+            to_origin: Flow {
+                reset_after: random.random_range(1..4_000),
+                ..Flow::default()
+            },
+            ..Mode::default()
+        },
+    }
+}
+
+fn fault(random: &mut StdRng) -> Fault {
+    let mut fault = Fault::default();
+    let share = random.random_range(20.0..90.0);
+    match random.random_range(0..4) {
+        0 => fault.fail_percent = share,
+        1 => fault.truncate_percent = share,
+        2 => fault.hang_percent = share,
+        _ => (fault.slow_percent, fault.slow_ms) = (share, 600),
+    }
+    fault
+}
+
+fn layout() -> Layout {
+    Layout {
+        services: vec![Service::new(SERVICE, 4)],
+        edits: vec![
+            route(SERVICE, "/look", Rank::Top, true),
+            route(SERVICE, "/order", Rank::Middle, false),
+        ],
+        links: true,
+        ..Layout::default()
+    }
+}
+
+fn plans(fleet: &Fleet, seed: u64, duration: Duration) -> Vec<Plan> {
+    let look = Class {
+        service: SERVICE.into(),
+        rank: Rank::Top,
+        path: "/look".into(),
+        ..Class::default()
+    };
+    let order = |key| Class {
+        method: "POST".into(),
+        path: "/order".into(),
+        rank: Rank::Middle,
+        key,
+        ..look.clone()
+    };
+    let orders = vec![order(true), order(false)];
+    [("look", vec![look.clone()]), (ONCE, orders)]
+        .into_iter()
+        .map(|(name, classes)| {
+            let mut plan = Plan::new(fleet.callers(), classes, RATE, duration);
+            plan.seed = seed;
+            plan.name = name.into();
+            plan
+        })
+        .collect()
+}
+
+/// Runs one seed for about `duration` and the time to recover.
+///
+/// # Errors
+///
+/// Returns an error when the fleet can't be started or controlled. Broken promises are in the report.
+pub async fn run(programs: &Programs, seed: u64, duration: Duration) -> Result<Report, Error> {
+    let mut fleet = Fleet::start(programs, layout()).await?;
+    let mut random = StdRng::seed_from_u64(seed);
+    let mut report = Report::default();
+    let mut loads = tokio::task::JoinSet::new();
+    for plan in plans(&fleet, seed, duration) {
+        loads.spawn(async move { load::run(&plan).await });
+    }
+    let accepted = disturb(&mut fleet, &mut random, duration, &mut report).await?;
+    let mut denied = Vec::new();
+    while let Some(loaded) = loads.join_next().await {
+        let loaded = loaded.map_err(|e| Error::Value(e.to_string()))??;
+        let total = loaded.total();
+        report.good += total.good + total.late;
+        if total.error("wrong_body") > 0 {
+            let text = format!("foreign or cut bodies as successes: {:?}", loaded.failures);
+            report.broken.push(text);
+        }
+        denied.extend(loaded.not_executed);
+    }
+    report.denied = denied.len();
+    recover(&fleet, accepted, &mut report).await;
+    executions(&fleet, &denied, &mut report).await?;
+    Ok(report)
+}
+
+/// Injects faults until the time is up, makes changes meanwhile, and ends all faults. Returns the last accepted version.
+async fn disturb(
+    fleet: &mut Fleet,
+    random: &mut StdRng,
+    duration: Duration,
+    report: &mut Report,
+) -> Result<Version, Error> {
+    let links: Vec<String> = fleet.links.keys().cloned().collect();
+    let started = Instant::now();
+    let mut open: Vec<(Instant, Trouble)> = Vec::new();
+    let mut seen = BTreeMap::new();
+    let mut accepted = Version::ZERO;
+    let (mut next_trouble, mut next_change) = (started, started);
+    while started.elapsed() < duration {
+        let now = Instant::now();
+        let (due, kept): (Vec<_>, Vec<_>) = open.drain(..).partition(|(until, _)| now >= *until);
+        open = kept;
+        for (_, trouble) in due {
+            end(fleet, &trouble).await?;
+        }
+        if now >= next_trouble {
+            let trouble = Trouble::draw(random, &links);
+            let lasting = Duration::from_millis(random.random_range(200..2_500));
+            let pause = Duration::from_millis(random.random_range(50..700));
+            next_trouble = now + pause;
+            if !open.iter().any(|(_, t)| t.subject() == trouble.subject()) {
+                report.faults.push(format!(
+                    "{:?} {trouble:?} for {lasting:?}",
+                    started.elapsed()
+                ));
+                begin(fleet, &trouble).await?;
+                open.push((now + lasting, trouble));
+            }
+        }
+        if now >= next_change {
+            next_change = now + CHANGE;
+            let edit = Edit::SetDefaults(Overrides {
+                timeout_ms: Some(random.random_range(2_000..9_000)),
+                ..Overrides::default()
+            });
+            let id = format!("soak-{}", report.changes);
+            // A change without an answer may be accepted or not; only an acknowledged one is a promise.
+            if let Ok(version) = fleet.change(&id, &[edit]).await {
+                accepted = accepted.max(version);
+                report.changes += 1;
+            }
+        }
+        watch(fleet, &mut seen, report).await;
+        sleep(LOOK).await;
+    }
+    for (_, trouble) in open {
+        end(fleet, &trouble).await?;
+    }
+    Ok(accepted)
+}
+
+async fn begin(fleet: &mut Fleet, trouble: &Trouble) -> Result<(), Error> {
+    match trouble {
+        Trouble::Link(link, mode) => fleet.at(link)?.set(*mode),
+        Trouble::FrozenEntry(n) => fleet.entries[*n].process()?.freeze()?,
+        Trouble::FrozenControl(n) => fleet.controls[*n].process()?.freeze()?,
+        Trouble::FrozenWorker(n) => fleet.workers[*n].process()?.freeze()?,
+        Trouble::KilledEntry(n) => fleet.entries[*n].kill(),
+        Trouble::KilledControl(n) => fleet.controls[*n].kill(),
+        Trouble::StoppedEntry(n) => fleet.entries[*n].process()?.terminate()?,
+        Trouble::Worker(n, fault) => fleet.workers[*n].fault(&fleet.http, fault).await?,
+    }
+    Ok(())
+}
+
+async fn end(fleet: &mut Fleet, trouble: &Trouble) -> Result<(), Error> {
+    match trouble {
+        Trouble::Link(link, _) => fleet.at(link)?.set(Mode::default()),
+        Trouble::FrozenEntry(n) => fleet.entries[*n].process()?.resume()?,
+        Trouble::FrozenControl(n) => fleet.controls[*n].process()?.resume()?,
+        Trouble::FrozenWorker(n) => fleet.workers[*n].process()?.resume()?,
+        Trouble::KilledEntry(n) => fleet.entries[*n].start()?,
+        Trouble::KilledControl(n) => fleet.controls[*n].start()?,
+        Trouble::StoppedEntry(n) => {
+            // A restart overlaps the planned stop when that takes longer; the process is then gone at once.
+            fleet.entries[*n].start()?;
+        }
+        Trouble::Worker(n, _) => {
+            let none = Fault::default();
+            fleet.workers[*n].fault(&fleet.http, &none).await?;
+        }
+    }
+    Ok(())
+}
+
+/// Checks that no running entry goes back to an older version.
+async fn watch(fleet: &Fleet, seen: &mut BTreeMap<(String, u32), Version>, report: &mut Report) {
+    for entry in fleet.entries.iter().filter(|e| e.is_running()) {
+        let Ok(id) = entry.process().map(crate::fleet::process::Process::id) else {
+            continue;
+        };
+        // A frozen entry gives no answer.
+        let Some(version) = fleet.version_of(entry).await else {
+            continue;
+        };
+        let before = seen.entry((entry.name.clone(), id)).or_insert(version);
+        if version < *before {
+            let text = format!("{} went back from {before} to {version}", entry.name);
+            report.broken.push(text);
+        }
+        *before = version.max(*before);
+    }
+}
+
+/// Checks that the fleet is whole again and that what operators were told is in force.
+async fn recover(fleet: &Fleet, accepted: Version, report: &mut Report) {
+    if let Err(error) = fleet.in_force(accepted, RECOVERY).await {
+        report
+            .broken
+            .push(format!("accepted, but not in force: {error}"));
+    }
+    let served = until("requests are served again", RECOVERY, async || {
+        let mut plans = plans(fleet, 1, Duration::from_secs(1));
+        let mut plan = plans.swap_remove(0);
+        plan.name = "after".into();
+        let total = load::run(&plan).await.ok()?.total();
+        (total.good == total.due).then_some(())
+    });
+    if let Err(error) = served.await {
+        report.broken.push(format!("no recovery: {error}"));
+    }
+}
+
+/// Compares what callers were told with what workers have executed.
+async fn executions(fleet: &Fleet, denied: &[String], report: &mut Report) -> Result<(), Error> {
+    let counts = until("workers without work", RECOVERY, async || {
+        let counts = fleet.counts().await.ok()?;
+        (counts.executed == counts.finished + counts.cancelled).then_some(counts)
+    });
+    let counts = counts.await?;
+    for id in denied.iter().filter(|id| counts.requests.contains_key(*id)) {
+        report
+            .broken
+            .push(format!("told as not executed, but ran: {id}"));
+    }
+    let once = counts
+        .requests
+        .iter()
+        .filter(|(id, _)| id.starts_with(ONCE));
+    for (id, runs) in once.filter(|(_, runs)| **runs > 1) {
+        report.broken.push(format!("ran {runs} times: {id}"));
+    }
+    Ok(())
+}
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -2,4 +2,5 @@
 
 pub mod log;
 pub mod metrics;
+pub mod quota;
 pub mod settings;
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -9,5 +9,6 @@
 mod once;
 mod serve;
 mod shutdown;
+mod soak;
 mod support;
 mod truth;
--- a/tests/all/support.rs
+++ b/tests/all/support.rs
@@ -81,11 +81,14 @@
     ]
 }
 
+/// Waits for a place among the fleets that run at the same time.
+pub async fn place() -> SemaphorePermit<'static> {
+    let place = PLACES.acquire().await;
+    place.expect("the semaphore is never closed")
+}
+
 pub async fn start(layout: Layout) -> Running {
-    let place = PLACES
-        .acquire()
-        .await
-        .expect("the semaphore is never closed");
+    let place = place().await;
     let fleet = Fleet::prepare(&programs(), layout)
         .await
         .expect("settings written");
