Let operators publish routes, log each failed attempt, and try doubtful workers sooner

Cause: routes could be published through the adapter only. An hour after a complaint the logs named the last worker of a request but not the attempts before it, nor why a worker was avoided.

Conclusion: memory of 2 s; a doubtful worker costs an idempotent request one slot instead of two.

--- a/crates/bench/src/command.rs
+++ b/crates/bench/src/command.rs
@@ -335,8 +335,12 @@
         );
         if !broken.is_empty() {
             failed.push(seed);
-            faults.iter().for_each(|fault| println!("  {fault}"));
-            broken.iter().for_each(|text| println!("  BROKEN {text}"));
+            for fault in &faults {
+                println!("  {fault}");
+            }
+            for text in &broken {
+                println!("  BROKEN {text}");
+            }
         }
     }
     if failed.is_empty() {
--- a/crates/cli/src/arguments.rs
+++ b/crates/cli/src/arguments.rs
@@ -54,6 +54,7 @@
         )
         .subcommand(config())
         .subcommand(replica())
+        .subcommand(routes())
         .subcommand(demo())
         .subcommand(
             Command::new("status")
@@ -114,6 +115,25 @@
         )
 }
 
+fn routes() -> Command {
+    Command::new("routes")
+        .about("Shows and replaces the routes by host and path, and lists their workers")
+        .subcommand_required(true)
+        .subcommand(Command::new("show").about("Prints the route document in force"))
+        .subcommand(
+            Command::new("publish")
+                .about(
+                    "Replaces the routes by a document; its `base` is the version that it replaces",
+                )
+                .arg(file().required(true)),
+        )
+        .subcommand(
+            Command::new("workers")
+                .about("Lists the workers that are registered with the control group")
+                .arg(json()),
+        )
+}
+
 fn demo() -> Command {
     Command::new("demo")
         .about("Runs a control instance, an entry instance and an example worker in one process")
--- a/crates/cli/src/http.rs
+++ b/crates/cli/src/http.rs
@@ -139,6 +139,47 @@
         self.exchange(request, body).await
     }
 
+    /// Sends a change to the first instance that can be reached; it is not repeated elsewhere once it was sent.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error with its exit code.
+    pub async fn send(&self, path: &str, body: Bytes) -> Result<Value, Error> {
+        let token = self.token()?;
+        let mut problems = Vec::new();
+        for control in &self.controls {
+            let problem = match self.post(*control, path, &token, body.clone()).await {
+                Ok(answer) => return Ok(answer),
+                Err(problem) => problem,
+            };
+            let text = format!("{control}: {problem}");
+            match problem {
+                Problem::Unreachable(_) => problems.push(text),
+                Problem::Broken(_)
+                | Problem::Refused {
+                    kind: None | Some(Kind::ChangeUnconfirmed),
+                    ..
+                } => return Err(Error::Unconfirmed(text)),
+                Problem::Refused {
+                    kind: Some(Kind::BadRequest | Kind::InvalidChange | Kind::NotFound),
+                    ..
+                } => return Err(Error::Usage(text)),
+                Problem::Refused {
+                    kind: Some(Kind::VersionConflict),
+                    ..
+                } => {
+                    return Err(Error::Conflict {
+                        context: text,
+                        current: None,
+                        difference: None,
+                    });
+                }
+                Problem::Refused { .. } => return Err(Error::Failed(text)),
+            }
+        }
+        Err(Error::Failed(problems.join("; ")))
+    }
+
     async fn exchange(
         &self,
         request: http::request::Builder,
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod http;
 pub mod output;
 pub mod replica;
+pub mod routes;
 pub mod status;
 pub mod wait;
 
@@ -57,6 +58,12 @@
             Some(("recover", recover)) => replica::recover(&client, recover).await,
             _ => Err(Error::Usage("expected a subcommand of replica".to_owned())),
         },
+        Some(("routes", routes)) => match routes.subcommand() {
+            Some(("show", _)) => routes::show(&client).await,
+            Some(("publish", publish)) => routes::publish(&client, publish).await,
+            Some(("workers", workers)) => routes::workers(&client, workers).await,
+            _ => Err(Error::Usage("expected a subcommand of routes".to_owned())),
+        },
         Some(("demo", demo)) => demo::run(demo).await,
         Some(("burn", show)) => burn::show(&client, show).await,
         Some(("status", show)) => status::show(&client, show).await,
--- a/crates/cli/src/output.rs
+++ b/crates/cli/src/output.rs
@@ -2,6 +2,7 @@
 
 use std::io::Write;
 
+use bytes::Bytes;
 use chestnutvalve_model::config::Edit;
 use serde::Serialize;
 use serde_json::Value;
@@ -31,6 +32,17 @@
     serde_json::to_string_pretty(&value).map_err(failed)
 }
 
+/// Encodes the body of a change.
+///
+/// # Errors
+///
+/// Returns [`Error::Failed`] when the value can't be encoded.
+pub fn body<T: Serialize>(value: &T) -> Result<Bytes, Error> {
+    let body = serde_json::to_vec(value);
+    body.map(Bytes::from)
+        .map_err(|e| Error::Failed(e.to_string()))
+}
+
 /// Renders an edit in one line.
 #[must_use]
 pub fn edit(edit: &Edit) -> String {
--- a/crates/cli/src/replica.rs
+++ b/crates/cli/src/replica.rs
@@ -1,11 +1,9 @@
 //! Members of the control groups.
 
-use bytes::Bytes;
 use chestnutvalve_control::daemon::members::{Action, Group, Vote};
-use chestnutvalve_model::error::Kind;
 use clap::ArgMatches;
 
-use crate::http::{Client, Problem};
+use crate::http::Client;
 use crate::{Error, output};
 
 /// Lists the groups and their members.
@@ -104,7 +102,8 @@
     };
     let mut first = Ok(());
     for group in groups {
-        match send(client, &action(group.clone())).await {
+        let body = output::body(&action(group.clone()))?;
+        match client.send("/v1/replicas", body).await.map(drop) {
             Ok(()) => output::print(&format!("{group}: done\n"))?,
             Err(error) if first.is_ok() => first = Err(error.in_group(&group)),
             Err(error) => output::problem(&error.in_group(&group)),
@@ -116,32 +115,3 @@
 fn text_of(matches: &ArgMatches, name: &str) -> String {
     matches.get_one::<String>(name).cloned().unwrap_or_default()
 }
-
-/// Sends a change to the first instance that can be reached; it is not repeated elsewhere once it was sent.
-async fn send(client: &Client, action: &Action) -> Result<(), Error> {
-    let token = client.token()?;
-    let body = serde_json::to_vec(action).map_err(|e| Error::Failed(e.to_string()))?;
-    let body = Bytes::from(body);
-    let mut problems = Vec::new();
-    for control in &client.controls {
-        let answer = client.post(*control, "/v1/replicas", &token, body.clone());
-        let Err(problem) = answer.await else {
-            return Ok(());
-        };
-        let text = format!("{control}: {problem}");
-        match problem {
-            Problem::Unreachable(_) => problems.push(text),
-            Problem::Broken(_)
-            | Problem::Refused {
-                kind: None | Some(Kind::ChangeUnconfirmed),
-                ..
-            } => return Err(Error::Unconfirmed(text)),
-            Problem::Refused {
-                kind: Some(Kind::BadRequest | Kind::NotFound),
-                ..
-            } => return Err(Error::Usage(text)),
-            Problem::Refused { .. } => return Err(Error::Failed(text)),
-        }
-    }
-    Err(Error::Failed(problems.join("; ")))
-}
--- a/crates/cli/tests/cli.rs
+++ b/crates/cli/tests/cli.rs
@@ -3,13 +3,14 @@
 use chestnutvalve_burn::report::report;
 use chestnutvalve_burn::{Count, Export, Series};
 use chestnutvalve_cli::arguments::command;
-use chestnutvalve_cli::{burn, status, wait};
+use chestnutvalve_cli::{burn, routes, status, wait};
 use chestnutvalve_control::daemon::status::{Control, Entry, Overview, Replica};
 use chestnutvalve_control::replica::{Role, Status};
 use chestnutvalve_model::config::Document;
 use chestnutvalve_model::directory::Member;
 use chestnutvalve_model::id::{self, Incarnation, Service, Zone};
 use chestnutvalve_model::rank::Rank;
+use chestnutvalve_model::upstream::Announcement;
 use chestnutvalve_model::version::Version;
 use rstest::rstest;
 
@@ -136,3 +137,23 @@
 fn definition_is_consistent() {
     command().debug_assert();
 }
+
+/// Guards against a list that hides which run of a worker is registered, or that it is leaving.
+#[test]
+fn workers_are_listed_with_run_and_state() {
+    let worker = |name: &str, leaving| Announcement {
+        worker: id::Worker::new(name).unwrap(),
+        incarnation: Incarnation(1_784_905_232_000),
+        service: id::Service::new("kasa").unwrap(),
+        address: "127.0.0.1:8080".parse().unwrap(),
+        zone: Zone::new("keene").unwrap(),
+        slots: 2,
+        warm_up_ms: 0,
+        leaving,
+    };
+    let workers = [worker("w1", false), worker("w2", true)];
+    insta::assert_snapshot!(routes::text(&workers), @r"
+    kasa  w1  run 1784905232000  127.0.0.1:8080  keene  2 slots  ready
+    kasa  w2  run 1784905232000  127.0.0.1:8080  keene  2 slots  leaving
+    ");
+}
--- a/crates/control/src/daemon/operators.rs
+++ b/crates/control/src/daemon/operators.rs
@@ -7,6 +7,8 @@
 use chestnutvalve_kernel::service::Failure;
 use chestnutvalve_model::config::Change;
 use chestnutvalve_model::error::{Fault, Kind};
+use chestnutvalve_model::routes::Publication;
+use chestnutvalve_model::upstream::Event;
 use poem::endpoint::make;
 use poem::http::{StatusCode, header};
 use poem::{Endpoint, EndpointExt, IntoEndpoint, Request, Response, Route, get, post};
@@ -62,6 +64,14 @@
         .at("/v1/changes/:id", get(endpoint(instance, known)))
         .at("/v1/history", get(endpoint(instance, history)))
         .at("/v1/status", get(endpoint(instance, overview)))
+        .at(
+            "/v1/routes",
+            get(endpoint(instance, routes_in_force)).post(endpoint(instance, publish)),
+        )
+        .at(
+            "/v1/workers",
+            get(endpoint(instance, workers)).post(endpoint(instance, register)),
+        )
         .at(
             "/v1/replicas",
             get(endpoint(instance, groups)).post(endpoint(instance, act)),
@@ -157,6 +167,11 @@
 }
 
 async fn read<T: serde::de::DeserializeOwned>(request: Request) -> Result<T, Fault> {
+    let body = bytes(request).await?;
+    parse(&body).map_err(|e| Fault::new(Kind::BadRequest, e))
+}
+
+async fn bytes(request: Request) -> Result<Vec<u8>, Fault> {
     let body = request.into_body().into_bytes_limit(MAX_BODY_BYTES);
     let late = |_| Fault::new(Kind::BadRequest, "the body was not sent in time");
     let body = timeout(BODY_TIMEOUT, body).await.map_err(late)?;
@@ -166,7 +181,7 @@
         }
         e => Fault::new(Kind::BadRequest, e.to_string()),
     })?;
-    parse(&body).map_err(|e| Fault::new(Kind::BadRequest, e))
+    Ok(body.to_vec())
 }
 
 /// Parses JSON; the library limits its depth.
@@ -212,6 +227,43 @@
     limit.ok_or_else(|| Fault::new(Kind::BadRequest, context()))
 }
 
+/// Returns the operator's route document, confirmed to be the newest.
+async fn routes_in_force(instance: Arc<Instance>, _request: Request) -> Answer {
+    let document = instance.published().await?;
+    parse(&document).map_err(|e| Fault::new(Kind::Internal, e).into())
+}
+
+/// Replaces the route table; the body is returned to readers as it is.
+async fn publish(instance: Arc<Instance>, request: Request) -> Answer {
+    authorize(&instance, &request)?;
+    let body = bytes(request).await?;
+    let publication = parse::<Publication>(&body);
+    let mut publication = publication.map_err(|e| Fault::new(Kind::BadRequest, e))?;
+    publication.source = body;
+    let (label, base) = (publication.label, publication.base);
+    let outcome = instance.publish(publication).await;
+    match &outcome {
+        Ok(current) => {
+            spdlog::info!("routes accepted", kv: {label, base, current = *current});
+        }
+        Err(fault) => spdlog::info!("routes refused", kv: {label, base, cause: = fault}),
+    }
+    Ok(json!({ "label": outcome? }))
+}
+
+async fn workers(instance: Arc<Instance>, _request: Request) -> Answer {
+    let roster = Arc::clone(&instance.store().state().roster);
+    value(&roster.workers.values().collect::<Vec<_>>())
+}
+
+/// Takes an event of a worker; the answer comes when it is committed.
+async fn register(instance: Arc<Instance>, request: Request) -> Answer {
+    authorize(&instance, &request)?;
+    let event: Event = read(request).await?;
+    instance.register(event).await?;
+    Ok(json!({}))
+}
+
 async fn overview(instance: Arc<Instance>, _request: Request) -> Answer {
     value(&status::overview(&instance).await)
 }
--- a/crates/entry/src/gateway/lane.rs
+++ b/crates/entry/src/gateway/lane.rs
@@ -128,13 +128,31 @@
         let mut inner = self.lock();
         let member = inner.members.get(&sighting.worker);
         if member.is_some_and(|m| m.spec.incarnation == sighting.incarnation) {
-            let evidence = sighting.evidence();
-            inner
-                .schedule
-                .observe(clock::now(), &sighting.worker, evidence);
+            let (worker, evidence) = (&sighting.worker, sighting.evidence());
+            self.watched(&mut inner, worker, "other entry", |schedule, now| {
+                schedule.observe(now, worker, evidence);
+            });
         }
     }
 
+    /// Changes what is known of a worker, and logs whether it is avoided from now on.
+    fn watched<T>(
+        &self,
+        inner: &mut Inner,
+        worker: &Worker,
+        source: &str,
+        change: impl FnOnce(&mut Schedule, Instant) -> T,
+    ) -> T {
+        let now = clock::now();
+        let before = inner.schedule.is_avoided(now, worker);
+        let changed = change(&mut inner.schedule, now);
+        if !before && inner.schedule.is_avoided(now, worker) {
+            let (service, doubt) = (&self.service, inner.schedule.doubt(now, worker));
+            spdlog::info!("worker avoided", kv: {service:, worker:, source, doubt});
+        }
+        changed
+    }
+
     /// Passes on what an attempt has shown, if other entries should know. A full channel loses it: the others then find
     /// out for themselves.
     fn share(&self, inner: &Inner, now: Instant, worker: &Worker, outcome: Outcome) {
@@ -288,9 +306,12 @@
         let mut inner = self.lane.lock();
         let now = clock::now();
         self.lane.share(&inner, now, &self.worker, self.outcome);
-        let actions = inner
-            .schedule
-            .finish(now, &self.worker, self.started, self.outcome);
+        let (worker, started, outcome) = (&self.worker, self.started, self.outcome);
+        let actions = self
+            .lane
+            .watched(&mut inner, worker, "attempt", |schedule, now| {
+                schedule.finish(now, worker, started, outcome)
+            });
         inner.act(now, actions);
     }
 }
--- a/crates/entry/src/gateway/places.rs
+++ b/crates/entry/src/gateway/places.rs
@@ -15,9 +15,10 @@
 /// Bandwidth below which an entry can't carry the downloads of several callers, in megabits a second: a large download of
 /// half a megabyte takes a tenth of a second of such a link.
 const NARROW_MBPS: u32 = 40;
-/// Entries of an availability zone that are named for a host without downloads where links are narrow. Responses of 5 kB
-/// at 120 requests a second and zone take 5 megabits a second.
-const NARROW_OWNERS: usize = 4;
+/// One entry of an availability zone in so many is named for a host without downloads where links are narrow. Orders of
+/// 6 kB at 210 a second and zone fill three links of 3.2 megabits a second; with a third of 45 entries a link is a quarter
+/// full, and bursts of three times fit.
+const NARROW_PART: usize = 3;
 /// Least entries of the caller's availability zone that must be left before only those are named.
 const LEAST: usize = 2;
 
@@ -65,7 +66,7 @@
     if routes.any(|r| r.kind == Kind::Download) {
         candidates.members.len()
     } else {
-        NARROW_OWNERS
+        candidates.members.len().div_ceil(NARROW_PART).max(OWNERS)
     }
 }
 
--- a/crates/entry/src/gateway/proxy.rs
+++ b/crates/entry/src/gateway/proxy.rs
@@ -39,7 +39,15 @@
     let outcome = exchange.run().await;
     let (attempts, waited) = (exchange.sent, exchange.waited);
     let (id, service, route) = (&inbound.id, &inbound.service, &inbound.route.name);
-    let took = arrived.elapsed().as_millis();
+    let elapsed = arrived.elapsed();
+    let took = elapsed.as_millis();
+    let meters = &gateway.instance.meters;
+    let outcome_name = match &outcome {
+        Ok(received) if received.parts.status.is_server_error() => "failed",
+        Ok(_) => "answered",
+        Err(refusal) => refusal.fault.kind.answer().code,
+    };
+    meters.routed(service, inbound.route.rank, outcome_name, elapsed, waited);
     match outcome {
         Ok(received) => {
             let (status, worker) = (received.parts.status.as_u16(), &received.seat.worker);
@@ -53,7 +61,7 @@
             spdlog::info!(
                 "not answered", kv: {id:, route:, service:, code, cause:, attempts, waited_ms = waited.as_millis(), took_ms = took, label = inbound.label}
             );
-            gateway.instance.meters.refusal(refusal.fault.kind);
+            meters.refusal(refusal.fault.kind);
             respond(gateway, &refusal)
         }
     }
@@ -109,6 +117,9 @@
                         return Ok(received);
                     }
                     self.executed = Executed::Unknown;
+                    let (id, worker) = (&self.inbound.id, &received.seat.worker);
+                    let status = received.parts.status.as_u16();
+                    spdlog::info!("attempt answered with an error", kv: {id:, worker:, status});
                     match self.next() {
                         Some(next) => {
                             seat = next;
@@ -125,6 +136,10 @@
 
     /// Returns the place of the next attempt after a failed one.
     async fn after(&mut self, failed: Failed) -> Result<Seat, Refusal> {
+        let (id, attempt) = (&self.inbound.id, self.tried.len());
+        let (worker, left_ms) = (self.tried.last(), self.inbound.left().as_millis());
+        let worker = worker.map_or("none", Worker::as_str);
+        spdlog::info!("attempt failed", kv: {id:, attempt, worker, failed:?, left_ms});
         match failed {
             Failed::Unreached(cause) => {
                 self.sent = self.sent.saturating_sub(1);
--- a/crates/entry/src/meters.rs
+++ b/crates/entry/src/meters.rs
@@ -17,6 +17,11 @@
     0.1, 0.2, 0.5, 1.0, 2.0, 3.0, 5.0, 10.0, 25.0, 100.0, 500.0, 2_000.0,
 ];
 
+/// Bounds of the histogram of whole requests, in milliseconds; targets lie between 200 and 3,000.
+const REQUEST_BOUNDS_MS: [f64; 11] = [
+    5.0, 20.0, 50.0, 100.0, 200.0, 400.0, 800.0, 1_500.0, 3_000.0, 5_000.0, 10_000.0,
+];
+
 /// Counters and histograms.
 #[derive(Debug)]
 pub struct Meters {
@@ -26,6 +31,7 @@
     refusals: Counter<u64>,
     added: Histogram<f64>,
     queued: Histogram<f64>,
+    routed: Histogram<f64>,
 }
 
 impl Meters {
@@ -54,6 +60,13 @@
                 "Time to the response without queueing and attempts, in ms",
             ),
             queued: histogram("queue_wait_ms", "Time in the admission queue, in ms"),
+            routed: {
+                let builder = meter.f64_histogram("gateway_request_ms");
+                builder
+                    .with_description("Time to the response of a routed request, in ms")
+                    .with_boundaries(REQUEST_BOUNDS_MS.to_vec())
+                    .build()
+            },
             metrics,
         })
     }
@@ -70,6 +83,24 @@
         self.requests.add(1, &labels);
     }
 
+    /// Records a request that was routed by host and path, and its time in the queue.
+    pub fn routed(
+        &self,
+        service: &Service,
+        rank: Rank,
+        outcome: &'static str,
+        took: Duration,
+        waited: Duration,
+    ) {
+        self.request(Some(service), rank, outcome);
+        let labels = [
+            KeyValue::new("service", service.as_str().to_owned()),
+            KeyValue::new("outcome", outcome),
+        ];
+        self.routed.record(took.as_secs_f64() * 1e3, &labels);
+        self.queued.record(waited.as_secs_f64() * 1e3, &[]);
+    }
+
     /// Counts an attempt.
     pub fn attempt(&self, verdict: Verdict) {
         let result = match verdict {
--- a/crates/model/src/routes.rs
+++ b/crates/model/src/routes.rs
@@ -126,6 +126,7 @@
     /// What callers may send.
     pub limits: Limits,
     /// The operator's document, returned unchanged to readers.
+    #[serde(default)]
     pub source: Vec<u8>,
 }
 
--- a/crates/routing/src/schedule.rs
+++ b/crates/routing/src/schedule.rs
@@ -236,6 +236,19 @@
         upstream.is_some_and(|u| u.is_doubtful(now))
     }
 
+    /// Returns whether a worker is avoided, because it failed lately or can't be reached.
+    #[must_use]
+    pub fn is_avoided(&self, now: Instant, worker: &Worker) -> bool {
+        let upstream = self.upstreams.get(worker);
+        upstream.is_some_and(|u| u.is_avoided(now))
+    }
+
+    /// Returns the probability that a worker is bad, 0 for an unknown one.
+    #[must_use]
+    pub fn doubt(&self, now: Instant, worker: &Worker) -> f64 {
+        self.upstreams.get(worker).map_or(0.0, |u| u.doubt(now))
+    }
+
     /// Records the load that a worker reports: requests that run and wait there, from all entries.
     pub fn report(&mut self, now: Instant, worker: &Worker, load: u32) {
         if let Some(upstream) = self.upstreams.get_mut(worker) {
--- a/crates/routing/src/schedule/trust.rs
+++ b/crates/routing/src/schedule/trust.rs
@@ -8,8 +8,9 @@
 
 /// Probability that a worker is bad when nothing was seen of it lately: about as many workers as fail at any time.
 const PRIOR: f64 = 0.1;
-/// Time in which what was seen loses most of its worth. Faults last some seconds.
-const MEMORY: Duration = Duration::from_secs(3);
+/// Time in which what was seen loses most of its worth. Faults last some seconds, and a worker must be tried again 2 s
+/// after its last failure.
+const MEMORY: Duration = Duration::from_secs(2);
 /// Bounds of the probability, so that no number of equal results outweighs a later different one.
 const BOUNDS: (f64, f64) = (0.003, 0.99);
 /// Probability from which a worker gets requests only when all others are as bad. A single failure leads above it for
--- a/crates/routing/src/schedule/upstream.rs
+++ b/crates/routing/src/schedule/upstream.rs
@@ -15,7 +15,7 @@
 const COLD: f64 = 2.0;
 /// Extra load, in slots, of a worker that is certainly bad. A failed request that must not run twice is lost, the others
 /// cost a further attempt.
-const BAD_COST: f64 = 2.0;
+const BAD_COST: f64 = 1.0;
 const BAD_COST_ONCE: f64 = 4.0;
 /// Time for which a worker is avoided after a connection to it failed; it doubles with each further one, at most so
 /// often. Paths are cut for some seconds.
@@ -131,6 +131,10 @@
         cut || self.trust.is_avoided(now)
     }
 
+    pub(super) fn doubt(&self, now: Instant) -> f64 {
+        self.trust.bad(now)
+    }
+
     pub(super) fn is_doubtful(&self, now: Instant) -> bool {
         self.trust.is_doubtful(now)
     }
--- a/tests/all/control.rs
+++ b/tests/all/control.rs
@@ -38,6 +38,7 @@
         std::fs::write(path("c1.json"), settings.to_string()).expect("settings file");
         let process = Command::new(env!("CARGO_BIN_EXE_chestnutvalve-control"))
             .args(["--settings".as_ref(), path("c1.json").as_os_str()])
+            .stdout(Stdio::null())
             .stderr(Stdio::null())
             .spawn()
             .expect("start the control daemon");
@@ -271,3 +272,46 @@
         );
     }
 }
+
+/// Guards against a published document that is not in force, is read back changed, or replaces one that its author has not
+/// seen.
+#[test]
+fn routes_are_published_and_read_back() {
+    let control = Control::start();
+    let publish = |label: u32, base: u32, service: &str| {
+        let document = serde_json::json!({
+            "label": label, "base": base,
+            "routes": [{
+                "name": "r1", "host": "a.example", "prefix": "/", "kind": "Once",
+                "timeout_ms": 2_000, "target_ms": 800, "rank": "middle", "attempts": 1,
+                "split": [{ "service": service, "weight": 1.0 }],
+            }],
+            "services": { "desk": { "health": "/healthz", "max_connections": 400 } },
+            "limits": {
+                "head_bytes": 16_384, "body_bytes": 65_536, "head_ms": 3_000, "idle_ms": 15_000,
+            },
+        });
+        let path = control
+            .directory
+            .path()
+            .join(format!("routes-{label}.json"));
+        std::fs::write(&path, document.to_string()).unwrap();
+        let output = control.run(&["routes", "publish", path.to_str().unwrap()]);
+        println!("{}", String::from_utf8_lossy(&output.stderr));
+        (output.status.code(), document)
+    };
+    let shown = || {
+        let output = control.run(&["routes", "show"]);
+        serde_json::from_slice::<serde_json::Value>(&output.stdout).ok()
+    };
+    assert_eq!(shown(), None);
+    let (code, first) = publish(3, 0, "desk");
+    assert_eq!((code, shown()), (Some(0), Some(first.clone())));
+    assert_eq!(publish(4, 0, "desk").0, Some(3));
+    assert_eq!(publish(4, 3, "unknown").0, Some(2));
+    assert_eq!(publish(2, 3, "desk").0, Some(2));
+    assert_eq!(shown(), Some(first.clone()));
+    // A resend is acknowledged again.
+    assert_eq!(publish(3, 0, "desk").0, Some(0));
+    assert_eq!(shown(), Some(first));
+}
