Give back the places of requests that waited, and tell all entries of a service of failures

Each request that had waited then held a slot for good: after a burst a service answered less and less. Sightings reached the first 24 addresses only, which after growth are all in one zone.

--- a/crates/entry/src/gateway/evidence.rs
+++ b/crates/entry/src/gateway/evidence.rs
@@ -13,8 +13,10 @@
 use chestnutvalve_model::id::{Incarnation, Service, Worker};
 use chestnutvalve_routing::schedule::Evidence;
 use chestnutvalve_wire::{Error, Router};
+use rand::seq::IteratorRandom;
 use serde::{Deserialize, Serialize};
 use tokio::sync::mpsc;
+use tokio::time::sleep;
 
 use super::{Gateway, places};
 use crate::instance::Instance;
@@ -22,9 +24,11 @@
 /// Sightings that wait to be passed on, several seconds' worth at the worst rate of failures.
 pub const MAX_WAITING: usize = 1_024;
 /// Most entries that hear of one sighting. Beyond it the messages cost more than the failures that they spare.
-pub const MAX_LISTENERS: usize = 24;
+const MAX_LISTENERS: usize = 64;
 /// Time for another entry to take a sighting; later it is of little worth.
 const PUSH_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time for which sightings are gathered; a bad worker fails a few requests in it at most.
+const GATHER: Duration = Duration::from_millis(5);
 /// Sightings in one message.
 const MAX_BATCH: usize = 64;
 
@@ -62,16 +66,26 @@
     };
     let hosts: BTreeSet<&str> = routes.filter(leads).map(|r| r.host.as_str()).collect();
     let named = hosts.iter().flat_map(|host| places::owners(state, host));
-    named.map(|m| m.peers).take(MAX_LISTENERS).collect()
+    named.map(|m| m.peers).collect()
 }
 
 /// Passes sightings on until dropped.
 pub async fn share(gateway: Arc<Gateway>, mut sightings: mpsc::Receiver<Sighting>) {
     let mut batch = Vec::new();
     while sightings.recv_many(&mut batch, MAX_BATCH).await > 0 {
+        // Failures come in groups; one message then carries several.
+        sleep(GATHER).await;
+        while batch.len() < MAX_BATCH
+            && let Ok(more) = sightings.try_recv()
+        {
+            batch.push(more);
+        }
         let mut messages: HashMap<SocketAddr, Vec<Sighting>> = HashMap::new();
         for sighting in batch.drain(..) {
-            for listener in gateway.listeners(&sighting.service).iter() {
+            let listeners = gateway.listeners(&sighting.service);
+            // Of too many, others hear of each sighting, so that none is left out for good.
+            let some = listeners.iter().sample(&mut rand::rng(), MAX_LISTENERS);
+            for listener in some {
                 messages
                     .entry(*listener)
                     .or_default()
--- a/crates/entry/src/gateway/lane.rs
+++ b/crates/entry/src/gateway/lane.rs
@@ -129,7 +129,8 @@
         let member = inner.members.get(&sighting.worker);
         if member.is_some_and(|m| m.spec.incarnation == sighting.incarnation) {
             let (worker, evidence) = (&sighting.worker, sighting.evidence());
-            self.watched(&mut inner, worker, "other entry", |schedule, now| {
+            let now = clock::now();
+            self.watched(&mut inner, now, worker, "other entry", |schedule| {
                 schedule.observe(now, worker, evidence);
             });
         }
@@ -139,13 +140,13 @@
     fn watched<T>(
         &self,
         inner: &mut Inner,
+        now: Instant,
         worker: &Worker,
         source: &str,
-        change: impl FnOnce(&mut Schedule, Instant) -> T,
+        change: impl FnOnce(&mut Schedule) -> T,
     ) -> T {
-        let now = clock::now();
         let before = inner.schedule.is_avoided(now, worker);
-        let changed = change(&mut inner.schedule, now);
+        let changed = change(&mut inner.schedule);
         if !before && inner.schedule.is_avoided(now, worker) {
             let (service, doubt) = (&self.service, inner.schedule.doubt(now, worker));
             spdlog::info!("worker avoided", kv: {service:, worker:, source, doubt});
@@ -307,9 +308,10 @@
         let now = clock::now();
         self.lane.share(&inner, now, &self.worker, self.outcome);
         let (worker, started, outcome) = (&self.worker, self.started, self.outcome);
+        // The instant of the dispatch identifies a place, so that both steps must use the same.
         let actions = self
             .lane
-            .watched(&mut inner, worker, "attempt", |schedule, now| {
+            .watched(&mut inner, now, worker, "attempt", |schedule| {
                 schedule.finish(now, worker, started, outcome)
             });
         inner.act(now, actions);
--- a/crates/entry/tests/all/gateway.rs
+++ b/crates/entry/tests/all/gateway.rs
@@ -425,3 +425,28 @@
         "the second entry asked the failing worker"
     );
 }
+
+/// Guards against places of waiting requests that are never given back: a service then answers less and less.
+#[tokio::test]
+async fn places_of_waiting_requests_are_given_back() {
+    let worker = Worker::start("w1", |seen| {
+        let mut steps = vec![Step::Wait(Duration::from_millis(5))];
+        steps.extend(good(seen));
+        steps
+    })
+    .await;
+    let (_control, entry) = fleet(&[&worker]).await;
+    for round in 0..10 {
+        // Four of six wait for one of the two slots.
+        let requests = (0..6).map(|n| {
+            let (address, id) = (entry.gateway, format!("id-{round}-{n}"));
+            tokio::spawn(async move {
+                let headers = [("host", "a.example"), ("chestnutvalve-attempt", &id[..])];
+                exchange(address, "/once/x", &headers).await.unwrap().status
+            })
+        });
+        for request in requests.collect::<Vec<_>>() {
+            assert_eq!(request.await.unwrap(), 200, "round {round}");
+        }
+    }
+}
