Let requests wait for the first routes of an entry that has just started

Ruled out: a slower control group: its leader was there 0.4 s after the last start and entries had the state 0.2 to 0.7 s later.

Figures: the new test is refused without the wait.

Conclusion: requests wait up to 0.8 s; refusals before routing are logged with their id.

--- a/crates/entry/src/gateway/proxy.rs
+++ b/crates/entry/src/gateway/proxy.rs
@@ -8,7 +8,7 @@
 use chestnutvalve_routing::schedule::{self, Reason};
 use http::{Request, Response};
 use hyper::body::Incoming;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout_at};
 
 use super::Gateway;
 use super::attempt::{Failed, Received, attempt};
@@ -19,6 +19,9 @@
 
 /// Attempts that reached no worker which are made beside the attempts of the route.
 const MAX_UNSENT: usize = 3;
+/// Time for which a request waits for the first route table. After a restart of all processes it comes 0.6 to 1 s after the
+/// start; shorter than most deadlines, so that the caller can still go elsewhere.
+const FIRST_ROUTES: Duration = Duration::from_millis(800);
 /// Time before the deadline at which the caller gets the answer that there is none, for the way back.
 const ANSWER_MARGIN: Duration = Duration::from_millis(10);
 
@@ -28,10 +31,17 @@
     request: Request<Incoming>,
     arrived: Instant,
 ) -> Response<Body> {
+    let id = request.headers().get(&gateway.settings.dialect.request_id);
+    let id = id.and_then(|id| id.to_str().ok()).unwrap_or_default();
+    let id = id.to_owned();
+    first_routes(gateway, arrived).await;
     let inbound = match Inbound::read(gateway, request, arrived) {
         Ok(inbound) => inbound,
         Err(refusal) => {
-            spdlog::debug!("refused: {}", refusal.fault);
+            let (code, cause) = (refusal.fault.kind.answer().code, &refusal.fault.context);
+            let waited_ms = arrived.elapsed().as_millis();
+            spdlog::info!("not routed", kv: {id:, code, cause:, waited_ms});
+            gateway.instance.meters.refusal(refusal.fault.kind);
             return respond(gateway, &refusal);
         }
     };
@@ -67,6 +77,14 @@
     }
 }
 
+/// Waits for the first route table of an entry that has just started; others have one.
+async fn first_routes(gateway: &Gateway, arrived: Instant) {
+    let mut states = gateway.instance.follow.subscribe();
+    let known = states.wait_for(|state| state.routes.label > 0);
+    // Without a table after this time the request is refused.
+    let _ = timeout_at(arrived + FIRST_ROUTES, known).await;
+}
+
 /// Returns the response of a refusal.
 fn respond(gateway: &Gateway, refusal: &Refusal) -> Response<Body> {
     let dialect = &gateway.settings.dialect;
--- a/crates/entry/tests/all/gateway.rs
+++ b/crates/entry/tests/all/gateway.rs
@@ -165,6 +165,22 @@
     assert_eq!(seen.headers["chestnutvalve-expected-worker"], "w1");
 }
 
+/// Guards against requests that are refused by an entry which gets its routes a moment later.
+#[tokio::test]
+async fn an_entry_that_has_just_started_waits_for_its_routes() {
+    let worker = Worker::start("w1", good).await;
+    let control = Control::start().await;
+    let entry = Entry::start("e1", control.address).await;
+    let asked = ask(&entry, "/x");
+    let published = async {
+        sleep(Duration::from_millis(150)).await;
+        control.register(&announced(&worker, 1, false));
+        control.publish(table(1, vec![route("/", Kind::Idempotent)]));
+    };
+    let (reply, ()) = tokio::join!(asked, published);
+    assert_eq!((reply.status, &reply.body[..]), (200, &b"ok"[..]));
+}
+
 /// Guards against a worker's failure that is repeated although the request must not run twice, and against one that is not
 /// repeated although it may.
 #[rstest]
