Let a standby take the place of a voter that is gone for good

Cause: a control machine that was replaced at another address left its vote behind.

Ruled out: removing silent voters without a successor, which shrinks the group at each freeze; removing by hand, because the platform has no operator for it.

Conclusion: beyond the wanted voters (5, on the platform twice the tolerated losses and one) further instances stand by; after 4 s of silence the voter is removed and the standby votes. A removed instance that returns empties its data directory and joins anew.

--- a/crates/cli/src/demo.rs
+++ b/crates/cli/src/demo.rs
@@ -108,6 +108,7 @@
         token_file: Some(token.to_owned()),
         members: vec![voter],
         voter: true,
+        voters: 1,
         ledger_groups: 1,
         log: Threshold::Warn,
     })
--- a/crates/cli/src/replica.rs
+++ b/crates/cli/src/replica.rs
@@ -30,6 +30,7 @@
                 Vote::Voter => "voter",
                 Vote::Joining => "joining",
                 Vote::Learner => "learner",
+                Vote::Standby => "standby",
             };
             lines.push(format!(
                 "  {}  {}  {}  {vote}\n",
--- a/crates/consensus/src/membership.rs
+++ b/crates/consensus/src/membership.rs
@@ -24,6 +24,8 @@
     Joining,
     /// Follows without voting.
     Learner,
+    /// Follows without voting, and takes the place of a voter that is gone.
+    Standby,
 }
 
 /// A member of a group.
--- a/crates/consensus/src/replica/change.rs
+++ b/crates/consensus/src/replica/change.rs
@@ -1,7 +1,7 @@
 //! Membership change, planned hand-over and forced recovery.
 
 use std::net::SocketAddr;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use super::{Error, RECOVERY_TERM_STEP, Replica, Role};
 use crate::entry::{Payload, Position};
@@ -95,14 +95,37 @@
                 }
             });
         let change = replaced.map(|old| Change::Remove(old.id)).or(change);
+        let change = change.or_else(|| self.succession(now));
         if let Some(change) = change {
             // A refused change is tried again at the next heartbeat.
             let _ = self.change(change);
         }
     }
 
+    /// Returns the next step with which a standby replica takes the place of a voter that is gone: first the voter is
+    /// removed, then the other one votes, so that the group is smaller meanwhile and needs no more answers than before.
+    fn succession(&self, now: Instant) -> Option<Change> {
+        let members = self.log.membership().1;
+        let limit = self.settings.succeed_after;
+        let standby = members.members.iter().find(|m| {
+            let ready = m.kind == Kind::Standby && self.is_caught_up(m.id);
+            ready && !self.is_silent_for(now, m.id, limit)
+        })?;
+        if members.voters().count() < self.settings.voters {
+            return Some(Change::Promote(standby.id));
+        }
+        let gone = members
+            .voters()
+            .filter(|id| self.is_silent_for(now, *id, limit));
+        let longest = gone.min_by_key(|id| self.leading.progress.get(id).and_then(|p| p.heard));
+        longest.map(Change::Remove)
+    }
+
     fn is_silent(&self, now: Instant, id: ReplicaId) -> bool {
-        let limit = self.settings.replace_after;
+        self.is_silent_for(now, id, self.settings.replace_after)
+    }
+
+    fn is_silent_for(&self, now: Instant, id: ReplicaId, limit: Duration) -> bool {
         let heard = self.leading.progress.get(&id).and_then(|p| p.heard);
         let heard = heard.map(|stamp| self.epoch + std::time::Duration::from_micros(stamp));
         id != self.id && now >= heard.unwrap_or(self.leading.since) + limit
--- a/crates/consensus/src/settings.rs
+++ b/crates/consensus/src/settings.rs
@@ -17,6 +17,11 @@
     pub message_bytes: usize,
     /// Entries that a leader sends ahead of a follower's acknowledgement.
     pub window: u64,
+    /// Voters that the group should have. Further replicas stand by.
+    pub voters: usize,
+    /// Time after which a standby replica takes the place of a silent voter of another name. A voter that is back sooner keeps
+    /// its place.
+    pub succeed_after: Duration,
     /// Time after which a joining replica may take the place of a silent voter of the same name.
     pub replace_after: Duration,
 }
@@ -30,6 +35,8 @@
             lease_margin: Duration::from_millis(50),
             message_bytes: 1024 * 1024,
             window: 4_096,
+            voters: 5,
+            succeed_after: Duration::from_secs(4),
             replace_after: Duration::from_secs(5),
         }
     }
--- a/crates/consensus/tests/all/members.rs
+++ b/crates/consensus/tests/all/members.rs
@@ -200,3 +200,50 @@
         assert!(matches!(fault, Some(Error::Removed(_))), "{fault:?}");
     }
 }
+
+/// Guards against a group that loses its quorum because members that were replaced one after the other still count.
+#[rstest]
+fn a_standby_takes_the_place_of_a_voter_that_is_gone(#[values(1, 2, 3)] seed: u64) {
+    let settings = Settings {
+        voters: 3,
+        ..Settings::default()
+    };
+    let mut sim = Sim::with(3, seed, settings);
+    propose(&mut sim, 5);
+    for id in [4, 5] {
+        let leader = sim.elect();
+        sim.add(id);
+        let add = Change::Add(member(id, Kind::Standby));
+        sim.replica_mut(leader).change(add).unwrap();
+        sim.run(Duration::from_secs(1));
+        let leader = sim.elect();
+        let lost = (0..3)
+            .find(|n| *n != leader && sim.nodes[*n].replica.is_some())
+            .unwrap();
+        let old = sim.nodes[lost].id;
+        sim.crash(lost);
+        // A voter that may be back soon keeps its place.
+        sim.run(Duration::from_secs(2));
+        assert!(sim.replica(leader).membership().0.is_voter(old));
+        sim.run(Duration::from_secs(4));
+        let leader = sim.elect();
+        let members = sim.replica(leader).membership().0;
+        assert!(members.is_voter(ReplicaId(id)), "{members:?}");
+        assert_eq!((members.get(old), members.voters().count()), (None, 3));
+    }
+    let leader = sim.elect();
+    sim.crash(leader);
+    propose(&mut sim, 3);
+}
+
+/// Guards against voters that are removed although nobody can take their place.
+#[test]
+fn without_a_standby_a_silent_voter_keeps_its_place() {
+    let mut sim = Sim::new(3, 1);
+    propose(&mut sim, 2);
+    let leader = sim.elect();
+    sim.crash(usize::from(leader == 0));
+    sim.run(Duration::from_secs(30));
+    let leader = sim.elect();
+    assert_eq!(sim.replica(leader).membership().0.voters().count(), 3);
+}
--- a/crates/control/src/daemon/members.rs
+++ b/crates/control/src/daemon/members.rs
@@ -23,6 +23,8 @@
     Joining,
     /// Follows without voting.
     Learner,
+    /// Follows, and takes the place of a voter that is gone.
+    Standby,
 }
 
 /// One member of a group.
@@ -96,6 +98,7 @@
                     Part::Voter => Vote::Voter,
                     Part::Joining => Vote::Joining,
                     Part::Learner => Vote::Learner,
+                    Part::Standby => Vote::Standby,
                 },
             });
             Some(Group {
--- a/crates/control/src/daemon/replicas.rs
+++ b/crates/control/src/daemon/replicas.rs
@@ -75,6 +75,10 @@
     Options::new(group, settings.control.as_str(), address)
         .with_members(members.collect())
         .with_voter(settings.voter)
+        .with_settings(chestnutvalve_consensus::Settings {
+            voters: settings.voters,
+            ..chestnutvalve_consensus::Settings::default()
+        })
 }
 
 /// Waits until a replica has stopped by itself, and returns why.
--- a/crates/control/src/replica/driver.rs
+++ b/crates/control/src/replica/driver.rs
@@ -62,8 +62,8 @@
     /// Dropped to end the search for a group.
     seeking: Option<oneshot::Receiver<()>>,
     stop: Option<Instant>,
-    /// Releases the data directory when the driver ends.
-    _directory: Arc<Directory>,
+    /// The data directory, released when the driver ends.
+    directory: Arc<Directory>,
 }
 
 pub(super) fn spawn(
@@ -153,7 +153,7 @@
         members: Arc::default(),
         seeking,
         stop: None,
-        _directory: directory,
+        directory,
     };
     network.register(&handle.group, inputs.clone(), handle.view.clone());
     let (network, group) = (network.clone(), handle.group.clone());
@@ -238,6 +238,11 @@
             self.links.send(to, message);
         }
         if let Some(fault) = self.replica.fault() {
+            if matches!(fault, consensus::Error::Removed(_)) {
+                // The identity never votes again; the next start joins with a new one.
+                let retired = self.directory.retire();
+                retired.map_err(|e| Fault::new(Kind::Internal, e.to_string()))?;
+            }
             return Err(Fault::new(Kind::Internal, fault.to_string()));
         }
         self.start_write(now);
--- a/crates/control/src/replica/driver/input.rs
+++ b/crates/control/src/replica/driver/input.rs
@@ -14,8 +14,6 @@
 
 /// Longest time for a hand-over at a planned stop.
 const HAND_OVER_TIMEOUT: Duration = Duration::from_secs(1);
-/// Most voters of a group; further joining replicas stay learners.
-const MAX_VOTERS: usize = 5;
 
 impl Driver {
     pub(super) fn input(&mut self, input: Input) {
@@ -109,14 +107,22 @@
         let leader = self.replica.leader().filter(|id| *id != self.replica.id());
         let leader = leader.and_then(|id| members.get(id)).map(|m| m.address);
         let replaces = members.members.iter().any(|m| m.name == hello.name);
-        let voting = members.members.iter().filter(|m| m.kind != Kind::Learner);
-        let voter = hello.voter && (replaces || voting.count() < MAX_VOTERS);
+        let voting = members
+            .members
+            .iter()
+            .filter(|m| matches!(m.kind, Kind::Voter | Kind::Joining));
+        let full = voting.count() >= self.options.settings.voters;
+        let kind = match (hello.voter, replaces || !full) {
+            (false, _) => Kind::Learner,
+            (true, true) => Kind::Joining,
+            (true, false) => Kind::Standby,
+        };
         if formed && members.get(hello.id).is_none() {
             let member = Member {
                 id: hello.id,
                 name: hello.name.clone(),
                 address: hello.address,
-                kind: if voter { Kind::Joining } else { Kind::Learner },
+                kind,
             };
             // A refused change is repeated with the next question.
             let _ = self.replica.change(Change::Add(member));
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -45,6 +45,9 @@
     /// Whether the instance votes when it joins; `false` makes it a relay that only serves entries.
     #[serde(default = "yes")]
     pub voter: bool,
+    /// Voters that each group should have; further instances stand by to take the place of one that is gone.
+    #[serde(default = "five")]
+    pub voters: usize,
     /// Number of ledger groups; 0 where no caller sends idempotency keys.
     #[serde(default = "one")]
     pub ledger_groups: u32,
@@ -57,6 +60,10 @@
     true
 }
 
+fn five() -> usize {
+    5
+}
+
 fn one() -> u32 {
     1
 }
@@ -93,6 +100,10 @@
             let expected = "an address other than that of peers";
             return Err(Invalid::new("operators", self.operators, expected));
         }
+        if !(1..=MAX_VOTERS).contains(&self.voters) {
+            let expected = format!("1 to {MAX_VOTERS}");
+            return Err(Invalid::new("voters", self.voters, expected));
+        }
         if self.ledger_groups > MAX_LEDGER_GROUPS {
             let expected = format!("0 to {MAX_LEDGER_GROUPS}");
             return Err(Invalid::new("ledger_groups", self.ledger_groups, expected));
--- a/crates/control/tests/all/harness.rs
+++ b/crates/control/tests/all/harness.rs
@@ -83,6 +83,7 @@
             token_file: Some(self.directory.path().join("token")),
             members: self.members.clone(),
             voter: true,
+            voters: 5,
             ledger_groups: self.ledger_groups,
             log: chestnutvalve_telemetry::log::Threshold::Error,
         };
--- a/crates/storage/src/directory.rs
+++ b/crates/storage/src/directory.rs
@@ -13,6 +13,9 @@
 use crate::store::{Restored, Store};
 use crate::wal::{replace_file, sync_folder};
 
+/// File that marks a directory whose replica was removed from its group.
+const RETIRED: &str = "retired";
+
 /// An open data directory, which no other process can open. Its identity file names the groups that were stored here, so that
 /// a group whose files were removed is not taken for a new one.
 #[derive(Debug)]
@@ -42,6 +45,7 @@
                 return Err(Error::io("locking", &lock_path)(error));
             }
         }
+        clear_retired(path, disk)?;
         let file = path.join("identity");
         let (identity, groups) = match std::fs::read_to_string(&file) {
             Ok(text) => parse(&text).ok_or(Error::Corrupt {
@@ -70,6 +74,17 @@
         self.identity
     }
 
+    /// Marks the directory as that of a replica that was removed from its group for good; the next
+    /// [`Directory::open`] empties it and gives it a new identity.
+    ///
+    /// # Errors
+    ///
+    /// Returns errors of the operating system.
+    pub fn retire(&self) -> Result<(), Error> {
+        let mark = self.path.join(RETIRED);
+        replace_file(&mark, b"removed from the group\n", &mut Disk::default()).map(drop)
+    }
+
     /// Opens the stored state of one group.
     ///
     /// # Errors
@@ -100,6 +115,30 @@
     }
 }
 
+/// Empties a directory that was retired. The mark goes last, so that a crash in between leaves it for the next start.
+fn clear_retired(path: &Path, disk: &mut Disk) -> Result<(), Error> {
+    let mark = path.join(RETIRED);
+    if !mark.try_exists().map_err(Error::io("opening", &mark))? {
+        return Ok(());
+    }
+    for entry in std::fs::read_dir(path).map_err(Error::io("reading", path))? {
+        let entry = entry.map_err(Error::io("reading", path))?.path();
+        let name = entry.file_name().and_then(|n| n.to_str());
+        if matches!(name, Some("lock" | RETIRED)) {
+            continue;
+        }
+        let removed = if entry.is_dir() {
+            std::fs::remove_dir_all(&entry)
+        } else {
+            std::fs::remove_file(&entry)
+        };
+        removed.map_err(Error::io("removing", &entry))?;
+    }
+    sync_folder(path, disk)?;
+    std::fs::remove_file(&mark).map_err(Error::io("removing", &mark))?;
+    sync_folder(path, disk)
+}
+
 fn save(
     path: &Path,
     identity: ReplicaId,
--- a/crates/storage/tests/store.rs
+++ b/crates/storage/tests/store.rs
@@ -204,3 +204,24 @@
     let other = Directory::open(other.path(), disk).unwrap();
     assert_ne!(other.identity(), identity);
 }
+
+/// Guards against a removed replica that starts again under an identity that its group refuses, and against one that keeps
+/// votes of its former identity.
+#[test]
+fn a_retired_directory_starts_anew() {
+    let folder = tempfile::tempdir().unwrap();
+    let open = || Directory::open(folder.path(), &mut Disk::default()).unwrap();
+    let first = {
+        let directory = open();
+        directory.group("config", Disk::default()).unwrap();
+        directory.retire().unwrap();
+        directory.identity()
+    };
+    let directory = open();
+    assert_ne!(directory.identity(), first);
+    let (_, restored) = directory.group("config", Disk::default()).unwrap();
+    assert_eq!(restored.entries.len(), 0);
+    let second = directory.identity();
+    drop(directory);
+    assert_eq!(open().identity(), second);
+}
