--- a/crates/entry/src/gateway/inbound.rs
+++ b/crates/entry/src/gateway/inbound.rs
@@ -8,6 +8,7 @@
 use chestnutvalve_model::routes::Route;
 use http::uri::PathAndQuery;
 use http::{HeaderMap, HeaderValue, Method, Request, Uri, Version, header};
+use http_body::Body as _;
 use hyper::body::Incoming;
 use tokio::time::Instant;
 
@@ -111,12 +112,6 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
-    /// Returns whether the request has no body.
-    #[must_use]
-    pub fn is_head(&self) -> bool {
-        self.method == Method::HEAD
-    }
-
     /// Returns the request of one attempt at `worker`.
     #[must_use]
     pub fn request(&self, dialect: &Dialect, worker: &str, body: Replay) -> Request<Replay> {
@@ -134,8 +129,6 @@
     }
 }
 
-use http_body::Body as _;
-
 fn host<'a>(uri: &'a Uri, headers: &'a HeaderMap) -> Result<&'a str, Refusal> {
     let stated = headers.get(header::HOST).and_then(|h| h.to_str().ok());
     let host = uri.host().or(stated);
--- a/crates/routing/src/schedule/upstream.rs
+++ b/crates/routing/src/schedule/upstream.rs
@@ -8,9 +8,6 @@
 
 /// Time in which half of the reported requests of other entries are taken to have ended.
 const REPORT_HALF_LIFE: Duration = Duration::from_millis(250);
-/// Requests beyond its slots that a worker is given, so that it need not wait for the next one. One for each of many
-/// entries would fill its queue.
-const AHEAD: f64 = 0.0;
 /// Factor on the cost of a worker that has just started.
 const COLD: f64 = 2.0;
 /// Extra load, in slots, of a worker that is certainly bad. A failed request that must not run twice is lost, the others
@@ -154,7 +151,7 @@
 
     pub(super) fn has_room(&self, now: Instant) -> bool {
         let full = self.full_until.is_some_and(|until| now < until);
-        !full && self.load(now) + 0.5 <= f64::from(self.spec.slots) + AHEAD
+        !full && self.load(now) + 0.5 <= f64::from(self.spec.slots)
     }
 
     /// Returns what a request at this worker costs, in slots.
