--- a/crates/routing/src/schedule.rs
+++ b/crates/routing/src/schedule.rs
@@ -150,7 +150,7 @@
         self.pace.typical()
     }
 
-    /// Returns the typical deviation above which a response is late enough to ask a second worker.
+    /// Returns the time after which a response is late enough to ask a second worker.
     #[must_use]
     pub fn slow(&self) -> Duration {
         self.pace.slow()
