Count an attempt only when it was made

Cause: a further attempt for which the budget was empty was counted all the same: the log said two attempts where there was one, and a request whose second worker had not been asked could not be tried again after its first one failed.

Ruled out: taking from the budget before a place is found, which would lose a part of it when all are full.

--- a/crates/entry/src/gateway/proxy.rs
+++ b/crates/entry/src/gateway/proxy.rs
@@ -227,10 +227,12 @@
         if !allowed {
             return None;
         }
-        let seat = self.place()?;
+        let seat = self.lane.another(&self.request())?;
+        // Without budget the place is given back, and no attempt was made.
         if !self.lane.withdraw() {
             return None;
         }
+        self.note(&seat);
         Some(seat)
     }
 
