Count further attempts over the window, and say why there is none

Each of 100 entries could save up one attempt: what its requests earned beyond that was lost. Late attempts took the same budget.

Ruled out: entries that lend each other attempts, which costs messages; the limit of attempts of the route (22 of 550); workers without room (5).

A new test fails on the bucket (2 attempts in place of 11).

A line "no further attempt" names the reason in the log.

--- a/crates/entry/src/gateway/lane.rs
+++ b/crates/entry/src/gateway/lane.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use chestnutvalve_model::id::{Service, Worker, Zone};
-use chestnutvalve_routing::retry::{Allowance, Bounds};
+use chestnutvalve_routing::retry::{Allowance, Bounds, Purpose};
 use chestnutvalve_routing::schedule::{
     Action, Decision, Evidence, Outcome, Reason, Refusal, Request, Schedule, Spec,
 };
@@ -96,13 +96,13 @@
 
     /// Counts a request of a caller, which earns a part of a further attempt.
     pub fn deposit(&self) {
-        self.lock().allowance.deposit();
+        self.lock().allowance.deposit(clock::now());
     }
 
     /// Takes one further attempt; returns whether there was one.
     #[must_use]
-    pub fn withdraw(&self) -> bool {
-        self.lock().allowance.withdraw(clock::now())
+    pub fn withdraw(&self, purpose: Purpose) -> bool {
+        self.lock().allowance.withdraw(clock::now(), purpose)
     }
 
     /// Returns the time after which a response is unusually late.
--- a/crates/entry/src/gateway/proxy.rs
+++ b/crates/entry/src/gateway/proxy.rs
@@ -5,6 +5,7 @@
 
 use chestnutvalve_model::error::{Executed, Kind};
 use chestnutvalve_model::id::Worker;
+use chestnutvalve_routing::retry::Purpose;
 use chestnutvalve_routing::schedule::{self, Reason};
 use http::{Request, Response};
 use hyper::body::Incoming;
@@ -138,7 +139,7 @@
                     let (id, worker) = (&self.inbound.id, &received.seat.worker);
                     let status = received.parts.status.as_u16();
                     spdlog::info!("attempt answered with an error", kv: {id:, worker:, status});
-                    match self.next() {
+                    match self.next(Purpose::Failure) {
                         Some(next) => {
                             seat = next;
                             continue;
@@ -169,12 +170,12 @@
             Failed::NotExecuted(cause) => {
                 self.sent = self.sent.saturating_sub(1);
                 self.unsent += 1;
-                let again = self.unsent <= MAX_UNSENT && self.lane.withdraw();
+                let again = self.unsent <= MAX_UNSENT && self.lane.withdraw(Purpose::Failure);
                 self.elsewhere(again, Kind::RefusedByUpstream, cause).await
             }
             Failed::Unknown(cause) => {
                 self.executed = Executed::Unknown;
-                self.next()
+                self.next(Purpose::Failure)
                     .ok_or_else(|| Refusal::new(Kind::UpstreamBroken, cause))
             }
             Failed::Timeout => {
@@ -218,22 +219,43 @@
     }
 
     /// Takes a place for a further attempt of a request that may run more than once, if the budget allows it.
-    fn next(&mut self) -> Option<Seat> {
-        let inbound = self.inbound;
-        let allowed = inbound.route.kind.is_idempotent()
-            && self.sent < inbound.route.attempts
-            && inbound.left() > self.lane.typical()
-            && !inbound.source.is_dropped();
-        if !allowed {
+    fn next(&mut self, purpose: Purpose) -> Option<Seat> {
+        if !self.inbound.route.kind.is_idempotent() {
             return None;
         }
-        let seat = self.lane.another(&self.request())?;
+        match self.further(purpose) {
+            Ok(seat) => {
+                self.note(&seat);
+                Some(seat)
+            }
+            Err(cause) => {
+                let (id, attempts) = (&self.inbound.id, self.sent);
+                let left_ms = self.inbound.left().as_millis();
+                spdlog::info!("no further attempt", kv: {id:, cause, attempts, left_ms});
+                None
+            }
+        }
+    }
+
+    /// Returns a place for a further attempt, or why there is none.
+    fn further(&self, purpose: Purpose) -> Result<Seat, &'static str> {
+        let inbound = self.inbound;
+        if self.sent >= inbound.route.attempts {
+            return Err("the attempts of the route are used up");
+        }
+        if inbound.left() <= self.lane.typical() {
+            return Err("the time left is too short");
+        }
+        if inbound.source.is_dropped() {
+            return Err("the request body is not kept");
+        }
+        let seat = self.lane.another(&self.request());
+        let seat = seat.ok_or("no other worker has room")?;
         // Without budget the place is given back, and no attempt was made.
-        if !self.lane.withdraw() {
-            return None;
+        if !self.lane.withdraw(purpose) {
+            return Err("the retry budget is empty");
         }
-        self.note(&seat);
-        Some(seat)
+        Ok(seat)
     }
 
     fn place(&mut self) -> Option<Seat> {
@@ -272,7 +294,7 @@
             outcome = &mut first => return outcome,
             () = sleep(slow) => self.lane.late(&worker),
         }
-        let Some(second) = self.next() else {
+        let Some(second) = self.next(Purpose::Lateness) else {
             return first.await;
         };
         let mut second = std::pin::pin!(attempt(gateway, inbound, second));
--- a/crates/routing/src/retry.rs
+++ b/crates/routing/src/retry.rs
@@ -1,6 +1,7 @@
 //! Retry budget and the rule for a single retry.
 
-use std::time::Duration;
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
 
 use chestnutvalve_model::error::Executed;
 
@@ -59,15 +60,27 @@
     (idempotent || executed == Executed::No) && !left.is_zero() && left >= typical
 }
 
+/// Parts of the window in which requests and further attempts are counted together.
+const SLICES: u32 = 20;
+
 /// Allowance for further attempts at one service, as this entry's part of what the fleet may use.
 ///
-/// In any window the fleet may send a share of the requests again, and a fixed number beside. Each entry earns the share
-/// for its own requests and a part of the fixed number, half of it saved up and half spread over the window.
+/// In any window the fleet may send a share of the requests again, and a fixed number beside. Each entry counts its own
+/// requests and further attempts of the last window, so that what it earned with earlier requests of the window can be
+/// spent at once when a worker turns bad. A bucket that holds a single attempt, as the fixed number gives each of a
+/// hundred entries, lost most of what was earned.
 #[derive(Clone, Debug)]
 pub struct Allowance {
     bounds: Bounds,
-    tokens: f64,
-    at: Option<std::time::Instant>,
+    slices: VecDeque<Slice>,
+}
+
+/// Counts of one part of the window.
+#[derive(Clone, Copy, Debug)]
+struct Slice {
+    start: Instant,
+    requests: u32,
+    further: u32,
 }
 
 /// Part of an entry in the allowance of the fleet.
@@ -81,14 +94,22 @@
     pub window: Duration,
 }
 
+/// What a further attempt is for.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Purpose {
+    /// An attempt has failed, and without another one the request fails.
+    Failure,
+    /// An attempt is late, and may yet be answered.
+    Lateness,
+}
+
 impl Allowance {
-    /// Creates an empty allowance.
+    /// Creates an allowance without requests.
     #[must_use]
     pub fn new(bounds: Bounds) -> Self {
         Self {
             bounds,
-            tokens: 0.0,
-            at: None,
+            slices: VecDeque::new(),
         }
     }
 
@@ -98,25 +119,45 @@
     }
 
     /// Records a request of a caller.
-    pub fn deposit(&mut self) {
-        self.tokens = (self.tokens + self.bounds.share).min(self.most());
+    pub fn deposit(&mut self, now: Instant) {
+        self.slice(now).requests += 1;
     }
 
-    /// Takes one further attempt; returns whether there was one.
-    pub fn withdraw(&mut self, now: std::time::Instant) -> bool {
-        let since = self.at.replace(now).unwrap_or(now);
-        let passed = now.saturating_duration_since(since).as_secs_f64();
-        let earned = passed * self.bounds.extra / 2.0 / self.bounds.window.as_secs_f64();
-        self.tokens = (self.tokens + earned).min(self.most());
-        let enough = self.tokens >= 1.0;
+    /// Takes one further attempt; returns whether there was one. Late attempts leave half of the allowance to failed
+    /// ones, which gain more.
+    pub fn withdraw(&mut self, now: Instant, purpose: Purpose) -> bool {
+        self.slice(now);
+        let requests: u32 = self.slices.iter().map(|s| s.requests).sum();
+        let further: u32 = self.slices.iter().map(|s| s.further).sum();
+        // One at least, or an entry of many could never make any.
+        let most = (f64::from(requests) * self.bounds.share + self.bounds.extra).max(1.0);
+        let most = match purpose {
+            Purpose::Failure => most,
+            Purpose::Lateness => most / 2.0,
+        };
+        let enough = f64::from(further) + 1.0 <= most;
         if enough {
-            self.tokens -= 1.0;
+            self.slice(now).further += 1;
         }
         enough
     }
 
-    /// Returns how many further attempts can be saved up; one at least, or none could ever be made.
-    fn most(&self) -> f64 {
-        (self.bounds.extra / 2.0).max(1.0)
+    /// Returns the counts of the present part of the window, and forgets those whose last count is older than a window.
+    fn slice(&mut self, now: Instant) -> &mut Slice {
+        let length = self.bounds.window / SLICES;
+        let age = |slice: &Slice| now.saturating_duration_since(slice.start);
+        let kept = self.bounds.window + length;
+        while self.slices.front().is_some_and(|s| age(s) >= kept) {
+            self.slices.pop_front();
+        }
+        if self.slices.back().is_none_or(|s| age(s) >= length) {
+            self.slices.push_back(Slice {
+                start: now,
+                requests: 0,
+                further: 0,
+            });
+        }
+        let last = self.slices.len() - 1;
+        &mut self.slices[last]
     }
 }
--- a/crates/routing/tests/rules.rs
+++ b/crates/routing/tests/rules.rs
@@ -10,7 +10,7 @@
 use chestnutvalve_routing::balance::{Balancer, Upstream};
 use chestnutvalve_routing::evidence::{Stage, combined, executed};
 use chestnutvalve_routing::placement::{home, owners};
-use chestnutvalve_routing::retry::{Budget, allowed};
+use chestnutvalve_routing::retry::{Allowance, Bounds, Budget, Purpose, allowed};
 use chestnutvalve_routing::sample::{Sample, Verdict};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -276,3 +276,70 @@
     // The target is below 2% of the traffic.
     assert!(taken < 20, "{taken} of 1000 requests");
 }
+
+/// Returns the part of one entry of a hundred in a fleet that may send a fifth of the requests and 178 more again.
+fn part() -> Bounds {
+    Bounds {
+        share: 0.2,
+        extra: 1.78,
+        window: Duration::from_secs(10),
+    }
+}
+
+/// Guards against further attempts that were earned and are lost: 100 entries hold one or two attempts each of the fixed
+/// number, and a worker that turns bad fails several requests within a second.
+#[test]
+fn what_the_requests_of_a_window_earn_can_be_spent_at_once() {
+    let start = Instant::now();
+    let mut allowance = Allowance::new(part());
+    for n in 0..50 {
+        allowance.deposit(start + Duration::from_millis(150 * n));
+    }
+    let now = start + Duration::from_secs(8);
+    let taken = (0..50).filter(|_| allowance.withdraw(now, Purpose::Failure));
+    assert_eq!(taken.count(), 11);
+}
+
+/// Guards against an allowance that lets a window have more further attempts than its requests and the fixed number earn,
+/// whatever the order of requests and attempts.
+#[test]
+fn no_window_has_more_further_attempts_than_it_earns() {
+    let start = Instant::now();
+    let mut allowance = Allowance::new(part());
+    let mut taken: Vec<u64> = Vec::new();
+    let mut asked: Vec<u64> = Vec::new();
+    for ms in (0..60_000).step_by(20) {
+        let now = start + Duration::from_millis(ms);
+        // Requests come in bursts of two seconds.
+        if ms / 2_000 % 3 == 0 {
+            allowance.deposit(now);
+            asked.push(ms);
+        }
+        if allowance.withdraw(now, Purpose::Failure) {
+            taken.push(ms);
+        }
+    }
+    let within =
+        |list: &[u64], from: u64, to: u64| list.iter().filter(|ms| (from..to).contains(ms)).count();
+    for end in (10_000..60_000).step_by(100) {
+        let further = within(&taken, end - 10_000, end);
+        // Requests count for up to a second longer, as they are counted in parts of half a second. That is a tenth of the
+        // window, and entries use 85% of what the fleet may.
+        let requests = within(&asked, (end - 10_000_u64).saturating_sub(1_000), end);
+        let most = 0.2 * f64::from(u32::try_from(requests).unwrap()) + 1.78;
+        let further = f64::from(u32::try_from(further).unwrap());
+        assert!(further <= most, "{further} of {most} before {end} ms");
+    }
+}
+
+/// Guards against late attempts that use up what failed ones need.
+#[test]
+fn late_attempts_leave_half_of_the_allowance_to_failed_ones() {
+    let now = Instant::now();
+    let mut allowance = Allowance::new(part());
+    for _ in 0..31 {
+        allowance.deposit(now);
+    }
+    let mut take = |purpose| (0..50).filter(|_| allowance.withdraw(now, purpose)).count();
+    assert_eq!([take(Purpose::Lateness), take(Purpose::Failure)], [3, 4]);
+}
