Count a failure that another worker makes good

Cause: the response of a failed attempt was dropped when a further attempt was made, which gave its place back as if the caller had left. The worker got no doubt, no other entry was told, and it drew idempotent requests, as it answers at once. The same happened to an error that ended a race of two attempts.

Ruled out: too small a spread of the placement (the former cause of the same tests); the sharing of failures, which works for requests that must not repeat.

--- a/crates/entry/src/gateway/proxy.rs
+++ b/crates/entry/src/gateway/proxy.rs
@@ -6,7 +6,7 @@
 use chestnutvalve_model::error::{Executed, Kind};
 use chestnutvalve_model::id::Worker;
 use chestnutvalve_routing::retry::Purpose;
-use chestnutvalve_routing::schedule::{self, Reason};
+use chestnutvalve_routing::schedule::{self, Outcome, Reason};
 use http::{Request, Response};
 use hyper::body::Incoming;
 use tokio::time::{Instant, sleep, timeout_at};
@@ -141,6 +141,7 @@
                     spdlog::info!("attempt answered with an error", kv: {id:, worker:, status});
                     match self.next(Purpose::Failure) {
                         Some(next) => {
+                            received.seat.finish(Outcome::Failure);
                             seat = next;
                             continue;
                         }
@@ -311,6 +312,9 @@
         }
         // The one that ended says nothing about the other, which may still be running.
         self.executed = Executed::Unknown;
+        if let Ok(received) = outcome {
+            received.seat.finish(Outcome::Failure);
+        }
         let other = if first_ended {
             second.await
         } else {
--- a/crates/entry/tests/all/gateway.rs
+++ b/crates/entry/tests/all/gateway.rs
@@ -334,17 +334,32 @@
 /// Guards against idempotent requests that wait out their time at a silent worker while others answer.
 #[tokio::test]
 async fn a_silent_worker_does_not_hold_an_idempotent_request() {
-    let silent = Worker::start("w1", |_| vec![Step::Wait(Duration::from_secs(5))]).await;
-    let fine = Worker::start("w2", good).await;
-    let (_control, entry) = fleet(&[&silent, &fine]).await;
-    let mut unanswered = 0;
-    for n in 0..20 {
-        let reply = ask_as(&entry, "/x", &format!("id-{n}")).await;
-        unanswered += u32::from(reply.status != 200);
+    let fault = Arc::new(AtomicBool::new(false));
+    let fine = Worker::start("w1", slowly).await;
+    let silent = unsteady("w2", &fault, |_| vec![Step::Wait(Duration::from_secs(5))]).await;
+    let (_control, entry) = fleet(&[&fine, &silent]).await;
+    earn_budget(&entry, "/x").await;
+    fault.store(true, Ordering::SeqCst);
+    let before = silent.count();
+    assert_eq!(pair(&entry, "/x", "last").await, [200, 200]);
+    assert_eq!(silent.count() - before, 1);
+}
+
+/// Guards against a worker whose failures are made good by another one, and which is therefore asked again and again.
+#[tokio::test]
+async fn a_failure_counts_against_its_worker_also_when_another_one_answers() {
+    let fault = Arc::new(AtomicBool::new(false));
+    let fine = Worker::start("w1", slowly).await;
+    let bad = unsteady("w2", &fault, |seen| answer(seen, 500, "", "no")).await;
+    let (_control, entry) = fleet(&[&fine, &bad]).await;
+    earn_budget(&entry, "/x").await;
+    fault.store(true, Ordering::SeqCst);
+    let before = bad.count();
+    for n in 0..10 {
+        assert_eq!(pair(&entry, "/x", &format!("more-{n}")).await, [200, 200]);
     }
-    assert!(silent.count() >= 1);
-    // The first one may find no budget for a second worker.
-    assert!(unanswered <= 1, "{unanswered} without an answer");
+    // After an unbroken record one failure may be chance, as 1.2% of the requests fail at healthy workers.
+    assert_eq!(bad.count() - before, 2);
 }
 
 /// Guards against work for a caller that has gone.
@@ -454,25 +469,26 @@
 /// Guards against each entry finding out a failing worker by its own requests.
 #[tokio::test]
 async fn entries_tell_each_other_of_failures() {
-    let bad = Worker::start("w1", |seen| answer(seen, 500, "", "no")).await;
-    let fine = Worker::start("w2", good).await;
-    let (control, first) = fleet(&[&bad, &fine]).await;
+    let fault = Arc::new(AtomicBool::new(false));
+    let fine = Worker::start("w1", slowly).await;
+    let bad = unsteady("w2", &fault, |seen| answer(seen, 500, "", "no")).await;
+    let (control, first) = fleet(&[&fine, &bad]).await;
     let second = Entry::start("e2", control.address).await;
     first.knows(2).await;
     second.knows(2).await;
-    // The second entry has a record of both workers only once it serves the service.
-    ask_as(&second, "/x", "id-0").await;
-    for n in 0..40 {
-        ask_as(&first, "/x", &format!("id-1-{n}")).await;
-        if bad.count() > 0 {
-            break;
-        }
+    earn_budget(&second, "/x").await;
+    earn_budget(&first, "/x").await;
+    fault.store(true, Ordering::SeqCst);
+    for n in 0..10 {
+        assert_eq!(pair(&first, "/x", &format!("first-{n}")).await, [200, 200]);
     }
-    assert!(bad.count() > 0);
     sleep(Duration::from_millis(200)).await;
     let before = bad.count();
-    for n in 0..20 {
-        ask_as(&second, "/x", &format!("id-2-{n}")).await;
+    for n in 0..10 {
+        assert_eq!(
+            pair(&second, "/x", &format!("second-{n}")).await,
+            [200, 200]
+        );
     }
     assert_eq!(
         bad.count(),
