Find workers with the first routes, spread downloads, and use fresh connections after a loss

Ruled out: election (0.03 s after a majority runs) and loading of the state as causes of the refusals.

New tests: waiting requests find the workers, callers without routes are told in time, downloads are spread and whole, no order on an idle connection after a loss.

--- a/crates/entry/src/gateway.rs
+++ b/crates/entry/src/gateway.rs
@@ -11,8 +11,9 @@
 
 use chestnutvalve_model::control::State;
 use chestnutvalve_model::id::{Service, Worker};
-use chestnutvalve_model::routes::Route;
+use chestnutvalve_model::routes::{Kind, Route};
 use chestnutvalve_model::version::Version;
+use chestnutvalve_routing::bandwidth::Link;
 use chestnutvalve_routing::retry::Bounds;
 use chestnutvalve_routing::schedule::Spec;
 use tokio::sync::mpsc;
@@ -34,6 +35,7 @@
 pub use dialect::Dialect;
 use evidence::Sighting;
 use lane::Lane;
+use relay::SharedLink;
 
 /// Unused connections kept for one worker, two for each of its usual slots.
 const MAX_IDLE: usize = 4;
@@ -78,10 +80,14 @@
     /// Connections to workers.
     pub pool: Arc<Pool>,
     lanes: Mutex<HashMap<Service, Arc<Lane>>>,
+    /// Version of the state with which the lanes are in line.
+    synced: Mutex<Option<Version>>,
     /// Accumulated weights by route and service, for an even spread of a split.
     splits: Mutex<HashMap<String, Vec<f64>>>,
     tickets: AtomicU64,
     sightings: mpsc::Sender<Sighting>,
+    /// Link of the entry, if downloads can fill it.
+    link: Option<SharedLink>,
     /// Entries that serve a service, as of a version of the state.
     listeners: Mutex<HashMap<Service, (Version, Listeners)>>,
 }
@@ -96,17 +102,25 @@
     ) -> Self {
         Self {
             sightings,
+            link: narrow(instance.settings.link_mbps),
             listeners: Mutex::default(),
             instance: Arc::clone(instance),
             settings,
             pool: Arc::new(Pool::new(MAX_IDLE)),
             lanes: Mutex::default(),
+            synced: Mutex::default(),
             splits: Mutex::default(),
             // Entries must not spread their requests alike.
             tickets: AtomicU64::new(rand::random()),
         }
     }
 
+    /// Returns the link that responses on routes of a kind share.
+    #[must_use]
+    pub fn link(&self, kind: Kind) -> Option<&SharedLink> {
+        self.link.as_ref().filter(|_| kind == Kind::Download)
+    }
+
     /// Returns an id that no other request at this entry has.
     pub fn ticket(&self) -> u64 {
         self.tickets.fetch_add(1, Ordering::Relaxed)
@@ -174,9 +188,14 @@
         }
     }
 
-    /// Brings all lanes in line with the registered workers.
+    /// Brings all lanes in line with the registered workers, if the state has changed. A request that waited for the first
+    /// routes may run before [`follow`] has seen them.
     pub fn sync(&self) {
+        let mut synced = self.synced.lock().unwrap_or_else(PoisonError::into_inner);
         let state = self.instance.follow.state();
+        if synced.replace(state.version) == Some(state.version) {
+            return;
+        }
         let lanes = self.lanes.lock().unwrap_or_else(PoisonError::into_inner);
         for (service, lane) in lanes.iter() {
             let entries = self.entries(service);
@@ -214,6 +233,11 @@
     }
 }
 
+/// Returns the link of an entry on which downloads take turns.
+fn narrow(mbps: u32) -> Option<SharedLink> {
+    (mbps < places::NARROW_MBPS).then(|| Arc::new(Mutex::new(Link::new(mbps))))
+}
+
 fn specs(state: &State, service: &Service) -> BTreeMap<Worker, lane::Member> {
     let workers = state.roster.workers.values();
     let workers = workers.filter(|w| w.service == *service && !w.leaving);
--- a/crates/entry/src/gateway/attempt.rs
+++ b/crates/entry/src/gateway/attempt.rs
@@ -30,6 +30,10 @@
 /// Time for which a kept connection may have been idle when it carries a request that must not run twice. A worker may
 /// drop an idle connection without notice, and then nobody knows whether the request arrived.
 const FRESH: Duration = Duration::from_secs(2);
+/// The same after a kept connection of the service has broken, and for how long. Workers that forget idle connections do so
+/// for some seconds, all of a service.
+const FRESH_AFTER_LOSS: Duration = Duration::from_millis(100);
+const LOSS_MEMORY: Duration = Duration::from_secs(10);
 
 /// A response of which nothing was passed on yet.
 #[derive(Debug)]
@@ -70,7 +74,12 @@
     };
     let dialect = &gateway.settings.dialect;
     let mut request = inbound.request(dialect, seat.worker.as_str(), body);
-    let fresh = (!inbound.route.kind.is_idempotent()).then_some(FRESH);
+    let lane = gateway.lane(&inbound.service);
+    let fresh = match inbound.route.kind.is_idempotent() {
+        true => None,
+        false if lane.has_lost_connection(LOSS_MEMORY) => Some(FRESH_AFTER_LOSS),
+        false => Some(FRESH),
+    };
     for _ in 0..=MAX_STALE {
         let limit = inbound.deadline.min(Instant::now() + CONNECT_TIMEOUT);
         let lease = gateway.pool.lease_fresh(seat.address, limit, fresh);
@@ -96,6 +105,9 @@
                 return Err(Failed::Unreached("the connection was closed".into()));
             }
             Ok(Err(Failure::Broken(error))) => {
+                if lease.reused {
+                    lane.lose_connection();
+                }
                 seat.finish(fault(inbound));
                 return Err(Failed::Unknown(format!("the exchange broke: {error}")));
             }
--- a/crates/entry/src/gateway/inbound.rs
+++ b/crates/entry/src/gateway/inbound.rs
@@ -136,19 +136,26 @@
     Ok(host.rsplit_once(':').map_or(host, |(host, _)| host))
 }
 
-fn time_left(dialect: &Dialect, headers: &HeaderMap, route: &Route) -> Result<Duration, Refusal> {
-    let limit = Duration::from_millis(route.timeout_ms);
+/// Returns the time that the caller states it will wait, if it states one.
+///
+/// # Errors
+///
+/// Refuses what is not a number of milliseconds.
+pub fn stated(dialect: &Dialect, headers: &HeaderMap) -> Result<Option<Duration>, Refusal> {
     let Some(stated) = headers.get(&dialect.deadline) else {
-        return Ok(limit);
+        return Ok(None);
     };
-    let stated = stated
-        .to_str()
-        .ok()
-        .and_then(|text| text.trim().parse().ok());
-    let invalid = || {
+    let stated = stated.to_str().ok();
+    let stated: Option<u64> = stated.and_then(|text| text.trim().parse().ok());
+    let stated = stated.ok_or_else(|| {
         let context = format!("{}: expected a number of milliseconds", dialect.deadline);
         Refusal::new(Kind::BadRequest, context)
-    };
-    let stated: u64 = stated.ok_or_else(invalid)?;
-    Ok(limit.min(Duration::from_millis(stated.min(MAX_DEADLINE_MS))))
+    })?;
+    Ok(Some(Duration::from_millis(stated.min(MAX_DEADLINE_MS))))
+}
+
+fn time_left(dialect: &Dialect, headers: &HeaderMap, route: &Route) -> Result<Duration, Refusal> {
+    let limit = Duration::from_millis(route.timeout_ms);
+    let stated = stated(dialect, headers)?;
+    Ok(stated.map_or(limit, |stated| limit.min(stated)))
 }
--- a/crates/entry/src/gateway/lane.rs
+++ b/crates/entry/src/gateway/lane.rs
@@ -42,6 +42,8 @@
     members: BTreeMap<Worker, Member>,
     waiters: HashMap<u64, oneshot::Sender<Answer>>,
     allowance: Allowance,
+    /// When a kept connection last broke as it was used.
+    lost: Option<Instant>,
 }
 
 impl Lane {
@@ -58,6 +60,7 @@
             members: BTreeMap::new(),
             waiters: HashMap::new(),
             allowance: Allowance::new(budget),
+            lost: None,
         };
         Self {
             service,
@@ -111,6 +114,19 @@
         self.lock().schedule.slow()
     }
 
+    /// Records that a kept connection broke when it was used.
+    pub fn lose_connection(&self) {
+        self.lock().lost = Some(clock::now());
+    }
+
+    /// Returns whether a kept connection broke within `memory`.
+    #[must_use]
+    pub fn has_lost_connection(&self, memory: Duration) -> bool {
+        let now = clock::now();
+        let lost = self.lock().lost;
+        lost.is_some_and(|at| now.saturating_duration_since(at) < memory)
+    }
+
     /// Returns the usual response time.
     #[must_use]
     pub fn typical(&self) -> Duration {
--- a/crates/entry/src/gateway/places.rs
+++ b/crates/entry/src/gateway/places.rs
@@ -14,7 +14,7 @@
 const OWNERS: usize = 2;
 /// Bandwidth below which an entry can't carry the downloads of several callers, in megabits a second: a large download of
 /// half a megabyte takes a tenth of a second of such a link.
-const NARROW_MBPS: u32 = 40;
+pub const NARROW_MBPS: u32 = 40;
 /// One entry of an availability zone in so many is named for a host without downloads where links are narrow. Orders of
 /// 6 kB at 210 a second and zone fill three links of 3.2 megabits a second; with a third of 45 entries a link is a quarter
 /// full, and bursts of three times fit.
--- a/crates/entry/src/gateway/proxy.rs
+++ b/crates/entry/src/gateway/proxy.rs
@@ -13,16 +13,19 @@
 
 use super::Gateway;
 use super::attempt::{Failed, Received, attempt};
-use super::inbound::Inbound;
+use super::inbound::{self, Inbound};
 use super::lane::{Lane, Seat};
 use super::relay::relay;
 use crate::answer::{self, Body, Refusal};
 
 /// Attempts that reached no worker which are made beside the attempts of the route.
 const MAX_UNSENT: usize = 3;
-/// Time for which a request waits for the first route table. After a restart of all processes it comes 0.6 to 1 s after the
-/// start; shorter than most deadlines, so that the caller can still go elsewhere.
-const FIRST_ROUTES: Duration = Duration::from_millis(800);
+/// Time for which a request waits for the first route table. After a restart of all processes it comes 0.6 to 1.6 s after the
+/// start, as the first entries start a second before a majority of the control instances.
+const FIRST_ROUTES: Duration = Duration::from_secs(2);
+/// Time that is left of the caller's deadline when it is told that there is no route table: a short request still has time to
+/// run elsewhere.
+const OTHER_ENTRY: Duration = Duration::from_millis(200);
 /// Time before the deadline at which the caller gets the answer that there is none, for the way back.
 const ANSWER_MARGIN: Duration = Duration::from_millis(10);
 
@@ -35,7 +38,8 @@
     let id = request.headers().get(&gateway.settings.dialect.request_id);
     let id = id.and_then(|id| id.to_str().ok()).unwrap_or_default();
     let id = id.to_owned();
-    first_routes(gateway, arrived).await;
+    first_routes(gateway, &request, arrived).await;
+    gateway.sync();
     let inbound = match Inbound::read(gateway, request, arrived) {
         Ok(inbound) => inbound,
         Err(refusal) => {
@@ -65,7 +69,8 @@
             spdlog::info!(
                 "answered", kv: {id:, route:, service:, worker:, status, attempts, waited_ms = waited.as_millis(), took_ms = took, label = inbound.label}
             );
-            relay(received, &inbound.source, inbound.deadline)
+            let link = gateway.link(inbound.route.kind);
+            relay(received, &inbound.source, inbound.deadline, link)
         }
         Err(refusal) => {
             let (code, cause) = (refusal.fault.kind.answer().code, &refusal.fault.context);
@@ -79,11 +84,15 @@
 }
 
 /// Waits for the first route table of an entry that has just started; others have one.
-async fn first_routes(gateway: &Gateway, arrived: Instant) {
+async fn first_routes(gateway: &Gateway, request: &Request<Incoming>, arrived: Instant) {
     let mut states = gateway.instance.follow.subscribe();
     let known = states.wait_for(|state| state.routes.label > 0);
+    // A malformed deadline is refused when the request is read.
+    let stated = inbound::stated(&gateway.settings.dialect, request.headers());
+    let stated = stated.unwrap_or_default();
+    let most = stated.map_or(FIRST_ROUTES, |stated| stated.saturating_sub(OTHER_ENTRY));
     // Without a table after this time the request is refused.
-    let _ = timeout_at(arrived + FIRST_ROUTES, known).await;
+    let _ = timeout_at(arrived + most.min(FIRST_ROUTES), known).await;
 }
 
 /// Returns the response of a refusal.
--- a/crates/entry/src/gateway/relay.rs
+++ b/crates/entry/src/gateway/relay.rs
@@ -2,9 +2,11 @@
 
 use std::collections::VecDeque;
 use std::pin::Pin;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::task::{Context, Poll, ready};
 
 use bytes::Bytes;
+use chestnutvalve_routing::bandwidth::Link;
 use chestnutvalve_routing::schedule::Outcome;
 use http::Response;
 use http_body::{Body, Frame, SizeHint};
@@ -15,10 +17,39 @@
 use super::attempt::Received;
 use super::lane::Seat;
 use crate::answer::{self, Broken};
+use crate::clock;
 use crate::header as name;
 use crate::pool::Lease;
 use crate::replay::Source;
 
+/// Bytes of a download that are sent at once. They take 20 ms of a link of 3.2 Mbit/s, for which short responses wait.
+const PIECE_BYTES: usize = 8 * 1024;
+
+/// Link that the downloads of an entry share.
+pub type SharedLink = Arc<Mutex<Link>>;
+
+/// Turns of one download on the link.
+struct Turn {
+    link: SharedLink,
+    pause: Pin<Box<Sleep>>,
+}
+
+impl Turn {
+    fn new(link: &SharedLink) -> Self {
+        Self {
+            link: Arc::clone(link),
+            pause: Box::pin(sleep_until(Instant::now())),
+        }
+    }
+
+    /// Records that `bytes` are sent.
+    fn take(&mut self, bytes: usize) {
+        let mut link = self.link.lock().unwrap_or_else(PoisonError::into_inner);
+        let next = link.reserve(clock::now(), bytes);
+        self.pause.as_mut().reset(Instant::from_std(next));
+    }
+}
+
 /// A response body on its way to the caller. Dropping it closes the worker's connection, which cancels the request.
 struct Relay {
     held: VecDeque<Frame<Bytes>>,
@@ -28,11 +59,19 @@
     seat: Option<Seat>,
     outcome: Outcome,
     deadline: Pin<Box<Sleep>>,
+    /// Present for a download over a narrow link.
+    turn: Option<Turn>,
 }
 
-/// Returns the response for the caller; a transfer that lasts beyond `deadline` is broken off.
+/// Returns the response for the caller; a transfer that lasts beyond `deadline` is broken off. A download takes turns with
+/// others on `link`.
 #[must_use]
-pub fn relay(received: Received, source: &Source, deadline: Instant) -> Response<answer::Body> {
+pub fn relay(
+    received: Received,
+    source: &Source,
+    deadline: Instant,
+    link: Option<&SharedLink>,
+) -> Response<answer::Body> {
     let Received {
         mut parts,
         held,
@@ -54,6 +93,7 @@
         seat: Some(seat),
         outcome,
         deadline: Box::pin(sleep_until(deadline)),
+        turn: link.map(Turn::new),
     };
     if relay.rest.is_none() {
         relay.complete();
@@ -75,8 +115,33 @@
         }
     }
 
+    /// Returns whether it is the turn of other downloads.
+    fn is_waiting(&mut self, cx: &mut Context<'_>) -> bool {
+        let turn = self.turn.as_mut();
+        turn.is_some_and(|turn| turn.pause.as_mut().poll(cx).is_pending())
+    }
+
+    /// Takes the turn for the start of a frame, and holds back the rest.
+    fn piece(&mut self, frame: Frame<Bytes>) -> Frame<Bytes> {
+        let Some(turn) = &mut self.turn else {
+            return frame;
+        };
+        match frame.into_data() {
+            Ok(mut data) => {
+                let rest = data.split_off(data.len().min(PIECE_BYTES));
+                if !rest.is_empty() {
+                    self.held.push_front(Frame::data(rest));
+                }
+                turn.take(data.len());
+                Frame::data(data)
+            }
+            Err(frame) => frame,
+        }
+    }
+
     fn fail(&mut self, error: Broken) -> Poll<Option<Result<Frame<Bytes>, Broken>>> {
         self.rest = None;
+        self.held.clear();
         if let Some(seat) = self.seat.take() {
             seat.finish(Outcome::Failure);
         }
@@ -94,8 +159,15 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Broken>>> {
         let this = self.get_mut();
+        if this.is_end_stream() {
+            return Poll::Ready(None);
+        }
+        if this.is_waiting(cx) {
+            ready!(this.deadline.as_mut().poll(cx));
+            return this.fail("the response did not arrive in time".into());
+        }
         if let Some(frame) = this.held.pop_front() {
-            return Poll::Ready(Some(Ok(frame)));
+            return Poll::Ready(Some(Ok(this.piece(frame))));
         }
         let Some(rest) = &mut this.rest else {
             return Poll::Ready(None);
@@ -105,7 +177,7 @@
                 if rest.is_end_stream() {
                     this.complete();
                 }
-                Poll::Ready(Some(Ok(frame)))
+                Poll::Ready(Some(Ok(this.piece(frame))))
             }
             Poll::Ready(None) => {
                 this.complete();
--- a/crates/entry/tests/all/fleet.rs
+++ b/crates/entry/tests/all/fleet.rs
@@ -31,10 +31,15 @@
     }
 
     pub async fn start_with(name: &str, control: SocketAddr, hint: &[SocketAddr]) -> Self {
+        Self::start_on(name, control, hint, 1_000).await
+    }
+
+    /// Starts an entry whose link carries `mbps` megabits a second.
+    pub async fn start_on(name: &str, control: SocketAddr, hint: &[SocketAddr], mbps: u32) -> Self {
         let any = "127.0.0.1:0";
         let settings = serde_json::json!({
             "entry": name, "zone": "z1", "callers": any, "platform": any, "peers": any, "gateway": any,
-            "control": [control], "peers_hint": hint,
+            "control": [control], "peers_hint": hint, "link_mbps": mbps,
         });
         let settings: Settings = serde_json::from_value(settings).unwrap();
         let shutdown = Shutdown::default();
--- a/crates/entry/tests/all/gateway.rs
+++ b/crates/entry/tests/all/gateway.rs
@@ -2,10 +2,12 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::ops::Range;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
+use chestnutvalve_entry::gateway::evidence::Sighting;
 use chestnutvalve_model::id::{Incarnation, Service, Worker as Name, Zone};
 use chestnutvalve_model::rank::Rank;
 use chestnutvalve_model::routes::{Kind, Limits, Route, Share, Table, Target};
@@ -181,6 +183,106 @@
     assert_eq!((reply.status, &reply.body[..]), (200, &b"ok"[..]));
 }
 
+/// Guards against requests that are refused in the moment in which routes and workers become known together, because the
+/// service was heard of before.
+#[tokio::test]
+async fn requests_that_waited_for_routes_find_the_workers() {
+    let worker = Worker::start("w1", slowly).await;
+    let control = Control::start().await;
+    let entry = Entry::start("e1", control.address).await;
+    let sighting = Sighting {
+        service: Service::new(SERVICE).unwrap(),
+        worker: Name::new("w1").unwrap(),
+        incarnation: Incarnation(1),
+        failed: true,
+    };
+    let peer = chestnutvalve_wire::Client::new(entry.peers);
+    let limit = Duration::from_secs(1);
+    let told: Result<(), _> = peer.call("gateway/sightings", &vec![sighting], limit).await;
+    told.unwrap();
+    let ids: Vec<String> = (0..4).map(|n| format!("id-{n}")).collect();
+    let asked = ids.iter().map(|id| ask_as(&entry, "/x", id));
+    let asked = futures_util::future::join_all(asked);
+    let published = async {
+        sleep(Duration::from_millis(150)).await;
+        let mut state = control.state.lock().unwrap();
+        let roster = Arc::make_mut(&mut state.roster);
+        roster.apply(&announced(&worker, 1, false));
+        state.routes = Arc::new(table(1, vec![route("/", Kind::Idempotent)]));
+        state.version.revision += 1;
+    };
+    let (replies, ()) = tokio::join!(asked, published);
+    let statuses: Vec<u16> = replies.iter().map(|r| r.status).collect();
+    assert_eq!(statuses, [200; 4]);
+}
+
+/// Guards against a caller that is told too late to go elsewhere, and against one that is told while it could still wait.
+#[tokio::test]
+async fn without_routes_a_caller_is_told_in_time_to_go_elsewhere() {
+    let control = Control::start().await;
+    let entry = Entry::start("e1", control.address).await;
+    let begun = Instant::now();
+    let headers = [
+        ("host", "a.example"),
+        ("chestnutvalve-attempt", "id-1"),
+        ("chestnutvalve-deadline-ms", "700"),
+    ];
+    let reply = exchange(entry.gateway, "/x", &headers).await.unwrap();
+    assert_eq!(reply.status, 503);
+    let took = begun.elapsed();
+    let expected = Duration::from_millis(400)..Duration::from_millis(700);
+    assert!(expected.contains(&took), "{took:?}");
+}
+
+/// Guards against a download that fills a narrow link, and against one that is cut or reordered as it is spread over time.
+#[rstest]
+#[case::narrow(3, 300..2_000)]
+#[case::wide(1_000, 0..300)]
+#[tokio::test]
+async fn downloads_over_a_narrow_link_are_spread(#[case] mbps: u32, #[case] took_ms: Range<u128>) {
+    let body: String = (0..20_000).map(|n| format!("{n:05}")).collect();
+    let sent = body.clone();
+    let worker = Worker::start("w1", move |seen| answer(seen, 200, "", &sent)).await;
+    let control = Control::start().await;
+    let mut download = route("/", Kind::Download);
+    download.timeout_ms = 5_000;
+    control.publish(table(1, vec![download]));
+    control.register(&announced(&worker, 1, false));
+    let entry = Entry::start_on("e1", control.address, &[], mbps).await;
+    until("workers", || entry.state().roster.workers.len() == 1).await;
+    let begun = Instant::now();
+    let reply = ask(&entry, "/x").await;
+    let took = begun.elapsed().as_millis();
+    assert_eq!(reply.status, 200);
+    assert!(reply.body == body.as_bytes(), "{} bytes", reply.body.len());
+    assert!(took_ms.contains(&took), "{took} ms");
+}
+
+/// Guards against requests that must not repeat and are lost one after the other on connections which workers forget while
+/// they are idle.
+#[tokio::test]
+async fn after_a_lost_connection_idle_ones_carry_no_request_that_must_not_repeat() {
+    let worker = Worker::start("w1", |seen| {
+        // The second request of the first connection finds it forgotten.
+        if seen.headers["chestnutvalve-attempt"] == "id-1" {
+            vec![Step::Close]
+        } else {
+            good(seen)
+        }
+    });
+    let worker = worker.await;
+    let (_control, entry) = fleet(&[&worker]).await;
+    for (n, status) in [200, 502, 200, 200].into_iter().enumerate() {
+        let reply = ask_as(&entry, "/once/x", &format!("id-{n}")).await;
+        assert_eq!(reply.status, status, "request {n}");
+        sleep(Duration::from_millis(200)).await;
+    }
+    let seen = worker.seen.lock().unwrap();
+    let connections: Vec<usize> = seen.iter().map(|s| s.connection).collect();
+    assert_eq!(connections[0], connections[1]);
+    assert_ne!(connections[2], connections[3]);
+}
+
 /// Guards against a worker's failure that is repeated although the request must not run twice, and against one that is not
 /// repeated although it may.
 #[rstest]
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod admission;
 pub mod balance;
+pub mod bandwidth;
 pub mod eject;
 pub mod evidence;
 pub mod placement;
