Let one entry a zone place requests where links are narrow, and count reported load rightly

A reported load counts the request that ends with it, so that every worker looked half full for 250 ms after each response. Doubt after a failed new try ended too soon; a failed request was given up when no other worker had room at that moment.

--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -123,10 +123,12 @@
         let instance = Arc::new(Instance::new(settings, advertise, shutdown)?);
         let mut registry = Registry::default();
         let (sightings, seen) = mpsc::channel(gateway::evidence::MAX_WAITING);
-        let gateway = Arc::new(Gateway::new(&instance, gateway, sightings));
+        let (reports, ends) = mpsc::channel(gateway::coordinator::MAX_WAITING);
+        let gateway = Arc::new(Gateway::new(&instance, gateway, sightings, reports));
         registry.register(Service::background("peers", {
             let router = peers::router(&instance);
-            let router = gateway::evidence::route(router, &gateway);
+            let router =
+                gateway::coordinator::route(gateway::evidence::route(router, &gateway), &gateway);
             async move { peers.serve(router).await }
         }))?;
         registry.register(platform_service(&instance, platform))?;
@@ -155,7 +157,7 @@
         }
         registry.register(callers_service(&instance, callers))?;
         if let Some(listener) = front {
-            for service in gateway_services(&gateway, listener, seen) {
+            for service in gateway_services(&gateway, listener, seen, ends) {
                 registry.register(service)?;
             }
         }
@@ -233,6 +235,7 @@
     gateway: &Arc<Gateway>,
     listener: TcpListener,
     seen: mpsc::Receiver<gateway::evidence::Sighting>,
+    ends: mpsc::Receiver<(SocketAddr, gateway::coordinator::Report)>,
 ) -> [Service; 2] {
     let (stop, stopped) = oneshot::channel::<()>();
     let task: Arc<Mutex<Option<JoinHandle<()>>>> = Arc::default();
@@ -265,16 +268,18 @@
     let upkeep = async move {
         let follow = gateway::follow(Arc::clone(&gateway));
         let share = gateway::evidence::share(Arc::clone(&gateway), seen);
+        let report = gateway::coordinator::report(Arc::clone(&gateway), ends);
         let ticks = async {
             let mut ticks = interval(GATEWAY_TICK);
             ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
             loop {
                 ticks.tick().await;
                 gateway.tick();
+                gateway.places.expire();
                 gateway.pool.close_idle();
             }
         };
-        tokio::join!(follow, share, ticks);
+        tokio::join!(follow, share, report, ticks);
     };
     [Service::background("gateway upkeep", upkeep), listener]
 }
--- a/crates/entry/src/gateway.rs
+++ b/crates/entry/src/gateway.rs
@@ -23,6 +23,7 @@
 use crate::pool::Pool;
 
 pub mod attempt;
+pub mod coordinator;
 pub mod dialect;
 pub mod evidence;
 pub mod inbound;
@@ -32,6 +33,7 @@
 pub mod proxy;
 pub mod relay;
 
+use coordinator::{Places, Reports};
 pub use dialect::Dialect;
 use evidence::Sighting;
 use lane::Lane;
@@ -69,6 +71,8 @@
 
 /// Internal addresses of the entries that serve a service.
 type Listeners = Arc<BTreeSet<SocketAddr>>;
+/// What follows from the state for each service, as of a version of it.
+type Derived<T> = Mutex<HashMap<Service, (Version, T)>>;
 
 /// Gateway of one entry.
 #[derive(Debug)]
@@ -86,10 +90,18 @@
     splits: Mutex<HashMap<String, Vec<f64>>>,
     tickets: AtomicU64,
     sightings: mpsc::Sender<Sighting>,
+    /// Ends of attempts for coordinators.
+    pub reports: Reports,
+    /// Places given to other entries.
+    pub places: Places,
+    /// Entries that may coordinate a service, as of a version of the state.
+    coordinators: Derived<Arc<Vec<SocketAddr>>>,
     /// Link of the entry, if downloads can fill it.
     link: Option<SharedLink>,
+    /// Entries that place requests at the workers of a service, as of a version of the state.
+    placing: Derived<Listeners>,
     /// Entries that serve a service, as of a version of the state.
-    listeners: Mutex<HashMap<Service, (Version, Listeners)>>,
+    listeners: Derived<Listeners>,
 }
 
 impl Gateway {
@@ -99,10 +111,15 @@
         instance: &Arc<Instance>,
         settings: Settings,
         sightings: mpsc::Sender<Sighting>,
+        reports: Reports,
     ) -> Self {
         Self {
             sightings,
+            reports,
+            places: Places::default(),
+            coordinators: Mutex::default(),
             link: narrow(instance.settings.link_mbps),
+            placing: Mutex::default(),
             listeners: Mutex::default(),
             instance: Arc::clone(instance),
             settings,
@@ -146,23 +163,63 @@
     /// Returns the internal addresses of the entries that serve a service.
     #[must_use]
     pub fn listeners(&self, service: &Service) -> Listeners {
+        self.derived(&self.listeners, service, |state| {
+            Arc::new(evidence::listeners(state, service))
+        })
+    }
+
+    /// Returns the internal addresses of the entries that may coordinate a service in this zone, best first.
+    #[must_use]
+    pub fn coordinators(&self, service: &Service) -> Arc<Vec<SocketAddr>> {
+        let zone = &self.instance.settings.zone;
+        self.derived(&self.coordinators, service, |state| {
+            Arc::new(coordinator::coordinators(state, service, zone))
+        })
+    }
+
+    /// Returns the internal addresses of the entries that place requests at the workers of a service.
+    #[must_use]
+    pub fn placing(&self, service: &Service) -> Listeners {
+        self.derived(&self.placing, service, |state| {
+            let all = coordinator::of_all_zones(state, service);
+            if all.is_empty() {
+                self.listeners(service)
+            } else {
+                Arc::new(all)
+            }
+        })
+    }
+
+    /// Returns what follows from the state for a service, computed once for each version of it.
+    fn derived<T: Clone>(
+        &self,
+        known: &Derived<T>,
+        service: &Service,
+        derive: impl FnOnce(&State) -> T,
+    ) -> T {
         let state = self.instance.follow.state();
-        let known = self.listeners.lock();
-        let mut known = known.unwrap_or_else(PoisonError::into_inner);
-        if let Some((version, listeners)) = known.get(service)
+        let mut known = known.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some((version, value)) = known.get(service)
             && *version == state.version
         {
-            return Arc::clone(listeners);
+            return value.clone();
         }
-        let listeners = Arc::new(evidence::listeners(&state, service));
-        let entry = (state.version, Arc::clone(&listeners));
-        known.insert(service.clone(), entry);
-        listeners
+        let value = derive(&state);
+        known.insert(service.clone(), (state.version, value.clone()));
+        value
     }
 
-    /// Returns the number of entries that serve a service.
+    /// Returns the number of entries that place requests at the workers of a service: one a zone where there are
+    /// coordinators.
     fn entries(&self, service: &Service) -> u32 {
-        let entries = self.listeners(service).len();
+        let own = self.instance.member().peers;
+        let entries = if self.coordinators(service).first() == Some(&own) {
+            let state = self.instance.follow.state();
+            let zones: BTreeSet<_> = state.directory.members.values().map(|m| &m.zone).collect();
+            zones.len()
+        } else {
+            self.listeners(service).len()
+        };
         u32::try_from(entries).unwrap_or(u32::MAX).max(1)
     }
 
@@ -175,7 +232,7 @@
             extra,
             window,
         } = self.settings.budget;
-        let parts = self.entries(service);
+        let parts = u32::try_from(listeners.len()).unwrap_or(u32::MAX).max(1);
         let named = listeners.contains(&self.instance.member().peers);
         Bounds {
             share: share * BUDGET_SHARE,
--- a/crates/entry/src/gateway/attempt.rs
+++ b/crates/entry/src/gateway/attempt.rs
@@ -132,7 +132,7 @@
 async fn receive(
     gateway: &Gateway,
     inbound: &Inbound,
-    seat: Seat,
+    mut seat: Seat,
     lease: Lease,
     response: Response<Incoming>,
 ) -> Result<Received, Failed> {
@@ -140,7 +140,7 @@
     let dialect = &gateway.settings.dialect;
     let text = |name| parts.headers.get(name).and_then(|v| v.to_str().ok());
     if let Some(load) = text(&dialect.load).and_then(dialect.read_load) {
-        gateway.lane(&inbound.service).report(&seat.worker, load);
+        seat.report_to_all(load);
     }
     let echoed = text(&dialect.request_id);
     if echoed.is_some_and(|echoed| echoed != inbound.id) {
--- a/crates/entry/src/gateway/evidence.rs
+++ b/crates/entry/src/gateway/evidence.rs
@@ -82,7 +82,7 @@
         }
         let mut messages: HashMap<SocketAddr, Vec<Sighting>> = HashMap::new();
         for sighting in batch.drain(..) {
-            let listeners = gateway.listeners(&sighting.service);
+            let listeners = gateway.placing(&sighting.service);
             // Of too many, others hear of each sighting, so that none is left out for good.
             let some = listeners.iter().sample(&mut rand::rng(), MAX_LISTENERS);
             for listener in some {
--- a/crates/entry/src/gateway/lane.rs
+++ b/crates/entry/src/gateway/lane.rs
@@ -12,6 +12,7 @@
 };
 use tokio::sync::{mpsc, oneshot};
 
+use super::coordinator::Place;
 use super::evidence::Sighting;
 use crate::clock;
 
@@ -233,6 +234,23 @@
         self.lock().seat(self, worker, started)
     }
 
+    /// Returns the workers to which connections failed lately.
+    #[must_use]
+    pub fn unreachable(&self) -> Vec<Worker> {
+        self.lock().schedule.unreachable(clock::now())
+    }
+
+    /// Takes the place at a worker that the coordinator gave; `None` if this entry does not know the worker.
+    #[must_use]
+    pub fn seat_given(self: &Arc<Self>, worker: &Worker, place: Place) -> Option<Seat> {
+        let now = clock::now();
+        let mut inner = self.lock();
+        inner.schedule.start_at(now, worker);
+        let mut seat = inner.seat(self, worker.clone(), now).ok()?;
+        seat.place = Some(place);
+        Some(seat)
+    }
+
     /// Takes a place at another worker at once, if one has room.
     #[must_use]
     pub fn another(self: &Arc<Self>, request: &Request) -> Option<Seat> {
@@ -256,6 +274,7 @@
             worker,
             started,
             outcome: Outcome::Cancelled,
+            place: None,
         })
     }
 
@@ -309,9 +328,24 @@
     pub address: SocketAddr,
     started: Instant,
     outcome: Outcome,
+    /// Place that the coordinator gave, if it did.
+    place: Option<Place>,
 }
 
 impl Seat {
+    /// Records the load that the worker reports.
+    pub fn report(&self, load: u32) {
+        self.lane.report(&self.worker, load);
+    }
+
+    /// Records the load that the worker reports, also for the coordinator.
+    pub fn report_to_all(&mut self, load: u32) {
+        self.report(load);
+        if let Some(place) = &mut self.place {
+            place.load = Some(load);
+        }
+    }
+
     /// Gives the place back with what the attempt says about the worker.
     pub fn finish(mut self, outcome: Outcome) {
         self.outcome = outcome;
@@ -322,7 +356,11 @@
     fn drop(&mut self) {
         let mut inner = self.lane.lock();
         let now = clock::now();
-        self.lane.share(&inner, now, &self.worker, self.outcome);
+        match &mut self.place {
+            // The coordinator tells the others.
+            Some(place) => place.outcome = self.outcome,
+            None => self.lane.share(&inner, now, &self.worker, self.outcome),
+        }
         let (worker, started, outcome) = (&self.worker, self.started, self.outcome);
         // The instant of the dispatch identifies a place, so that both steps must use the same.
         let actions = self
--- a/crates/entry/src/gateway/places.rs
+++ b/crates/entry/src/gateway/places.rs
@@ -47,7 +47,9 @@
     parts.flatten().collect()
 }
 
-fn in_zone(directory: &Directory, zone: &Zone) -> Directory {
+/// Returns the entries of a zone that are not shutting down.
+#[must_use]
+pub fn in_zone(directory: &Directory, zone: &Zone) -> Directory {
     let members = directory.members.iter();
     let members = members.filter(|(_, m)| m.zone == *zone && !m.draining);
     Directory {
--- a/crates/entry/src/gateway/proxy.rs
+++ b/crates/entry/src/gateway/proxy.rs
@@ -13,6 +13,7 @@
 
 use super::Gateway;
 use super::attempt::{Failed, Received, attempt};
+use super::coordinator;
 use super::inbound::{self, Inbound};
 use super::lane::{Lane, Seat};
 use super::relay::relay;
@@ -88,9 +89,9 @@
     let mut states = gateway.instance.follow.subscribe();
     let known = states.wait_for(|state| state.routes.label > 0);
     // A malformed deadline is refused when the request is read.
-    let stated = inbound::stated(&gateway.settings.dialect, request.headers());
-    let stated = stated.unwrap_or_default();
-    let most = stated.map_or(FIRST_ROUTES, |stated| stated.saturating_sub(OTHER_ENTRY));
+    let patience = inbound::stated(&gateway.settings.dialect, request.headers());
+    let patience = patience.unwrap_or_default();
+    let most = patience.map_or(FIRST_ROUTES, |time| time.saturating_sub(OTHER_ENTRY));
     // Without a table after this time the request is refused.
     let _ = timeout_at(arrived + most.min(FIRST_ROUTES), known).await;
 }
@@ -148,7 +149,7 @@
                     let (id, worker) = (&self.inbound.id, &received.seat.worker);
                     let status = received.parts.status.as_u16();
                     spdlog::info!("attempt answered with an error", kv: {id:, worker:, status});
-                    match self.next(Purpose::Failure) {
+                    match self.next(Purpose::Failure).await {
                         Some(next) => {
                             received.seat.finish(Outcome::Failure);
                             seat = next;
@@ -186,6 +187,7 @@
             Failed::Unknown(cause) => {
                 self.executed = Executed::Unknown;
                 self.next(Purpose::Failure)
+                    .await
                     .ok_or_else(|| Refusal::new(Kind::UpstreamBroken, cause))
             }
             Failed::Timeout => {
@@ -202,7 +204,7 @@
         if !again || !may {
             return Err(self.refused(kind, cause, None));
         }
-        match self.place() {
+        match self.place().await {
             Some(seat) => Ok(seat),
             None => self.admit().await,
         }
@@ -211,7 +213,7 @@
     /// Waits for a place at a worker.
     async fn admit(&mut self) -> Result<Seat, Refusal> {
         let asked = Instant::now();
-        let admitted = self.lane.admit(self.request()).await;
+        let admitted = coordinator::admit(self.gateway, &self.lane, self.request()).await;
         self.waited += asked.elapsed();
         let seat = admitted.map_err(|refusal| {
             let schedule::Refusal {
@@ -229,11 +231,11 @@
     }
 
     /// Takes a place for a further attempt of a request that may run more than once, if the budget allows it.
-    fn next(&mut self, purpose: Purpose) -> Option<Seat> {
+    async fn next(&mut self, purpose: Purpose) -> Option<Seat> {
         if !self.inbound.route.kind.is_idempotent() {
             return None;
         }
-        match self.further(purpose) {
+        match self.further(purpose).await {
             Ok(seat) => {
                 self.note(&seat);
                 Some(seat)
@@ -248,7 +250,7 @@
     }
 
     /// Returns a place for a further attempt, or why there is none.
-    fn further(&self, purpose: Purpose) -> Result<Seat, &'static str> {
+    async fn further(&self, purpose: Purpose) -> Result<Seat, &'static str> {
         let inbound = self.inbound;
         if self.sent >= inbound.route.attempts {
             return Err("the attempts of the route are used up");
@@ -259,17 +261,23 @@
         if inbound.source.is_dropped() {
             return Err("the request body is not kept");
         }
-        let seat = self.lane.another(&self.request());
-        let seat = seat.ok_or("no other worker has room")?;
-        // Without budget the place is given back, and no attempt was made.
+        if purpose == Purpose::Lateness {
+            let seat = coordinator::another(self.gateway, &self.lane, &self.request()).await;
+            let seat = seat.ok_or("no other worker has room")?;
+            // Without budget the place is given back, and no attempt was made.
+            let allowed = self.lane.withdraw(purpose);
+            return allowed.then_some(seat).ok_or("the retry budget is empty");
+        }
         if !self.lane.withdraw(purpose) {
             return Err("the retry budget is empty");
         }
-        Ok(seat)
+        // The request fails without another attempt, so that waiting for a place is worth it.
+        let seat = coordinator::admit(self.gateway, &self.lane, self.request()).await;
+        seat.map_err(|_| "no other worker could answer in time")
     }
 
-    fn place(&mut self) -> Option<Seat> {
-        let seat = self.lane.another(&self.request())?;
+    async fn place(&mut self) -> Option<Seat> {
+        let seat = coordinator::another(self.gateway, &self.lane, &self.request()).await?;
         self.note(&seat);
         Some(seat)
     }
@@ -304,7 +312,7 @@
             outcome = &mut first => return outcome,
             () = sleep(slow) => self.lane.late(&worker),
         }
-        let Some(second) = self.next(Purpose::Lateness) else {
+        let Some(second) = self.next(Purpose::Lateness).await else {
             return first.await;
         };
         let mut second = std::pin::pin!(attempt(gateway, inbound, second));
--- /dev/null
+++ b/crates/entry/tests/all/coordinator.rs
@@ -0,0 +1,197 @@
+//! Entries with narrow links that ask an entry with a wide one for places at workers.
+
+use std::time::Duration;
+
+use chestnutvalve_model::directory::Member;
+use chestnutvalve_model::id::{Entry as Id, Incarnation, Zone};
+use chestnutvalve_model::routes::Kind;
+use tokio::net::TcpListener;
+use tokio::time::{Instant, sleep, timeout};
+
+use crate::control::Control;
+use crate::fleet::{Entry, until};
+use crate::gateway::{announced, answer, ask_as, good, route, table};
+use crate::worker::{Seen, Step, Worker};
+
+/// Links of entries with narrow links, in megabits a second.
+const NARROW: u32 = 3;
+const WIDE: u32 = 1_000;
+/// Work of a request.
+const WORK: Duration = Duration::from_millis(100);
+
+fn working(seen: &Seen) -> Vec<Step> {
+    let mut steps = vec![Step::Wait(WORK)];
+    steps.extend(good(seen));
+    steps
+}
+
+/// Starts a control instance with the routes `/` and `/once/`, and registers the workers.
+async fn control(workers: &[&Worker]) -> Control {
+    let control = Control::start().await;
+    let routes = vec![route("/", Kind::Idempotent), route("/once/", Kind::Once)];
+    control.publish(table(1, routes));
+    for worker in workers {
+        control.register(&announced(worker, 1, false));
+    }
+    control
+}
+
+/// Starts one entry with a wide link and two with narrow ones.
+async fn entries(control: &Control, workers: usize) -> [Entry; 3] {
+    let start = |name, mbps| Entry::start_on(name, control.address, &[], mbps);
+    let (wide, first) = (start("wide", WIDE).await, start("n1", NARROW).await);
+    let entries = [wide, first, start("n2", NARROW).await];
+    for entry in &entries {
+        entry.knows(3).await;
+        until("workers", || entry.state().roster.workers.len() == workers).await;
+    }
+    entries
+}
+
+/// Guards against entries that spread their requests without knowing of each other: some workers get a queue while others
+/// are idle.
+#[tokio::test]
+async fn requests_of_two_entries_fill_the_slots_of_the_workers() {
+    let (a, b) = (
+        Worker::start("w1", working).await,
+        Worker::start("w2", working).await,
+    );
+    let control = control(&[&a, &b]).await;
+    let [_wide, first, second] = entries(&control, 2).await;
+    for round in 0..6 {
+        let before = (a.count(), b.count());
+        let ids: Vec<String> = (0..4).map(|n| format!("id-{round}-{n}")).collect();
+        let replies = tokio::join!(
+            ask_as(&first, "/x", &ids[0]),
+            ask_as(&second, "/x", &ids[1]),
+            ask_as(&first, "/x", &ids[2]),
+            ask_as(&second, "/x", &ids[3]),
+        );
+        let statuses = [
+            replies.0.status,
+            replies.1.status,
+            replies.2.status,
+            replies.3.status,
+        ];
+        assert_eq!(statuses, [200; 4]);
+        assert_eq!(
+            (a.count() - before.0, b.count() - before.1),
+            (2, 2),
+            "round {round}"
+        );
+    }
+}
+
+/// Guards against requests that fail, or wait for long, because the coordinator does not answer.
+#[tokio::test]
+async fn without_an_answer_an_entry_places_its_requests_itself() {
+    let worker = Worker::start("w1", good).await;
+    let control = control(&[&worker]).await;
+    let silent = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = silent.local_addr().unwrap();
+    {
+        let mut state = control.state.lock().unwrap();
+        state.directory.join(&Member {
+            entry: Id::new("silent").unwrap(),
+            incarnation: Incarnation(1),
+            zone: Zone::new("z1").unwrap(),
+            callers: address,
+            gateway: Some(address),
+            link_mbps: WIDE,
+            platform: address,
+            peers: address,
+            draining: false,
+        });
+        state.version.revision += 1;
+    }
+    let narrow = Entry::start_on("n1", control.address, &[], NARROW).await;
+    narrow.knows(2).await;
+    for (n, most) in [Duration::from_millis(700), Duration::from_millis(100)]
+        .into_iter()
+        .enumerate()
+    {
+        let begun = Instant::now();
+        let reply = ask_as(&narrow, "/once/x", &format!("id-{n}")).await;
+        let took = begun.elapsed();
+        assert_eq!(reply.status, 200);
+        assert!(took < most, "request {n} took {took:?}");
+    }
+}
+
+/// Guards against places that stay taken at the coordinator when a caller leaves before its answer.
+#[tokio::test]
+async fn a_place_is_free_again_when_the_caller_leaves() {
+    let worker = Worker::start("w1", |seen| {
+        let id = &seen.headers["chestnutvalve-attempt"];
+        if id.starts_with("stay") {
+            good(seen)
+        } else {
+            vec![Step::Wait(Duration::from_secs(5))]
+        }
+    });
+    let worker = worker.await;
+    let control = control(&[&worker]).await;
+    let [_wide, first, second] = entries(&control, 1).await;
+    for n in 0..2 {
+        let leaving = format!("leave-{n}");
+        let asked = ask_as(&first, "/once/x", &leaving);
+        assert!(timeout(Duration::from_millis(100), asked).await.is_err());
+    }
+    sleep(Duration::from_millis(50)).await;
+    let replies = tokio::join!(
+        ask_as(&first, "/x", "stay-1"),
+        ask_as(&second, "/x", "stay-2")
+    );
+    assert_eq!([replies.0.status, replies.1.status], [200; 2]);
+}
+
+/// Guards against a request that is sent to a worker which its entry knows to be gone, and against one that asks for ever
+/// because the coordinator has not heard of it.
+#[tokio::test]
+async fn a_worker_that_the_entry_does_not_know_is_not_used() {
+    let (gone, stays) = (
+        Worker::start("w1", good).await,
+        Worker::start("w2", good).await,
+    );
+    let old = control(&[&gone, &stays]).await;
+    let new = control(&[&stays]).await;
+    let wide = Entry::start_on("wide", old.address, &[], WIDE).await;
+    until("workers", || wide.state().roster.workers.len() == 2).await;
+    {
+        let mut state = new.state.lock().unwrap();
+        let members = old.state.lock().unwrap().directory.members.clone();
+        for member in members.values() {
+            state.directory.join(member);
+        }
+        state.version.revision += 1;
+    }
+    let narrow = Entry::start_on("n1", new.address, &[], NARROW).await;
+    narrow.knows(2).await;
+    until("workers", || narrow.state().roster.workers.len() == 1).await;
+    for n in 0..10 {
+        let id = format!("id-{n}");
+        let asked = ask_as(&narrow, "/x", &id);
+        let reply = timeout(Duration::from_secs(1), asked).await.unwrap();
+        assert_eq!(reply.status, 200);
+    }
+    assert_eq!((gone.count(), stays.count()), (0, 10));
+}
+
+/// Guards against an idempotent request that is given back failed although another worker is free a moment later.
+#[tokio::test]
+async fn a_failed_request_waits_for_another_worker() {
+    let fine = Worker::start("w1", working).await;
+    let bad = Worker::start("w2", |seen| answer(seen, 500, "", "no")).await;
+    let control = control(&[&fine, &bad]).await;
+    let [_wide, first, second] = entries(&control, 2).await;
+    let ids: Vec<String> = (0..6).map(|n| format!("id-{n}")).collect();
+    let asked = ids.iter().enumerate().map(|(n, id)| {
+        let entry = if n % 2 == 0 { &first } else { &second };
+        ask_as(entry, "/x", id)
+    });
+    let replies = futures_util::future::join_all(asked).await;
+    let good = replies.iter().filter(|r| r.status == 200).count();
+    // Each entry may make one further attempt before it has served more requests.
+    assert!(good >= 4, "{good} of 6");
+    assert!(fine.count() + bad.count() <= 12);
+}
--- a/crates/entry/tests/all/gateway.rs
+++ b/crates/entry/tests/all/gateway.rs
@@ -23,7 +23,7 @@
 
 const SERVICE: &str = "lookup";
 
-fn route(prefix: &str, kind: Kind) -> Route {
+pub fn route(prefix: &str, kind: Kind) -> Route {
     Route {
         name: prefix.to_owned(),
         host: "a.example".to_owned(),
@@ -40,7 +40,7 @@
     }
 }
 
-fn table(label: u64, routes: Vec<Route>) -> Table {
+pub fn table(label: u64, routes: Vec<Route>) -> Table {
     let target = Target {
         health: "/healthz".to_owned(),
         max_connections: 100,
@@ -53,7 +53,7 @@
     }
 }
 
-fn announced(worker: &Worker, incarnation: u64, leaving: bool) -> Event {
+pub fn announced(worker: &Worker, incarnation: u64, leaving: bool) -> Event {
     Event::Announced(Announcement {
         worker: Name::new(&worker.name).unwrap(),
         incarnation: Incarnation(incarnation),
@@ -67,13 +67,13 @@
 }
 
 impl Control {
-    fn publish(&self, table: Table) {
+    pub fn publish(&self, table: Table) {
         let mut state = self.state.lock().unwrap();
         state.routes = Arc::new(table);
         state.version.revision += 1;
     }
 
-    fn register(&self, event: &Event) {
+    pub fn register(&self, event: &Event) {
         let mut state = self.state.lock().unwrap();
         Arc::make_mut(&mut state.roster).apply(event);
         state.version.revision += 1;
@@ -97,7 +97,7 @@
 }
 
 /// Returns a worker's response, which repeats the id of the request.
-fn answer(seen: &Seen, status: u16, more: &str, body: &str) -> Vec<Step> {
+pub fn answer(seen: &Seen, status: u16, more: &str, body: &str) -> Vec<Step> {
     let id = seen.headers.get("chestnutvalve-attempt").cloned();
     let id = id.unwrap_or_default();
     let length = body.len();
@@ -107,7 +107,7 @@
     vec![Step::Write(text.into_bytes())]
 }
 
-fn good(seen: &Seen) -> Vec<Step> {
+pub fn good(seen: &Seen) -> Vec<Step> {
     answer(seen, 200, "", "ok")
 }
 
@@ -119,7 +119,7 @@
     ask_as(entry, path, "id-1").await
 }
 
-async fn ask_as(entry: &Entry, path: &str, id: &str) -> Reply {
+pub async fn ask_as(entry: &Entry, path: &str, id: &str) -> Reply {
     let headers = [("host", "a.example"), ("chestnutvalve-attempt", id)];
     exchange(entry.gateway, path, &headers).await.unwrap()
 }
@@ -240,7 +240,8 @@
 #[case::wide(1_000, 0..300)]
 #[tokio::test]
 async fn downloads_over_a_narrow_link_are_spread(#[case] mbps: u32, #[case] took_ms: Range<u128>) {
-    let body: String = (0..20_000).map(|n| format!("{n:05}")).collect();
+    let numbers: Vec<String> = (0..20_000).map(|n| format!("{n:05}")).collect();
+    let body = numbers.concat();
     let sent = body.clone();
     let worker = Worker::start("w1", move |seen| answer(seen, 200, "", &sent)).await;
     let control = Control::start().await;
--- a/crates/entry/tests/all/main.rs
+++ b/crates/entry/tests/all/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the entry daemon against fake workers and a fake control instance, all in one process.
 
 mod control;
+mod coordinator;
 mod drain;
 mod fleet;
 mod gateway;
--- a/crates/routing/src/schedule.rs
+++ b/crates/routing/src/schedule.rs
@@ -31,6 +31,11 @@
 const ZONE_COST_DOWNLOAD: f64 = 1.0;
 /// Most by which equally loaded workers differ for one request, in slots.
 const SPREAD: f64 = 0.25;
+/// One worker in so many may be avoided for longer than 2 s. At least 70% of the sound workers have to stay in use, and a
+/// worker that has failed counts as sound again after 2 s; the rest is kept for workers that are avoided for other reasons.
+const HELD_PART: usize = 5;
+/// Waiting requests that are passed over in one look at the queue, because they don't want the workers that have room.
+const MAX_PASSED: usize = 16;
 /// Part of the time left that the expected wait may take. The estimate is a mean, so that a fifth is kept in reserve.
 const WAIT_SHARE: f64 = 0.7;
 
@@ -204,6 +209,20 @@
         self.place(now, request)
     }
 
+    /// Takes a place at a worker that was chosen elsewhere.
+    pub fn start_at(&mut self, now: Instant, worker: &Worker) {
+        if let Some(upstream) = self.upstreams.get_mut(worker) {
+            upstream.start(now);
+        }
+    }
+
+    /// Returns the workers to which connections failed lately.
+    #[must_use]
+    pub fn unreachable(&self, now: Instant) -> Vec<Worker> {
+        let cut = self.upstreams.iter().filter(|(_, u)| u.is_unreachable(now));
+        cut.map(|(worker, _)| worker.clone()).collect()
+    }
+
     /// Records the end of an attempt.
     pub fn finish(
         &mut self,
@@ -217,19 +236,27 @@
             self.pace.served(now.saturating_duration_since(started));
         }
         let typical = self.pace.typical();
+        let may_hold = self.may_hold(now);
         if let Some(upstream) = self.upstreams.get_mut(worker) {
-            upstream.finish(now, started, outcome, typical);
+            upstream.finish(now, started, outcome, typical, may_hold);
         }
         self.start(now)
     }
 
     /// Records what an attempt shows of a worker while it is in progress, or at another entry.
     pub fn observe(&mut self, now: Instant, worker: &Worker, evidence: Evidence) {
+        let may_hold = self.may_hold(now);
         if let Some(upstream) = self.upstreams.get_mut(worker) {
-            upstream.observe(now, evidence);
+            upstream.observe(now, evidence, may_hold);
         }
     }
 
+    /// Returns whether one more worker can be avoided for long without the service running short of workers.
+    fn may_hold(&self, now: Instant) -> bool {
+        let held = self.upstreams.values().filter(|u| u.is_held(now)).count();
+        (held + 1) * HELD_PART <= self.usable()
+    }
+
     /// Returns whether a worker was seen to fail lately, so that a success is news.
     #[must_use]
     pub fn is_doubtful(&self, now: Instant, worker: &Worker) -> bool {
@@ -289,18 +316,26 @@
         let mut actions = Vec::new();
         let typical = self.pace.typical();
         for rank in 0..self.queues.len() {
+            // Requests that were tried elsewhere may find no place where others do; they don't hold these up.
+            let mut passed = 0;
             loop {
                 let queue = &self.queues[rank];
-                let in_time = queue.iter().position(|r| now + typical <= r.target);
-                let Some(next) = in_time.or_else(|| (!queue.is_empty()).then_some(0)) else {
+                let in_time = |r: &Request| now + typical <= r.target;
+                let order = queue.iter().enumerate();
+                let first = order.clone().filter(|(_, r)| in_time(r));
+                let mut order = first.chain(order.filter(|(_, r)| !in_time(r)));
+                let Some((next, request)) = order.nth(passed) else {
                     break;
                 };
-                let request = self.queues[rank][next].clone();
-                let Some(worker) = self.place(now, &request) else {
-                    return actions;
-                };
-                self.queues[rank].remove(next);
-                actions.push(Action::Send(request.id, worker));
+                let request = request.clone();
+                match self.place(now, &request) {
+                    Some(worker) => {
+                        self.queues[rank].remove(next);
+                        actions.push(Action::Send(request.id, worker));
+                    }
+                    None if request.tried.is_empty() || passed >= MAX_PASSED => return actions,
+                    None => passed += 1,
+                }
             }
         }
         actions
@@ -344,7 +379,8 @@
             f64::from(low(hash.digest())) / f64::from(u32::MAX) * SPREAD
         };
         let all = || self.upstreams.iter().filter(usable);
-        let candidates = all().filter(|(_, u)| u.has_room(now) && u.is_avoided(now) == avoided);
+        let candidates =
+            all().filter(|(_, u)| u.has_room(now, typical) && u.is_avoided(now) == avoided);
         let costs = candidates.map(|(worker, u)| (cost(u) + spread(worker), worker));
         let cheapest = costs.min_by(|a, b| a.0.total_cmp(&b.0));
         let worker = cheapest.map(|(_, worker)| worker.clone())?;
--- a/crates/routing/src/schedule/upstream.rs
+++ b/crates/routing/src/schedule/upstream.rs
@@ -6,8 +6,11 @@
 
 use super::trust::{Evidence, Trust};
 
-/// Time in which half of the reported requests of other entries are taken to have ended.
+/// Longest time in which half of the reported requests of other entries are taken to have ended; the usual response time
+/// if that is shorter.
 const REPORT_HALF_LIFE: Duration = Duration::from_millis(250);
+/// Least such time, for services that answer at once.
+const LEAST_HALF_LIFE: Duration = Duration::from_millis(10);
 /// Factor on the cost of a worker that has just started.
 const COLD: f64 = 2.0;
 /// Extra load, in slots, of a worker that is certainly bad. A failed request that must not run twice is lost, the others
@@ -123,9 +126,12 @@
         u32::try_from(self.running.len()).unwrap_or(u32::MAX)
     }
 
+    pub(super) fn is_unreachable(&self, now: Instant) -> bool {
+        self.unreachable.1.is_some_and(|until| now < until)
+    }
+
     pub(super) fn is_avoided(&self, now: Instant) -> bool {
-        let cut = self.unreachable.1.is_some_and(|until| now < until);
-        cut || self.trust.is_avoided(now)
+        self.is_unreachable(now) || self.trust.is_avoided(now)
     }
 
     pub(super) fn doubt(&self, now: Instant) -> f64 {
@@ -136,26 +142,32 @@
         self.trust.is_doubtful(now)
     }
 
-    pub(super) fn observe(&mut self, now: Instant, evidence: Evidence) {
-        self.trust.observe(now, evidence);
+    pub(super) fn is_held(&self, now: Instant) -> bool {
+        self.trust.is_held(now)
+    }
+
+    pub(super) fn observe(&mut self, now: Instant, evidence: Evidence, may_hold: bool) {
+        self.trust.observe(now, evidence, may_hold);
     }
 
     /// Returns the estimated number of requests at the worker.
-    fn load(&self, now: Instant) -> f64 {
+    fn load(&self, now: Instant, typical: Duration) -> f64 {
+        let half_life = typical.clamp(LEAST_HALF_LIFE, REPORT_HALF_LIFE);
         let others = self.others.map_or(0.0, |(at, others)| {
             let age = now.saturating_duration_since(at).as_secs_f64();
-            others * 0.5_f64.powf(age / REPORT_HALF_LIFE.as_secs_f64())
+            others * 0.5_f64.powf(age / half_life.as_secs_f64())
         });
         f64::from(self.running()) + others
     }
 
-    pub(super) fn has_room(&self, now: Instant) -> bool {
+    pub(super) fn has_room(&self, now: Instant, typical: Duration) -> bool {
         let full = self.full_until.is_some_and(|until| now < until);
-        !full && self.load(now) + 0.5 <= f64::from(self.spec.slots)
+        !full && self.load(now, typical) + 0.5 <= f64::from(self.spec.slots)
     }
 
     /// Returns what a request at this worker costs, in slots.
     pub(super) fn cost(&self, now: Instant, typical: Duration, once: bool) -> f64 {
+        let load = self.load(now, typical);
         let typical = typical.as_secs_f64();
         let speed = self.time.map_or(1.0, |(time, at)| {
             let age = now.saturating_duration_since(at).as_secs_f64();
@@ -171,7 +183,7 @@
             .filter(|started| now.saturating_duration_since(**started).as_secs_f64() > overdue);
         let late = f64::from(u32::try_from(late.count()).unwrap_or(u32::MAX));
         let slots = f64::from(self.spec.slots.max(1));
-        let load = (self.load(now) + 1.0) / slots;
+        let load = (load + 1.0) / slots;
         let bad = if once { BAD_COST_ONCE } else { BAD_COST };
         load * speed.clamp(SPEED.0, SPEED.1) * cold + bad * self.trust.bad(now) + late
     }
@@ -181,9 +193,9 @@
     }
 
     pub(super) fn report(&mut self, now: Instant, load: u32) {
-        // The worker counts this entry's requests too; the one whose response carries the report has ended.
-        let own = self.running().saturating_sub(1);
-        self.others = Some((now, f64::from(load.saturating_sub(own))));
+        // The worker counts this entry's requests too, with the one whose response carries the report.
+        let others = load.saturating_sub(self.running());
+        self.others = Some((now, f64::from(others)));
     }
 
     pub(super) fn finish(
@@ -192,6 +204,7 @@
         started: Instant,
         outcome: Outcome,
         typical: Duration,
+        may_hold: bool,
     ) {
         if let Some(at) = self.running.iter().position(|at| *at == started) {
             self.running.swap_remove(at);
@@ -207,12 +220,12 @@
                 let time = now.saturating_duration_since(started).as_secs_f64();
                 let before = self.time.map_or(typical.as_secs_f64(), |(time, _)| time);
                 self.time = Some((before + TIME_WEIGHT * (time - before), now));
-                self.observe(now, Evidence::Success);
+                self.observe(now, Evidence::Success, may_hold);
             }
-            Outcome::Failure => self.observe(now, Evidence::Failure),
+            Outcome::Failure => self.observe(now, Evidence::Failure, may_hold),
             Outcome::Shed => {
                 self.full_until = Some(now + FULL);
-                self.observe(now, Evidence::Shed);
+                self.observe(now, Evidence::Shed, may_hold);
             }
             Outcome::Gone => self.gone = true,
             Outcome::Cancelled => {}
--- a/crates/routing/tests/bandwidth.rs
+++ b/crates/routing/tests/bandwidth.rs
@@ -51,7 +51,7 @@
     let start = Instant::now();
     let mut link = Link::new(MBPS);
     link.reserve(start, PIECE);
-    let later = start + Duration::from_secs(60);
+    let later = start + Duration::from_mins(1);
     let next = link.reserve(later, PIECE);
     assert!(next > later + Duration::from_millis(20));
 }
--- a/crates/routing/tests/schedule.rs
+++ b/crates/routing/tests/schedule.rs
@@ -274,10 +274,11 @@
 
     fn end(&mut self, at: usize, id: u64, good: bool) {
         let upstream = &mut self.upstreams[at];
+        // Workers report their load with the request that ends.
+        let load = u32::try_from(upstream.running + upstream.waiting.len()).unwrap();
         upstream.running -= 1;
         let next = upstream.waiting.pop_front();
         upstream.running += usize::from(next.is_some());
-        let load = u32::try_from(upstream.running + upstream.waiting.len()).unwrap();
         if let Some(next) = next {
             self.work(next, at);
         }
@@ -496,3 +497,112 @@
         at = later;
     }
 }
+
+fn fail(schedule: &mut Schedule, now: Instant, worker: &Worker) {
+    schedule.observe(now, worker, Evidence::Failure);
+}
+
+/// Guards against a request that is lost every two seconds at a worker which stays bad for nine.
+#[test]
+fn a_worker_that_fails_again_is_avoided_for_longer() {
+    let now = Instant::now();
+    let mut schedule = schedule(now, 10, 1);
+    let bad = worker(0);
+    fail(&mut schedule, now, &bad);
+    let first = now + Duration::from_millis(1_500);
+    assert!(!schedule.is_avoided(first, &bad));
+    fail(&mut schedule, first, &bad);
+    assert!(schedule.is_avoided(first + Duration::from_secs(4), &bad));
+    assert!(!schedule.is_avoided(first + Duration::from_secs(5), &bad));
+}
+
+/// Guards against failures of requests that were under way at the same time, which say no more than one.
+#[test]
+fn failures_at_the_same_time_do_not_lengthen_the_doubt() {
+    let now = Instant::now();
+    let mut schedule = schedule(now, 10, 1);
+    let bad = worker(0);
+    for ms in [0, 5, 20, 300] {
+        fail(&mut schedule, now + Duration::from_millis(ms), &bad);
+    }
+    assert!(!schedule.is_avoided(now + Duration::from_secs(2), &bad));
+}
+
+/// Guards against doubt that keeps more than 30% of the workers without requests for over 2 s.
+#[test]
+fn only_a_part_of_the_workers_is_avoided_for_long() {
+    let now = Instant::now();
+    let mut schedule = schedule(now, 10, 1);
+    let again = now + Duration::from_millis(1_500);
+    for at in [now, again] {
+        for index in 0..10 {
+            fail(&mut schedule, at, &worker(index));
+        }
+    }
+    let later = again + Duration::from_secs(2);
+    let held = (0..10).filter(|index| schedule.is_avoided(later, &worker(*index)));
+    assert_eq!(held.count(), 2);
+}
+
+fn offer(schedule: &mut Schedule, now: Instant, id: u64, tried: &[Worker]) -> Decision {
+    let request = Request {
+        tried: tried.to_vec(),
+        ..request(id, now, Rank::Middle)
+    };
+    schedule.offer(now, request)
+}
+
+/// Guards against a worker that looks half full after each response, because it counts the request that ends.
+#[test]
+fn a_reported_load_counts_the_request_that_ends() {
+    let now = Instant::now();
+    let mut schedule = schedule(now, 1, 1);
+    offer(&mut schedule, now, 1, &[]);
+    let later = now + Duration::from_millis(100);
+    schedule.report(later, &worker(0), 1);
+    schedule.finish(later, &worker(0), now, Outcome::Success);
+    for id in 2..4 {
+        let decision = offer(&mut schedule, later, id, &[]);
+        assert_eq!(decision, Decision::Send(worker(0)));
+    }
+}
+
+/// Guards against requests of 20 ms that wait a quarter of a second for others which have ended.
+#[test]
+fn reported_requests_end_at_the_pace_of_the_service() {
+    let mut now = Instant::now();
+    let mut schedule = schedule(now, 1, 1);
+    for id in 0..50 {
+        offer(&mut schedule, now, id, &[]);
+        let later = now + Duration::from_millis(20);
+        schedule.finish(later, &worker(0), now, Outcome::Success);
+        now = later;
+    }
+    offer(&mut schedule, now, 50, &[]);
+    let later = now + Duration::from_millis(20);
+    schedule.report(later, &worker(0), 3);
+    schedule.finish(later, &worker(0), now, Outcome::Success);
+    assert_eq!(offer(&mut schedule, later, 51, &[]), Decision::Wait);
+    let actions = schedule.tick(later + Duration::from_millis(60));
+    assert_eq!(actions, [Action::Send(51, worker(0))]);
+}
+
+/// Guards against a waiting request that wants no worker with room and holds up all behind it.
+#[test]
+fn a_request_that_was_tried_everywhere_does_not_hold_up_others() {
+    let now = Instant::now();
+    let mut schedule = schedule(now, 2, 1);
+    for id in 0..4 {
+        assert!(matches!(
+            offer(&mut schedule, now, id, &[]),
+            Decision::Send(_)
+        ));
+    }
+    assert_eq!(offer(&mut schedule, now, 4, &[worker(0)]), Decision::Wait);
+    assert_eq!(offer(&mut schedule, now, 5, &[]), Decision::Wait);
+    let later = now + Duration::from_millis(100);
+    let actions = schedule.finish(later, &worker(0), now, Outcome::Success);
+    assert_eq!(actions, [Action::Send(5, worker(0))]);
+    let actions = schedule.finish(later, &worker(1), now, Outcome::Success);
+    assert_eq!(actions, [Action::Send(4, worker(1))]);
+}
