Let coordinators try workers again that failed last

In a replay 56 of 153 workers of fieldbook had no request for 2 s or more, and the last answer of each was a failure: a coordinator with enough proven workers prefers them to one whose doubt has faded.

Ruled out: avoidance itself (at most a fifth of the workers for longer than 1.6 s); a first try of 0.3 s after the last request, with which a coordinator would do little but try workers.

After: tests of the schedule 19 passed, with a new one.

--- a/crates/entry/src/gateway.rs
+++ b/crates/entry/src/gateway.rs
@@ -154,7 +154,12 @@
         let state = self.instance.follow.state();
         let budget = self.part(service);
         let lane = Lane::new(service.clone(), zone, budget, self.sightings.clone());
-        lane.sync(&specs(&state, service), budget, self.entries(service));
+        lane.sync(
+            &specs(&state, service),
+            budget,
+            self.entries(service),
+            self.coordinates(service),
+        );
         let lane = Arc::new(lane);
         lanes.insert(service.clone(), Arc::clone(&lane));
         lane
@@ -209,11 +214,15 @@
         value
     }
 
+    /// Returns whether this entry is the coordinator of a service in its zone.
+    fn coordinates(&self, service: &Service) -> bool {
+        self.coordinators(service).first() == Some(&self.instance.member().peers)
+    }
+
     /// Returns the number of entries that place requests at the workers of a service: one a zone where there are
     /// coordinators.
     fn entries(&self, service: &Service) -> u32 {
-        let own = self.instance.member().peers;
-        let entries = if self.coordinators(service).first() == Some(&own) {
+        let entries = if self.coordinates(service) {
             let state = self.instance.follow.state();
             let zones: BTreeSet<_> = state.directory.members.values().map(|m| &m.zone).collect();
             zones.len()
@@ -256,7 +265,13 @@
         let lanes = self.lanes.lock().unwrap_or_else(PoisonError::into_inner);
         for (service, lane) in lanes.iter() {
             let entries = self.entries(service);
-            lane.sync(&specs(&state, service), self.part(service), entries);
+            let coordinates = self.coordinates(service);
+            lane.sync(
+                &specs(&state, service),
+                self.part(service),
+                entries,
+                coordinates,
+            );
         }
     }
 
--- a/crates/entry/src/gateway/lane.rs
+++ b/crates/entry/src/gateway/lane.rs
@@ -74,8 +74,15 @@
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Brings the workers, this entry's part of the budget and the number of entries in line with the state.
-    pub fn sync(&self, members: &BTreeMap<Worker, Member>, budget: Bounds, entries: u32) {
+    /// Brings the workers, this entry's part of the budget, the number of entries and whether this one coordinates in line
+    /// with the state.
+    pub fn sync(
+        &self,
+        members: &BTreeMap<Worker, Member>,
+        budget: Bounds,
+        entries: u32,
+        coordinates: bool,
+    ) {
         let now = clock::now();
         let specs: Vec<(Worker, Spec)> = members
             .iter()
@@ -83,6 +90,7 @@
             .collect();
         let mut inner = self.lock();
         inner.schedule.sync(now, &specs, entries);
+        inner.schedule.coordinate(coordinates);
         inner.members.clone_from(members);
         inner.allowance.configure(budget);
         let actions = inner.schedule.tick(now);
--- a/crates/routing/src/schedule.rs
+++ b/crates/routing/src/schedule.rs
@@ -107,6 +107,8 @@
     zone: Zone,
     /// Entries that send to the same workers.
     entries: u32,
+    /// Whether all requests of a zone pass here.
+    coordinates: bool,
     upstreams: BTreeMap<Worker, Upstream>,
     queues: [VecDeque<Request>; 3],
     pace: Pace,
@@ -119,6 +121,7 @@
         Self {
             zone,
             entries: 1,
+            coordinates: false,
             upstreams: BTreeMap::new(),
             queues: Default::default(),
             pace: Pace::default(),
@@ -142,6 +145,12 @@
         }
     }
 
+    /// Sets whether all requests of a zone pass here. Then each worker of the zone that is not avoided is tried again
+    /// after a while: one that failed last would otherwise get none while there are enough proven ones.
+    pub fn coordinate(&mut self, coordinates: bool) {
+        self.coordinates = coordinates;
+    }
+
     /// Returns the number of waiting requests.
     #[must_use]
     pub fn waiting(&self) -> usize {
@@ -374,7 +383,11 @@
                 (false, true) => ZONE_COST_DOWNLOAD,
                 (false, false) => ZONE_COST,
             };
-            upstream.cost(now, typical, request.once) + detour
+            if self.coordinates && near && upstream.is_idle(now) {
+                0.0
+            } else {
+                upstream.cost(now, typical, request.once) + detour
+            }
         };
         let connection = |worker: &Worker| {
             if request.connected.contains(worker) {
--- a/crates/routing/src/schedule/upstream.rs
+++ b/crates/routing/src/schedule/upstream.rs
@@ -21,6 +21,9 @@
 /// often. Paths are cut for some seconds.
 const UNREACHABLE: Duration = Duration::from_secs(1);
 const MAX_DOUBLINGS: u32 = 3;
+/// Time after which a coordinator sends a request to a worker of its zone that it does not avoid, whatever its doubt. At least
+/// 70% of the sound workers have to get one within 2 s.
+const IDLE: Duration = Duration::from_millis(1_500);
 /// Time for which a worker that shed a request is taken to be full.
 const FULL: Duration = Duration::from_millis(100);
 /// Weight of a new response time in the worker's own.
@@ -78,6 +81,8 @@
     /// Connections that failed in a row, and until when none is tried.
     unreachable: (u32, Option<Instant>),
     full_until: Option<Instant>,
+    /// When the last request was sent.
+    sent: Instant,
     /// Mean response time, in seconds, and when it was last observed.
     time: Option<(f64, Instant)>,
 }
@@ -93,6 +98,7 @@
             trust: Trust::new(now),
             unreachable: (0, None),
             full_until: None,
+            sent: now,
             time: None,
         }
     }
@@ -188,7 +194,13 @@
         load * speed.clamp(SPEED.0, SPEED.1) * cold + bad * self.trust.bad(now) + late
     }
 
+    /// Returns whether nothing was sent to the worker for so long that it has to be tried.
+    pub(super) fn is_idle(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.sent) >= IDLE
+    }
+
     pub(super) fn start(&mut self, now: Instant) {
+        self.sent = now;
         self.running.push(now);
     }
 
--- a/crates/routing/tests/schedule.rs
+++ b/crates/routing/tests/schedule.rs
@@ -651,3 +651,24 @@
     let first = sent.iter().position(|d| *d == Decision::Send(worker(7)));
     assert!(first.unwrap() < 3, "{first:?}");
 }
+
+/// Guards against workers that get no request for 2 s because they failed last, while others have proved good.
+#[test]
+fn a_coordinator_tries_every_worker_again_after_its_pause() {
+    let mut now = Instant::now();
+    let mut schedule = schedule(now, 10, 1);
+    schedule.coordinate(true);
+    for index in 0..4 {
+        fail(&mut schedule, now, &worker(index));
+    }
+    let mut tried = [false; 10];
+    for id in 0..100 {
+        if let Decision::Send(to) = offer(&mut schedule, now, id, &[]) {
+            tried[index(&to)] = true;
+            let sent = now;
+            now += Duration::from_millis(20);
+            schedule.finish(now, &to, sent, Outcome::Success);
+        }
+    }
+    assert_eq!(tried, [true; 10]);
+}
