Keep the position of waiting requests at the coordinator, and use late answers

A request that waits left the coordinator's queue after 40 ms and joined its end with the next question. A question that was not answered within 250 ms made its entry avoid the coordinator for 2 s, although others were answered; the place in the late answer stayed taken until 0.5 s after the deadline.

Change: the coordinator keeps a request in its queue while its entry asks for it, with questions held for 250 ms and without the lists of workers. An entry waits for a coordinator that answers others. Late answers are used, or their places given back.

--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -275,7 +275,7 @@
             loop {
                 ticks.tick().await;
                 gateway.tick();
-                gateway.places.expire();
+                gateway.seats.expire();
                 gateway.pool.close_idle();
             }
         };
--- a/crates/entry/src/gateway.rs
+++ b/crates/entry/src/gateway.rs
@@ -33,7 +33,7 @@
 pub mod proxy;
 pub mod relay;
 
-use coordinator::{Places, Reports};
+use coordinator::{Answering, Reports, Seats};
 pub use dialect::Dialect;
 use evidence::Sighting;
 use lane::Lane;
@@ -92,8 +92,10 @@
     sightings: mpsc::Sender<Sighting>,
     /// Ends of attempts for coordinators.
     pub reports: Reports,
-    /// Places given to other entries.
-    pub places: Places,
+    /// Seats given to other entries, and requests of theirs that wait for one.
+    pub seats: Seats,
+    /// Which coordinators answer.
+    pub answering: Answering,
     /// Entries that may coordinate a service, as of a version of the state.
     coordinators: Derived<Arc<Vec<SocketAddr>>>,
     /// Link of the entry, if downloads can fill it.
@@ -116,7 +118,8 @@
         Self {
             sightings,
             reports,
-            places: Places::default(),
+            seats: Seats::default(),
+            answering: Answering::default(),
             coordinators: Mutex::default(),
             link: narrow(instance.settings.link_mbps),
             placing: Mutex::default(),
--- a/crates/entry/src/gateway/coordinator.rs
+++ b/crates/entry/src/gateway/coordinator.rs
@@ -26,13 +26,23 @@
 use super::{Gateway, places};
 use crate::clock;
 
+mod seats;
+
+use seats::Admission;
+pub use seats::Seats;
+
 /// Entries of a zone that may coordinate a service; the second one does while the first does not answer.
 const CANDIDATES: usize = 2;
-/// Time for which a coordinator keeps a request that has to wait before it says so. The entry then asks again.
+/// Time for which a coordinator keeps a first question before it says that the request waits. The entry then asks again.
 const HOLD: Duration = Duration::from_millis(40);
-/// Time for an answer of the coordinator: the hold, and 100 ms each way on a narrow link that carries downloads. With 150 ms,
+/// The same for further questions, whose entry knows that the coordinator is there. Fewer questions leave room on narrow
+/// links.
+const HOLD_AGAIN: Duration = Duration::from_millis(250);
+/// Time for an answer of the coordinator beyond the hold: 100 ms each way on a narrow link that carries downloads. With 110 ms,
 /// one answer in ten came too late on a calm fleet.
-const ASK_TIMEOUT: Duration = Duration::from_millis(250);
+const ASK_TIMEOUT: Duration = Duration::from_millis(210);
+/// Time after the deadline of a request for which an answer is still taken, so that the place in it is given back at once.
+const LATE_ANSWER: Duration = Duration::from_secs(2);
 /// Time for which a coordinator that did not answer is not asked.
 const SILENT: Duration = Duration::from_secs(2);
 /// Time after the deadline of a request after which its place is free again, if its entry has not said so. Its worker has
@@ -64,8 +74,18 @@
     tried: Vec<Worker>,
     /// Workers to which the entry has a connection.
     connected: Vec<Worker>,
-    /// Whether the request waits if no worker has room.
-    waits: bool,
+    turn: Turn,
+}
+
+/// What an entry wants if no worker has room.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+enum Turn {
+    /// An answer at once.
+    Never,
+    /// To join the queue.
+    New,
+    /// To stay in the queue, where the request has this number.
+    Kept(u64),
 }
 
 /// Answer of the coordinator.
@@ -80,12 +100,42 @@
     },
     /// No worker has room at present.
     Busy,
+    /// The request is in the queue under this number, and leaves it unless its entry asks again.
+    Waiting(u64),
     /// No worker may take the request.
     NoWorker,
     /// The request could not be answered in time; a new attempt makes sense after this time, in milliseconds.
     Overload(u64),
 }
 
+impl Ask {
+    /// Returns the request as the coordinator sees it.
+    fn request(self, id: u64) -> Request {
+        let now = clock::now();
+        Request {
+            id,
+            rank: self.rank,
+            download: self.download,
+            once: self.once,
+            target: now + Duration::from_millis(self.target_ms),
+            deadline: now + Duration::from_millis(self.deadline_ms),
+            tried: self.tried,
+            connected: self.connected,
+        }
+    }
+}
+
+impl Turn {
+    /// Returns the time for which the coordinator may keep the question.
+    fn hold(self) -> Duration {
+        match self {
+            Self::Never => Duration::ZERO,
+            Self::New => HOLD,
+            Self::Kept(_) => HOLD_AGAIN,
+        }
+    }
+}
+
 /// How the use of a place ended.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct Report {
@@ -159,51 +209,40 @@
     }
 }
 
-/// Places that this entry gave out to others, with the time at which they are free in any case.
+/// When coordinators answered last, and until when those that did not are not asked.
 #[derive(Debug, Default)]
-pub struct Places {
-    seats: Mutex<HashMap<u64, (Seat, Instant)>>,
-    silent: Mutex<HashMap<SocketAddr, Instant>>,
-}
+pub struct Answering(Mutex<HashMap<SocketAddr, Contact>>);
 
-impl Places {
-    fn take(&self, place: u64) -> Option<Seat> {
-        let mut seats = self.seats.lock().unwrap_or_else(PoisonError::into_inner);
-        seats.remove(&place).map(|(seat, _)| seat)
-    }
+#[derive(Clone, Copy, Debug, Default)]
+struct Contact {
+    answered: Option<Instant>,
+    silent_until: Option<Instant>,
+}
 
-    fn keep(&self, place: u64, seat: Seat, until: Instant) {
-        let mut seats = self.seats.lock().unwrap_or_else(PoisonError::into_inner);
-        seats.insert(place, (seat, until));
+impl Answering {
+    fn is_silent(&self, coordinator: SocketAddr) -> bool {
+        let contacts = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let until = contacts.get(&coordinator).and_then(|c| c.silent_until);
+        until.is_some_and(|until| Instant::now() < until)
     }
 
-    /// Frees places whose entries have not reported an end.
-    pub fn expire(&self) {
-        let now = Instant::now();
-        let expired: Vec<Seat> = {
-            let mut seats = self.seats.lock().unwrap_or_else(PoisonError::into_inner);
-            let old = |(_, until): &mut (Seat, Instant)| *until <= now;
-            seats
-                .extract_if(|_, kept| old(kept))
-                .map(|(_, (seat, _))| seat)
-                .collect()
-        };
-        if !expired.is_empty() {
-            let places = expired.len();
-            spdlog::info!("places expired without a report", kv: {places});
-        }
+    fn answered(&self, coordinator: SocketAddr) {
+        let mut contacts = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        contacts.entry(coordinator).or_default().answered = Some(Instant::now());
     }
 
-    fn is_silent(&self, coordinator: SocketAddr) -> bool {
-        let silent = self.silent.lock().unwrap_or_else(PoisonError::into_inner);
-        silent
-            .get(&coordinator)
-            .is_some_and(|until| Instant::now() < *until)
+    /// Returns whether a coordinator has answered any question since an instant. Then it is there and the link is slow; another
+    /// coordinator would give out the same places.
+    fn has_since(&self, coordinator: SocketAddr, since: Instant) -> bool {
+        let contacts = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let at = contacts.get(&coordinator).and_then(|c| c.answered);
+        at.is_some_and(|at| at >= since)
     }
 
-    fn avoid(&self, coordinator: SocketAddr) {
-        let mut silent = self.silent.lock().unwrap_or_else(PoisonError::into_inner);
-        silent.insert(coordinator, Instant::now() + SILENT);
+    fn missed(&self, coordinator: SocketAddr) {
+        let mut contacts = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let contact = contacts.entry(coordinator).or_default();
+        contact.silent_until = Some(Instant::now() + SILENT);
     }
 }
 
@@ -241,13 +280,19 @@
     lane: &Arc<Lane>,
     request: Request,
 ) -> Result<Seat, Refusal> {
+    let mut kept = None;
     while let Some(coordinator) = asked(gateway, lane, &request) {
-        match ask(gateway, lane, coordinator, &request, true).await {
+        let turn = match kept {
+            Some((at, number)) if at == coordinator => Turn::Kept(number),
+            _ => Turn::New,
+        };
+        match ask(gateway, lane, coordinator, &request, turn).await {
             Answered::Seat(seat) => return Ok(seat),
             Answered::Refused(refusal) => return Err(refusal),
             // One of the two has not heard of a change; this entry is sure of the workers that it knows.
             Answered::Unknown => break,
-            Answered::Busy | Answered::Nothing => {}
+            Answered::Waiting(number) => kept = Some((coordinator, number)),
+            Answered::Busy | Answered::TooLate | Answered::Nothing => kept = None,
         }
     }
     lane.admit(request).await
@@ -256,10 +301,10 @@
 /// Takes a place at another worker at once, if one has room.
 pub async fn another(gateway: &Arc<Gateway>, lane: &Arc<Lane>, request: &Request) -> Option<Seat> {
     if let Some(coordinator) = asked(gateway, lane, request) {
-        match ask(gateway, lane, coordinator, request, false).await {
+        match ask(gateway, lane, coordinator, request, Turn::Never).await {
             Answered::Seat(seat) => return Some(seat),
-            Answered::Refused(_) | Answered::Busy => return None,
-            Answered::Unknown | Answered::Nothing => {}
+            Answered::Refused(_) | Answered::Waiting(_) | Answered::Busy => return None,
+            Answered::Unknown | Answered::TooLate | Answered::Nothing => {}
         }
     }
     lane.another(request)
@@ -272,7 +317,9 @@
     }
     let own = gateway.instance.member().peers;
     let candidates = gateway.coordinators(&lane.service);
-    let mut answering = candidates.iter().filter(|c| !gateway.places.is_silent(**c));
+    let mut answering = candidates
+        .iter()
+        .filter(|c| !gateway.answering.is_silent(**c));
     answering.next().copied().filter(|first| *first != own)
 }
 
@@ -281,8 +328,12 @@
     Seat(Seat),
     Refused(Refusal),
     Busy,
+    /// The request waits at the coordinator under this number.
+    Waiting(u64),
     /// The worker is unknown here or leaving, and is not used.
     Unknown,
+    /// There was no answer before the request's deadline.
+    TooLate,
     /// There was no answer.
     Nothing,
 }
@@ -292,13 +343,19 @@
     lane: &Arc<Lane>,
     coordinator: SocketAddr,
     request: &Request,
-    waits: bool,
+    turn: Turn,
 ) -> Answered {
     let now = clock::now();
     let left = request.deadline.saturating_duration_since(now);
-    let limit = ASK_TIMEOUT.min(left);
-    let mut tried = request.tried.clone();
-    tried.extend(lane.unreachable());
+    let wait = turn.hold() + ASK_TIMEOUT;
+    // The coordinator keeps the first question for a request in its queue; narrow links carry no more than needed.
+    let (tried, connected) = match turn {
+        Turn::Kept(_) => Default::default(),
+        Turn::New | Turn::Never => {
+            let tried = request.tried.iter().cloned().chain(lane.unreachable());
+            (tried.collect(), request.connected.clone())
+        }
+    };
     let ask = Ask {
         service: lane.service.clone(),
         rank: request.rank,
@@ -307,14 +364,16 @@
         target_ms: millis(request.target.saturating_duration_since(now)),
         deadline_ms: millis(left),
         tried,
-        connected: request.connected.clone(),
-        waits,
+        connected,
+        turn,
     };
     let client = gateway.instance.peers.client(coordinator);
     let reports = gateway.reports.clone();
-    // The answer is taken also when the caller leaves meanwhile, so that the place is given back.
-    let call = tokio::spawn(async move {
-        let answer: Answer = client.call(ASK_PATH, &ask, limit).await?;
+    let shared = Arc::clone(gateway);
+    // The answer is taken also when it is late or the caller leaves meanwhile, so that the place is given back.
+    let mut call = tokio::spawn(async move {
+        let answer: Answer = client.call(ASK_PATH, &ask, left + LATE_ANSWER).await?;
+        shared.answering.answered(coordinator);
         let place = match &answer {
             Answer::Placed { place, .. } => Some(Place {
                 coordinator,
@@ -327,17 +386,23 @@
         };
         Ok::<_, chestnutvalve_wire::Error>((answer, place))
     });
-    let cause = match call.await {
-        Ok(Ok((answer, place))) => return understood(lane, answer, place),
-        Ok(Err(error)) => error.to_string(),
-        Err(error) => error.to_string(),
+    let end = Instant::now() + left;
+    let mut since = Instant::now();
+    let cause = loop {
+        let limit = end.saturating_duration_since(since).min(wait);
+        match timeout(limit, &mut call).await {
+            Ok(Ok(Ok((answer, place)))) => return understood(lane, answer, place),
+            Ok(Ok(Err(error))) => break error.to_string(),
+            Ok(Err(error)) => break error.to_string(),
+            // With little time left the coordinator may well answer others.
+            Err(_) if Instant::now() >= end => return Answered::TooLate,
+            Err(_) if gateway.answering.has_since(coordinator, since) => since = Instant::now(),
+            Err(_) => break "no answer in time".to_owned(),
+        }
     };
-    // With little time left the coordinator may well answer others.
-    if limit == ASK_TIMEOUT {
-        gateway.places.avoid(coordinator);
-        let service = &lane.service;
-        spdlog::info!("coordinator lost", kv: {service:, coordinator:, cause:});
-    }
+    gateway.answering.missed(coordinator);
+    let service = &lane.service;
+    spdlog::info!("coordinator lost", kv: {service:, coordinator:, cause:});
     Answered::Nothing
 }
 
@@ -355,6 +420,7 @@
             reason: Reason::Overload,
             retry_after: Duration::from_millis(retry_after_ms),
         }),
+        (Answer::Waiting(number), _) => Answered::Waiting(number),
         (Answer::Busy | Answer::Placed { .. }, _) => Answered::Busy,
     }
 }
@@ -365,44 +431,43 @@
 
 /// Answers an entry of the zone.
 async fn answer(gateway: &Arc<Gateway>, ask: Ask) -> Answer {
-    let lane = gateway.lane(&ask.service);
-    let now = clock::now();
-    let deadline = Duration::from_millis(ask.deadline_ms);
-    let number = gateway.ticket();
-    let request = Request {
-        id: number,
-        rank: ask.rank,
-        download: ask.download,
-        once: ask.once,
-        target: now + Duration::from_millis(ask.target_ms),
-        deadline: now + deadline,
-        tried: ask.tried,
-        connected: ask.connected,
-    };
-    let seat = if ask.waits {
-        match timeout(HOLD, lane.admit(request)).await {
-            Ok(Ok(seat)) => Some(seat),
-            Ok(Err(refusal)) => {
-                return match refusal.reason {
-                    Reason::NoWorker => Answer::NoWorker,
-                    Reason::Overload => Answer::Overload(millis(refusal.retry_after)),
-                };
+    let (turn, deadline) = (ask.turn, Duration::from_millis(ask.deadline_ms));
+    let (number, mut admission) = match turn {
+        // An entry whose question came too late asks as for a new request.
+        Turn::Kept(number) => match gateway.seats.resume(number) {
+            Some(admission) => (number, admission),
+            None => return Answer::Busy,
+        },
+        Turn::New | Turn::Never => {
+            let (lane, number) = (gateway.lane(&ask.service), gateway.ticket());
+            let request = ask.request(number);
+            if turn == Turn::Never {
+                let seat = lane.another(&request);
+                return seat.map_or(Answer::Busy, |s| given(gateway, number, s, deadline));
             }
-            Err(_) => None,
+            let admission: Admission = Box::pin(async move { lane.admit(request).await });
+            (number, admission)
         }
-    } else {
-        lane.another(&request)
-    };
-    let Some(seat) = seat else {
-        return Answer::Busy;
     };
+    match timeout(turn.hold(), admission.as_mut()).await {
+        Ok(Ok(seat)) => given(gateway, number, seat, deadline),
+        Ok(Err(refusal)) => match refusal.reason {
+            Reason::NoWorker => Answer::NoWorker,
+            Reason::Overload => Answer::Overload(millis(refusal.retry_after)),
+        },
+        Err(_) => {
+            gateway.seats.wait(number, admission);
+            Answer::Waiting(number)
+        }
+    }
+}
+
+/// Keeps a seat for the entry that asked.
+fn given(gateway: &Gateway, place: u64, seat: Seat, deadline: Duration) -> Answer {
     let worker = seat.worker.clone();
     let until = Instant::now() + deadline + EXPIRY;
-    gateway.places.keep(number, seat, until);
-    Answer::Placed {
-        worker,
-        place: number,
-    }
+    gateway.seats.keep(place, seat, until);
+    Answer::Placed { worker, place }
 }
 
 /// Passes reports on until dropped.
@@ -445,7 +510,7 @@
         })
         .route(REPORT_PATH, move |reports: Vec<Report>| {
             for report in reports {
-                if let Some(seat) = told.places.take(report.place) {
+                if let Some(seat) = told.seats.take(report.place) {
                     if let Some(load) = report.load {
                         seat.report(load);
                     }
--- /dev/null
+++ b/crates/entry/src/gateway/coordinator/seats.rs
@@ -0,0 +1,83 @@
+//! What a coordinator holds for other entries: the seats that it gave out, and the requests that wait for one.
+
+use std::collections::HashMap;
+use std::fmt;
+use std::future::Future;
+use std::pin::Pin;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use chestnutvalve_routing::schedule::Refusal;
+use tokio::time::Instant;
+
+use crate::gateway::lane::Seat;
+
+/// Time for an entry to ask again for a request that waits: 100 ms each way on a narrow link that carries downloads, and as
+/// much in reserve.
+const ASK_AGAIN: Duration = Duration::from_millis(400);
+
+/// Admission of a request; dropping it takes the request out of the queue, or gives its seat back.
+pub type Admission = Pin<Box<dyn Future<Output = Result<Seat, Refusal>> + Send>>;
+
+/// Seats given to other entries and requests of theirs that wait, with the times at which they are given up.
+#[derive(Default)]
+pub struct Seats {
+    given: Mutex<HashMap<u64, (Seat, Instant)>>,
+    waiting: Mutex<HashMap<u64, (Admission, Instant)>>,
+}
+
+impl Seats {
+    /// Keeps a seat until its entry reports how its use ended, `until` at the latest.
+    pub fn keep(&self, place: u64, seat: Seat, until: Instant) {
+        lock(&self.given).insert(place, (seat, until));
+    }
+
+    /// Returns the seat with this number, which ends its use.
+    pub fn take(&self, place: u64) -> Option<Seat> {
+        lock(&self.given).remove(&place).map(|(seat, _)| seat)
+    }
+
+    /// Keeps a request in the queue until its entry asks for it again.
+    pub fn wait(&self, place: u64, admission: Admission) {
+        lock(&self.waiting).insert(place, (admission, Instant::now() + ASK_AGAIN));
+    }
+
+    /// Returns the admission of a request that waits, for which its entry asks again.
+    pub fn resume(&self, place: u64) -> Option<Admission> {
+        lock(&self.waiting)
+            .remove(&place)
+            .map(|(waiting, _)| waiting)
+    }
+
+    /// Gives up seats whose entries have not reported an end, and requests for which they no longer ask.
+    pub fn expire(&self) {
+        let seats = expired(&self.given);
+        let waiting = expired(&self.waiting);
+        if !seats.is_empty() || !waiting.is_empty() {
+            let (places, waiting) = (seats.len(), waiting.len());
+            spdlog::info!("places expired without a report", kv: {places, waiting});
+        }
+    }
+}
+
+impl fmt::Debug for Seats {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let waiting = lock(&self.waiting).len();
+        let given = lock(&self.given).len();
+        let mut seats = f.debug_struct("Seats");
+        seats.field("given", &given).field("waiting", &waiting);
+        seats.finish()
+    }
+}
+
+/// Removes what is past its time. The values are returned, because dropping them needs locks of their own.
+fn expired<T>(held: &Mutex<HashMap<u64, (T, Instant)>>) -> Vec<T> {
+    let now = Instant::now();
+    let mut held = lock(held);
+    let old = held.extract_if(|_, (_, until)| *until <= now);
+    old.map(|(_, (value, _))| value).collect()
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/entry/tests/all/coordinator.rs
+++ b/crates/entry/tests/all/coordinator.rs
@@ -196,3 +196,39 @@
     assert!(good >= 4, "{good} of 6");
     assert!(fine.count() + bad.count() <= 12);
 }
+
+/// Guards against requests that lose their position in the queue of the coordinator whenever their entry asks again.
+#[tokio::test]
+async fn waiting_requests_of_two_entries_are_served_in_order() {
+    let worker = Worker::start("w1", |seen| {
+        let mut steps = vec![Step::Wait(Duration::from_millis(60))];
+        steps.extend(good(seen));
+        steps
+    });
+    let worker = worker.await;
+    let control = control(&[&worker]).await;
+    let [_wide, first, second] = entries(&control, 1).await;
+    // The coordinator learns how long the work takes.
+    for n in 0..6 {
+        let reply = ask_as(&first, "/x", &format!("first-{n}")).await;
+        assert_eq!(reply.status, 200);
+    }
+    let ids: Vec<String> = (0..8).map(|n| format!("id-{n}")).collect();
+    let asked = ids.iter().enumerate().map(async |(n, id)| {
+        let entry = if n % 2 == 0 { &first } else { &second };
+        let wait = u64::try_from(n).unwrap() * 8;
+        sleep(Duration::from_millis(wait)).await;
+        ask_as(entry, "/x", id).await.status
+    });
+    let statuses = futures_util::future::join_all(asked).await;
+    assert_eq!(statuses, [200; 8]);
+    let seen = worker.seen.lock().unwrap();
+    let order = seen
+        .iter()
+        .skip(6)
+        .map(|s| s.headers["chestnutvalve-attempt"].clone());
+    let mut order: Vec<String> = order.collect();
+    // Two slots become free at about the same time.
+    order.chunks_mut(2).for_each(<[String]>::sort);
+    assert_eq!(order, ids);
+}
