Free the place of a download over a narrow link with the head of its response

A place counted as taken until the body had reached the caller, 0.2 s or more over a narrow link for 0.12 s of work. Without working coordinators this was hidden, because each entry went by the load that workers report.

Ruled out: ranks (archives have a service of their own there); workers that are full (refusals name the expected wait, not a shed request).

`gateway::a_transfer_over_a_narrow_link_keeps_no_slot` fails without the change (2 of 4 requests at the worker).

Conclusion: a place is for the run of a worker. A response that breaks off later still counts against it.

--- a/crates/entry/src/gateway/lane.rs
+++ b/crates/entry/src/gateway/lane.rs
@@ -292,6 +292,7 @@
             started,
             outcome: Outcome::Cancelled,
             place: None,
+            is_released: false,
         })
     }
 
@@ -347,6 +348,8 @@
     outcome: Outcome,
     /// Place that the coordinator gave, if it did.
     place: Option<Place>,
+    /// Whether the place was given back before the end of the response.
+    is_released: bool,
 }
 
 impl Seat {
@@ -367,15 +370,22 @@
     pub fn finish(mut self, outcome: Outcome) {
         self.outcome = outcome;
     }
-}
 
-impl Drop for Seat {
-    fn drop(&mut self) {
+    /// Gives the place back while a good response is on its way over a narrow link: the worker has ended its run, and the
+    /// transfer takes longer than that. A response that breaks off later still counts against the worker.
+    pub fn release(&mut self) {
+        self.outcome = Outcome::Success;
+        self.end();
+        self.outcome = Outcome::Cancelled;
+        self.is_released = true;
+    }
+
+    fn end(&mut self) {
         let mut inner = self.lane.lock();
         let now = clock::now();
-        match &mut self.place {
+        match self.place.take() {
             // The coordinator tells the others.
-            Some(place) => place.outcome = self.outcome,
+            Some(mut place) => place.outcome = self.outcome,
             None => self.lane.share(&inner, now, &self.worker, self.outcome),
         }
         let (worker, started, outcome) = (&self.worker, self.started, self.outcome);
@@ -387,4 +397,26 @@
             });
         inner.act(now, actions);
     }
+
+    /// Records that the response broke off after the place was given back.
+    fn broken_off(&self) {
+        let mut inner = self.lane.lock();
+        let now = clock::now();
+        let worker = &self.worker;
+        self.lane.share(&inner, now, worker, Outcome::Failure);
+        self.lane
+            .watched(&mut inner, now, worker, "transfer", |schedule| {
+                schedule.observe(now, worker, Evidence::Failure);
+            });
+    }
+}
+
+impl Drop for Seat {
+    fn drop(&mut self) {
+        match (self.is_released, self.outcome) {
+            (false, _) => self.end(),
+            (true, Outcome::Failure) => self.broken_off(),
+            (true, _) => {}
+        }
+    }
 }
--- a/crates/entry/src/gateway/relay.rs
+++ b/crates/entry/src/gateway/relay.rs
@@ -97,6 +97,8 @@
     };
     if relay.rest.is_none() {
         relay.complete();
+    } else if outcome == Outcome::Success && relay.turn.is_some() {
+        relay.seat.iter_mut().for_each(Seat::release);
     }
     Response::from_parts(parts, relay.boxed_unsync())
 }
--- a/crates/entry/tests/all/gateway.rs
+++ b/crates/entry/tests/all/gateway.rs
@@ -259,6 +259,31 @@
     assert!(took_ms.contains(&took), "{took} ms");
 }
 
+/// Guards against idle workers whose slots count as taken while their responses are on the way over a narrow link.
+#[tokio::test]
+async fn a_transfer_over_a_narrow_link_keeps_no_slot() {
+    let body = "x".repeat(200_000);
+    let worker = Worker::start("w1", move |seen| answer(seen, 200, "", &body)).await;
+    let control = Control::start().await;
+    let mut download = route("/", Kind::Download);
+    (download.timeout_ms, download.target_ms) = (20_000, 20_000);
+    control.publish(table(1, vec![download]));
+    control.register(&announced(&worker, 1, false));
+    let entry = Entry::start_on("e1", control.address, &[], 3).await;
+    until("workers", || entry.state().roster.workers.len() == 1).await;
+    let ids: Vec<String> = (0..4).map(|n| format!("id-{n}")).collect();
+    let asked = ids.iter().map(|id| ask_as(&entry, "/x", id));
+    let asked = futures_util::future::join_all(asked);
+    let counted = async {
+        // The first two take 0.8 s each on a link of their own.
+        sleep(Duration::from_millis(400)).await;
+        worker.count()
+    };
+    let (replies, count) = tokio::join!(asked, counted);
+    assert!(replies.iter().all(|r| r.status == 200));
+    assert_eq!(count, 4);
+}
+
 /// Guards against requests that must not repeat and are lost one after the other on connections which workers forget while
 /// they are idle.
 #[tokio::test]
