--- a/crates/entry/tests/all/gateway.rs
+++ b/crates/entry/tests/all/gateway.rs
@@ -284,6 +284,43 @@
     assert_eq!(count, 4);
 }
 
+/// Guards against a worker that breaks off transfers and keeps its requests, because its place was given back before.
+#[tokio::test]
+async fn a_transfer_that_breaks_off_counts_against_the_worker() {
+    let body = "x".repeat(200_000);
+    let sent = body.clone();
+    let bad = Worker::start("w1", move |seen| {
+        let mut steps = answer(seen, 200, "", &sent);
+        for step in &mut steps {
+            if let Step::Write(bytes) = step {
+                bytes.truncate(100_000);
+            }
+        }
+        steps.push(Step::Close);
+        steps
+    });
+    let (bad, fine) = (
+        bad.await,
+        Worker::start("w2", move |seen| answer(seen, 200, "", &body)).await,
+    );
+    let control = Control::start().await;
+    let mut download = route("/", Kind::Download);
+    (download.timeout_ms, download.target_ms) = (20_000, 20_000);
+    control.publish(table(1, vec![download]));
+    control.register(&announced(&bad, 1, false));
+    let entry = Entry::start_on("e1", control.address, &[], 3).await;
+    until("workers", || entry.state().roster.workers.len() == 1).await;
+    let headers = [("host", "a.example"), ("chestnutvalve-attempt", "cut")];
+    assert!(exchange(entry.gateway, "/x", &headers).await.is_err());
+    control.register(&announced(&fine, 1, false));
+    until("workers", || entry.state().roster.workers.len() == 2).await;
+    for n in 0..2 {
+        let reply = ask_as(&entry, "/x", &format!("next-{n}")).await;
+        assert_eq!(reply.status, 200);
+    }
+    assert_eq!((bad.count(), fine.count()), (1, 2));
+}
+
 /// Guards against requests that must not repeat and are lost one after the other on connections which workers forget while
 /// they are idle.
 #[tokio::test]
