--- a/crates/entry/tests/all/coordinator.rs
+++ b/crates/entry/tests/all/coordinator.rs
@@ -1,11 +1,14 @@
 //! Entries with narrow links that ask an entry with a wide one for places at workers.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use chestnutvalve_model::directory::Member;
 use chestnutvalve_model::id::{Entry as Id, Incarnation, Zone};
 use chestnutvalve_model::routes::Kind;
-use tokio::net::TcpListener;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::control::Control;
@@ -232,3 +235,72 @@
     order.chunks_mut(2).for_each(<[String]>::sort);
     assert_eq!(order, ids);
 }
+
+/// Passes connections on to `target`, and holds what comes back while the gate is closed.
+async fn gated(target: SocketAddr, open: watch::Receiver<bool>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((near, _)) = listener.accept().await {
+            let far = TcpStream::connect(target).await.unwrap();
+            let (mut sent, mut back) = near.into_split();
+            let (mut answers, mut there) = far.into_split();
+            let mut open = open.clone();
+            tokio::spawn(async move { tokio::io::copy(&mut sent, &mut there).await });
+            tokio::spawn(async move {
+                let mut buffer = vec![0; 65_536];
+                while let Ok(read) = answers.read(&mut buffer).await
+                    && read > 0
+                {
+                    open.wait_for(|open| *open).await.unwrap();
+                    back.write_all(&buffer[..read]).await.unwrap();
+                }
+            });
+        }
+    });
+    address
+}
+
+/// Guards against places that stay taken until the deadline of their requests because the coordinator's answer was late.
+#[tokio::test]
+async fn the_place_in_a_late_answer_is_given_back() {
+    let worker = Worker::start("w1", good).await;
+    let (near, far) = (control(&[&worker]).await, control(&[&worker]).await);
+    let wide = Entry::start_on("wide", far.address, &[], WIDE).await;
+    until("workers", || wide.state().roster.workers.len() == 1).await;
+    wide.knows(1).await;
+    let (gate, open) = watch::channel(true);
+    let relay = gated(wide.peers, open).await;
+    {
+        let mut state = near.state.lock().unwrap();
+        let members = far.state.lock().unwrap().directory.members.clone();
+        for mut member in members.into_values() {
+            member.peers = relay;
+            state.directory.join(&member);
+        }
+        state.version.revision += 1;
+    }
+    let first = Entry::start_on("n1", near.address, &[], NARROW).await;
+    let second = Entry::start_on("n2", near.address, &[], NARROW).await;
+    for entry in [&first, &second] {
+        entry.knows(3).await;
+        until("workers", || entry.state().roster.workers.len() == 1).await;
+    }
+    assert_eq!(ask_as(&first, "/once/x", "before").await.status, 200);
+    gate.send(false).unwrap();
+    let late = tokio::join!(
+        ask_as(&first, "/once/x", "late-1"),
+        ask_as(&first, "/once/x", "late-2"),
+    );
+    assert_eq!([late.0.status, late.1.status], [200; 2]);
+    gate.send(true).unwrap();
+    sleep(Duration::from_millis(100)).await;
+    let begun = Instant::now();
+    let replies = tokio::join!(
+        ask_as(&second, "/x", "next-1"),
+        ask_as(&second, "/x", "next-2"),
+    );
+    let took = begun.elapsed();
+    assert_eq!([replies.0.status, replies.1.status], [200; 2]);
+    assert!(took < Duration::from_millis(200), "{took:?}");
+}
