Try idle workers again only while many attempts fail

The rule that the tries are for applies only while more than a tenth of a service's requests fail.

Change: the tries happen while more than 8% of the attempts of the last 2 s failed at the coordinator.

--- a/crates/routing/src/schedule.rs
+++ b/crates/routing/src/schedule.rs
@@ -12,6 +12,7 @@
 use chestnutvalve_model::rank::Rank;
 use xxhash_rust::xxh3::Xxh3;
 
+mod misses;
 mod pace;
 mod trust;
 mod upstream;
@@ -19,6 +20,7 @@
 pub use trust::Evidence;
 pub use upstream::{Outcome, Spec};
 
+use misses::Misses;
 use pace::Pace;
 use upstream::Upstream;
 
@@ -112,6 +114,7 @@
     upstreams: BTreeMap<Worker, Upstream>,
     queues: [VecDeque<Request>; 3],
     pace: Pace,
+    misses: Misses,
 }
 
 impl Schedule {
@@ -125,6 +128,7 @@
             upstreams: BTreeMap::new(),
             queues: Default::default(),
             pace: Pace::default(),
+            misses: Misses::default(),
         }
     }
 
@@ -145,8 +149,9 @@
         }
     }
 
-    /// Sets whether all requests of a zone pass here. Then each worker of the zone that is not avoided is tried again
-    /// after a while: one that failed last would otherwise get none while there are enough proven ones.
+    /// Sets whether all requests of a zone pass here. While many of them fail, each worker of the zone that is not avoided is
+    /// then tried again after a while: one that failed last would otherwise get none while there are enough proven ones.
+    /// On a calm day such tries would fail more requests than they find good workers for.
     pub fn coordinate(&mut self, coordinates: bool) {
         self.coordinates = coordinates;
     }
@@ -249,6 +254,9 @@
         if outcome == Outcome::Success {
             self.pace.served(now.saturating_duration_since(started));
         }
+        if outcome != Outcome::Cancelled {
+            self.misses.record(now, outcome != Outcome::Success);
+        }
         let typical = self.pace.typical();
         let may_hold = self.may_hold(now);
         if let Some(upstream) = self.upstreams.get_mut(worker) {
@@ -376,6 +384,7 @@
         let usable = |(worker, upstream): &(&Worker, &Upstream)| {
             !upstream.is_gone() && !request.tried.contains(worker)
         };
+        let tries = self.coordinates && self.misses.are_high();
         let cost = |upstream: &Upstream| {
             let near = upstream.zone() == &self.zone;
             let detour = match (near, request.download) {
@@ -383,7 +392,7 @@
                 (false, true) => ZONE_COST_DOWNLOAD,
                 (false, false) => ZONE_COST,
             };
-            if self.coordinates && near && upstream.is_idle(now) {
+            if tries && near && upstream.is_idle(now) {
                 0.0
             } else {
                 upstream.cost(now, typical, request.once) + detour
--- a/crates/routing/src/schedule/upstream.rs
+++ b/crates/routing/src/schedule/upstream.rs
@@ -21,8 +21,8 @@
 /// often. Paths are cut for some seconds.
 const UNREACHABLE: Duration = Duration::from_secs(1);
 const MAX_DOUBLINGS: u32 = 3;
-/// Time after which a coordinator sends a request to a worker of its zone that it does not avoid, whatever its doubt. At least
-/// 70% of the sound workers have to get one within 2 s.
+/// Time after which a coordinator sends a request to a worker of its zone that it does not avoid, whatever its doubt, while many
+/// requests fail. At least 70% of the sound workers then have to get one within 2 s.
 const IDLE: Duration = Duration::from_millis(1_500);
 /// Time for which a worker that shed a request is taken to be full.
 const FULL: Duration = Duration::from_millis(100);
