--- a/crates/routing/src/balance.rs
+++ b/crates/routing/src/balance.rs
@@ -40,8 +40,9 @@
 /// Time without a request of this entry after which a doubted worker gets one: ten of them complete the evidence
 /// against a failing worker within 25 s.
 const DOUBT_GAP: Duration = Duration::from_millis(2_500);
-/// Fewest requests of this entry between two such requests, which bounds their share at an entry with little load. With 200 and
-/// a half-life of 15 s, a half-failing worker of six kept 2.2% of the traffic in one of three seeds (target: under 2%).
+/// Fewest requests of this entry between two such requests, which bounds their share at an entry with little load. With
+/// 200 and a half-life of 15 s, a half-failing worker of six kept 2.2% of the traffic in one of three seeds (target: under
+/// 2%).
 const DOUBT_REQUESTS: u64 = 300;
 /// Additional cost of another availability zone, as a multiple of the cost.
 const REMOTE_COST: f64 = 0.5;
