Give an emptied member its vote before the next member may be lost

Callers saw: no service for good, and routes that were refused with 404 though accepted, after two members of the control group had lost their disks one after the other.

Cause: the vote of the emptied member's former identity counted until it had been silent for 5 s, counted anew by each leader. The next loss may come 4 s after the emptied member is back; two of three votes were gone then, for good. The wait guards a voter whose disk still exists. A process that listens at the same address with an empty directory proves that it does not.

Change: a former identity of the same name and address is removed after one election timeout of silence; at another address the 5 s stay. Removal and promotion stay two changes of one member each, which overlap in their quorums whatever the former identity has promised. Replacing it in one step was ruled out: a leader of an earlier term could commit with the new member what a later leader has not, if the former identity had voted for the latter.

--- a/crates/consensus/src/replica/change.rs
+++ b/crates/consensus/src/replica/change.rs
@@ -73,7 +73,7 @@
     }
 
     /// Promotes joining replicas that are caught up. A voter of the same name, which the joining one replaces, is removed first,
-    /// once it has been silent for long enough. Silent replicas without a vote are removed when another one has their name.
+    /// once it [is superseded](Self::is_superseded). Silent replicas without a vote are removed when another one has their name.
     pub(super) fn reconcile(&mut self, now: Instant) {
         let members = self.log.membership().1;
         let replaced = members.members.iter().find(|old| {
@@ -90,7 +90,9 @@
                 let replaced = others.find(|m| m.name == member.name && m.id != member.id);
                 match replaced {
                     None => Some(Change::Promote(member.id)),
-                    Some(old) if self.is_silent(now, old.id) => Some(Change::Remove(old.id)),
+                    Some(old) if self.is_superseded(now, old, member) => {
+                        Some(Change::Remove(old.id))
+                    }
                     Some(_) => None,
                 }
             });
@@ -121,6 +123,19 @@
         longest.map(Change::Remove)
     }
 
+    /// Returns whether a joining replica may take the place of `old`, which has the same name. At the same address, `old` has
+    /// ended and its data directory was emptied: only one process can listen there. It then has to be silent for an election
+    /// timeout only, because its vote counts against the group until it is removed. At another address, the directory of
+    /// `old` may still exist.
+    fn is_superseded(&self, now: Instant, old: &Member, new: &Member) -> bool {
+        let limit = if old.address == new.address {
+            self.settings.election_max
+        } else {
+            self.settings.replace_after
+        };
+        self.is_silent_for(now, old.id, limit)
+    }
+
     fn is_silent(&self, now: Instant, id: ReplicaId) -> bool {
         self.is_silent_for(now, id, self.settings.replace_after)
     }
--- a/crates/consensus/src/settings.rs
+++ b/crates/consensus/src/settings.rs
@@ -22,7 +22,7 @@
     /// Time after which a standby replica takes the place of a silent voter of another name. A voter that is back sooner keeps
     /// its place.
     pub succeed_after: Duration,
-    /// Time after which a joining replica may take the place of a silent voter of the same name.
+    /// Time after which a joining replica may take the place of a silent voter of the same name at another address.
     pub replace_after: Duration,
 }
 
--- a/crates/consensus/tests/all/members.rs
+++ b/crates/consensus/tests/all/members.rs
@@ -98,6 +98,25 @@
     propose(&mut sim, 3);
 }
 
+/// Guards against a voter that loses its place while its disk may still exist, because an instance of the same name was started
+/// at another address.
+#[test]
+fn a_namesake_at_another_address_waits() {
+    let mut sim = Sim::new(3, 1);
+    propose(&mut sim, 2);
+    let leader = sim.elect();
+    let lost = usize::from(leader == 0);
+    let old = sim.nodes[lost].id;
+    sim.crash(lost);
+    sim.add(old.0 + 100);
+    let mut namesake = member(old.0 + 100, Kind::Joining);
+    namesake.address = "127.0.0.1:2".parse().unwrap();
+    let add = Change::Add(namesake);
+    sim.replica_mut(leader).change(add).unwrap();
+    sim.run(Duration::from_secs(4));
+    assert!(sim.replica(leader).membership().0.is_voter(old));
+}
+
 /// Guards against learners that pile up in the membership because their disks were replaced.
 #[test]
 fn a_replaced_learner_is_removed() {
