Hand out a state only once a leader has confirmed it since the start

Callers saw: after a restart of everything, requests were handled by an older version of the routes than the one that was in force before; added routes were refused with 404.

Cause: a control instance that restarts handed entries what its disk holds. The commit index on disk is up to 1 s old, and without a leader nothing brings it forward. Entries that restart at the same time have no state that they could compare.

Change: a replica counts as in contact with a quorum only when its commit index has once reached the one that a leader with a quorum has sent; until then its instance names the members of the group but no content. An instance that loses its quorum later still hands out its state, so that an entry which starts during an outage is not left without one.

--- a/crates/consensus/src/replica.rs
+++ b/crates/consensus/src/replica.rs
@@ -104,6 +104,8 @@
     contact: Option<Instant>,
     /// Until when the leader was known to have a quorum.
     quorum_until: Option<Instant>,
+    /// Whether the log has reached the commit index that the present leader has sent.
+    level: bool,
     votes: BTreeSet<ReplicaId>,
     /// Peers that have answered the inquiry after a restart; `None` once a quorum has.
     inquiry: Option<BTreeSet<ReplicaId>>,
@@ -162,6 +164,7 @@
             deadline: now,
             contact: None,
             quorum_until: None,
+            level: false,
             votes: BTreeSet::new(),
             inquiry: None,
             receiving: None,
@@ -378,6 +381,14 @@
         self.hard.commit
     }
 
+    /// Returns whether the commit index has reached that of a leader with a quorum, by this replica's own or its leader's
+    /// knowledge. After a restart it lags behind until a leader has sent its own.
+    #[must_use]
+    pub fn is_level(&self, now: Instant) -> bool {
+        let level = self.level || self.role == Role::Leader;
+        level && self.quorum_until(now).is_some()
+    }
+
     /// Returns the log.
     #[must_use]
     pub fn log(&self) -> &Log {
--- a/crates/consensus/src/replica/election.rs
+++ b/crates/consensus/src/replica/election.rs
@@ -73,6 +73,7 @@
         self.role = Role::Follower;
         self.leader = None;
         self.quorum_until = None;
+        self.level = false;
         self.votes.clear();
         self.receiving = None;
         self.leading.progress.clear();
--- a/crates/consensus/src/replica/follower.rs
+++ b/crates/consensus/src/replica/follower.rs
@@ -22,6 +22,7 @@
             let end = previous.index + entries.len() as u64;
             self.store(entries);
             self.commit_to(commit.min(end));
+            self.level |= self.hard.commit >= commit;
             Ok(end)
         };
         let reply = Message::AppendReply {
--- a/crates/control/src/daemon/instance.rs
+++ b/crates/control/src/daemon/instance.rs
@@ -184,6 +184,12 @@
         self.status().is_none_or(|s| !s.quorum)
     }
 
+    /// Returns whether the applied state was confirmed by a quorum since this instance has started.
+    #[must_use]
+    pub fn is_confirmed(&self) -> bool {
+        self.config.get().is_some_and(Handle::is_confirmed)
+    }
+
     /// Returns the term in which this instance leads the config group with a quorum behind it.
     #[must_use]
     pub fn leads(&self) -> Option<u64> {
--- a/crates/control/src/daemon/watch.rs
+++ b/crates/control/src/daemon/watch.rs
@@ -22,8 +22,12 @@
     let mut versions = instance.versions();
     loop {
         versions.borrow_and_update();
-        let stale = instance.is_stale();
+        let (stale, confirmed) = (instance.is_stale(), instance.is_confirmed());
         let mut update = update(&instance.store(), watch, stale);
+        if !confirmed {
+            // The disk may lack what was committed last, and an entry that has just started would go back to an older state.
+            update.content = Content::Unchanged;
+        }
         update.controls = instance.controls().into_values().collect();
         if stale || update.content != Content::Unchanged || Instant::now() >= deadline {
             instance.meters.watch(name(&update.content), stale);
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -69,6 +69,7 @@
     /// Greatest applied index.
     pub applied: u64,
     /// Whether the replica is in contact with a quorum: as leader by acknowledgements, else by a leader that has such contact.
+    /// After a start, the applied state was confirmed too.
     pub quorum: bool,
 }
 
--- a/crates/control/src/replica/driver.rs
+++ b/crates/control/src/replica/driver.rs
@@ -57,6 +57,8 @@
     /// Entries and bytes applied since the last snapshot, and the size of that snapshot.
     since_snapshot: (u64, usize, usize),
     view: watch::Sender<View>,
+    /// Whether the applied state was confirmed by a leader since the start.
+    confirmed: bool,
     /// Membership that the links were made for.
     members: Arc<Membership>,
     /// Dropped to end the search for a group.
@@ -100,6 +102,7 @@
         applied,
         quorum_until: None,
         lease_until: None,
+        confirmed: false,
         members: Arc::default(),
     });
     let end = End::new(None);
@@ -149,6 +152,7 @@
         waiting: BTreeMap::new(),
         applied,
         since_snapshot: (0, 0, size),
+        confirmed: false,
         view,
         members: Arc::default(),
         seeking,
--- a/crates/control/src/replica/driver/group.rs
+++ b/crates/control/src/replica/driver/group.rs
@@ -35,6 +35,8 @@
             consensus::Role::Follower => Role::Follower,
             consensus::Role::PreCandidate | consensus::Role::Candidate => Role::Candidate,
         };
+        let applied = self.applied >= self.replica.commit();
+        self.confirmed |= applied && self.replica.is_level(now);
         let view = View {
             role,
             term: self.replica.term(),
@@ -47,6 +49,7 @@
             applied: self.applied,
             quorum_until: self.replica.quorum_until(now).map(Instant::from_std),
             lease_until: self.replica.lease(now).map(Instant::from_std),
+            confirmed: self.confirmed,
             members: Arc::clone(&self.members),
         };
         if role != Role::Leader && self.stop.is_some() {
--- a/crates/control/src/replica/handle.rs
+++ b/crates/control/src/replica/handle.rs
@@ -40,6 +40,7 @@
     pub applied: u64,
     pub quorum_until: Option<Instant>,
     pub lease_until: Option<Instant>,
+    pub confirmed: bool,
     pub members: Arc<Membership>,
 }
 
@@ -141,7 +142,8 @@
             leader: view.leader.as_ref().map(|leader| leader.name.clone()),
             commit: view.commit,
             applied: view.applied,
-            quorum: self.end.borrow().is_none()
+            quorum: view.confirmed
+                && self.end.borrow().is_none()
                 && view
                     .quorum_until
                     .is_some_and(|until| Instant::now() < until),
@@ -155,6 +157,13 @@
         self.end.borrow().is_none() && until.is_some_and(|until| Instant::now() < until)
     }
 
+    /// Returns whether a leader with a quorum has confirmed the applied state since the start of this replica. Until then the
+    /// state is what the disk holds, which may lack what was committed last.
+    #[must_use]
+    pub fn is_confirmed(&self) -> bool {
+        self.view.borrow().confirmed
+    }
+
     /// Returns the members of the group, as far as this replica knows.
     #[must_use]
     pub fn members(&self) -> Arc<Membership> {
