Lead processes that start to the control group from seeds without state

Callers saw: no service for good once everything had restarted after an exchange of the seeds; operators and workers were redirected from one seed to the next.

Cause: a process that starts knows only the seeds. When these are instances without a disk, nobody knows where the group is: the members keep their membership on disk, but tell nobody, and an instance without a disk has no interface but redirects to its own seeds. The class of fault: a place to meet at which only one side shows up.

An instance without a disk answers the internal protocol as a locator: it takes announcements, asks the configured addresses where it is no seed itself, refers entries and emptied members to the group, and redirects callers to a member. It answers 503 while it knows none; a redirect to a seed that redirects again was ruled out. Leaving instances without a disk out of the role was ruled out too: whoever has fewer machines with disks than seeds would lose control with the next one.

--- a/crates/control/src/daemon.rs
+++ b/crates/control/src/daemon.rs
@@ -6,6 +6,7 @@
 
 use crate::settings::Settings;
 
+pub mod announce;
 pub mod batcher;
 pub mod directory;
 pub mod grants;
@@ -15,6 +16,7 @@
 pub mod ledger;
 pub mod limit;
 pub mod listener;
+pub mod locator;
 pub mod members;
 pub mod meters;
 pub mod operators;
@@ -98,6 +100,7 @@
     registry.register(internal::service(&instance))?;
     registry.register(ledger::service(&instance))?;
     registry.register(replicas::service(&instance))?;
+    registry.register(announce::service(&instance))?;
     registry.register(operators::service(&instance))?;
     registry.register(directory::service(&instance))?;
     Ok(instance)
--- /dev/null
+++ b/crates/control/src/daemon/announce.rs
@@ -0,0 +1,61 @@
+//! Service that announces the group's members at the configured addresses.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use chestnutvalve_kernel::Service;
+use tokio::task::JoinSet;
+use tokio::time::{MissedTickBehavior, interval};
+
+use super::{Instance, task};
+use crate::rendezvous;
+
+/// Name of the service.
+pub const NAME: &str = "announce";
+/// Time between two announcements at an address. Entries that start together wait for the next one.
+const PERIOD: Duration = Duration::from_millis(500);
+/// Time for one announcement, so that an unreachable address doesn't hold up the next round for long.
+const TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Builds the service.
+#[must_use]
+pub fn service(instance: &Arc<Instance>) -> Service {
+    task(NAME, instance, |instance, shutdown| async move {
+        Ok(async move {
+            tokio::select! {
+                () = run(&instance) => {}
+                () = shutdown.requested() => {}
+            }
+        })
+    })
+}
+
+async fn run(instance: &Arc<Instance>) {
+    let mut ticks = interval(PERIOD);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        // A member without a quorum may know an old membership.
+        if !instance.is_stale() {
+            round(instance).await;
+        }
+    }
+}
+
+async fn round(instance: &Arc<Instance>) {
+    let members: Arc<Vec<SocketAddr>> = Arc::new(instance.controls().into_values().collect());
+    let mut calls = JoinSet::new();
+    for address in instance.rendezvous.configured() {
+        if address == instance.settings.peers {
+            continue;
+        }
+        let (client, members) = (instance.network.client(address), Arc::clone(&members));
+        calls.spawn(async move {
+            if let Err(error) = rendezvous::announce(&client, &members, TIMEOUT).await {
+                spdlog::debug!("announcing the members at {address}: {error}");
+            }
+        });
+    }
+    calls.join_all().await;
+}
--- a/crates/control/src/daemon/instance.rs
+++ b/crates/control/src/daemon/instance.rs
@@ -25,6 +25,7 @@
 use super::peers::Peers;
 use super::{Error, Token};
 use crate::codec;
+use crate::rendezvous::Rendezvous;
 use crate::replica::{Committed, Handle, Machine, Network, Role, Status};
 use crate::settings::Settings;
 use crate::state::{Command, Outcome, Refusal, Store};
@@ -57,6 +58,8 @@
     failure: watch::Sender<Option<Fault>>,
     /// Connections and routes of this instance's replicas.
     pub network: Network,
+    /// What this instance knows of the group's addresses while it is not a member.
+    pub rendezvous: Rendezvous,
     store: Arc<RwLock<Store>>,
     versions: watch::Sender<Version>,
     heartbeats: Mutex<Heartbeats>,
@@ -71,6 +74,7 @@
     /// Returns an error when the metrics can't be set up.
     pub fn new(settings: Settings, token: Token) -> Result<Self, Error> {
         let ledgers = 0..settings.ledger_groups;
+        let configured = settings.members.iter().map(|member| member.peers);
         Ok(Self {
             peers: Peers::default(),
             ledgers: ledgers.map(|_| Arc::default()).collect(),
@@ -78,6 +82,7 @@
             grants: Mutex::default(),
             failure: watch::Sender::new(None),
             network: Network::default(),
+            rendezvous: Rendezvous::new(configured.collect()),
             settings,
             token,
             meters: Meters::new()?,
@@ -215,6 +220,25 @@
         members.map(|m| (m.name.clone(), m.address)).collect()
     }
 
+    /// Returns the internal addresses of the members of the config group as far as this instance knows them.
+    #[must_use]
+    pub fn addresses(&self) -> Vec<SocketAddr> {
+        let joined = self.config.get().map(Handle::members);
+        if joined.is_some_and(|members| !members.members.is_empty()) {
+            return self.controls().into_values().collect();
+        }
+        self.rendezvous.members()
+    }
+
+    /// Returns [`Instance::addresses`], or none when a later membership may be in force.
+    #[must_use]
+    pub fn fresh_addresses(&self) -> Vec<SocketAddr> {
+        if self.is_stale() {
+            return self.rendezvous.fresh_members();
+        }
+        self.addresses()
+    }
+
     /// Proposes a command of the config group.
     ///
     /// # Errors
--- a/crates/control/src/daemon/internal.rs
+++ b/crates/control/src/daemon/internal.rs
@@ -33,6 +33,9 @@
 
 fn router(instance: &Arc<Instance>) -> Router {
     let router = instance.network.route(Router::default());
+    let asked = Arc::clone(instance);
+    let members = move || asked.fresh_addresses();
+    let router = instance.rendezvous.route(router, members);
     let router = entries(router, instance);
     let router = ledgers(router, instance);
     controls(router, instance)
--- a/crates/control/src/daemon/replicas.rs
+++ b/crates/control/src/daemon/replicas.rs
@@ -74,6 +74,7 @@
     });
     Options::new(group, settings.control.as_str(), address)
         .with_members(members.collect())
+        .with_rendezvous(instance.rendezvous.clone())
         .with_voter(settings.voter)
         .with_settings(chestnutvalve_consensus::Settings {
             voters: settings.voters,
--- a/crates/control/src/daemon/watch.rs
+++ b/crates/control/src/daemon/watch.rs
@@ -28,7 +28,7 @@
             // The disk may lack what was committed last, and an entry that has just started would go back to an older state.
             update.content = Content::Unchanged;
         }
-        update.controls = instance.controls().into_values().collect();
+        update.controls = instance.addresses();
         if stale || update.content != Content::Unchanged || Instant::now() >= deadline {
             instance.meters.watch(name(&update.content), stale);
             return update;
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod codec;
 pub mod daemon;
+pub mod rendezvous;
 pub mod replica;
 pub mod settings;
 pub mod state;
--- a/crates/control/src/replica/driver.rs
+++ b/crates/control/src/replica/driver.rs
@@ -123,14 +123,13 @@
             address: options.address,
             voter: options.voter,
         };
-        let members = options.members.clone();
-        tokio::spawn(join::seek(
-            network.clone(),
+        let search = join::Search {
+            network: network.clone(),
             hello,
-            members,
-            inputs.clone(),
-            alive,
-        ));
+            members: options.members.clone(),
+            rendezvous: options.rendezvous.clone(),
+        };
+        tokio::spawn(join::seek(search, inputs.clone(), alive));
         ended
     });
     let driver = Driver {
--- a/crates/control/src/replica/join.rs
+++ b/crates/control/src/replica/join.rs
@@ -5,10 +5,12 @@
 use std::time::Duration;
 
 use chestnutvalve_consensus::{Kind, Member, Membership, Position};
+use chestnutvalve_wire::Error;
 use tokio::sync::{mpsc, oneshot};
 
 use super::network::{Greeting, Hello, Input, Network};
 use super::options::Peer;
+use crate::rendezvous::{self, Rendezvous};
 
 /// Time between rounds of questions.
 const PERIOD: Duration = Duration::from_millis(100);
@@ -26,40 +28,60 @@
     Emptied(Position),
 }
 
-/// Asks the first voters until the driver has a membership and drops the receiver of `alive`.
-pub(super) async fn seek(
-    network: Network,
-    hello: Hello,
-    members: Vec<Peer>,
-    inputs: mpsc::Sender<Input>,
-    alive: oneshot::Sender<()>,
-) {
+/// What an empty replica searches with.
+pub(super) struct Search {
+    pub network: Network,
+    pub hello: Hello,
+    /// First voters.
+    pub members: Vec<Peer>,
+    pub rendezvous: Rendezvous,
+}
+
+/// Searches for the group until the driver has a membership and drops the receiver of `alive`.
+pub(super) async fn seek(search: Search, inputs: mpsc::Sender<Input>, alive: oneshot::Sender<()>) {
     while !alive.is_closed() {
-        for finding in round(&network, &hello, &members).await {
+        for finding in search.round().await {
             let _ = inputs.send(Input::Joined(finding)).await;
         }
         tokio::time::sleep(PERIOD).await;
     }
 }
 
-async fn round(network: &Network, hello: &Hello, members: &[Peer]) -> Vec<Finding> {
-    let mut asked = HashSet::from([hello.address]);
-    let mut open: Vec<SocketAddr> = members.iter().map(|peer| peer.address).collect();
-    let mut greetings = Vec::new();
-    while let Some(address) = open.pop() {
-        if !asked.insert(address) {
-            continue;
-        }
-        let client = network.client(address);
-        let answer = client.call::<_, Greeting>("replica/hello", hello, TIMEOUT);
-        if let Ok(greeting) = answer.await {
-            if greeting.known > Position::default() {
-                return vec![Finding::Emptied(greeting.known)];
+impl Search {
+    async fn round(&self) -> Vec<Finding> {
+        let mut asked = HashSet::from([self.hello.address]);
+        let mut open: Vec<SocketAddr> = self.members.iter().map(|peer| peer.address).collect();
+        open.extend(self.rendezvous.configured());
+        open.extend(self.rendezvous.members());
+        let mut greetings = Vec::new();
+        while let Some(address) = open.pop() {
+            if !asked.insert(address) {
+                continue;
+            }
+            let client = self.network.client(address);
+            let answer = client.call::<_, Greeting>("replica/hello", &self.hello, TIMEOUT);
+            match answer.await {
+                Ok(greeting) if greeting.known > Position::default() => {
+                    return vec![Finding::Emptied(greeting.known)];
+                }
+                Ok(greeting) => {
+                    open.extend(greeting.leader);
+                    greetings.push((greeting, address));
+                }
+                // An instance without a replica of the group may know its members.
+                Err(Error::Fault(_)) => {
+                    let members = rendezvous::ask(&client, TIMEOUT).await;
+                    open.extend(members.unwrap_or_default());
+                }
+                Err(error) => spdlog::debug!("asking {address} for the group: {error}"),
             }
-            open.extend(greeting.leader);
-            greetings.push((greeting, address));
         }
+        findings(&self.hello, &self.members, &greetings)
     }
+}
+
+/// Returns what follows from the answers of one round.
+fn findings(hello: &Hello, members: &[Peer], greetings: &[(Greeting, SocketAddr)]) -> Vec<Finding> {
     let own = members.iter().any(|peer| peer.name == hello.name);
     let heard = |peer: &&Peer| {
         greetings
@@ -75,7 +97,7 @@
     let first = members.iter().map(|peer| &peer.name).min();
     let ready = greetings.iter().all(|(g, _)| g.admitted && !g.formed);
     if first == Some(&hello.name) && heard == members.len() && ready {
-        findings.push(Finding::Form(first_members(hello, &greetings)));
+        findings.push(Finding::Form(first_members(hello, greetings)));
     }
     findings
 }
--- a/crates/control/src/replica/options.rs
+++ b/crates/control/src/replica/options.rs
@@ -4,6 +4,8 @@
 
 use chestnutvalve_consensus::Settings;
 
+use crate::rendezvous::Rendezvous;
+
 /// A first voter of a group.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Peer {
@@ -20,6 +22,7 @@
     pub(super) name: String,
     pub(super) address: SocketAddr,
     pub(super) members: Vec<Peer>,
+    pub(super) rendezvous: Rendezvous,
     pub(super) voter: bool,
     pub(super) settings: Settings,
     pub(super) compact_entries: u64,
@@ -40,6 +43,7 @@
             name: name.to_owned(),
             address,
             members: vec![own],
+            rendezvous: Rendezvous::default(),
             voter: true,
             settings: Settings::default(),
             compact_entries: 1_024,
@@ -54,6 +58,13 @@
         self
     }
 
+    /// Sets where a replica that has no membership may learn of the group, beside the first voters.
+    #[must_use]
+    pub fn with_rendezvous(mut self, rendezvous: Rendezvous) -> Self {
+        self.rendezvous = rendezvous;
+        self
+    }
+
     /// Sets whether a joining replica becomes a voter; the default is that it does.
     #[must_use]
     pub fn with_voter(mut self, voter: bool) -> Self {
