Keep a joining member that has not answered yet, and tell members without a vote of their removal

Cause: a member that was just added had no answer yet and counted as silent since the election of the leader. If it had adopted the membership by then, it stayed out for good: it has stopped searching, and only voters ask others for something, so that nobody tells it.

Change: silence of a member that never answered counts from the leader's first heartbeat to it. A member without a vote that hears no leader for an election timeout asks the voters, and a leader with a lease tells it that it was removed.

Measured: members::a_joining_member_has_time_for_its_first_answer and the three cases of members::a_removed_member_without_a_vote_stops fail before and pass with the change; all 76 tests of the crate pass. a_standby_votes_before_the_next_loss is new and passes before too: it shows that a succession of 2 s is soon enough.

--- a/crates/consensus/src/progress.rs
+++ b/crates/consensus/src/progress.rs
@@ -23,6 +23,8 @@
 /// A leader's view of one follower.
 #[derive(Clone, Debug)]
 pub struct Progress {
+    /// First heartbeat of the leader to this replica.
+    pub since: Option<Instant>,
     /// Index up to which the follower's log is known to equal the leader's.
     pub matched: u64,
     /// Next index to send.
@@ -40,6 +42,7 @@
     #[must_use]
     pub fn new(next: u64) -> Self {
         Self {
+            since: None,
             matched: 0,
             next,
             mode: Mode::Probe,
--- a/crates/consensus/src/replica.rs
+++ b/crates/consensus/src/replica.rs
@@ -217,7 +217,7 @@
         } else if self.log.membership().1.is_voter(self.id) {
             self.seek_election(now);
         } else {
-            self.reset_deadline(now);
+            self.ask_whether_removed(now);
         }
     }
 
--- a/crates/consensus/src/replica/change.rs
+++ b/crates/consensus/src/replica/change.rs
@@ -141,9 +141,13 @@
     }
 
     fn is_silent_for(&self, now: Instant, id: ReplicaId, limit: Duration) -> bool {
-        let heard = self.leading.progress.get(&id).and_then(|p| p.heard);
-        let heard = heard.map(|stamp| self.epoch + std::time::Duration::from_micros(stamp));
-        id != self.id && now >= heard.unwrap_or(self.leading.since) + limit
+        let Some(progress) = self.leading.progress.get(&id) else {
+            return false;
+        };
+        let heard = progress.heard.map(Duration::from_micros);
+        let heard = heard.map(|stamp| self.epoch + stamp);
+        let heard = heard.or(progress.since);
+        heard.is_some_and(|heard| now >= heard + limit)
     }
 
     /// Stops once the removal of this replica is committed.
--- a/crates/consensus/src/replica/check.rs
+++ b/crates/consensus/src/replica/check.rs
@@ -28,6 +28,14 @@
         self.deadline = now + self.settings.heartbeat;
     }
 
+    /// Asks whether this replica, which has no vote, was removed: without a vote it asks for none, which tells others.
+    pub(super) fn ask_whether_removed(&mut self, now: Instant) {
+        for voter in self.other_voters() {
+            self.output.send(voter, Message::Inquire);
+        }
+        self.reset_deadline(now);
+    }
+
     pub(super) fn answer_inquiry(&mut self, now: Instant, from: ReplicaId) {
         if self.refuses_stranger(now, from, &Message::Inquire) {
             return;
--- a/crates/consensus/src/replica/leader.rs
+++ b/crates/consensus/src/replica/leader.rs
@@ -104,9 +104,10 @@
     }
 
     fn send_heartbeat(&mut self, now: Instant, to: ReplicaId) {
-        let Some(progress) = self.leading.progress.get(&to) else {
+        let Some(progress) = self.leading.progress.get_mut(&to) else {
             return;
         };
+        progress.since.get_or_insert(now);
         let mut marks = self.hard.marks.clone();
         marks.retain(|mark| mark.id != self.id);
         marks.push(Mark {
--- a/crates/consensus/tests/all/members.rs
+++ b/crates/consensus/tests/all/members.rs
@@ -117,6 +117,46 @@
     assert!(sim.replica(leader).membership().0.is_voter(old));
 }
 
+/// Guards against a joining member that counts as silent since the leader's election, and is removed before its first answer.
+#[test]
+fn a_joining_member_has_time_for_its_first_answer() {
+    let mut sim = Sim::new(3, 1);
+    propose(&mut sim, 2);
+    sim.run(Duration::from_secs(10));
+    let leader = sim.elect();
+    let lost = usize::from(leader == 0);
+    let emptied = ReplicaId(sim.nodes[lost].id.0 + 100);
+    sim.crash(lost);
+    sim.add(emptied.0);
+    let number = sim.nodes.len() - 1;
+    sim.blocked.insert((number, leader));
+    let add = Change::Add(member(emptied.0, Kind::Joining));
+    sim.replica_mut(leader).change(add).unwrap();
+    sim.run(Duration::from_millis(300));
+    assert!(sim.replica(leader).membership().0.get(emptied).is_some());
+    sim.blocked.clear();
+    sim.run(Duration::from_secs(2));
+    assert!(sim.replica(leader).membership().0.is_voter(emptied));
+}
+
+/// Guards against a member without a vote that never learns of its removal, because only voters ask others for something.
+#[rstest]
+fn a_removed_member_without_a_vote_stops(
+    #[values(Kind::Joining, Kind::Learner, Kind::Standby)] kind: Kind,
+) {
+    let mut sim = Sim::new(3, 1);
+    let leader = sim.elect();
+    sim.add(4);
+    let add = Change::Add(member(4, kind));
+    sim.replica_mut(leader).change(add).unwrap();
+    sim.run(Duration::from_millis(40));
+    assert!(sim.replica(3).membership().0.get(ReplicaId(4)).is_some());
+    let remove = Change::Remove(ReplicaId(4));
+    sim.replica_mut(leader).change(remove).unwrap();
+    sim.run(Duration::from_secs(5));
+    assert_eq!(sim.replica(3).fault(), Some(&Error::Removed(ReplicaId(4))));
+}
+
 /// Guards against learners that pile up in the membership because their disks were replaced.
 #[test]
 fn a_replaced_learner_is_removed() {
@@ -290,6 +330,30 @@
     propose(&mut sim, 3);
 }
 
+/// Guards against a lost leader that still counts when the next member is lost, 4 s after its successor has started.
+#[rstest]
+fn a_standby_votes_before_the_next_loss(#[values(1, 2, 3)] seed: u64) {
+    let settings = Settings {
+        voters: 3,
+        succeed_after: Duration::from_secs(2),
+        ..Settings::default()
+    };
+    let mut sim = Sim::with(3, seed, settings);
+    propose(&mut sim, 5);
+    let lost = sim.elect();
+    sim.crash(lost);
+    sim.add(4);
+    let started = sim.now;
+    let leader = sim.elect();
+    let add = Change::Add(member(4, Kind::Standby));
+    sim.replica_mut(leader).change(add).unwrap();
+    sim.run((started + Duration::from_secs(4)).saturating_duration_since(sim.now));
+    let leader = sim.elect();
+    assert!(sim.replica(leader).membership().0.is_voter(ReplicaId(4)));
+    sim.crash(leader);
+    propose(&mut sim, 3);
+}
+
 /// Guards against voters that are removed although nobody can take their place.
 #[test]
 fn without_a_standby_a_silent_voter_keeps_its_place() {
