Let the users' time between two losses decide when a standby takes over

Cause: a standby took the place of a voter that is gone after 4 s of silence, counted from the election of a new leader where the leader was lost.

Change: the setting succession_ms of a control instance, 4000 by default.

--- a/crates/cli/src/demo.rs
+++ b/crates/cli/src/demo.rs
@@ -109,6 +109,7 @@
         members: vec![voter],
         voter: true,
         voters: 1,
+        succession_ms: chestnutvalve_control::settings::DEFAULT_SUCCESSION_MS,
         ledger_groups: 1,
         log: Threshold::Warn,
     })
--- a/crates/control/src/daemon/replicas.rs
+++ b/crates/control/src/daemon/replicas.rs
@@ -1,6 +1,7 @@
 //! Service that runs this instance's replicas.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use chestnutvalve_kernel::Service;
 use chestnutvalve_kernel::service::Failure;
@@ -78,6 +79,7 @@
         .with_voter(settings.voter)
         .with_settings(chestnutvalve_consensus::Settings {
             voters: settings.voters,
+            succeed_after: Duration::from_millis(settings.succession_ms),
             ..chestnutvalve_consensus::Settings::default()
         })
 }
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -13,6 +13,13 @@
 /// Most first voters; larger groups only slow every commit down.
 pub const MAX_VOTERS: usize = 7;
 
+/// Default of [`Settings::succession_ms`]: longer than the restart of a process.
+pub const DEFAULT_SUCCESSION_MS: u64 = 4_000;
+/// Least [`Settings::succession_ms`]. A voter that only restarts would lose its place to a shorter one.
+pub const MIN_SUCCESSION_MS: u64 = 1_000;
+/// Greatest [`Settings::succession_ms`].
+pub const MAX_SUCCESSION_MS: u64 = 600_000;
+
 /// One of the first voters.
 #[derive(Clone, Debug, serde::Deserialize, serde::Serialize)]
 #[serde(deny_unknown_fields)]
@@ -48,6 +55,10 @@
     /// Voters that each group should have; further instances stand by to take the place of one that is gone.
     #[serde(default = "five")]
     pub voters: usize,
+    /// Time of silence after which an instance that stands by takes the place of a voter, in milliseconds. A voter that is
+    /// back sooner keeps its place. It has to be shorter than the time between two losses that the group must survive.
+    #[serde(default = "succession")]
+    pub succession_ms: u64,
     /// Number of ledger groups; 0 where no caller sends idempotency keys.
     #[serde(default = "one")]
     pub ledger_groups: u32,
@@ -64,6 +75,10 @@
     5
 }
 
+fn succession() -> u64 {
+    DEFAULT_SUCCESSION_MS
+}
+
 fn one() -> u32 {
     1
 }
@@ -104,6 +119,11 @@
             let expected = format!("1 to {MAX_VOTERS}");
             return Err(Invalid::new("voters", self.voters, expected));
         }
+        let succession = MIN_SUCCESSION_MS..=MAX_SUCCESSION_MS;
+        if !succession.contains(&self.succession_ms) {
+            let expected = format!("{MIN_SUCCESSION_MS} to {MAX_SUCCESSION_MS}");
+            return Err(Invalid::new("succession_ms", self.succession_ms, expected));
+        }
         if self.ledger_groups > MAX_LEDGER_GROUPS {
             let expected = format!("0 to {MAX_LEDGER_GROUPS}");
             return Err(Invalid::new("ledger_groups", self.ledger_groups, expected));
--- a/crates/control/tests/all/harness.rs
+++ b/crates/control/tests/all/harness.rs
@@ -84,6 +84,7 @@
             members: self.members.clone(),
             voter: true,
             voters: 5,
+            succession_ms: 4_000,
             ledger_groups: self.ledger_groups,
             log: chestnutvalve_telemetry::log::Threshold::Error,
         };
