Kill everything, empty disks and grow the fleet in the fault soak

Cause: the soak lost one process at a time and never a disk, so that neither a restart of everything nor the return of an emptied control instance was ever played.

--- a/crates/bench/src/command.rs
+++ b/crates/bench/src/command.rs
@@ -178,7 +178,8 @@
         .about("Runs a small fleet under random faults and checks what callers and operators were told")
         .arg(number("seed", "1", "First seed"))
         .arg(number("seeds", "1", "Number of seeds, one after the other"))
-        .arg(number("seconds", "12", "Time with faults for each seed"));
+        .arg(number("seconds", "12", "Time with faults for each seed"))
+        .arg(number("size", "1", "Factor for the number of entries and workers"));
     Command::new("chestnutvalve-bench")
         .about("Stand-in workers, caller load, fault injection and measurements")
         .subcommand_required(true)
@@ -319,9 +320,11 @@
     let programs = Programs::beside_this()?;
     let (first, seeds): (u64, u64) = (take(arguments, "seed"), take(arguments, "seeds"));
     let duration = Duration::from_secs(take(arguments, "seconds"));
+    let size: u64 = take(arguments, "size");
+    let size = usize::try_from(size).map_err(|e| Error::Value(format!("size: {e}")))?;
     let mut failed = Vec::new();
     for seed in first..first.saturating_add(seeds) {
-        let report = soak::run(&programs, seed, duration).await?;
+        let report = soak::run(&programs, seed, duration, size.max(1)).await?;
         let soak::Report {
             broken,
             faults,
--- a/crates/bench/src/fleet.rs
+++ b/crates/bench/src/fleet.rs
@@ -96,18 +96,38 @@
         Ok(fleet)
     }
 
-    /// Starts all processes and waits until every entry serves every service.
+    /// Starts all control and entry instances, after ending earlier processes of theirs.
     ///
     /// # Errors
     ///
-    /// Returns an error when a process can't be started or the fleet is not ready in time.
-    pub async fn launch(&mut self) -> Result<(), Error> {
+    /// Returns an error when a process can't be started.
+    pub fn start_all(&mut self) -> Result<(), Error> {
         for control in &mut self.controls {
             control.start()?;
         }
         for entry in &mut self.entries {
             entry.start()?;
         }
+        Ok(())
+    }
+
+    /// Ends all control and entry instances with SIGKILL.
+    pub fn kill_all(&self) {
+        for control in &self.controls {
+            control.kill();
+        }
+        for entry in &self.entries {
+            entry.kill();
+        }
+    }
+
+    /// Starts all processes and waits until every entry serves every service.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when a process can't be started or the fleet is not ready in time.
+    pub async fn launch(&mut self) -> Result<(), Error> {
+        self.start_all()?;
         self.configure().await?;
         for worker in &mut self.workers {
             worker.start()?;
--- a/crates/bench/src/fleet/node.rs
+++ b/crates/bench/src/fleet/node.rs
@@ -141,6 +141,17 @@
 }
 
 impl Control {
+    /// Ends the process with SIGKILL and removes its data directory.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the operating system.
+    pub fn lose_disk(&self) -> Result<(), Error> {
+        self.kill();
+        let removed = std::fs::remove_dir_all(&self.data);
+        removed.map_err(Error::system(format!("removing {}", self.data.display())))
+    }
+
     pub(super) fn new(program: &Path, folder: &Path, settings: &Value) -> Result<Self, Error> {
         let name: String = field(settings, "control");
         Ok(Self {
--- a/crates/bench/src/soak.rs
+++ b/crates/bench/src/soak.rs
@@ -21,6 +21,12 @@
 use crate::load::{self, Class, Plan};
 use crate::worker::Fault;
 
+/// Control instances.
+const CONTROLS: usize = 3;
+/// Entry instances of the usual size.
+const ENTRIES: usize = 3;
+/// Workers of the usual size.
+const WORKERS: usize = 4;
 /// Service of the soak.
 const SERVICE: &str = "soak";
 /// Name of the loads whose requests must not run twice.
@@ -35,6 +41,9 @@
 /// Time between two changes of the configuration.
 const CHANGE: Duration = Duration::from_millis(900);
 
+/// Time between two lost disks: the longest other fault, and time for the emptied instance to vote again.
+const DISK_PAUSE: Duration = Duration::from_secs(7);
+
 /// What one seed has shown.
 #[derive(Clone, Debug, Default)]
 pub struct Report {
@@ -60,6 +69,10 @@
     KilledEntry(usize),
     KilledControl(usize),
     StoppedEntry(usize),
+    /// The control instance is killed and loses its disk.
+    EmptiedControl(usize),
+    /// All control and entry instances are killed.
+    KilledAll,
     Worker(usize, Fault),
 }
 
@@ -69,25 +82,37 @@
         match self {
             Self::Link(..) => "link",
             Self::FrozenEntry(_) | Self::KilledEntry(_) | Self::StoppedEntry(_) => "entry",
-            Self::FrozenControl(_) | Self::KilledControl(_) => "control",
+            Self::FrozenControl(_) | Self::KilledControl(_) | Self::EmptiedControl(_) => "control",
+            Self::KilledAll => "all",
             Self::FrozenWorker(_) | Self::Worker(..) => "worker",
         }
     }
 
-    fn draw(random: &mut StdRng, links: &[String]) -> Self {
-        let third = random.random_range(0..3);
-        let worker = random.random_range(0..4);
-        match random.random_range(0..9) {
+    /// Returns whether both can't be open at the same time.
+    fn excludes(&self, other: &Self) -> bool {
+        let subjects = [self.subject(), other.subject()];
+        let instance = |subject: &&str| ["all", "control", "entry"].contains(subject);
+        subjects[0] == subjects[1]
+            || subjects.contains(&"all") && subjects.iter().all(|s| instance(s))
+    }
+
+    fn draw(random: &mut StdRng, links: &[String], size: usize) -> Self {
+        let control = random.random_range(0..CONTROLS);
+        let entry = random.random_range(0..ENTRIES * size);
+        let worker = random.random_range(0..WORKERS * size);
+        match random.random_range(0..11) {
             0 | 1 => {
                 let link = links[random.random_range(0..links.len())].clone();
                 Self::Link(link, mode(random))
             }
-            2 => Self::FrozenEntry(third),
-            3 => Self::FrozenControl(third),
+            2 => Self::FrozenEntry(entry),
+            3 => Self::FrozenControl(control),
             4 => Self::FrozenWorker(worker),
-            5 => Self::KilledEntry(third),
-            6 => Self::KilledControl(third),
-            7 => Self::StoppedEntry(third),
+            5 => Self::KilledEntry(entry),
+            6 => Self::KilledControl(control),
+            7 => Self::StoppedEntry(entry),
+            8 => Self::EmptiedControl(control),
+            9 => Self::KilledAll,
             _ => Self::Worker(worker, fault(random)),
         }
     }
@@ -121,9 +146,11 @@
     fault
 }
 
-fn layout() -> Layout {
+fn layout(size: usize) -> Layout {
     Layout {
-        services: vec![Service::new(SERVICE, 4)],
+        controls: CONTROLS,
+        entries: ENTRIES * size,
+        services: vec![Service::new(SERVICE, WORKERS * size)],
         edits: vec![
             route(SERVICE, "/look", Rank::Top, true),
             route(SERVICE, "/order", Rank::Middle, false),
@@ -159,13 +186,18 @@
         .collect()
 }
 
-/// Runs one seed for about `duration` and the time to recover.
+/// Runs one seed for about `duration` and the time to recover. `size` multiplies the usual number of entries and workers.
 ///
 /// # Errors
 ///
 /// Returns an error when the fleet can't be started or controlled. Broken promises are in the report.
-pub async fn run(programs: &Programs, seed: u64, duration: Duration) -> Result<Report, Error> {
-    let mut fleet = Fleet::start(programs, layout()).await?;
+pub async fn run(
+    programs: &Programs,
+    seed: u64,
+    duration: Duration,
+    size: usize,
+) -> Result<Report, Error> {
+    let mut fleet = Fleet::start(programs, layout(size)).await?;
     let mut random = StdRng::seed_from_u64(seed);
     let mut report = Report::default();
     let mut loads = tokio::task::JoinSet::new();
@@ -198,11 +230,12 @@
     report: &mut Report,
 ) -> Result<Version, Error> {
     let links: Vec<String> = fleet.links.keys().cloned().collect();
+    let size = fleet.entries.len() / ENTRIES;
     let started = Instant::now();
     let mut open: Vec<(Instant, Trouble)> = Vec::new();
     let mut seen = BTreeMap::new();
     let mut accepted = Version::ZERO;
-    let (mut next_trouble, mut next_change) = (started, started);
+    let (mut next_trouble, mut next_change, mut next_disk) = (started, started, started);
     while started.elapsed() < duration {
         let now = Instant::now();
         let (due, kept): (Vec<_>, Vec<_>) = open.drain(..).partition(|(until, _)| now >= *until);
@@ -211,11 +244,16 @@
             end(fleet, &trouble).await?;
         }
         if now >= next_trouble {
-            let trouble = Trouble::draw(random, &links);
+            let trouble = Trouble::draw(random, &links, size);
             let lasting = Duration::from_millis(random.random_range(200..2_500));
             let pause = Duration::from_millis(random.random_range(50..700));
             next_trouble = now + pause;
-            if !open.iter().any(|(_, t)| t.subject() == trouble.subject()) {
+            let disk = matches!(trouble, Trouble::EmptiedControl(_));
+            let early = disk && now < next_disk;
+            if !early && !open.iter().any(|(_, t)| t.excludes(&trouble)) {
+                if disk {
+                    next_disk = now + lasting + DISK_PAUSE;
+                }
                 report.faults.push(format!(
                     "{:?} {trouble:?} for {lasting:?}",
                     started.elapsed()
@@ -254,6 +292,8 @@
         Trouble::FrozenWorker(n) => fleet.workers[*n].process()?.freeze()?,
         Trouble::KilledEntry(n) => fleet.entries[*n].kill(),
         Trouble::KilledControl(n) => fleet.controls[*n].kill(),
+        Trouble::EmptiedControl(n) => fleet.controls[*n].lose_disk()?,
+        Trouble::KilledAll => fleet.kill_all(),
         Trouble::StoppedEntry(n) => fleet.entries[*n].process()?.terminate()?,
         Trouble::Worker(n, fault) => fleet.workers[*n].fault(&fleet.http, fault).await?,
     }
@@ -267,7 +307,8 @@
         Trouble::FrozenControl(n) => fleet.controls[*n].process()?.resume()?,
         Trouble::FrozenWorker(n) => fleet.workers[*n].process()?.resume()?,
         Trouble::KilledEntry(n) => fleet.entries[*n].start()?,
-        Trouble::KilledControl(n) => fleet.controls[*n].start()?,
+        Trouble::KilledControl(n) | Trouble::EmptiedControl(n) => fleet.controls[*n].start()?,
+        Trouble::KilledAll => fleet.start_all()?,
         Trouble::StoppedEntry(n) => {
             // A restart overlaps the planned stop when that takes longer; the process is then gone at once.
             fleet.entries[*n].start()?;
--- a/tests/all/soak.rs
+++ b/tests/all/soak.rs
@@ -10,10 +10,12 @@
 #[rstest::rstest]
 #[case::first(1)]
 #[case::second(2)]
+#[case::third(3)]
+#[case::fourth(4)]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn promises_hold_under_random_faults(#[case] seed: u64) {
     let _place = support::place().await;
-    let report = soak::run(&support::programs(), seed, Duration::from_secs(6)).await;
+    let report = soak::run(&support::programs(), seed, Duration::from_secs(6), 1).await;
     let report = report.expect("the fleet can be started and controlled");
     assert!(report.broken.is_empty(), "{report:#?}");
     assert!(report.good > 0 && report.changes > 0, "{report:#?}");
