--- a/crates/bench/src/soak.rs
+++ b/crates/bench/src/soak.rs
@@ -91,9 +91,8 @@
     /// Returns whether both can't be open at the same time.
     fn excludes(&self, other: &Self) -> bool {
         let subjects = [self.subject(), other.subject()];
-        let instance = |subject: &&str| ["all", "control", "entry"].contains(subject);
-        subjects[0] == subjects[1]
-            || subjects.contains(&"all") && subjects.iter().all(|s| instance(s))
+        let process = |subject: &&str| ["all", "control", "entry"].contains(subject);
+        subjects[0] == subjects[1] || (subjects.contains(&"all") && subjects.iter().all(process))
     }
 
     fn draw(random: &mut StdRng, links: &[String], size: usize) -> Self {
