Count a refusal on a kept connection only with the id of its request

Cause: a faulty worker writes an earlier refusal once more on a kept connection. A copy with the earlier id was told apart. One without an id was taken for the response to the next request, by the gateway and by the proxy.

Change: on a connection that has carried an earlier request, the gateway takes a response without the id for that of another request, and the proxy does so with a refusal. A request without an id gets no refusal from such a connection. The outcome is then unknown, which promises nothing. The stand-in worker repeats the id of the attempt.

Ruled out: closing each connection that has carried a refusal, which costs a new connection for each of them under overload.

--- a/crates/bench/src/worker/serve.rs
+++ b/crates/bench/src/worker/serve.rs
@@ -18,6 +18,8 @@
 
 type Body = UnsyncBoxBody<Bytes, std::io::Error>;
 
+/// Header with the id of an attempt.
+const ATTEMPT_HEADER: &str = "chestnutvalve-attempt";
 /// Largest request body that is read.
 const MAX_REQUEST_BYTES: usize = 4 * 1024 * 1024;
 /// Longest service time, so that no request stays for ever.
@@ -36,7 +38,7 @@
         "/_worker/counts" => json(StatusCode::OK, &*lock(&worker.counts)),
         "/_worker/health" => json(StatusCode::OK, &serde_json::json!({"status": "good"})),
         "/_worker/fault" => set_fault(&worker, request).await,
-        _ => execute(worker, request).await,
+        _ => answer(worker, request).await,
     };
     Ok(answer)
 }
@@ -104,7 +106,7 @@
         Self {
             id: header(payload::REQUEST_HEADER).unwrap_or_else(|| "unnamed".into()),
             key: header("idempotency-key").map(|key| format!("{customer}/{key}")),
-            attempt: header("chestnutvalve-attempt"),
+            attempt: header(ATTEMPT_HEADER),
             deadline: deadline.map(Duration::from_millis),
             size: size
                 .unwrap_or(payload::DEFAULT_BYTES)
@@ -133,6 +135,16 @@
     }
 }
 
+/// Runs a request; the response repeats the id of the attempt.
+async fn answer(worker: Arc<Worker>, request: Request<Incoming>) -> Response<Body> {
+    let attempt = request.headers().get(ATTEMPT_HEADER).cloned();
+    let mut response = execute(worker, request).await;
+    if let Some(attempt) = attempt {
+        response.headers_mut().insert(ATTEMPT_HEADER, attempt);
+    }
+    response
+}
+
 async fn execute(worker: Arc<Worker>, request: Request<Incoming>) -> Response<Body> {
     let order = Order::read(&request);
     let path = request.uri().path().to_owned();
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -212,7 +212,12 @@
         let received = exchange(pool, address, self.call, request, check).await?;
         let headers = &received.parts.headers;
         let echoed = headers.get(name::ATTEMPT);
-        if echoed.is_some_and(|e| e.as_bytes() != attempt.as_bytes()) {
+        let is_own = match echoed {
+            Some(echoed) => echoed.as_bytes() == attempt.as_bytes(),
+            // On a kept connection, the worker may have written an earlier refusal once more.
+            None => !(received.lease.reused && is_shed(&received.parts)),
+        };
+        if !is_own {
             return Err(Failed {
                 stage: Stage::Sent,
                 verdict: Verdict::Truncated,
--- a/crates/entry/src/gateway/attempt.rs
+++ b/crates/entry/src/gateway/attempt.rs
@@ -151,8 +151,14 @@
     if let Some(load) = text(&dialect.load).and_then(dialect.read_load) {
         seat.report_to_all(load);
     }
-    let echoed = text(&dialect.request_id);
-    if echoed.is_some_and(|echoed| echoed != inbound.id) {
+    let refuses = parts.headers.contains_key(&dialect.not_executed)
+        || parts.status == StatusCode::MISDIRECTED_REQUEST;
+    let is_own = match text(&dialect.request_id) {
+        Some(echoed) => echoed == inbound.id,
+        // On a kept connection, the worker may have written an earlier response once more.
+        None => !lease.reused || (inbound.id.is_empty() && !refuses),
+    };
+    if !is_own {
         seat.finish(Outcome::Failure);
         let context = "the response belongs to another request";
         return Err(Failed::Unknown(context.into()));
--- a/crates/entry/tests/all/gateway.rs
+++ b/crates/entry/tests/all/gateway.rs
@@ -82,7 +82,7 @@
 
 /// Starts a control instance, an entry with an idempotent route at `/` and one that must not repeat at `/once/`, and
 /// registers the workers.
-async fn fleet(workers: &[&Worker]) -> (Control, Entry) {
+pub async fn fleet(workers: &[&Worker]) -> (Control, Entry) {
     let control = Control::start().await;
     let routes = vec![route("/", Kind::Idempotent), route("/once/", Kind::Once)];
     control.publish(table(1, routes));
--- a/crates/entry/tests/all/main.rs
+++ b/crates/entry/tests/all/main.rs
@@ -3,6 +3,7 @@
 mod control;
 mod coordinator;
 mod drain;
+mod faulty;
 mod fleet;
 mod gateway;
 mod link;
--- a/crates/entry/tests/all/worker.rs
+++ b/crates/entry/tests/all/worker.rs
@@ -29,6 +29,8 @@
 pub enum Step {
     Write(Vec<u8>),
     Wait(Duration),
+    /// Writes the same until the peer closes the connection.
+    Repeat(Vec<u8>),
     /// Closes the connection.
     Close,
 }
@@ -151,6 +153,11 @@
         for step in script(&seen) {
             match step {
                 Step::Write(bytes) => stream.get_mut().write_all(&bytes).await?,
+                Step::Repeat(bytes) => {
+                    while stream.get_mut().write_all(&bytes).await.is_ok() {}
+                    closed.fetch_add(1, Ordering::SeqCst);
+                    return Ok(());
+                }
                 Step::Close => return Ok(()),
                 Step::Wait(time) => {
                     tokio::select! {
