Take a replica for level only with a leader that has committed in its term

Callers may see: entries that restart together with the control group get a state that lacks the last committed entries, a few milliseconds before the current one.

Cause: a follower counted as level once it had the commit index of any append. The first append of a new leader carries the index that the leader had before an entry of its own term was committed, which lags behind what is committed. The next heartbeat could then complete the confirmation before the entries themselves were known to be committed.

Change: a heartbeat carries the leader's commit index beside the index up to which the logs are known to be equal. A follower becomes level only by a heartbeat of a leader that has committed in its term.

Ruled out: comparing the term of the entry at the commit index of an append. It never holds at a follower that has all entries when the leader commits, since such a follower is told by heartbeat only.

--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -14,6 +14,6 @@
 
 pub use entry::{Blob, Entry, HardState, Mark, Payload, Position, Snapshot};
 pub use membership::{Kind, Member, Membership, ReplicaId};
-pub use message::Message;
+pub use message::{Commit, Message};
 pub use replica::{Change, Error, Receipt, Replica, Restored, Role, Write};
 pub use settings::Settings;
--- a/crates/consensus/src/message.rs
+++ b/crates/consensus/src/message.rs
@@ -5,6 +5,15 @@
 use crate::entry::{Blob, Entry, Mark, Position};
 use crate::membership::Membership;
 
+/// Commit index of a leader.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Commit {
+    /// The commit index.
+    pub index: u64,
+    /// Index up to which the receiver's log is known to equal the leader's.
+    pub matched: u64,
+}
+
 /// Message between two replicas. `stamp` is the sender's own clock in microseconds and is returned unchanged; it bounds the
 /// leader's lease from below, because a reply proves contact no later than the instant of the request.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -67,9 +76,9 @@
     Heartbeat {
         /// Term of the leader.
         term: u64,
-        /// Commit index that the follower is known to have the entries for.
-        commit: u64,
-        /// Whether the leader has recent contact with a quorum.
+        /// What is committed.
+        commit: Commit,
+        /// Whether the leader has recent contact with a quorum and has committed an entry of its term.
         quorum: bool,
         /// Promises of all voters.
         marks: Vec<Mark>,
--- a/crates/consensus/src/replica.rs
+++ b/crates/consensus/src/replica.rs
@@ -104,7 +104,8 @@
     contact: Option<Instant>,
     /// Until when the leader was known to have a quorum.
     quorum_until: Option<Instant>,
-    /// Whether the log has reached the commit index that the present leader has sent.
+    /// Whether the commit index has reached that of the present leader, after it has committed an entry of its term. Before,
+    /// the leader's own commit index may lag behind what is committed.
     level: bool,
     votes: BTreeSet<ReplicaId>,
     /// Peers that have answered the inquiry after a restart; `None` once a quorum has.
--- a/crates/consensus/src/replica/follower.rs
+++ b/crates/consensus/src/replica/follower.rs
@@ -5,7 +5,7 @@
 use super::Replica;
 use crate::entry::{Entry, Mark, Position, Snapshot};
 use crate::membership::{Membership, ReplicaId};
-use crate::message::Message;
+use crate::message::{Commit, Message};
 
 impl Replica {
     pub(super) fn append(
@@ -22,7 +22,6 @@
             let end = previous.index + entries.len() as u64;
             self.store(entries);
             self.commit_to(commit.min(end));
-            self.level |= self.hard.commit >= commit;
             Ok(end)
         };
         let reply = Message::AppendReply {
@@ -80,13 +79,14 @@
         &mut self,
         now: Instant,
         from: ReplicaId,
-        commit: u64,
+        commit: Commit,
         quorum: bool,
         marks: &[Mark],
         stamp: u64,
     ) {
         self.quorum_until = quorum.then(|| now + self.settings.election_max);
-        self.commit_to(commit);
+        self.commit_to(commit.index.min(commit.matched));
+        self.level |= quorum && self.hard.commit >= commit.index;
         for mark in marks {
             self.remember(mark.id, mark.position);
         }
--- a/crates/consensus/src/replica/leader.rs
+++ b/crates/consensus/src/replica/leader.rs
@@ -6,7 +6,7 @@
 use super::{Leading, Replica, Role};
 use crate::entry::{Entry, Mark, Payload, Position};
 use crate::membership::ReplicaId;
-use crate::message::Message;
+use crate::message::{Commit, Message};
 use crate::progress::{Mode, Progress};
 
 impl Replica {
@@ -119,7 +119,10 @@
         });
         let message = Message::Heartbeat {
             term: self.hard.term,
-            commit: self.hard.commit.min(progress.matched),
+            commit: Commit {
+                index: self.hard.commit,
+                matched: progress.matched,
+            },
             quorum: self.lease(now).is_some(),
             marks,
             stamp: self.stamp(now),
--- a/crates/consensus/tests/all/main.rs
+++ b/crates/consensus/tests/all/main.rs
@@ -3,6 +3,7 @@
 mod append;
 mod election;
 mod members;
+mod restart;
 mod schedule;
 mod sim;
 mod vote;
--- a/crates/consensus/tests/all/vote.rs
+++ b/crates/consensus/tests/all/vote.rs
@@ -3,8 +3,8 @@
 use std::time::{Duration, Instant};
 
 use chestnutvalve_consensus::{
-    Entry, HardState, Kind, Membership, Message, Payload, Position, Replica, ReplicaId, Restored,
-    Settings,
+    Commit, Entry, HardState, Kind, Membership, Message, Payload, Position, Replica, ReplicaId,
+    Restored, Settings,
 };
 use rstest::rstest;
 
@@ -95,7 +95,10 @@
     if heartbeat {
         let message = Message::Heartbeat {
             term: 5,
-            commit: 0,
+            commit: Commit {
+                index: 0,
+                matched: 0,
+            },
             quorum: true,
             marks: Vec::new(),
             stamp: 0,
