Refuse routes with a timeout of 0

Callers saw: on a route that an operator had published with a timeout of 0, each request got 504 at once. Other changes of the same document came into force with it.

Cause: the check of a published document allows a timeout of 0, which no request can meet.

Change: a route's timeout must be at least 1 ms.

Measured: case no_timeout of an_invalid_document_is_refused fails without the change and passes with it.

--- a/crates/model/src/routes.rs
+++ b/crates/model/src/routes.rs
@@ -52,7 +52,7 @@
     pub prefix: String,
     /// What may be repeated.
     pub kind: Kind,
-    /// Longest time for which a request is kept waiting, in milliseconds.
+    /// Longest time for which a request is kept waiting, in milliseconds; above 0.
     pub timeout_ms: u64,
     /// Time within which a response is worth most, in milliseconds.
     pub target_ms: u64,
@@ -191,6 +191,10 @@
             let expected = "a path that begins and ends with a slash";
             return Err(Invalid::new(field("prefix"), &self.prefix, expected));
         }
+        if self.timeout_ms == 0 {
+            let expected = "1 or more milliseconds";
+            return Err(Invalid::new(field("timeout"), self.timeout_ms, expected));
+        }
         if self.target_ms >= self.timeout_ms.saturating_add(MAX_TARGET_EXCESS_MS) {
             let expected = "less than a minute above the timeout";
             return Err(Invalid::new(field("target"), self.target_ms, expected));
--- a/crates/model/tests/routes.rs
+++ b/crates/model/tests/routes.rs
@@ -50,6 +50,7 @@
 #[case::no_weight(|r: &mut Route| r.split[0].weight = 0.0)]
 #[case::weight_not_a_number(|r: &mut Route| r.split[0].weight = f64::NAN)]
 #[case::no_service(|r: &mut Route| r.split.clear())]
+#[case::no_timeout(|r: &mut Route| r.timeout_ms = 0)]
 #[case::target_a_minute_above_timeout(|r: &mut Route| r.target_ms = 62_000)]
 #[case::prefix_without_slash(|r: &mut Route| r.prefix = "/a".to_owned())]
 #[case::no_host(|r: &mut Route| r.host.clear())]
