Let only voters announce the control group

Cause: each member announced the group at the configured addresses.

Change: members without a vote announce nothing.

Measured: only_voters_announce_the_group fails without the change and passes with it.

Ruled out: announcements by the leader only, since a one-way partition between the leader and a configured address would then hide the group from it.

--- a/crates/control/src/daemon/announce.rs
+++ b/crates/control/src/daemon/announce.rs
@@ -1,4 +1,4 @@
-//! Service that announces the group's members at the configured addresses.
+//! Service with which voters announce the group's members at the configured addresses.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -10,6 +10,7 @@
 
 use super::{Instance, task};
 use crate::rendezvous;
+use crate::replica::Role;
 
 /// Name of the service.
 pub const NAME: &str = "announce";
@@ -36,13 +37,19 @@
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         ticks.tick().await;
-        // A member without a quorum may know an old membership.
-        if !instance.is_stale() {
+        if announces(instance) {
             round(instance).await;
         }
     }
 }
 
+/// Returns whether this instance announces the group. A member without a quorum may know an old membership. Members without a
+/// vote may be many, and the few configured addresses would hear all of them.
+fn announces(instance: &Instance) -> bool {
+    let status = instance.status();
+    status.is_some_and(|status| status.quorum && status.role != Role::Learner)
+}
+
 async fn round(instance: &Arc<Instance>) {
     let members: Arc<Vec<SocketAddr>> = Arc::new(instance.controls().into_values().collect());
     let mut calls = JoinSet::new();
--- a/crates/control/src/daemon/locator.rs
+++ b/crates/control/src/daemon/locator.rs
@@ -1,6 +1,6 @@
 //! Instance without state, which tells others where the control group is.
 //!
-//! It runs where there is no disk. Members announce themselves to it when its address is a configured one; otherwise it asks
+//! It runs where there is no disk. Voters announce the group to it when its address is a configured one; otherwise it asks
 //! the configured addresses and the members that it knows.
 
 use std::net::SocketAddr;
--- a/crates/control/src/rendezvous.rs
+++ b/crates/control/src/rendezvous.rs
@@ -1,7 +1,7 @@
 //! How processes find the control group that know only configured addresses.
 //!
 //! A configured address may belong to an instance that holds no state, and after a restart of everything nothing else is
-//! known. Members of the group therefore announce its members at the configured addresses, where entries, emptied instances
+//! known. Voters of the group therefore announce its members at the configured addresses, where entries, emptied instances
 //! and callers ask for them.
 
 use std::net::SocketAddr;
@@ -92,7 +92,7 @@
         }
     }
 
-    /// Adds the call with which members announce the group, and the one that answers `members` to those that ask for it.
+    /// Adds the call with which voters announce the group, and the one that answers `members` to those that ask for it.
     #[must_use]
     pub fn route(
         &self,
--- a/crates/control/tests/all/harness.rs
+++ b/crates/control/tests/all/harness.rs
@@ -73,8 +73,24 @@
     }
 
     pub async fn launch(&self, n: usize) -> Running {
-        let own = &self.members[n];
+        Self::run(self.settings(&self.members[n])).await
+    }
+
+    /// Starts an instance without a vote.
+    pub async fn launch_relay(&self) -> Running {
+        let own = Voter {
+            control: Control::new("relay").expect("valid name"),
+            peers: free_address(),
+        };
         let settings = Settings {
+            voter: false,
+            ..self.settings(&own)
+        };
+        Self::run(settings).await
+    }
+
+    fn settings(&self, own: &Voter) -> Settings {
+        Settings {
             control: own.control.clone(),
             zone: Zone::new("barre").expect("valid name"),
             peers: own.peers,
@@ -87,14 +103,18 @@
             succession_ms: 4_000,
             ledger_groups: self.ledger_groups,
             log: chestnutvalve_telemetry::log::Threshold::Error,
-        };
+        }
+    }
+
+    async fn run(settings: Settings) -> Running {
+        let peers = settings.peers;
         let mut registry = Registry::default();
         let instance = daemon::register(&mut registry, settings).expect("register the services");
         registry.start().await.expect("start the services");
         Running {
             registry,
             instance,
-            client: Client::new(own.peers),
+            client: Client::new(peers),
         }
     }
 
--- a/crates/control/tests/all/main.rs
+++ b/crates/control/tests/all/main.rs
@@ -7,5 +7,6 @@
 mod heartbeats;
 mod malformed;
 mod publish;
+mod rendezvous;
 mod state;
 mod support;
--- /dev/null
+++ b/crates/control/tests/all/rendezvous.rs
@@ -0,0 +1,40 @@
+//! Where members announce the group.
+
+use std::time::Duration;
+
+use chestnutvalve_control::daemon::locator;
+use chestnutvalve_control::rendezvous::Rendezvous;
+use chestnutvalve_kernel::Registry;
+use tokio::time::{Instant, sleep};
+
+use crate::harness::{Cluster, LIMIT, free_address};
+
+/// Time in which each member announces the group several times.
+const ROUNDS: Duration = Duration::from_secs(2);
+
+/// Guards against announcements by all relays of a large fleet, which the few configured instances could not carry.
+#[tokio::test(flavor = "multi_thread")]
+async fn only_voters_announce_the_group() {
+    let cluster = Cluster::start(1).await;
+    let relay = cluster.launch_relay().await;
+    let deadline = Instant::now() + LIMIT;
+    while relay.instance.is_stale() {
+        assert!(Instant::now() < deadline, "the relay does not follow");
+        sleep(Duration::from_millis(20)).await;
+    }
+    let (address, heard) = (free_address(), Rendezvous::default());
+    let mut registry = Registry::default();
+    registry
+        .register(locator::service(address, &heard))
+        .expect("register the locator");
+    registry.start().await.expect("start the locator");
+
+    relay.instance.rendezvous.configure(&[address]);
+    sleep(ROUNDS).await;
+    assert!(heard.members().is_empty());
+
+    let (_, voter) = cluster.alive().next().expect("the voter runs");
+    voter.instance.rendezvous.configure(&[address]);
+    sleep(ROUNDS).await;
+    assert_eq!(heard.members().len(), 2);
+}
