--- a/crates/entry/tests/all/gateway.rs
+++ b/crates/entry/tests/all/gateway.rs
@@ -2,7 +2,6 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::ops::Range;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
@@ -115,7 +114,7 @@
     answer(seen, 503, "chestnutvalve-not-executed: 1\r\n", "")
 }
 
-async fn ask(entry: &Entry, path: &str) -> Reply {
+pub async fn ask(entry: &Entry, path: &str) -> Reply {
     ask_as(entry, path, "id-1").await
 }
 
@@ -124,7 +123,7 @@
     exchange(entry.gateway, path, &headers).await.unwrap()
 }
 
-async fn exchange(
+pub async fn exchange(
     address: SocketAddr,
     path: &str,
     headers: &[(&str, &str)],
@@ -234,93 +233,6 @@
     assert!(expected.contains(&took), "{took:?}");
 }
 
-/// Guards against a download that fills a narrow link, and against one that is cut or reordered as it is spread over time.
-#[rstest]
-#[case::narrow(3, 300..2_000)]
-#[case::wide(1_000, 0..300)]
-#[tokio::test]
-async fn downloads_over_a_narrow_link_are_spread(#[case] mbps: u32, #[case] took_ms: Range<u128>) {
-    let numbers: Vec<String> = (0..20_000).map(|n| format!("{n:05}")).collect();
-    let body = numbers.concat();
-    let sent = body.clone();
-    let worker = Worker::start("w1", move |seen| answer(seen, 200, "", &sent)).await;
-    let control = Control::start().await;
-    let mut download = route("/", Kind::Download);
-    download.timeout_ms = 5_000;
-    control.publish(table(1, vec![download]));
-    control.register(&announced(&worker, 1, false));
-    let entry = Entry::start_on("e1", control.address, &[], mbps).await;
-    until("workers", || entry.state().roster.workers.len() == 1).await;
-    let begun = Instant::now();
-    let reply = ask(&entry, "/x").await;
-    let took = begun.elapsed().as_millis();
-    assert_eq!(reply.status, 200);
-    assert!(reply.body == body.as_bytes(), "{} bytes", reply.body.len());
-    assert!(took_ms.contains(&took), "{took} ms");
-}
-
-/// Guards against idle workers whose slots count as taken while their responses are on the way over a narrow link.
-#[tokio::test]
-async fn a_transfer_over_a_narrow_link_keeps_no_slot() {
-    let body = "x".repeat(200_000);
-    let worker = Worker::start("w1", move |seen| answer(seen, 200, "", &body)).await;
-    let control = Control::start().await;
-    let mut download = route("/", Kind::Download);
-    (download.timeout_ms, download.target_ms) = (20_000, 20_000);
-    control.publish(table(1, vec![download]));
-    control.register(&announced(&worker, 1, false));
-    let entry = Entry::start_on("e1", control.address, &[], 3).await;
-    until("workers", || entry.state().roster.workers.len() == 1).await;
-    let ids: Vec<String> = (0..4).map(|n| format!("id-{n}")).collect();
-    let asked = ids.iter().map(|id| ask_as(&entry, "/x", id));
-    let asked = futures_util::future::join_all(asked);
-    let counted = async {
-        // The first two take 0.8 s each on a link of their own.
-        sleep(Duration::from_millis(400)).await;
-        worker.count()
-    };
-    let (replies, count) = tokio::join!(asked, counted);
-    assert!(replies.iter().all(|r| r.status == 200));
-    assert_eq!(count, 4);
-}
-
-/// Guards against a worker that breaks off transfers and keeps its requests, because its place was given back before.
-#[tokio::test]
-async fn a_transfer_that_breaks_off_counts_against_the_worker() {
-    let body = "x".repeat(200_000);
-    let sent = body.clone();
-    let bad = Worker::start("w1", move |seen| {
-        let mut steps = answer(seen, 200, "", &sent);
-        for step in &mut steps {
-            if let Step::Write(bytes) = step {
-                bytes.truncate(100_000);
-            }
-        }
-        steps.push(Step::Close);
-        steps
-    });
-    let (bad, fine) = (
-        bad.await,
-        Worker::start("w2", move |seen| answer(seen, 200, "", &body)).await,
-    );
-    let control = Control::start().await;
-    let mut download = route("/", Kind::Download);
-    (download.timeout_ms, download.target_ms) = (20_000, 20_000);
-    control.publish(table(1, vec![download]));
-    control.register(&announced(&bad, 1, false));
-    let entry = Entry::start_on("e1", control.address, &[], 3).await;
-    until("workers", || entry.state().roster.workers.len() == 1).await;
-    let headers = [("host", "a.example"), ("chestnutvalve-attempt", "cut")];
-    assert!(exchange(entry.gateway, "/x", &headers).await.is_err());
-    control.register(&announced(&fine, 1, false));
-    until("workers", || entry.state().roster.workers.len() == 2).await;
-    for n in 0..2 {
-        let reply = ask_as(&entry, "/x", &format!("next-{n}")).await;
-        assert_eq!(reply.status, 200);
-    }
-    assert_eq!((bad.count(), fine.count()), (1, 2));
-}
-
 /// Guards against requests that must not repeat and are lost one after the other on connections which workers forget while
 /// they are idle.
 #[tokio::test]
--- a/crates/entry/tests/all/main.rs
+++ b/crates/entry/tests/all/main.rs
@@ -7,6 +7,7 @@
 mod fleet;
 mod gateway;
 mod link;
+mod narrow;
 mod once;
 mod proxy;
 mod sharing;
