Send routed requests through the gateway in the fault soak

Change: the fleet of the soak publishes two routes and registers its workers; two more loads of 40 requests/s call the gateways, one with requests that may repeat, one with requests that must not. Answers, refusals and runs are checked as for the others, and the recovery with both. The stand-in worker signs its responses and names refusals in the gateway's header too.

--- a/crates/bench/src/fleet.rs
+++ b/crates/bench/src/fleet.rs
@@ -240,6 +240,9 @@
             "peers_hint": reachable.iter().enumerate().filter(|(n, _)| *n != number)
                 .map(|(_, a)| a).take(8).collect::<Vec<_>>(),
         });
+        if self.layout.gateway {
+            settings["gateway"] = json!(port::free()?);
+        }
         let mut reachable_platform = platform;
         if self.layout.links {
             reachable_platform = self.link(&format!("{name}-platform"), platform).await?;
@@ -367,6 +370,12 @@
         self.entries.iter().map(|e| e.callers).collect()
     }
 
+    /// Returns the addresses of the entries that route by host and path.
+    #[must_use]
+    pub fn gateways(&self) -> Vec<SocketAddr> {
+        self.entries.iter().filter_map(|e| e.gateway).collect()
+    }
+
     /// Asks an entry for its status.
     pub async fn entry_status(&self, entry: &Entry) -> Option<Value> {
         let answer = self
--- a/crates/bench/src/fleet/layout.rs
+++ b/crates/bench/src/fleet/layout.rs
@@ -109,6 +109,8 @@
     pub edits: Vec<Edit>,
     /// Whether a forwarder stands in each link, so that links can be cut one by one.
     pub links: bool,
+    /// Whether entries also take requests by host and path, and know the workers as registered ones.
+    pub gateway: bool,
     /// Log level of the daemons.
     pub log: String,
 }
@@ -122,6 +124,7 @@
             services: Vec::new(),
             edits: Vec::new(),
             links: false,
+            gateway: false,
             log: "info".into(),
         }
     }
--- a/crates/bench/src/fleet/node.rs
+++ b/crates/bench/src/fleet/node.rs
@@ -100,6 +100,8 @@
     pub name: String,
     /// Address for callers.
     pub callers: SocketAddr,
+    /// Address for callers whose requests are routed by host and path.
+    pub gateway: Option<SocketAddr>,
     /// Address for workers and operators.
     pub platform: SocketAddr,
     /// Address at which workers reach `platform`, perhaps through a forwarder.
@@ -174,6 +176,7 @@
         let name: String = field(settings, "entry");
         Ok(Self {
             callers: field(settings, "callers"),
+            gateway: serde_json::from_value(settings["gateway"].clone()).ok(),
             platform: field(settings, "platform"),
             announce,
             common: daemon(program, folder, &name, settings)?,
--- a/crates/bench/src/fleet/operator.rs
+++ b/crates/bench/src/fleet/operator.rs
@@ -4,15 +4,19 @@
 use std::time::Duration;
 
 use chestnutvalve_model::config::{Change, Document, Edit};
+use chestnutvalve_model::routes::Publication;
 use chestnutvalve_model::version::Version;
-use serde_json::Value;
+use serde_json::{Value, json};
 
 use super::{Fleet, READY_LIMIT, TOKEN, until};
 use crate::Error;
 use crate::client::Answer;
+use crate::forward::Forwarder;
 
 /// Time for a control instance to answer a change.
 const CHANGE_LIMIT: Duration = Duration::from_secs(10);
+/// Slots of a registered worker, as in the default of a service.
+const REGISTERED_SLOTS: u32 = 2;
 /// Time for a control instance to answer a read.
 const READ_LIMIT: Duration = Duration::from_secs(2);
 
@@ -29,6 +33,46 @@
         .await
     }
 
+    /// Publishes routes at the first control instance, as soon as there is a leader.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when that takes too long.
+    pub async fn publish(&self, publication: &Publication) -> Result<(), Error> {
+        let body = serde_json::to_value(publication).map_err(|e| Error::Value(e.to_string()))?;
+        self.post("/v1/routes", &body).await
+    }
+
+    /// Registers all workers with the control group.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when that takes too long.
+    pub async fn register_workers(&self) -> Result<(), Error> {
+        for worker in &self.workers {
+            let link = self.links.get(&worker.name).map(Forwarder::address);
+            let event = json!({"Announced": {
+                "worker": worker.name, "incarnation": 1, "service": worker.service,
+                "address": link.unwrap_or(worker.address), "zone": self.layout.zone(0),
+                "slots": REGISTERED_SLOTS, "warm_up_ms": 0, "leaving": false,
+            }});
+            self.post("/v1/workers", &event).await?;
+        }
+        Ok(())
+    }
+
+    async fn post(&self, path: &str, body: &Value) -> Result<(), Error> {
+        let operators = self.controls[0].operators;
+        until(&format!("{path} accepted"), READY_LIMIT, async || {
+            let posted = self
+                .http
+                .post(operators, path, body, Some(TOKEN), CHANGE_LIMIT);
+            let answer = posted.await.ok()?;
+            answer.status.is_success().then_some(())
+        })
+        .await
+    }
+
     /// Reads version and document from one control instance.
     pub async fn config(&self, operators: SocketAddr) -> Option<(Version, Document)> {
         let answer = self
--- a/crates/bench/src/load/caller.rs
+++ b/crates/bench/src/load/caller.rs
@@ -70,7 +70,8 @@
             .header("chestnutvalve-service", &class.service)
             .header("chestnutvalve-customer", &self.customer)
             .header("chestnutvalve-deadline-ms", class.deadline_ms)
-            .header(payload::REQUEST_HEADER, &self.id);
+            .header(payload::REQUEST_HEADER, &self.id)
+            .header("chestnutvalve-attempt", &self.id);
         if let Some(key) = &self.key {
             request = request.header("idempotency-key", key);
         }
--- a/crates/bench/src/scenario.rs
+++ b/crates/bench/src/scenario.rs
@@ -106,6 +106,7 @@
             entries: self.scale.instances.entries,
             services: self.services.iter().map(scaled).collect(),
             edits,
+            gateway: false,
             links: false,
             log: "warn".into(),
         })
--- a/crates/bench/src/soak.rs
+++ b/crates/bench/src/soak.rs
@@ -6,10 +6,13 @@
 //! their order, while the moments vary with the machine.
 
 use std::collections::BTreeMap;
+use std::net::Ipv4Addr;
 use std::time::Duration;
 
 use chestnutvalve_model::config::{Edit, Overrides};
+use chestnutvalve_model::id;
 use chestnutvalve_model::rank::Rank;
+use chestnutvalve_model::routes::{Kind, Limits, Publication, Route, Share, Target};
 use chestnutvalve_model::version::Version;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -29,8 +32,14 @@
 const WORKERS: usize = 4;
 /// Service of the soak.
 const SERVICE: &str = "soak";
-/// Name of the loads whose requests must not run twice.
+/// Name of the load of the service interface whose requests may repeat.
+const LOOK_SERVICE: &str = "look";
+/// The same for requests that are routed by host and path.
+const LOOK_ROUTE: &str = "look-routed";
+/// Name of the load of the service interface whose requests must not run twice.
 const ONCE: &str = "once";
+/// The same for requests that are routed by host and path; it begins with [`ONCE`].
+const ONCE_ROUTE: &str = "once-routed";
 /// Requests a second of each load. A few dozen processes on one machine carry them beside other work.
 const RATE: f64 = 40.0;
 /// Longest time for the fleet to be whole again after the last fault: election, expiry of members and proofs, and the
@@ -151,10 +160,11 @@
         entries: ENTRIES * size,
         services: vec![Service::new(SERVICE, WORKERS * size)],
         edits: vec![
-            route(SERVICE, "/look", Rank::Top, true),
-            route(SERVICE, "/order", Rank::Middle, false),
+            route(SERVICE, "/look/", Rank::Top, true),
+            route(SERVICE, "/order/", Rank::Middle, false),
         ],
         links: true,
+        gateway: true,
         ..Layout::default()
     }
 }
@@ -163,26 +173,69 @@
     let look = Class {
         service: SERVICE.into(),
         rank: Rank::Top,
-        path: "/look".into(),
+        path: "/look/".into(),
         ..Class::default()
     };
     let order = |key| Class {
         method: "POST".into(),
-        path: "/order".into(),
+        path: "/order/".into(),
         rank: Rank::Middle,
         key,
         ..look.clone()
     };
     let orders = vec![order(true), order(false)];
-    [("look", vec![look.clone()]), (ONCE, orders)]
-        .into_iter()
-        .map(|(name, classes)| {
-            let mut plan = Plan::new(fleet.callers(), classes, RATE, duration);
-            plan.seed = seed;
-            plan.name = name.into();
-            plan
-        })
-        .collect()
+    let routed = vec![order(false)];
+    let (callers, gateways) = (fleet.callers(), fleet.gateways());
+    [
+        (LOOK_SERVICE, false, vec![look.clone()]),
+        (LOOK_ROUTE, true, vec![look.clone()]),
+        (ONCE, false, orders),
+        (ONCE_ROUTE, true, routed),
+    ]
+    .into_iter()
+    .map(|(name, direct, classes)| {
+        let entries = if direct { &gateways } else { &callers };
+        let mut plan = Plan::new(entries.clone(), classes, RATE, duration);
+        plan.seed = seed;
+        plan.name = name.into();
+        plan.direct = direct;
+        plan
+    })
+    .collect()
+}
+
+/// Returns the routes of the gateways. Callers name no host, so that it is the address.
+fn routes() -> Publication {
+    let service = id::Service::new(SERVICE).expect("a valid service name");
+    let route = |path: &str, kind, rank| Route {
+        name: path.to_owned(),
+        host: Ipv4Addr::LOCALHOST.to_string(),
+        prefix: path.to_owned(),
+        kind,
+        timeout_ms: 2_000,
+        target_ms: 500,
+        rank,
+        split: vec![Share {
+            service: service.clone(),
+            weight: 1.0,
+        }],
+        attempts: 2,
+    };
+    let target = Target {
+        health: "/_worker/health".into(),
+        max_connections: 450,
+    };
+    Publication {
+        label: 1,
+        base: 0,
+        routes: vec![
+            route("/look/", Kind::Idempotent, Rank::Top),
+            route("/order/", Kind::Once, Rank::Middle),
+        ],
+        services: BTreeMap::from([(service.clone(), target)]),
+        limits: Limits::default(),
+        source: Vec::new(),
+    }
 }
 
 /// Runs one seed for about `duration` and the time to recover. `size` multiplies the usual number of entries and workers.
@@ -197,6 +250,8 @@
     size: usize,
 ) -> Result<Report, Error> {
     let mut fleet = Fleet::start(programs, layout(size)).await?;
+    fleet.publish(&routes()).await?;
+    fleet.register_workers().await?;
     let mut random = StdRng::seed_from_u64(seed);
     let mut report = Report::default();
     let mut loads = tokio::task::JoinSet::new();
@@ -347,11 +402,18 @@
             .push(format!("accepted, but not in force: {error}"));
     }
     let served = until("requests are served again", RECOVERY, async || {
-        let mut plans = plans(fleet, 1, Duration::from_secs(1));
-        let mut plan = plans.swap_remove(0);
-        plan.name = "after".into();
-        let total = load::run(&plan).await.ok()?.total();
-        (total.good == total.due).then_some(())
+        let plans = plans(fleet, 1, Duration::from_secs(1));
+        for mut plan in plans
+            .into_iter()
+            .filter(|plan| !plan.name.starts_with(ONCE))
+        {
+            plan.name = format!("after-{}", plan.name);
+            let total = load::run(&plan).await.ok()?.total();
+            if total.good < total.due {
+                return None;
+            }
+        }
+        Some(())
     });
     if let Err(error) = served.await {
         report.broken.push(format!("no recovery: {error}"));
--- a/crates/bench/src/worker/serve.rs
+++ b/crates/bench/src/worker/serve.rs
@@ -20,6 +20,10 @@
 
 /// Header with the id of an attempt.
 const ATTEMPT_HEADER: &str = "chestnutvalve-attempt";
+/// Header that marks a response as one of a worker.
+const SIGNATURE_HEADER: &str = "chestnutvalve-signature";
+/// Header that says that the worker has not executed the request.
+const NOT_EXECUTED_HEADER: &str = "chestnutvalve-not-executed";
 /// Largest request body that is read.
 const MAX_REQUEST_BYTES: usize = 4 * 1024 * 1024;
 /// Longest service time, so that no request stays for ever.
@@ -139,8 +143,10 @@
 async fn answer(worker: Arc<Worker>, request: Request<Incoming>) -> Response<Body> {
     let attempt = request.headers().get(ATTEMPT_HEADER).cloned();
     let mut response = execute(worker, request).await;
+    let headers = response.headers_mut();
+    headers.insert(SIGNATURE_HEADER, http::HeaderValue::from_static("worker"));
     if let Some(attempt) = attempt {
-        response.headers_mut().insert(ATTEMPT_HEADER, attempt);
+        headers.insert(ATTEMPT_HEADER, attempt);
     }
     response
 }
@@ -204,6 +210,7 @@
         "chestnutvalve-executed",
         http::HeaderValue::from_static("no"),
     );
+    headers.insert(NOT_EXECUTED_HEADER, http::HeaderValue::from_static("1"));
     tagged(worker, response)
 }
 
