Call a replica current, not level, when it has all that was committed

Cause: 'level' is no usual word for a replica whose commit index has reached the leader's.

Change: renamed only, also in the test.

--- a/crates/consensus/src/replica.rs
+++ b/crates/consensus/src/replica.rs
@@ -106,7 +106,7 @@
     quorum_until: Option<Instant>,
     /// Whether the commit index has reached that of the present leader, after it has committed an entry of its term. Before,
     /// the leader's own commit index may lag behind what is committed.
-    level: bool,
+    current: bool,
     votes: BTreeSet<ReplicaId>,
     /// Peers that have answered the inquiry after a restart; `None` once a quorum has.
     inquiry: Option<BTreeSet<ReplicaId>>,
@@ -165,7 +165,7 @@
             deadline: now,
             contact: None,
             quorum_until: None,
-            level: false,
+            current: false,
             votes: BTreeSet::new(),
             inquiry: None,
             receiving: None,
@@ -385,9 +385,9 @@
     /// Returns whether the commit index has reached that of a leader with a quorum, by this replica's own or its leader's
     /// knowledge. After a restart it lags behind until a leader has sent its own.
     #[must_use]
-    pub fn is_level(&self, now: Instant) -> bool {
-        let level = self.level || self.role == Role::Leader;
-        level && self.quorum_until(now).is_some()
+    pub fn is_current(&self, now: Instant) -> bool {
+        let current = self.current || self.role == Role::Leader;
+        current && self.quorum_until(now).is_some()
     }
 
     /// Returns the log.
--- a/crates/consensus/src/replica/election.rs
+++ b/crates/consensus/src/replica/election.rs
@@ -73,7 +73,7 @@
         self.role = Role::Follower;
         self.leader = None;
         self.quorum_until = None;
-        self.level = false;
+        self.current = false;
         self.votes.clear();
         self.receiving = None;
         self.leading.progress.clear();
--- a/crates/consensus/src/replica/follower.rs
+++ b/crates/consensus/src/replica/follower.rs
@@ -86,7 +86,7 @@
     ) {
         self.quorum_until = quorum.then(|| now + self.settings.election_max);
         self.commit_to(commit.index.min(commit.matched));
-        self.level |= quorum && self.hard.commit >= commit.index;
+        self.current |= quorum && self.hard.commit >= commit.index;
         for mark in marks {
             self.remember(mark.id, mark.position);
         }
--- a/crates/consensus/tests/all/restart.rs
+++ b/crates/consensus/tests/all/restart.rs
@@ -9,7 +9,7 @@
 /// Guards against a replica that takes its state for current after a restart of all, because it has the commit index that a new
 /// leader sent before an entry of its own term was committed.
 #[rstest]
-fn a_replica_is_level_only_with_all_that_was_committed(
+fn a_replica_is_current_only_with_all_that_was_committed(
     #[values(1, 2, 3, 4, 5, 6, 7, 8)] seed: u64,
 ) {
     let mut sim = Sim::new(3, seed);
@@ -25,17 +25,17 @@
     for number in 0..3 {
         sim.start(number);
     }
-    let mut level = 0;
+    let mut current = 0;
     for _ in 0..20_000 {
         sim.run(Duration::from_micros(100));
-        level = 0;
+        current = 0;
         for number in 0..3 {
             let replica = sim.replica(number);
-            if replica.is_level(sim.now) {
-                level += 1;
+            if replica.is_current(sim.now) {
+                current += 1;
                 assert!(replica.commit() >= committed, "{}", replica.commit());
             }
         }
     }
-    assert_eq!(level, 3);
+    assert_eq!(current, 3);
 }
--- a/crates/control/src/replica/driver/group.rs
+++ b/crates/control/src/replica/driver/group.rs
@@ -36,7 +36,7 @@
             consensus::Role::PreCandidate | consensus::Role::Candidate => Role::Candidate,
         };
         let applied = self.applied >= self.replica.commit();
-        self.confirmed |= applied && self.replica.is_level(now);
+        self.confirmed |= applied && self.replica.is_current(now);
         let view = View {
             role,
             term: self.replica.term(),
