Take a state without a quorum only when no other instance answers

Callers may see: an entry that starts during a partition of the control group serves by an older version for a moment, when the first instance that it asks has lost its quorum.

Cause: an entry without a state adopted whatever the first instance delivered, and asked the next one afterwards.

Change: an entry without a state leaves an instance without a quorum, and takes its state only after all others have failed.

Ruled out: never taking such a state. An entry that starts while the group has no quorum for hours must serve.

--- a/crates/entry/src/link.rs
+++ b/crates/entry/src/link.rs
@@ -38,6 +38,9 @@
 /// Most services that one heartbeat reports.
 const MAX_RATES: usize = 64;
 
+/// Why the next control instance is asked.
+const NO_QUORUM: &str = "control instance has lost its quorum";
+
 /// Clients of the control instances.
 #[derive(Debug)]
 pub struct Link {
@@ -174,7 +177,7 @@
     let mut lost: Option<Instant> = None;
     loop {
         let index = instance.link.current();
-        match poll(&instance, index).await {
+        match poll(&instance, index, failures).await {
             Ok(()) => {
                 failures = 0;
                 if let Some(lost) = lost.take() {
@@ -201,7 +204,8 @@
     }
 }
 
-async fn poll(instance: &Instance, index: usize) -> Result<(), String> {
+/// Asks one control instance for news, after `failures` others have failed in turn.
+async fn poll(instance: &Instance, index: usize, failures: usize) -> Result<(), String> {
     let client = instance.link.at(index).ok_or("no control instance")?;
     let message = Watch {
         entry: instance.settings.entry.clone(),
@@ -217,6 +221,11 @@
     let update = update.map_err(|e| e.to_string())?;
     let version = update.version;
     instance.link.adopt(&update.controls);
+    let others = instance.link.count() - 1;
+    if update.stale && message.have == Version::ZERO && failures < others {
+        // Others may have a later state.
+        return Err(NO_QUORUM.to_owned());
+    }
     let adopted = instance.follow.adopt(update.content);
     if adopted.map_err(|e| e.to_string())? {
         spdlog::info!("state {version} is in force");
@@ -228,7 +237,7 @@
         }
     }
     if update.stale {
-        return Err("control instance has lost its quorum".to_owned());
+        return Err(NO_QUORUM.to_owned());
     }
     Ok(())
 }
--- a/crates/entry/tests/all/control.rs
+++ b/crates/entry/tests/all/control.rs
@@ -20,6 +20,8 @@
     pub state: Arc<Mutex<State>>,
     /// Outcomes that were recorded.
     pub records: Arc<AtomicUsize>,
+    /// Whether the instance has lost its quorum.
+    pub stale: Arc<AtomicBool>,
     /// Whether calls to the ledger fail.
     pub ledger_down: Arc<AtomicBool>,
     task: tokio::task::JoinHandle<()>,
@@ -34,12 +36,14 @@
         let ledger = Arc::new(Mutex::new(Ledger::new()));
         let ledger_down = Arc::new(AtomicBool::new(false));
         let records: Arc<AtomicUsize> = Arc::default();
-        let router = router(&state, &ledger, &ledger_down, &records);
+        let stale: Arc<AtomicBool> = Arc::default();
+        let router = router(&state, &stale, &ledger, &ledger_down, &records);
         let task = tokio::spawn(server.serve(router));
         Self {
             address,
             state,
             records,
+            stale,
             ledger_down,
             task,
         }
@@ -59,17 +63,18 @@
 
 fn router(
     state: &Arc<Mutex<State>>,
+    stale: &Arc<AtomicBool>,
     ledger: &Arc<Mutex<Ledger>>,
     ledger_down: &Arc<AtomicBool>,
     records: &Arc<AtomicUsize>,
 ) -> Router {
-    let watched = Arc::clone(state);
+    let (watched, stale) = (Arc::clone(state), Arc::clone(stale));
     let joined = Arc::clone(state);
     let grants = Arc::new(Mutex::new(Grants::new(Instant::now())));
     let mut router = Router::default()
         .route("config/watch", move |q: Watch| {
-            let state = Arc::clone(&watched);
-            async move { Ok::<_, Fault>(watch(&state, &q).await) }
+            let (state, stale) = (Arc::clone(&watched), stale.load(Ordering::SeqCst));
+            async move { Ok::<_, Fault>(watch(&state, stale, &q).await) }
         })
         .route("directory/heartbeat", move |q: Heartbeat| {
             let mut state = joined.lock().unwrap();
@@ -113,14 +118,14 @@
     Ok(ledger.lock().unwrap().apply(command))
 }
 
-async fn watch(state: &Mutex<State>, question: &Watch) -> Update {
+async fn watch(state: &Mutex<State>, stale: bool, question: &Watch) -> Update {
     let until = Instant::now() + Duration::from_millis(question.wait_ms.into());
     loop {
         let current = state.lock().unwrap().clone();
         let newer = current.version > question.have;
-        if newer || Instant::now() >= until {
+        if newer || stale || Instant::now() >= until {
             return Update {
-                stale: false,
+                stale,
                 controls: Vec::new(),
                 version: current.version,
                 content: if newer {
--- a/crates/entry/tests/all/fleet.rs
+++ b/crates/entry/tests/all/fleet.rs
@@ -36,10 +36,20 @@
 
     /// Starts an entry whose link carries `mbps` megabits a second.
     pub async fn start_on(name: &str, control: SocketAddr, hint: &[SocketAddr], mbps: u32) -> Self {
+        Self::start_among(name, &[control], hint, mbps).await
+    }
+
+    /// Starts an entry that knows several control instances.
+    pub async fn start_among(
+        name: &str,
+        controls: &[SocketAddr],
+        hint: &[SocketAddr],
+        mbps: u32,
+    ) -> Self {
         let any = "127.0.0.1:0";
         let settings = serde_json::json!({
             "entry": name, "zone": "z1", "callers": any, "platform": any, "peers": any, "gateway": any,
-            "control": [control], "peers_hint": hint, "link_mbps": mbps,
+            "control": controls, "peers_hint": hint, "link_mbps": mbps,
         });
         let settings: Settings = serde_json::from_value(settings).unwrap();
         let shutdown = Shutdown::default();
