Replace the route table and let a worker leave in the fault soak

Change: an operator publishes a new table about every second, and the same one again as long as no answer was clear. At the end all gateways must serve the route of the last table and not that of its predecessor, and a worker that leaves must get no request later than 3 s after its acknowledgement.

--- a/crates/bench/src/fleet/operator.rs
+++ b/crates/bench/src/fleet/operator.rs
@@ -43,24 +43,60 @@
         self.post("/v1/routes", &body).await
     }
 
+    /// Publishes routes at the first running control instance that gives a clear answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when none does; the routes may be accepted all the same.
+    pub async fn publish_once(&self, publication: &Publication) -> Result<Answer, Error> {
+        let body = serde_json::to_value(publication).map_err(|e| Error::Value(e.to_string()))?;
+        let mut cause = String::from("no control instance runs");
+        for control in self.controls.iter().filter(|c| c.is_running()) {
+            let posted = self.http.post(
+                control.operators,
+                "/v1/routes",
+                &body,
+                Some(TOKEN),
+                CHANGE_LIMIT,
+            );
+            match posted.await {
+                Ok(answer) if !answer.status.is_server_error() => return Ok(answer),
+                Ok(answer) => cause = format!("{}: {}", answer.status, answer.json()),
+                Err(error) => cause = error.to_string(),
+            }
+        }
+        let what = format!("routes {}", publication.label);
+        Err(Error::Exchange { what, cause })
+    }
+
     /// Registers all workers with the control group.
     ///
     /// # Errors
     ///
     /// Returns an error when that takes too long.
     pub async fn register_workers(&self) -> Result<(), Error> {
-        for worker in &self.workers {
-            let link = self.links.get(&worker.name).map(Forwarder::address);
-            let event = json!({"Announced": {
-                "worker": worker.name, "incarnation": 1, "service": worker.service,
-                "address": link.unwrap_or(worker.address), "zone": self.layout.zone(0),
-                "slots": REGISTERED_SLOTS, "warm_up_ms": 0, "leaving": false,
-            }});
-            self.post("/v1/workers", &event).await?;
+        for number in 0..self.workers.len() {
+            self.register(number, false).await?;
         }
         Ok(())
     }
 
+    /// Registers one worker with the control group, or that it is leaving.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when that takes too long.
+    pub async fn register(&self, number: usize, leaving: bool) -> Result<(), Error> {
+        let worker = &self.workers[number];
+        let link = self.links.get(&worker.name).map(Forwarder::address);
+        let event = json!({"Announced": {
+            "worker": worker.name, "incarnation": 1, "service": worker.service,
+            "address": link.unwrap_or(worker.address), "zone": self.layout.zone(0),
+            "slots": REGISTERED_SLOTS, "warm_up_ms": 0, "leaving": leaving,
+        }});
+        self.post("/v1/workers", &event).await
+    }
+
     async fn post(&self, path: &str, body: &Value) -> Result<(), Error> {
         let operators = self.controls[0].operators;
         until(&format!("{path} accepted"), READY_LIMIT, async || {
--- a/crates/bench/src/soak.rs
+++ b/crates/bench/src/soak.rs
@@ -6,13 +6,10 @@
 //! their order, while the moments vary with the machine.
 
 use std::collections::BTreeMap;
-use std::net::Ipv4Addr;
 use std::time::Duration;
 
 use chestnutvalve_model::config::{Edit, Overrides};
-use chestnutvalve_model::id;
 use chestnutvalve_model::rank::Rank;
-use chestnutvalve_model::routes::{Kind, Limits, Publication, Route, Share, Target};
 use chestnutvalve_model::version::Version;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -24,6 +21,10 @@
 use crate::load::{self, Class, Plan};
 use crate::worker::Fault;
 
+mod table;
+
+use table::Table;
+
 /// Control instances.
 const CONTROLS: usize = 3;
 /// Entry instances of the usual size.
@@ -49,6 +50,8 @@
 const LOOK: Duration = Duration::from_millis(200);
 /// Time between two changes of the configuration.
 const CHANGE: Duration = Duration::from_millis(900);
+/// Time after which a leaving worker gets no new work.
+const LEAVING: Duration = Duration::from_secs(3);
 
 /// Time between two lost disks: the longest other fault, and time for the emptied instance to vote again.
 const DISK_PAUSE: Duration = Duration::from_secs(7);
@@ -204,40 +207,6 @@
     .collect()
 }
 
-/// Returns the routes of the gateways. Callers name no host, so that it is the address.
-fn routes() -> Publication {
-    let service = id::Service::new(SERVICE).expect("a valid service name");
-    let route = |path: &str, kind, rank| Route {
-        name: path.to_owned(),
-        host: Ipv4Addr::LOCALHOST.to_string(),
-        prefix: path.to_owned(),
-        kind,
-        timeout_ms: 2_000,
-        target_ms: 500,
-        rank,
-        split: vec![Share {
-            service: service.clone(),
-            weight: 1.0,
-        }],
-        attempts: 2,
-    };
-    let target = Target {
-        health: "/_worker/health".into(),
-        max_connections: 450,
-    };
-    Publication {
-        label: 1,
-        base: 0,
-        routes: vec![
-            route("/look/", Kind::Idempotent, Rank::Top),
-            route("/order/", Kind::Once, Rank::Middle),
-        ],
-        services: BTreeMap::from([(service.clone(), target)]),
-        limits: Limits::default(),
-        source: Vec::new(),
-    }
-}
-
 /// Runs one seed for about `duration` and the time to recover. `size` multiplies the usual number of entries and workers.
 ///
 /// # Errors
@@ -250,7 +219,9 @@
     size: usize,
 ) -> Result<Report, Error> {
     let mut fleet = Fleet::start(programs, layout(size)).await?;
-    fleet.publish(&routes()).await?;
+    let mut table = Table::default();
+    fleet.publish(&table.publication()).await?;
+    table.accepted();
     fleet.register_workers().await?;
     let mut random = StdRng::seed_from_u64(seed);
     let mut report = Report::default();
@@ -258,7 +229,7 @@
     for plan in plans(&fleet, seed, duration) {
         loads.spawn(async move { load::run(&plan).await });
     }
-    let accepted = disturb(&mut fleet, &mut random, duration, &mut report).await?;
+    let accepted = disturb(&mut fleet, &mut table, &mut random, duration, &mut report).await?;
     let mut denied = Vec::new();
     while let Some(loaded) = loads.join_next().await {
         let loaded = loaded.map_err(|e| Error::Value(e.to_string()))??;
@@ -272,6 +243,8 @@
     }
     report.denied = denied.len();
     recover(&fleet, accepted, &mut report).await;
+    table.check(&fleet, &mut report).await;
+    leave(&fleet, &mut report).await?;
     executions(&fleet, &denied, &mut report).await?;
     Ok(report)
 }
@@ -279,6 +252,7 @@
 /// Injects faults until the time is up, makes changes meanwhile, and ends all faults. Returns the last accepted version.
 async fn disturb(
     fleet: &mut Fleet,
+    table: &mut Table,
     random: &mut StdRng,
     duration: Duration,
     report: &mut Report,
@@ -328,6 +302,7 @@
                 accepted = accepted.max(version);
                 report.changes += 1;
             }
+            table.replace(fleet, report).await;
         }
         watch(fleet, &mut seen, report).await;
         sleep(LOOK).await;
@@ -420,6 +395,30 @@
     }
 }
 
+/// Checks that a worker that leaves gets no new work through the gateways a few seconds later.
+async fn leave(fleet: &Fleet, report: &mut Report) -> Result<(), Error> {
+    let Some(number) = fleet.workers.len().checked_sub(1) else {
+        return Ok(());
+    };
+    fleet.register(number, true).await?;
+    sleep(LEAVING).await;
+    let worker = &fleet.workers[number];
+    let before = worker.counts(&fleet.http).await?.executed;
+    for plan in plans(fleet, 2, Duration::from_secs(1)) {
+        if plan.name == LOOK_ROUTE {
+            let name = format!("leaving-{}", plan.name);
+            load::run(&Plan { name, ..plan }).await?;
+        }
+    }
+    let after = worker.counts(&fleet.http).await?.executed;
+    if after > before {
+        let (name, late) = (&worker.name, after - before);
+        let text = format!("{name} got {late} requests later than {LEAVING:?} after it left");
+        report.broken.push(text);
+    }
+    Ok(())
+}
+
 /// Compares what callers were told with what workers have executed.
 async fn executions(fleet: &Fleet, denied: &[String], report: &mut Report) -> Result<(), Error> {
     let counts = until("workers without work", RECOVERY, async || {
