Name the lost quorum of the test's control instance apart from its state

Cause: Clippy takes 'stale' and 'state' for too similar; the commit that added the field was not linted with the tests.

Measured: Clippy passes on all targets; all 82 tests of the entry's suite pass.

--- a/crates/entry/tests/all/control.rs
+++ b/crates/entry/tests/all/control.rs
@@ -21,7 +21,7 @@
     /// Outcomes that were recorded.
     pub records: Arc<AtomicUsize>,
     /// Whether the instance has lost its quorum.
-    pub stale: Arc<AtomicBool>,
+    pub quorum_lost: Arc<AtomicBool>,
     /// Whether calls to the ledger fail.
     pub ledger_down: Arc<AtomicBool>,
     task: tokio::task::JoinHandle<()>,
@@ -36,14 +36,14 @@
         let ledger = Arc::new(Mutex::new(Ledger::new()));
         let ledger_down = Arc::new(AtomicBool::new(false));
         let records: Arc<AtomicUsize> = Arc::default();
-        let stale: Arc<AtomicBool> = Arc::default();
-        let router = router(&state, &stale, &ledger, &ledger_down, &records);
+        let quorum_lost: Arc<AtomicBool> = Arc::default();
+        let router = router(&state, &quorum_lost, &ledger, &ledger_down, &records);
         let task = tokio::spawn(server.serve(router));
         Self {
             address,
             state,
             records,
-            stale,
+            quorum_lost,
             ledger_down,
             task,
         }
@@ -63,18 +63,18 @@
 
 fn router(
     state: &Arc<Mutex<State>>,
-    stale: &Arc<AtomicBool>,
+    quorum_lost: &Arc<AtomicBool>,
     ledger: &Arc<Mutex<Ledger>>,
     ledger_down: &Arc<AtomicBool>,
     records: &Arc<AtomicUsize>,
 ) -> Router {
-    let (watched, stale) = (Arc::clone(state), Arc::clone(stale));
+    let (watched, quorum_lost) = (Arc::clone(state), Arc::clone(quorum_lost));
     let joined = Arc::clone(state);
     let grants = Arc::new(Mutex::new(Grants::new(Instant::now())));
     let mut router = Router::default()
         .route("config/watch", move |q: Watch| {
-            let (state, stale) = (Arc::clone(&watched), stale.load(Ordering::SeqCst));
-            async move { Ok::<_, Fault>(watch(&state, stale, &q).await) }
+            let (state, lost) = (Arc::clone(&watched), quorum_lost.load(Ordering::SeqCst));
+            async move { Ok::<_, Fault>(watch(&state, lost, &q).await) }
         })
         .route("directory/heartbeat", move |q: Heartbeat| {
             let mut state = joined.lock().unwrap();
@@ -118,14 +118,14 @@
     Ok(ledger.lock().unwrap().apply(command))
 }
 
-async fn watch(state: &Mutex<State>, stale: bool, question: &Watch) -> Update {
+async fn watch(state: &Mutex<State>, quorum_lost: bool, question: &Watch) -> Update {
     let until = Instant::now() + Duration::from_millis(question.wait_ms.into());
     loop {
         let current = state.lock().unwrap().clone();
         let newer = current.version > question.have;
-        if newer || stale || Instant::now() >= until {
+        if newer || quorum_lost || Instant::now() >= until {
             return Update {
-                stale,
+                stale: quorum_lost,
                 controls: Vec::new(),
                 version: current.version,
                 content: if newer {
--- a/crates/entry/tests/all/link.rs
+++ b/crates/entry/tests/all/link.rs
@@ -38,7 +38,7 @@
 #[tokio::test]
 async fn a_state_without_a_quorum_is_the_last_choice() {
     let control = Control::start().await;
-    control.stale.store(true, Ordering::SeqCst);
+    control.quorum_lost.store(true, Ordering::SeqCst);
     // Answers nothing, so that the entry waits for it.
     let silent = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let controls = [control.address, silent.local_addr().unwrap()];
