Report instances that end by themselves in the fault soak, and keep the logs of failed seeds

Cause: the soak did not notice an instance that was gone at the end, kept no logs of a failed seed, and did not say which gateway differed. Its operator waited 10 s for a frozen control instance, which also held up the faults.

Change: instances that have ended without being stopped are reported with their status; the folder with the logs stays; the operator asks the next control instance after 1 s.

--- a/crates/bench/src/fleet.rs
+++ b/crates/bench/src/fleet.rs
@@ -160,6 +160,11 @@
         Ok(fleet)
     }
 
+    /// Sets whether the folder with settings, data and logs stays when the fleet is dropped.
+    pub fn keep_folder(&mut self, keep: bool) {
+        self.folder.disable_cleanup(keep);
+    }
+
     /// Returns the folder with settings, data and logs.
     #[must_use]
     pub fn folder(&self) -> &Path {
--- a/crates/bench/src/fleet/operator.rs
+++ b/crates/bench/src/fleet/operator.rs
@@ -15,6 +15,8 @@
 
 /// Time for a control instance to answer a change.
 const CHANGE_LIMIT: Duration = Duration::from_secs(10);
+/// Time for a control instance to answer a publication; the operator then asks the next one.
+const PUBLISH_LIMIT: Duration = Duration::from_secs(1);
 /// Slots of a registered worker, as in the default of a service.
 const REGISTERED_SLOTS: u32 = 2;
 /// Time for a control instance to answer a read.
@@ -57,7 +59,7 @@
                 "/v1/routes",
                 &body,
                 Some(TOKEN),
-                CHANGE_LIMIT,
+                PUBLISH_LIMIT,
             );
             match posted.await {
                 Ok(answer) if !answer.status.is_server_error() => return Ok(answer),
--- a/crates/bench/src/fleet/process.rs
+++ b/crates/bench/src/fleet/process.rs
@@ -78,6 +78,12 @@
         matches!(self.child().try_wait(), Ok(None))
     }
 
+    /// Returns how the process has ended, `None` while it runs.
+    #[must_use]
+    pub fn status(&self) -> Option<ExitStatus> {
+        self.child().try_wait().ok().flatten()
+    }
+
     fn signal(&self, signal: Signal) -> Result<(), Error> {
         let mut child = self.child();
         // An ended child keeps its id until it is waited for, which only this lock allows.
--- a/crates/bench/src/soak.rs
+++ b/crates/bench/src/soak.rs
@@ -211,7 +211,8 @@
 ///
 /// # Errors
 ///
-/// Returns an error when the fleet can't be started or controlled. Broken promises are in the report.
+/// Returns an error when the fleet can't be started or controlled. Broken promises are in the report. After either, the folder
+/// with the logs of the processes stays.
 pub async fn run(
     programs: &Programs,
     seed: u64,
@@ -219,6 +220,7 @@
     size: usize,
 ) -> Result<Report, Error> {
     let mut fleet = Fleet::start(programs, layout(size)).await?;
+    fleet.keep_folder(true);
     let mut table = Table::default();
     fleet.publish(&table.publication()).await?;
     table.accepted();
@@ -246,6 +248,7 @@
     table.check(&fleet, &mut report).await;
     leave(&fleet, &mut report).await?;
     executions(&fleet, &denied, &mut report).await?;
+    fleet.keep_folder(!report.broken.is_empty());
     Ok(report)
 }
 
@@ -371,6 +374,7 @@
 
 /// Checks that the fleet is whole again and that what operators were told is in force.
 async fn recover(fleet: &Fleet, accepted: Version, report: &mut Report) {
+    report.broken.extend(ended(fleet));
     if let Err(error) = fleet.in_force(accepted, RECOVERY).await {
         report
             .broken
@@ -395,6 +399,17 @@
     }
 }
 
+/// Returns the instances that have ended by themselves: those that were killed or stopped were started again.
+fn ended(fleet: &Fleet) -> Vec<String> {
+    let controls = fleet.controls.iter().map(|c| (&c.name, c.process()));
+    let entries = fleet.entries.iter().map(|e| (&e.name, e.process()));
+    controls
+        .chain(entries)
+        .filter_map(|(name, process)| Some((name, process.ok()?.status()?)))
+        .map(|(name, status)| format!("{name} ended by itself: {status}"))
+        .collect()
+}
+
 /// Checks that a worker that leaves gets no new work through the gateways a few seconds later.
 async fn leave(fleet: &Fleet, report: &mut Report) -> Result<(), Error> {
     let Some(number) = fleet.workers.len().checked_sub(1) else {
--- a/crates/bench/src/soak/table.rs
+++ b/crates/bench/src/soak/table.rs
@@ -109,16 +109,20 @@
 /// Waits until all gateways use a table: they serve its own route, and no longer that of its predecessor.
 async fn in_force(fleet: &Fleet, label: u64) -> Result<(), Error> {
     let gateways = fleet.gateways();
-    until("all gateways use the last table", RECOVERY, async || {
+    let mut differing = String::new();
+    let agreed = until("all gateways use the last table", RECOVERY, async || {
         for gateway in &gateways {
             for (label, expected) in [(label, StatusCode::OK), (label - 1, StatusCode::NOT_FOUND)] {
                 let answer = fleet.http.get(*gateway, &own_path(label), PROBE).await;
-                if answer.ok()?.status != expected {
+                let seen = answer.map(|a| a.status).map_err(|e| e.to_string());
+                if seen != Ok(expected) {
+                    differing = format!("{gateway} {}: {seen:?}", own_path(label));
                     return None;
                 }
             }
         }
         Some(())
-    })
-    .await
+    });
+    let agreed = agreed.await;
+    agreed.map_err(|error| Error::Value(format!("{error}; last seen: {differing}")))
 }
