Let an empty voter find the voters that contact it

Callers saw no service after a restart of all instances with changed seeds: a group of three stayed without a leader when one voter had lost its disk and another one had stored no entry yet, although both remaining voters ran.

Cause, traced from the logs and data directories of a failed run: a replica without entries takes no part in elections until a quorum has no watermark of it. It counted that quorum over the instances that the settings name, which need not be the voters, and it asked only those. Besides, it took any watermark for lost data and drew no further conclusion in that round, although a replica that has only voted has a watermark, which its stored term reaches.

It now also asks the replicas that send it messages, which have it in their membership, queries their voters by a new call, replica/voters, and counts the quorum over these. The message formats stay, so that instances of the build before answer as they did. Whether data was lost is decided by comparing the watermark with the stored position, as for replicas with entries.

--- a/crates/control/src/replica/driver.rs
+++ b/crates/control/src/replica/driver.rs
@@ -61,8 +61,8 @@
     confirmed: bool,
     /// Membership that the links match.
     members: Arc<Membership>,
-    /// Dropped to end the search for an existing group.
-    join_guard: Option<oneshot::Receiver<()>>,
+    /// Search for an existing group, while this replica has no membership.
+    join_guard: Option<join::Guard>,
     stop_at: Option<Instant>,
     /// Kept open so that the data directory is released when the driver ends.
     directory: Arc<Directory>,
@@ -115,7 +115,6 @@
         exit: exit.subscribe(),
     };
     let join_guard = replica.membership().0.members.is_empty().then(|| {
-        let (alive, ended) = oneshot::channel();
         let hello = Hello {
             group: options.group.clone(),
             id,
@@ -129,8 +128,7 @@
             members: options.members.clone(),
             rendezvous: options.rendezvous.clone(),
         };
-        tokio::spawn(join::search(search, inputs.clone(), alive));
-        ended
+        join::start(search, inputs.clone())
     });
     let driver = Driver {
         links: Links::new(
--- a/crates/control/src/replica/driver/input.rs
+++ b/crates/control/src/replica/driver/input.rs
@@ -39,7 +39,7 @@
                     spdlog::info!("group {}: bootstrapped", self.options.group);
                 }
             }
-            Input::Join(Finding::DataLost(watermark)) => self.replica.check_watermark(watermark),
+            Input::Join(Finding::Watermark(watermark)) => self.replica.check_watermark(watermark),
             Input::Change(change, reply) => {
                 let appended = self.replica.change_membership(change);
                 self.track_pending(appended, reply);
@@ -65,6 +65,9 @@
             return;
         }
         let (from, address) = (envelope.from, envelope.address);
+        if let Some(search) = &self.join_guard {
+            search.record_contact(address);
+        }
         self.links.connect(from, address);
         self.update_address(from, address);
         for message in envelope.messages {
--- a/crates/control/src/replica/network.rs
+++ b/crates/control/src/replica/network.rs
@@ -112,11 +112,19 @@
         client.clone()
     }
 
-    /// Adds the calls `consensus/step`, `replica/propose` and `replica/hello`.
+    /// Adds the calls `consensus/step`, `replica/propose`, `replica/hello` and `replica/voters`.
     #[must_use]
     pub fn route(&self, router: Router) -> Router {
         let (step, propose, hello) = (self.clone(), self.clone(), self.clone());
+        let voters = self.clone();
         router
+            .route("replica/voters", move |group: String| {
+                let group = voters.group(&group);
+                async move {
+                    let members = Arc::clone(&group?.view.borrow().members);
+                    Ok::<Vec<ReplicaId>, Fault>(members.voters().collect())
+                }
+            })
             .route("consensus/step", move |envelope: Envelope| {
                 let group = step.group(&envelope.group);
                 async move {
--- a/crates/control/tests/replica/cluster.rs
+++ b/crates/control/tests/replica/cluster.rs
@@ -68,10 +68,15 @@
 
     /// Starts a group and, if `second` is set, a second group at the same instances.
     pub async fn start_with(size: usize, second: bool) -> Self {
+        Self::start_on(&vec![Disk::default(); size], second).await
+    }
+
+    /// Starts a group with one instance on each disk.
+    pub async fn start_on(disks: &[Disk], second: bool) -> Self {
         let folder = tempfile::tempdir().unwrap();
         let mut servers = Vec::new();
         let mut peers = Vec::new();
-        for number in 0..size {
+        for number in 0..disks.len() {
             let server = Server::bind("127.0.0.1:0".parse().unwrap()).await.unwrap();
             peers.push(Peer {
                 name: format!("c{number}"),
@@ -86,7 +91,7 @@
             second,
         };
         for (number, server) in servers.into_iter().enumerate() {
-            let instance = cluster.launch(number, server, Disk::default(), |options| options);
+            let instance = cluster.launch(number, server, disks[number].clone(), |o| o);
             cluster.instances.push(Some(instance.unwrap()));
         }
         cluster
--- a/crates/control/tests/replica/disk.rs
+++ b/crates/control/tests/replica/disk.rs
@@ -2,13 +2,14 @@
 
 use std::fs;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
 use chestnutvalve_consensus::Settings;
+use chestnutvalve_control::replica::options::Peer;
 use chestnutvalve_control::replica::{Options, Role};
 use chestnutvalve_model::error::Kind;
-use chestnutvalve_storage::Disk;
+use chestnutvalve_storage::{Directory, Disk};
 use rstest::rstest;
 use tokio::time::{Instant, timeout};
 
@@ -16,6 +17,8 @@
 
 /// Number of commands before the measured restart.
 const COMMANDS: usize = 2_000;
+/// Maximum time until a replica stops after a failed sync.
+const STOP_TIMEOUT: Duration = Duration::from_secs(5);
 /// Maximum time until a restarted replica serves.
 const RESTART_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -63,6 +66,72 @@
         .unwrap();
 }
 
+/// Returns a disk on which syncs of files longer than `max_bytes` fail, and the length of the last file that was synced.
+fn disk_with_limit(max_bytes: u64) -> (Disk, Arc<AtomicU64>) {
+    let synced = Arc::new(AtomicU64::new(0));
+    let last = Arc::clone(&synced);
+    let mut disk = Disk::default();
+    let sync = disk.sync;
+    disk.sync = Arc::new(move |file| {
+        let metadata = file.metadata()?;
+        if metadata.is_file() && metadata.len() > max_bytes {
+            return Err(std::io::Error::other("device is full"));
+        }
+        sync(file)?;
+        if metadata.is_file() {
+            last.store(metadata.len(), Ordering::Relaxed);
+        }
+        Ok(())
+    });
+    (disk, synced)
+}
+
+/// Returns the length of the log file of an empty replica.
+fn empty_log_bytes() -> u64 {
+    let folder = tempfile::tempdir().unwrap();
+    let directory = Directory::open(folder.path(), &mut Disk::default()).unwrap();
+    directory.open_group("test", Disk::default()).unwrap();
+    fs::metadata(folder.path().join("test/log")).unwrap().len()
+}
+
+/// Guards against a group without a leader: the settings name other instances than the voters, one voter has lost its disk,
+/// and another one had stored no membership yet, or only its vote, so that its next vote is needed.
+#[rstest]
+#[case::stored_nothing(0)]
+#[case::stored_its_vote(64)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_voter_without_a_stored_membership_votes_after_a_restart(#[case] room_bytes: u64) {
+    let (limited, synced) = disk_with_limit(empty_log_bytes() + room_bytes);
+    let disks = [Disk::default(), Disk::default(), limited];
+    let mut cluster = Cluster::start_on(&disks, false).await;
+    cluster.handle(0).propose(b"first".to_vec()).await.unwrap();
+    let end = cluster.handle(2).stopped();
+    timeout(STOP_TIMEOUT, end).await.unwrap().unwrap_err();
+    for number in 0..3 {
+        cluster.crash(number).await;
+    }
+    // Power loss: the unsynced part of the log is gone.
+    let log = fs::File::options()
+        .write(true)
+        .open(cluster.path(2).join("test/log"));
+    log.unwrap()
+        .set_len(synced.load(Ordering::Relaxed))
+        .unwrap();
+    let unused = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let seed = Peer {
+        name: "seed".to_owned(),
+        address: unused.local_addr().unwrap(),
+    };
+    drop(unused);
+    for number in [0, 2] {
+        let adapt = |options: Options| options.with_members(vec![seed.clone()]);
+        let started = cluster.restart_with(number, Disk::default(), adapt).await;
+        started.unwrap();
+    }
+    cluster.wait_leader().await;
+    cluster.handle(2).propose(b"second".to_vec()).await.unwrap();
+}
+
 /// Guards against a leader that keeps its leadership while its disk hangs and proposers get no answer.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_leader_with_a_hanging_disk_transfers_its_leadership() {
