Log which control instance an entry watches, and one that applies late

An entry now logs each change of the instance that it watches, with the reason for which it left the one before. A replica compares the state that it has applied with the commit index in the heartbeats of a leader with a quorum: Replica::current_until tells until when the state counts as current.

--- a/crates/consensus/src/replica.rs
+++ b/crates/consensus/src/replica.rs
@@ -104,9 +104,8 @@
     last_contact: Option<Instant>,
     /// Until when the leader counts as in contact with a quorum.
     quorum_until: Option<Instant>,
-    /// Whether the commit index has reached that of the current leader since that leader committed an entry of its term.
-    /// Before that, the leader's own commit index may lag behind what is committed.
-    caught_up: bool,
+    /// What a follower knows about the age of the state that its caller has taken.
+    freshness: Freshness,
     votes: BTreeSet<ReplicaId>,
     /// Replicas that have answered the rollback check after a restart; `None` once a quorum has.
     rollback_check: Option<BTreeSet<ReplicaId>>,
@@ -116,6 +115,16 @@
     output: output::Output,
 }
 
+/// Age of the state of a follower, compared with the commit index of a leader that has a quorum and has committed an entry of
+/// its term.
+#[derive(Debug, Default)]
+struct Freshness {
+    /// Commit index of a leader, and when it was received. The state has not reached it yet.
+    target: Option<(u64, Instant)>,
+    /// Latest instant such that the state contains what the leader had committed when it sent what was received then.
+    current_at: Option<Instant>,
+}
+
 /// State that only a leader uses.
 #[derive(Debug)]
 struct LeaderState {
@@ -165,7 +174,7 @@
             deadline: now,
             last_contact: None,
             quorum_until: None,
-            caught_up: false,
+            freshness: Freshness::default(),
             votes: BTreeSet::new(),
             rollback_check: None,
             incoming_snapshot: None,
@@ -406,12 +415,16 @@
         self.hard_state.commit
     }
 
-    /// Returns whether the commit index has reached that of a leader in contact with a quorum. After a restart it lags until a
-    /// leader has sent its own.
+    /// Returns until when the state that the caller has taken counts as current. Contact with the leader is not enough: a
+    /// follower whose disk hangs answers heartbeats, but applies nothing.
     #[must_use]
-    pub fn is_caught_up(&self, now: Instant) -> bool {
-        let caught_up = self.caught_up || self.role == Role::Leader;
-        caught_up && self.quorum_until(now).is_some()
+    pub fn current_until(&self, now: Instant) -> Option<Instant> {
+        let quorum_until = self.quorum_until(now)?;
+        if self.role == Role::Leader {
+            return Some(quorum_until);
+        }
+        let until = self.freshness.current_at? + self.settings.election_timeout_max;
+        (until > now).then_some(until.min(quorum_until))
     }
 
     /// Returns the in-memory log.
--- a/crates/consensus/src/replica/election.rs
+++ b/crates/consensus/src/replica/election.rs
@@ -2,7 +2,7 @@
 
 use std::time::Instant;
 
-use super::{Replica, Role};
+use super::{Freshness, Replica, Role};
 use crate::entry::Position;
 use crate::membership::ReplicaId;
 use crate::message::Message;
@@ -81,7 +81,7 @@
         self.role = Role::Follower;
         self.leader = None;
         self.quorum_until = None;
-        self.caught_up = false;
+        self.freshness = Freshness::default();
         self.votes.clear();
         self.incoming_snapshot = None;
         self.leader_state.progress.clear();
--- a/crates/consensus/src/replica/follower.rs
+++ b/crates/consensus/src/replica/follower.rs
@@ -89,7 +89,10 @@
     ) {
         self.quorum_until = has_quorum.then(|| now + self.settings.election_timeout_max);
         self.advance_commit_to(commit.index.min(commit.match_index));
-        self.caught_up |= has_quorum && self.hard_state.commit >= commit.index;
+        if has_quorum {
+            self.freshness.target.get_or_insert((commit.index, now));
+            self.update_freshness();
+        }
         for watermark in watermarks {
             self.record_watermark(watermark.id, watermark.position);
         }
@@ -100,6 +103,15 @@
         self.send_when_durable(from, reply, 0);
     }
 
+    /// Records that the caller has taken all entries that the leader had committed at an earlier instant.
+    pub(super) fn update_freshness(&mut self) {
+        let delivered = self.output.delivered_index();
+        let reached = self.freshness.target.take_if(|t| t.0 <= delivered);
+        if let Some((_, received_at)) = reached {
+            self.freshness.current_at = Some(received_at);
+        }
+    }
+
     /// Appends a snapshot chunk and returns the number of bytes received so far; `None` if the snapshot is not needed.
     pub(super) fn receive_chunk(
         &mut self,
--- a/crates/consensus/src/replica/output.rs
+++ b/crates/consensus/src/replica/output.rs
@@ -228,6 +228,7 @@
             .cloned()
             .collect();
         output.delivered_index = output.delivered_index.max(last);
+        self.update_freshness();
         entries
     }
 
--- a/crates/consensus/tests/all/sim.rs
+++ b/crates/consensus/tests/all/sim.rs
@@ -15,6 +15,8 @@
     pub id: ReplicaId,
     pub disk: PersistentState,
     pub replica: Option<Replica>,
+    /// Whether no write completes.
+    pub disk_hangs: bool,
     pending_write: Option<(Instant, Write)>,
     /// Completion time of the snapshot write in progress, the snapshot, and the number of entries to keep on compaction.
     pending_snapshot: Option<(Instant, Snapshot, u64)>,
@@ -94,6 +96,7 @@
             id: ReplicaId(id),
             disk: PersistentState::default(),
             replica: None,
+            disk_hangs: false,
             pending_write: None,
             pending_snapshot: None,
             state: 0,
@@ -200,7 +203,8 @@
         let ticks = ticks
             .filter(|r| r.fatal_error().is_none())
             .map(Replica::next_tick);
-        let writes = self.nodes.iter().filter_map(|n| n.pending_write.as_ref());
+        let writes = self.nodes.iter().filter(|n| !n.disk_hangs);
+        let writes = writes.filter_map(|n| n.pending_write.as_ref());
         let writes = writes.map(|(at, _)| *at);
         let snapshot_writes = self
             .nodes
@@ -239,7 +243,8 @@
             node.disk.snapshot = snapshot.clone();
             replica.compact(snapshot, keep);
         }
-        if let Some((_, write)) = node.pending_write.take_if(|(at, _)| *at <= now) {
+        let hangs = node.disk_hangs;
+        if let Some((_, write)) = node.pending_write.take_if(|(at, _)| *at <= now && !hangs) {
             apply_write(&mut node.disk, &write);
             if let Some(replica) = &mut node.replica {
                 replica.complete_write(now, write.id);
--- a/crates/control/src/replica/driver.rs
+++ b/crates/control/src/replica/driver.rs
@@ -59,6 +59,8 @@
     view: watch::Sender<View>,
     /// Whether a leader has confirmed the applied state since the start.
     confirmed: bool,
+    /// Since when the applied state is behind the leader.
+    lagging_since: Option<std::time::Instant>,
     /// Membership that the links match.
     members: Arc<Membership>,
     /// Search for an existing group, while this replica has no membership.
@@ -101,6 +103,7 @@
         commit: replica.commit(),
         applied,
         quorum_until: None,
+        current_until: None,
         lease_until: None,
         confirmed: false,
         members: Arc::default(),
@@ -150,6 +153,7 @@
         applied,
         since_snapshot: (0, 0, size),
         confirmed: false,
+        lagging_since: None,
         view,
         members: Arc::default(),
         join_guard,
--- a/crates/control/src/replica/driver/group.rs
+++ b/crates/control/src/replica/driver/group.rs
@@ -35,8 +35,8 @@
             consensus::Role::Follower => Role::Follower,
             consensus::Role::PreCandidate | consensus::Role::Candidate => Role::Candidate,
         };
-        let applied = self.applied >= self.replica.commit();
-        self.confirmed |= applied && self.replica.is_caught_up(now);
+        let current_until = self.replica.current_until(now);
+        self.confirmed |= current_until.is_some();
         let view = View {
             role,
             term: self.replica.term(),
@@ -48,10 +48,12 @@
             commit: self.replica.commit(),
             applied: self.applied,
             quorum_until: self.replica.quorum_until(now).map(Instant::from_std),
+            current_until: current_until.map(Instant::from_std),
             lease_until: self.replica.lease_until(now).map(Instant::from_std),
             confirmed: self.confirmed,
             members: Arc::clone(&self.members),
         };
+        self.log_lag(now, current_until.is_some());
         if role != Role::Leader && self.stop_at.is_some() {
             self.stop_at = Some(Instant::now());
         }
@@ -66,4 +68,22 @@
             modified
         });
     }
+
+    /// Logs when the applied state falls behind the leader although the leader is heard, and when it has caught up again.
+    fn log_lag(&mut self, now: std::time::Instant, current: bool) {
+        let (group, applied) = (self.options.group.as_str(), self.applied);
+        if current {
+            if let Some(since) = self.lagging_since.take() {
+                let behind_ms = now.saturating_duration_since(since).as_millis();
+                spdlog::info!("state is current again", kv: {group, applied, behind_ms});
+            }
+        } else if self.confirmed
+            && self.lagging_since.is_none()
+            && self.replica.quorum_until(now).is_some()
+        {
+            self.lagging_since = Some(now);
+            let commit = self.replica.commit();
+            spdlog::warn!("state is behind the leader", kv: {group, applied, commit});
+        }
+    }
 }
--- a/crates/control/src/replica/handle.rs
+++ b/crates/control/src/replica/handle.rs
@@ -40,6 +40,7 @@
     pub commit: u64,
     pub applied: u64,
     pub quorum_until: Option<Instant>,
+    pub current_until: Option<Instant>,
     pub lease_until: Option<Instant>,
     pub confirmed: bool,
     pub members: Arc<Membership>,
@@ -162,6 +163,14 @@
         self.exit.borrow().is_none() && until.is_some_and(|until| Instant::now() < until)
     }
 
+    /// Returns whether the applied state contains all that was committed up to a moment ago. A replica that has contact with a
+    /// quorum may apply late, for example because its disk is slow.
+    #[must_use]
+    pub fn is_current(&self) -> bool {
+        let until = self.view.borrow().current_until;
+        self.exit.borrow().is_none() && until.is_some_and(|until| Instant::now() < until)
+    }
+
     /// Returns whether a leader with a quorum has confirmed the applied state since this replica started. Until then the
     /// state is that of the disk, which may lack the latest commits.
     #[must_use]
--- a/crates/control/tests/replica/disk.rs
+++ b/crates/control/tests/replica/disk.rs
@@ -172,6 +172,37 @@
     );
 }
 
+/// Guards against a follower that passes for current while its disk hangs: it answers heartbeats, but applies nothing.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_follower_with_a_hanging_disk_is_not_current() {
+    let mut cluster = Cluster::start(3).await;
+    let follower = (cluster.wait_leader().await + 1) % 3;
+    let hangs = Arc::new(AtomicBool::new(false));
+    let switch = Arc::clone(&hangs);
+    let mut disk = Disk::default();
+    let sync = disk.sync;
+    disk.sync = Arc::new(move |file| {
+        while switch.load(Ordering::Relaxed) {
+            std::thread::sleep(Duration::from_millis(10));
+        }
+        sync(file)
+    });
+    cluster.crash(follower).await;
+    cluster.restart_with(follower, disk, |o| o).await.unwrap();
+    let handle = cluster.handle(follower).clone();
+    let is_current = |expected| (handle.is_current() == expected).then_some(());
+    wait("current follower", || is_current(true)).await;
+    hangs.store(true, Ordering::Relaxed);
+    let other = cluster.handle((follower + 1) % 3);
+    other.propose(b"first".to_vec()).await.unwrap();
+    wait("follower that is not current", || is_current(false)).await;
+    assert!(handle.status().quorum);
+    assert!(cluster.commands(follower).is_empty());
+    hangs.store(false, Ordering::Relaxed);
+    wait("current follower", || is_current(true)).await;
+    assert_eq!(cluster.commands(follower), [b"first".to_vec()]);
+}
+
 /// Guards against a restart that exceeds the time limit after many commands, with and without a snapshot.
 #[rstest]
 #[case::without_snapshot(u64::MAX / 16)]
--- a/crates/entry/src/control_client.rs
+++ b/crates/entry/src/control_client.rs
@@ -176,11 +176,19 @@
 pub async fn watch(instance: Arc<Instance>) {
     let mut failures = 0;
     let mut lost_at: Option<Instant> = None;
+    let mut watched = None;
+    let mut last_cause = String::new();
     loop {
         let index = instance.control.current();
+        let address = instance.control.client_at(index).map(|c| c.peer());
         match poll_watch(&instance, index, failures).await {
             Ok(()) => {
                 failures = 0;
+                if watched != address {
+                    watched = address;
+                    let cause = std::mem::take(&mut last_cause);
+                    spdlog::info!("watching a control instance", kv: {address:?, left: = cause});
+                }
                 if let Some(lost_at) = lost_at.take() {
                     let lost_ms = lost_at.elapsed().as_millis();
                     spdlog::info!("watch at a control instance restored", kv: {lost_ms});
@@ -188,6 +196,7 @@
             }
             Err(cause) => {
                 spdlog::debug!("watch: {cause}");
+                last_cause.clone_from(&cause);
                 instance.control.advance_past(index);
                 failures += 1;
                 if failures % instance.control.count() == 0 {
