Send watchers away from a control instance that applies its log late

Cause: an instance told its watchers that it was stale only when it had lost contact with the quorum. A follower whose disk hangs, or whose log entries are held up otherwise, answers heartbeats and keeps that contact, but applies nothing, so that its watchers waited for it. Evidence of contact was taken for evidence of current state.

The new test a_follower_that_applies_nothing_sends_its_watchers_away failed before: two seconds after an accepted change the follower answered with "stale: false" and no content.

--- a/crates/control/src/daemon/announce.rs
+++ b/crates/control/src/daemon/announce.rs
@@ -44,11 +44,11 @@
     }
 }
 
-/// Returns whether this instance announces the group. A member without a quorum may have an outdated membership. There may be
-/// many members without a vote, whose announcements would overload the few configured addresses.
+/// Returns whether this instance announces the group. A stale member may have an outdated membership. There may be many members
+/// without a vote, whose announcements would overload the few configured addresses.
 fn should_announce(instance: &Instance) -> bool {
     let status = instance.status();
-    status.is_some_and(|status| status.quorum && status.role != Role::Learner)
+    !instance.is_stale() && status.is_some_and(|status| status.role != Role::Learner)
 }
 
 async fn announce_to_all(instance: &Arc<Instance>) {
--- a/crates/control/src/daemon/instance.rs
+++ b/crates/control/src/daemon/instance.rs
@@ -11,6 +11,7 @@
 use chestnutvalve_model::routes::Publication;
 use chestnutvalve_model::upstream::Event;
 use chestnutvalve_model::version::Version;
+use chestnutvalve_storage::Disk;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use tokio::sync::{OnceCell, watch};
@@ -64,6 +65,7 @@
     versions: watch::Sender<Version>,
     heartbeats: Mutex<Heartbeats>,
     config: OnceLock<Handle>,
+    disk: OnceLock<Disk>,
 }
 
 impl Instance {
@@ -92,6 +94,7 @@
             versions: watch::Sender::new(Version::ZERO),
             heartbeats: Mutex::default(),
             config: OnceLock::new(),
+            disk: OnceLock::new(),
         })
     }
 
@@ -161,6 +164,16 @@
         }
     }
 
+    /// Sets the disk operations that the replicas use. Has an effect only before the services start.
+    pub fn set_disk(&self, disk: Disk) {
+        let _ = self.disk.set(disk);
+    }
+
+    /// Returns the disk operations that the replicas use.
+    pub(super) fn disk(&self) -> Disk {
+        self.disk.get_or_init(Disk::default).clone()
+    }
+
     /// Sets the replica of the config group once it is running.
     pub fn set_config(&self, handle: Handle) {
         // The service that starts the replica runs once, so the cell is empty.
@@ -183,10 +196,10 @@
         self.config.get().map(Handle::status)
     }
 
-    /// Returns whether this instance has no contact with a quorum of the config group.
+    /// Returns whether this instance has no contact with a quorum of the config group, or applies its log late.
     #[must_use]
     pub fn is_stale(&self) -> bool {
-        self.status().is_none_or(|s| !s.quorum)
+        !self.config.get().is_some_and(Handle::is_current)
     }
 
     /// Returns whether the applied state was confirmed by a quorum since this instance started.
--- a/crates/control/src/daemon/replicas.rs
+++ b/crates/control/src/daemon/replicas.rs
@@ -6,7 +6,7 @@
 use chestnutvalve_kernel::Service;
 use chestnutvalve_kernel::service::Failure;
 use chestnutvalve_model::error::Fault;
-use chestnutvalve_storage::{Directory, Disk};
+use chestnutvalve_storage::Directory;
 use tokio::task::JoinSet;
 
 use super::{Instance, background_service};
@@ -44,12 +44,11 @@
 }
 
 fn start(instance: &Instance) -> Result<Vec<Handle>, String> {
-    let mut disk = Disk::default();
-    let directory = Directory::open(&instance.settings.data, &mut disk);
+    let directory = Directory::open(&instance.settings.data, &mut instance.disk());
     let directory = Arc::new(directory.map_err(|e| e.to_string())?);
     let launch = |group: &str, machine: StateMachine| {
         let options = options(instance, group);
-        let disk = Disk::default();
+        let disk = instance.disk();
         let started = replica::start(&instance.network, &directory, disk, options, machine);
         started.map_err(|e| format!("group {group}: {e}"))
     };
--- a/crates/control/tests/all/cluster.rs
+++ b/crates/control/tests/all/cluster.rs
@@ -1,6 +1,7 @@
 //! Cluster of control instances, called through their internal listeners.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use chestnutvalve_model::control::{
@@ -15,6 +16,9 @@
 use crate::harness::{CALL_TIMEOUT, Cluster, WAIT_TIMEOUT, follow, poll};
 use crate::support::{change, entry, member, service, timeout};
 
+/// Time within which an accepted change must be in force.
+const APPLY_LIMIT: Duration = Duration::from_secs(2);
+
 /// Guards against calls of entries that only the leader answers.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn any_instance_serves_an_entry() {
@@ -91,6 +95,31 @@
     assert!(expired.version > before.version);
 }
 
+/// Guards against entries that keep an older configuration, because the follower that they watch has a hanging disk and still
+/// counts as in contact with a quorum.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_follower_that_applies_nothing_sends_its_watchers_away() {
+    let cluster = Cluster::start(3).await;
+    let leader = cluster.leader().await;
+    let follower = cluster.follower().await;
+    let sent = change("amy", Version::ZERO, timeout(1_000));
+    let leader = &cluster.running[leader].as_ref().expect("runs").instance;
+    let before = leader.change(sent).await.expect("accepted");
+    follow(&follower.client, |s| s.version >= before).await;
+    follower.disk_hangs.store(true, Ordering::Relaxed);
+    let sent = change("bob", before, timeout(2_000));
+    let after = leader.change(sent).await.expect("accepted");
+    let since = Instant::now();
+    let mut update = poll(&follower.client, before, 200).await;
+    while !update.stale && since.elapsed() < APPLY_LIMIT {
+        update = poll(&follower.client, before, 200).await;
+    }
+    follower.disk_hangs.store(false, Ordering::Relaxed);
+    assert!(update.stale, "{update:?}");
+    let state = follow(&follower.client, |s| s.version >= after).await;
+    assert_eq!(state.document.defaults.timeout_ms, 2_000);
+}
+
 /// Guards against an isolated instance that does not report that it is stale or accepts changes, and against a version
 /// that decreases when the quorum returns.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
--- a/crates/control/tests/all/harness.rs
+++ b/crates/control/tests/all/harness.rs
@@ -2,7 +2,7 @@
 
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::time::Duration;
 
 use chestnutvalve_control::daemon::{self, Instance};
@@ -12,6 +12,7 @@
 use chestnutvalve_model::control::{Content, State, Update, Watch};
 use chestnutvalve_model::id::{Control, Incarnation, Zone};
 use chestnutvalve_model::version::Version;
+use chestnutvalve_storage::Disk;
 use chestnutvalve_wire::Client;
 use tempfile::TempDir;
 use tokio::time::{Instant, sleep};
@@ -25,6 +26,8 @@
     pub registry: Registry,
     pub instance: Arc<Instance>,
     pub client: Client,
+    /// While set, no write to the disk completes.
+    pub disk_hangs: Arc<AtomicBool>,
 }
 
 pub struct Cluster {
@@ -110,8 +113,11 @@
         let peers = settings.peers;
         let mut registry = Registry::default();
         let instance = daemon::register(&mut registry, settings).expect("register the services");
+        let disk_hangs = Arc::new(AtomicBool::new(false));
+        instance.set_disk(hanging_disk(&disk_hangs));
         registry.start().await.expect("start the services");
         Running {
+            disk_hangs,
             registry,
             instance,
             client: Client::new(peers),
@@ -155,6 +161,19 @@
     }
 }
 
+fn hanging_disk(hangs: &Arc<AtomicBool>) -> Disk {
+    let hangs = Arc::clone(hangs);
+    let mut disk = Disk::default();
+    let sync = disk.sync;
+    disk.sync = Arc::new(move |file| {
+        while hangs.load(Ordering::Relaxed) {
+            std::thread::sleep(Duration::from_millis(10));
+        }
+        sync(file)
+    });
+    disk
+}
+
 pub fn watch(have: Version, wait_ms: u32) -> Watch {
     Watch {
         entry: entry("e1"),
--- a/crates/model/src/control.rs
+++ b/crates/model/src/control.rs
@@ -31,7 +31,8 @@
 /// Answer to [`Watch`].
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Update {
-    /// Whether the control instance has lost contact with the quorum; the entry should then poll another instance.
+    /// Whether the control instance has lost contact with the quorum or applies its log late; the entry should then poll
+    /// another instance.
     pub stale: bool,
     /// Version of the state after applying `content`.
     pub version: Version,
