Refuse announcements of workers that no entry can use

Another operator reports odd entries among those of the workers, after which the machines that read the list ended or stopped following it. Tried here: deep nesting (8,000 levels), numbers beyond their type, ports beyond 65535, text that is no JSON. All of them were refused, and none ended a process.

Accepted were: port 0, the unspecified address, an incarnation at the end of the range, which no later run can supersede, and over the operators' interface also no slots, four billion slots and a warm-up of 584 million years. Such a worker reaches every entry and stays across restarts.

Announcement::check names the field and the values allowed. The control instance calls it for both interfaces and answers 400.

--- a/crates/control/src/daemon/instance.rs
+++ b/crates/control/src/daemon/instance.rs
@@ -353,8 +353,10 @@
     ///
     /// # Errors
     ///
-    /// As [`Instance::propose`].
+    /// Returns [`Kind::BadRequest`] for an invalid announcement, otherwise as [`Instance::propose`] does.
     pub async fn record_worker_event(&self, event: Event) -> Result<(), Fault> {
+        let checked = event.check();
+        checked.map_err(|e| Fault::new(Kind::BadRequest, e.to_string()))?;
         if !self.is_stale() && !self.store().state().roster.would_change(&event) {
             return Ok(());
         }
--- a/crates/control/tests/all/cluster.rs
+++ b/crates/control/tests/all/cluster.rs
@@ -1,5 +1,6 @@
 //! Cluster of control instances, called through their internal listeners.
 
+use std::net::Ipv4Addr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -8,9 +9,11 @@
     Content, EjectionGrant, EjectionRequest, Heartbeat, HeartbeatReply, State,
 };
 use chestnutvalve_model::error::Kind;
-use chestnutvalve_model::id::{Incarnation, Worker};
+use chestnutvalve_model::id::{Incarnation, Worker, Zone};
+use chestnutvalve_model::upstream::{Announcement, Event};
 use chestnutvalve_model::version::Version;
 use chestnutvalve_wire::Error;
+use rstest::rstest;
 use tokio::time::{Instant, sleep};
 
 use crate::harness::{CALL_TIMEOUT, Cluster, WAIT_TIMEOUT, follow, poll};
@@ -228,3 +231,34 @@
     assert_eq!(state.document.defaults.timeout_ms, 2_999);
     assert_eq!(running.instance.store().history().accepted().len(), 2_001);
 }
+
+/// Guards against a registered worker that no entry can reach, that warms up forever, or that no later run can supersede.
+#[rstest]
+#[case::port_zero(|a: &mut Announcement| a.address.set_port(0))]
+#[case::no_host(|a: &mut Announcement| a.address.set_ip(Ipv4Addr::UNSPECIFIED.into()))]
+#[case::warm_up(|a: &mut Announcement| a.warm_up_ms = u64::MAX)]
+#[case::no_slots(|a: &mut Announcement| a.slots = 0)]
+#[case::slots(|a: &mut Announcement| a.slots = u32::MAX)]
+#[case::incarnation(|a: &mut Announcement| a.incarnation = Incarnation(u64::MAX))]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_unusable_worker_is_not_registered(#[case] spoil: fn(&mut Announcement)) {
+    let cluster = Cluster::start(1).await;
+    let instance = &cluster.alive().next().expect("runs").1.instance;
+    let mut announcement = Announcement {
+        worker: Worker::new("w1").expect("valid name"),
+        incarnation: Incarnation(1),
+        service: service("lookup"),
+        address: "10.0.0.1:8080".parse().expect("valid address"),
+        zone: Zone::new("z1").expect("valid name"),
+        slots: 2,
+        warm_up_ms: 0,
+        leaving: false,
+    };
+    let valid = Event::Announced(announcement.clone());
+    spoil(&mut announcement);
+    let refused = instance.record_worker_event(Event::Announced(announcement));
+    assert_eq!(refused.await.map_err(|f| f.kind), Err(Kind::BadRequest));
+    assert!(instance.store().state().roster.workers.is_empty());
+    instance.record_worker_event(valid).await.expect("recorded");
+    assert_eq!(instance.store().state().roster.workers.len(), 1);
+}
--- a/crates/model/src/upstream.rs
+++ b/crates/model/src/upstream.rs
@@ -1,16 +1,26 @@
 //! Workers that are registered with the control group.
 
 use std::collections::{BTreeMap, VecDeque};
+use std::fmt::Display;
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
 
+use crate::config::Invalid;
 use crate::id::{Incarnation, Service, Worker, Zone};
 
 /// Max departed workers that are kept to recognize late announcements. At 13,000 restarts a day they cover about seven
 /// hours.
 const MAX_DEPARTED: usize = 4_096;
 
+/// Max slots of a worker; actual workers have a few.
+pub const MAX_SLOTS: u32 = 100_000;
+/// Max remaining warm-up time, in milliseconds. Until it has passed, entries send few requests to the worker.
+pub const MAX_WARM_UP_MS: u64 = 3_600_000;
+/// Max incarnation: the year 2100, where incarnations are Unix times in milliseconds. No later run could supersede one at the end
+/// of the range.
+pub const MAX_INCARNATION: Incarnation = Incarnation(4_102_444_800_000);
+
 /// Announcement of a worker about itself.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Announcement {
@@ -33,6 +43,21 @@
 }
 
 impl Announcement {
+    /// Checks that entries can use the announcement. An accepted one reaches all of them and is kept across restarts.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first invalid field.
+    pub fn check(&self) -> Result<(), Invalid> {
+        let ip = self.address.ip();
+        if self.address.port() == 0 || ip.is_unspecified() || ip.is_multicast() {
+            return Err(Invalid::new("address", self.address, "unicast IP:PORT"));
+        }
+        check_range("slots", self.slots, 1, MAX_SLOTS)?;
+        check_range("warm_up_ms", self.warm_up_ms, 0, MAX_WARM_UP_MS)?;
+        check_range("incarnation", self.incarnation.0, 0, MAX_INCARNATION.0)
+    }
+
     /// Returns whether another announcement is equal apart from the remaining warm-up time, which decreases by itself.
     #[must_use]
     fn is_equivalent(&self, other: &Self) -> bool {
@@ -42,6 +67,18 @@
     }
 }
 
+fn check_range<T: Copy + Display + PartialOrd>(
+    field: &str,
+    value: T,
+    min: T,
+    max: T,
+) -> Result<(), Invalid> {
+    if (min..=max).contains(&value) {
+        return Ok(());
+    }
+    Err(Invalid::new(field, value, format!("{min} to {max}")))
+}
+
 /// Change of the registered workers.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Event {
@@ -64,6 +101,20 @@
     departed: VecDeque<(Worker, Incarnation)>,
 }
 
+impl Event {
+    /// Checks the announcement of a worker, if the event contains one.
+    ///
+    /// # Errors
+    ///
+    /// As [`Announcement::check`].
+    pub fn check(&self) -> Result<(), Invalid> {
+        match self {
+            Self::Announced(announcement) => announcement.check(),
+            Self::Departed { .. } => Ok(()),
+        }
+    }
+}
+
 impl Roster {
     /// Returns whether applying an event would change the roster; late and repeated events don't.
     #[must_use]
