Keep a replica running while its disk is full

Another operator reports disks that were full for seconds, one after another, after which changes stayed refused. Here a full disk ended the process, which was started again every half second until there was room.

A write without room changes nothing that is durable, unlike a failed sync. The log now undoes the partial write and reports Error::Full, and the driver repeats the same write every 100 ms. Until it succeeds the replica gives no vote and acknowledges nothing. A leader transfers its leadership at once, and answers the proposals that wait as not confirmed instead of leaving them open for 5 s; it does the latter for a slow disk too. A failed sync still stops the replica.

--- a/crates/control/src/replica/driver.rs
+++ b/crates/control/src/replica/driver.rs
@@ -9,18 +9,18 @@
 use std::time::Duration;
 
 use chestnutvalve_consensus::{
-    self as consensus, Membership, PersistentState, Replica, ReplicaId, Snapshot, WriteId,
+    self as consensus, Membership, PersistentState, Replica, ReplicaId, Snapshot, Write, WriteId,
 };
 use chestnutvalve_model::error::{Fault, Kind};
 use chestnutvalve_storage::{Directory, Error, SnapshotWriter, Store};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::JoinHandle;
-use tokio::time::{Instant, sleep_until};
+use tokio::time::{Instant, sleep, sleep_until};
 
 use super::handle::{Handle, View};
 use super::join;
 use super::link::Links;
-use super::network::{Hello, Input, Network, Outcome, Proposal};
+use super::network::{Hello, Input, Network, Outcome, Proposal, unconfirmed};
 use super::options::Options;
 use super::{Role, StateMachine};
 
@@ -33,21 +33,40 @@
 /// Duration of a write after which a leader transfers its leadership: the followers still commit without its disk, but it
 /// can't answer proposers. Syncs on a busy disk take tens of milliseconds.
 const SLOW_WRITE_THRESHOLD: Duration = Duration::from_secs(1);
+/// Interval between two attempts at a write for which the disk has no room.
+const FULL_DISK_RETRY_INTERVAL: Duration = Duration::from_millis(100);
 /// Maximum number of inputs that are handled before their output is processed.
 const MAX_INPUTS_PER_ROUND: usize = 1_024;
 
 type Messages = Vec<(ReplicaId, consensus::Message)>;
-type WriteTask = JoinHandle<(Store, Result<(), Error>)>;
+type WriteTask = JoinHandle<FinishedWrite>;
 type SnapshotTask = JoinHandle<Result<Snapshot, Error>>;
 type ExitSender = watch::Sender<Option<Result<(), Fault>>>;
 
+/// Write in progress.
+struct PendingWrite {
+    task: WriteTask,
+    id: WriteId,
+    /// Messages to send once the write is durable.
+    messages: Messages,
+    /// Since when the write is repeated because the disk has no room.
+    full_since: Option<Instant>,
+}
+
+/// Outcome of an attempt at a write.
+struct FinishedWrite {
+    store: Store,
+    write: Write,
+    outcome: Result<(), Error>,
+}
+
 struct Driver {
     replica: Replica,
     state_machine: StateMachine,
     options: Options,
     links: Links,
     store: Option<Store>,
-    pending_write: Option<(WriteTask, WriteId, Messages)>,
+    pending_write: Option<PendingWrite>,
     /// When the write in progress counts as slow; `None` once the leadership transfer was requested.
     slow_write_at: Option<Instant>,
     snapshot_writer: SnapshotWriter,
@@ -219,14 +238,15 @@
                 );
                 // Fails at a follower, whose slow disk delays no commit while a quorum of others is fast.
                 let _ = self.replica.transfer_leadership(now.into_std());
+                self.give_up_proposals("the disk is slow");
             }
         }
     }
 
     /// Waits for writes in progress, so that nothing uses the data directory afterwards.
     async fn finish(mut self) -> Result<(), Fault> {
-        if let Some((task, _, _)) = self.pending_write.take() {
-            let _ = task.await;
+        if let Some(pending) = self.pending_write.take() {
+            let _ = pending.task.await;
         }
         if let Some(snapshot_task) = self.snapshot_task.take() {
             let _ = snapshot_task.await;
@@ -257,7 +277,16 @@
 
     fn finish_snapshot(&mut self, saved: Result<Snapshot, Error>) -> Result<(), Fault> {
         self.snapshot_task = None;
-        let snapshot = saved.map_err(|error| Fault::new(Kind::Internal, error.to_string()))?;
+        let snapshot = match saved {
+            Ok(snapshot) => snapshot,
+            Err(error @ Error::Full { .. }) => {
+                // The log still has all entries. The next snapshot is due after as many further ones.
+                let group = self.options.group.as_str();
+                spdlog::error!("no snapshot was stored", kv: {group, cause: = error});
+                return Ok(());
+            }
+            Err(error) => return Err(Fault::new(Kind::Internal, error.to_string())),
+        };
         self.replica
             .compact(snapshot, self.options.retained_entries);
         Ok(())
@@ -270,20 +299,21 @@
         }
         while let Some(mut write) = self.replica.take_write() {
             let messages = std::mem::take(&mut write.messages);
-            let write_id = write.id;
+            let id = write.id;
             if write.is_empty() {
-                self.replica.complete_write(now, write_id);
+                self.replica.complete_write(now, id);
                 self.send(messages);
                 continue;
             }
-            let Some(mut store) = self.store.take() else {
+            let Some(store) = self.store.take() else {
                 return;
             };
-            let task = tokio::task::spawn_blocking(move || {
-                let outcome = store.write(write);
-                (store, outcome)
+            self.pending_write = Some(PendingWrite {
+                task: tokio::task::spawn_blocking(move || attempt_write(store, write)),
+                id,
+                messages,
+                full_since: None,
             });
-            self.pending_write = Some((task, write_id, messages));
             self.slow_write_at = Some(Instant::now() + SLOW_WRITE_THRESHOLD);
         }
     }
@@ -294,21 +324,73 @@
         }
     }
 
-    fn finish_write(&mut self, written: FinishedWrite) -> Result<(), Fault> {
-        self.slow_write_at = None;
-        let (store, outcome) = written.result;
-        if let Err(error) = outcome {
+    /// Answers the proposals that wait for a commit which this replica can't apply soon. Another replica can tell their outcome
+    /// earlier.
+    fn give_up_proposals(&mut self, cause: &str) {
+        for (_, (_, reply)) in std::mem::take(&mut self.pending) {
+            let _ = reply.send(Err(unconfirmed(cause)));
+        }
+    }
+
+    fn finish_write(&mut self, finished: FinishedWrite) -> Result<(), Fault> {
+        let now = Instant::now();
+        let Some(mut pending) = self.pending_write.take() else {
+            return Ok(());
+        };
+        let FinishedWrite {
+            store,
+            write,
+            outcome,
+        } = finished;
+        match outcome {
+            Ok(()) => {}
+            Err(error @ Error::Full { .. }) => {
+                if pending.full_since.is_none() {
+                    let group = self.options.group.as_str();
+                    spdlog::error!("write is repeated until the disk has room", kv: {group, cause: = error});
+                    pending.full_since = Some(now);
+                    self.give_up_proposals("the disk has no room");
+                }
+                // The followers may have room. A transfer in progress rejects proposals.
+                if self.replica.accepts_proposals() {
+                    let _ = self.replica.transfer_leadership(now.into_std());
+                }
+                self.slow_write_at = None;
+                pending.task = tokio::spawn(repeat_write(store, write));
+                self.pending_write = Some(pending);
+                return Ok(());
+            }
             // After a failed write the content of the disk is unknown, so the replica must not acknowledge anything.
-            return Err(Fault::new(Kind::Internal, error.to_string()));
+            Err(error) => return Err(Fault::new(Kind::Internal, error.to_string())),
         }
+        if let Some(since) = pending.full_since {
+            let (group, full_ms) = (self.options.group.as_str(), since.elapsed().as_millis());
+            spdlog::info!("the disk has room again", kv: {group, full_ms});
+        }
+        self.slow_write_at = None;
         self.store = Some(store);
-        self.send(written.messages);
-        self.replica
-            .complete_write(Instant::now().into_std(), written.write_id);
+        self.send(pending.messages);
+        self.replica.complete_write(now.into_std(), pending.id);
         Ok(())
     }
 }
 
+fn attempt_write(mut store: Store, write: Write) -> FinishedWrite {
+    let outcome = store.write(&write);
+    FinishedWrite {
+        store,
+        write,
+        outcome,
+    }
+}
+
+/// Repeats a write for which the disk had no room.
+async fn repeat_write(store: Store, write: Write) -> FinishedWrite {
+    sleep(FULL_DISK_RETRY_INTERVAL).await;
+    let attempt = tokio::task::spawn_blocking(move || attempt_write(store, write));
+    attempt.await.expect("a write does not panic")
+}
+
 /// Waits for the snapshot that is being saved; never completes when there is none.
 async fn snapshot_saved(snapshot_task: &mut Option<SnapshotTask>) -> Result<Snapshot, Error> {
     match snapshot_task {
@@ -317,24 +399,10 @@
     }
 }
 
-struct FinishedWrite {
-    result: (Store, Result<(), Error>),
-    write_id: WriteId,
-    messages: Messages,
-}
-
 /// Waits for the write in progress; never completes when there is none.
-async fn write_finished(
-    pending_write: &mut Option<(WriteTask, WriteId, Messages)>,
-) -> FinishedWrite {
-    let Some((task, _, _)) = pending_write else {
-        return std::future::pending().await;
-    };
-    let result = task.await.expect("a write does not panic");
-    let (_, write_id, messages) = pending_write.take().expect("the write is still pending");
-    FinishedWrite {
-        result,
-        write_id,
-        messages,
+async fn write_finished(pending_write: &mut Option<PendingWrite>) -> FinishedWrite {
+    match pending_write {
+        Some(pending) => (&mut pending.task).await.expect("a write does not panic"),
+        None => std::future::pending().await,
     }
 }
--- a/crates/control/tests/replica/disk.rs
+++ b/crates/control/tests/replica/disk.rs
@@ -203,6 +203,63 @@
     assert_eq!(cluster.commands(follower), [b"first".to_vec()]);
 }
 
+/// Guards against replicas that end, or changes that stay refused, after the disks were full for a while in turn.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn the_group_continues_after_full_disks_in_turn() {
+    let full: [Arc<AtomicBool>; 3] = Default::default();
+    let disks: Vec<Disk> = full.iter().map(full_disk).collect();
+    let mut cluster = Cluster::start_on(&disks, false).await;
+    cluster.handle(0).propose(b"first".to_vec()).await.unwrap();
+    for number in 0..6 {
+        // The leader's disk every other time.
+        let leader = cluster.wait_leader().await;
+        let filled = if number % 2 == 0 {
+            leader
+        } else {
+            (leader + 1) % 3
+        };
+        full[filled].store(true, Ordering::Relaxed);
+        // A leader can't tell whether what it appended before it noticed will be committed.
+        let _ = cluster.handle(leader).propose(b"unclear".to_vec()).await;
+        tokio::time::sleep(Duration::from_millis(800)).await;
+        let other = cluster.handle((filled + 1) % 3);
+        other.propose(b"accepted".to_vec()).await.unwrap();
+        full[filled].store(false, Ordering::Relaxed);
+        let handle = cluster.handle(filled);
+        wait("current replica", || handle.is_current().then_some(())).await;
+    }
+    let since = Instant::now();
+    cluster.handle(0).propose(b"last".to_vec()).await.unwrap();
+    assert!(since.elapsed() < RESTART_TIMEOUT, "{:?}", since.elapsed());
+    let leader = cluster.wait_leader().await;
+    let commands = cluster.commands(leader);
+    let accepted = commands.iter().filter(|c| *c == b"accepted");
+    assert_eq!(accepted.count(), 6);
+    for (number, full) in full.iter().enumerate() {
+        cluster.wait_commands(number, commands.len()).await;
+        assert_eq!(cluster.commands(number), commands);
+        // A replica with a full disk stops when it is told to.
+        full.store(true, Ordering::Relaxed);
+    }
+    for number in 0..3 {
+        timeout(STOP_TIMEOUT, cluster.stop(number)).await.unwrap();
+    }
+}
+
+/// Returns a disk that refuses writes while `full` is set.
+fn full_disk(full: &Arc<AtomicBool>) -> Disk {
+    let full = Arc::clone(full);
+    let mut disk = Disk::default();
+    let write = disk.write;
+    disk.write = Arc::new(move |file, bytes| {
+        if full.load(Ordering::Relaxed) {
+            return Err(std::io::ErrorKind::StorageFull.into());
+        }
+        write(file, bytes)
+    });
+    disk
+}
+
 /// Guards against a restart that exceeds the time limit after many commands, with and without a snapshot.
 #[rstest]
 #[case::without_snapshot(u64::MAX / 16)]
--- a/crates/storage/src/error.rs
+++ b/crates/storage/src/error.rs
@@ -1,6 +1,6 @@
 //! Errors of opening, reading and writing durable state.
 
-use std::io;
+use std::io::{self, ErrorKind};
 use std::path::{Path, PathBuf};
 
 /// Error of opening, reading or writing durable state.
@@ -16,6 +16,14 @@
         /// Error of the operating system.
         source: io::Error,
     },
+    /// The disk has no room for a file. Nothing was changed, so that the write may be repeated.
+    #[error("no room on the disk for {}: {source}", file.display())]
+    Full {
+        /// File that was written.
+        file: PathBuf,
+        /// Error of the operating system.
+        source: io::Error,
+    },
     /// Another process has locked the data directory.
     #[error("data directory {} is in use by another process", .0.display())]
     Locked(PathBuf),
@@ -47,4 +55,16 @@
             source,
         }
     }
+
+    /// Returns a conversion of an operating system error during `action` on `file`, before which nothing was changed or after
+    /// which the change was undone.
+    pub(crate) fn unchanged(action: &'static str, file: &Path) -> impl FnOnce(io::Error) -> Self {
+        move |source| match source.kind() {
+            ErrorKind::StorageFull | ErrorKind::QuotaExceeded => Self::Full {
+                file: file.to_owned(),
+                source,
+            },
+            _ => Self::io(action, file)(source),
+        }
+    }
 }
--- a/crates/storage/src/snapshot.rs
+++ b/crates/storage/src/snapshot.rs
@@ -16,7 +16,7 @@
 ///
 /// # Errors
 ///
-/// Returns [`Error::Io`].
+/// Returns [`Error::Full`] and [`Error::Io`].
 pub fn save(path: &Path, snapshot: &Snapshot, disk: &mut Disk) -> Result<(), Error> {
     let mut bytes = MAGIC.to_vec();
     bytes.extend_from_slice(&frame::encode(snapshot.position.index, &encode(snapshot)));
--- a/crates/storage/src/store.rs
+++ b/crates/storage/src/store.rs
@@ -33,7 +33,7 @@
     ///
     /// # Errors
     ///
-    /// Returns [`Error::Io`]; the replica must then stop.
+    /// Returns [`Error::Full`] when there is no room, and the stored snapshot stays. After [`Error::Io`] the replica must stop.
     pub fn save(&mut self, snapshot: &Snapshot) -> Result<(), Error> {
         snapshot::save(&self.path, snapshot, &mut self.disk)
     }
@@ -103,24 +103,27 @@
     ///
     /// # Errors
     ///
-    /// Returns [`Error::Io`]. Every later write fails with [`Error::EarlierWriteFailed`], because a failed sync may have
-    /// dropped data that a later sync would report as durable.
-    pub fn write(&mut self, write: Write) -> Result<(), Error> {
+    /// Returns [`Error::Full`] when there is no room; the same write may then be repeated. After [`Error::Io`] every later write
+    /// fails with [`Error::EarlierWriteFailed`], because a failed sync may have dropped data that a later sync would report as
+    /// durable.
+    pub fn write(&mut self, write: &Write) -> Result<(), Error> {
         if self.failed {
             return Err(Error::EarlierWriteFailed(self.path.clone()));
         }
         let result = self.write_batch(write);
-        self.failed = result.is_err();
+        self.failed = result
+            .as_ref()
+            .is_err_and(|error| !matches!(error, Error::Full { .. }));
         result
     }
 
-    fn write_batch(&mut self, write: Write) -> Result<(), Error> {
+    fn write_batch(&mut self, write: &Write) -> Result<(), Error> {
         let batch = Batch {
-            hard_state: write.hard_state,
-            entries: write.entries,
+            hard_state: write.hard_state.clone(),
+            entries: write.entries.clone(),
         };
-        if let Some(snapshot) = write.snapshot {
-            self.snapshot_writer().save(&snapshot)?;
+        if let Some(snapshot) = &write.snapshot {
+            self.snapshot_writer().save(snapshot)?;
         }
         if write.replaces_log {
             self.wal = Wal::replace(&self.path.join("log"), &batch, &mut self.disk)?;
--- a/crates/storage/src/wal.rs
+++ b/crates/storage/src/wal.rs
@@ -30,6 +30,8 @@
     file: File,
     path: PathBuf,
     sequence: u64,
+    /// Length of the file in bytes.
+    end: u64,
 }
 
 impl Wal {
@@ -46,6 +48,7 @@
             file,
             path: path.to_owned(),
             sequence: 1,
+            end: bytes.len() as u64,
         })
     }
 
@@ -78,6 +81,7 @@
             file,
             path: path.to_owned(),
             sequence: batches.len() as u64,
+            end: end as u64,
         };
         Ok((wal, batches))
     }
@@ -86,13 +90,26 @@
     ///
     /// # Errors
     ///
-    /// Returns [`Error::Io`]; the content of the file is then unknown.
+    /// Returns [`Error::Full`] when there is no room; the file is then as before. After [`Error::Io`] its content is unknown.
     pub fn append(&mut self, batch: &Batch, disk: &mut Disk) -> Result<(), Error> {
+        let bytes = frame::encode(self.sequence + 1, &encode(batch));
+        if let Err(error) = (disk.write)(&mut self.file, &bytes) {
+            self.discard_partial_write()?;
+            return Err(Error::unchanged("writing", &self.path)(error));
+        }
+        (disk.sync)(&self.file).map_err(Error::io("syncing", &self.path))?;
         self.sequence += 1;
-        let bytes = frame::encode(self.sequence, &encode(batch));
-        let written = (disk.write)(&mut self.file, &bytes);
-        written.map_err(Error::io("writing", &self.path))?;
-        (disk.sync)(&self.file).map_err(Error::io("syncing", &self.path))
+        self.end += bytes.len() as u64;
+        Ok(())
+    }
+
+    /// Removes what a failed write has left after the last batch.
+    fn discard_partial_write(&mut self) -> Result<(), Error> {
+        let truncated = self.file.set_len(self.end);
+        truncated.map_err(Error::io("truncating", &self.path))?;
+        let sought = self.file.seek(SeekFrom::Start(self.end));
+        sought.map_err(Error::io("seeking in", &self.path))?;
+        Ok(())
     }
 }
 
@@ -146,14 +163,19 @@
     (used == bytes.len()).then_some(value)
 }
 
-/// Writes a file under a temporary name, makes it durable and renames it to `path`.
+/// Writes a file under a temporary name, makes it durable and renames it to `path`. When there is no room, the file at `path` is
+/// as before.
 pub(crate) fn write_atomically(path: &Path, bytes: &[u8], disk: &mut Disk) -> Result<File, Error> {
     let temporary = path.with_extension("tmp");
     let mut options = OpenOptions::new();
     options.read(true).write(true).create(true).truncate(true);
     let opened = options.open(&temporary);
-    let mut file = opened.map_err(Error::io("creating", &temporary))?;
-    (disk.write)(&mut file, bytes).map_err(Error::io("writing", &temporary))?;
+    let mut file = opened.map_err(Error::unchanged("creating", &temporary))?;
+    if let Err(error) = (disk.write)(&mut file, bytes) {
+        // The part that was written would take the room that the next attempt needs.
+        let _ = std::fs::remove_file(&temporary);
+        return Err(Error::unchanged("writing", &temporary)(error));
+    }
     (disk.sync)(&file).map_err(Error::io("syncing", &temporary))?;
     let renamed = std::fs::rename(&temporary, path);
     renamed.map_err(Error::io("renaming to", path))?;
--- a/crates/storage/tests/store.rs
+++ b/crates/storage/tests/store.rs
@@ -3,7 +3,7 @@
 use std::fs;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 
 use chestnutvalve_consensus::{
     Entry, HardState, Payload, PersistentState, Position, Replica, ReplicaId, Settings, Snapshot,
@@ -57,7 +57,7 @@
 fn write_three_batches(temp_dir: &TempDir) -> PathBuf {
     let (mut store, _) = open(temp_dir.path()).unwrap();
     for index in 1..=3 {
-        store.write(write(1, vec![entry(1, index)], None)).unwrap();
+        store.write(&write(1, vec![entry(1, index)], None)).unwrap();
     }
     temp_dir.path().join("log")
 }
@@ -76,7 +76,7 @@
     assert_eq!(indexes(&restored), [1, 2, 3]);
     assert_eq!(restored.hard_state.term, 1);
     let replaced = write(2, vec![entry(2, 2)], None);
-    store.write(replaced).unwrap();
+    store.write(&replaced).unwrap();
     drop(store);
     let (_, restored) = open(temp_dir.path()).unwrap();
     assert_eq!(restored.entries, [entry(1, 1), entry(2, 2)]);
@@ -94,7 +94,7 @@
         fs::write(&log, &bytes[..bytes.len() - lost]).unwrap();
         let (mut store, restored) = open(temp_dir.path()).unwrap();
         assert_eq!(indexes(&restored), [1, 2], "{lost} bytes lost");
-        store.write(write(1, vec![entry(1, 3)], None)).unwrap();
+        store.write(&write(1, vec![entry(1, 3)], None)).unwrap();
         drop(store);
         assert_eq!(indexes(&open(temp_dir.path()).unwrap().1), [1, 2, 3]);
     }
@@ -112,7 +112,7 @@
     let log = write_three_batches(&temp_dir);
     let bytes = fs::read(&log).unwrap();
     let (mut store, _) = open(temp_dir.path()).unwrap();
-    store.write(write(1, vec![entry(1, 4)], None)).unwrap();
+    store.write(&write(1, vec![entry(1, 4)], None)).unwrap();
     let size = fs::metadata(&log).unwrap().len();
     let last = bytes.len();
     assert!(size > last as u64);
@@ -143,7 +143,9 @@
     };
     let (mut store, _) = open(temp_dir.path()).unwrap();
     let tail = vec![entry(1, 2), entry(1, 3)];
-    store.write(write(1, tail, Some(snapshot.clone()))).unwrap();
+    store
+        .write(&write(1, tail, Some(snapshot.clone())))
+        .unwrap();
     drop(store);
     let (_, restored) = open(temp_dir.path()).unwrap();
     assert_eq!(restored.snapshot, snapshot);
@@ -174,16 +176,56 @@
         sync(file)
     });
     let (mut store, _) = Store::open(temp_dir.path(), disk).unwrap();
-    store.write(write(1, vec![entry(1, 1)], None)).unwrap();
+    store.write(&write(1, vec![entry(1, 1)], None)).unwrap();
     fail_syncs.store(true, Ordering::Relaxed);
     let snapshot = with_snapshot.then(Snapshot::default);
-    let error = store.write(write(1, vec![entry(1, 2)], snapshot));
+    let error = store.write(&write(1, vec![entry(1, 2)], snapshot));
     assert!(matches!(error, Err(Error::Io { .. })));
     fail_syncs.store(false, Ordering::Relaxed);
-    let error = store.write(write(1, vec![entry(1, 3)], None));
+    let error = store.write(&write(1, vec![entry(1, 3)], None));
     assert!(matches!(error, Err(Error::EarlierWriteFailed(_))));
 }
 
+/// Guards against a replica that has to stop because its disk was full for a while, and against remains of the failed write
+/// in the log.
+#[rstest]
+fn a_write_without_room_is_repeated(#[values(false, true)] with_snapshot: bool) {
+    let temp_dir = tempfile::tempdir().unwrap();
+    let room_bytes = Arc::new(AtomicUsize::new(usize::MAX));
+    let room = Arc::clone(&room_bytes);
+    let mut disk = Disk::default();
+    let write_all = disk.write;
+    disk.write = Arc::new(move |file, bytes| {
+        let room = room.load(Ordering::Relaxed);
+        if bytes.len() > room {
+            write_all(file, &bytes[..room])?;
+            return Err(std::io::ErrorKind::StorageFull.into());
+        }
+        write_all(file, bytes)
+    });
+    let (mut store, _) = Store::open(temp_dir.path(), disk).unwrap();
+    store.write(&write(1, vec![entry(1, 1)], None)).unwrap();
+    let snapshot = with_snapshot.then(|| Snapshot {
+        position: Position { term: 1, index: 1 },
+        ..Snapshot::default()
+    });
+    let next = write(1, vec![entry(1, 2)], snapshot);
+    for room in [0, 1, 60] {
+        room_bytes.store(room, Ordering::Relaxed);
+        let error = store.write(&next).unwrap_err();
+        assert!(matches!(error, Error::Full { .. }), "{error}");
+        let names = fs::read_dir(temp_dir.path()).unwrap();
+        let mut names = names.map(|entry| entry.unwrap().file_name());
+        assert!(names.all(|name| name != "log.tmp" && name != "snapshot.tmp"));
+        assert_eq!(indexes(&open(temp_dir.path()).unwrap().1), [1]);
+    }
+    room_bytes.store(usize::MAX, Ordering::Relaxed);
+    store.write(&next).unwrap();
+    store.write(&write(1, vec![entry(1, 3)], None)).unwrap();
+    let expected: &[u64] = if with_snapshot { &[2, 3] } else { &[1, 2, 3] };
+    assert_eq!(indexes(&open(temp_dir.path()).unwrap().1), expected);
+}
+
 /// Guards against two processes in one data directory, a changed identity, and removed group files that count as a new group.
 #[test]
 fn a_directory_has_one_owner_one_identity_and_known_groups() {
