Answer all requests that a stopping gateway took

Another operator reports requests that came late in the grace of a planned stop, were passed on, and were cut without an answer when the process ended. That could happen here: the gateway takes requests for 3 s after SIGTERM and ends 2.5 s later, but admitted them by the deadline of the caller, which may be later. A request could even wait in the queue until shortly before the end and then be sent to a worker.

From the signal on, the deadline of a request is at most 5.3 s after the signal. One that can't end by then is refused when it is admitted, as not executed, so that its caller has time for another entry. At that time all requests that are left get an answer, also those from before the signal: 503 if nothing was sent, else 504.

--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -12,7 +12,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::{Mutex, mpsc, oneshot};
 use tokio::task::JoinHandle;
-use tokio::time::{MissedTickBehavior, interval, sleep, timeout};
+use tokio::time::{Instant, MissedTickBehavior, interval, sleep, timeout};
 
 use crate::clock;
 use crate::gateway::{self, Gateway};
@@ -31,6 +31,9 @@
 /// Time limit after [`GATEWAY_DRAIN_DELAY`] for the requests in progress. The sum stays below the 6 s after which a process
 /// is killed.
 const GATEWAY_FINISH_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// Time before the end of [`GATEWAY_FINISH_TIMEOUT`] at which the requests still in progress are answered, so that the answers
+/// reach the callers.
+const GATEWAY_ANSWER_MARGIN: Duration = Duration::from_millis(200);
 /// Interval at which the gateway's queues are checked. Each response already advances a queue; the tick covers workers that
 /// recover and requests that expire.
 const GATEWAY_TICK_INTERVAL: Duration = Duration::from_millis(50);
@@ -249,7 +252,7 @@
     let (stop, stopped) = oneshot::channel::<()>();
     let task: Arc<Mutex<Option<JoinHandle<()>>>> = Arc::default();
     let started = Arc::clone(&task);
-    let draining_instance = Arc::clone(&gateway.instance);
+    let stopping_gateway = Arc::clone(gateway);
     let serving_gateway = Arc::clone(gateway);
     let gateway = Arc::clone(gateway);
     let listener = Service::new("gateway", Arc::clone(&gateway))
@@ -262,7 +265,9 @@
             Ok(())
         })
         .on_stop(move || async move {
-            draining_instance.drain();
+            let end = Instant::now() + GATEWAY_DRAIN_DELAY + GATEWAY_FINISH_TIMEOUT;
+            stopping_gateway.set_answer_by(end - GATEWAY_ANSWER_MARGIN);
+            stopping_gateway.instance.drain();
             sleep(GATEWAY_DRAIN_DELAY).await;
             let _ = stop.send(());
             if let Some(task) = task.lock().await.take() {
--- a/crates/entry/src/gateway.rs
+++ b/crates/entry/src/gateway.rs
@@ -17,7 +17,8 @@
 use chestnutvalve_routing::bandwidth::Link;
 use chestnutvalve_routing::retry::Bounds;
 use chestnutvalve_routing::schedule::Spec;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
+use tokio::time::{Instant, sleep_until};
 
 use crate::clock;
 use crate::instance::Instance;
@@ -111,6 +112,8 @@
     dispatching_entries: Cache<Addresses>,
     /// Entries that serve a service, cached for a version of the state.
     serving_entries: Cache<Addresses>,
+    /// Time by which a stopping entry must have answered all requests.
+    answer_by: watch::Sender<Option<Instant>>,
 }
 
 impl Gateway {
@@ -132,6 +135,7 @@
             link: shared_link(instance.settings.link_mbps),
             dispatching_entries: Mutex::default(),
             serving_entries: Mutex::default(),
+            answer_by: watch::Sender::new(None),
             instance: Arc::clone(instance),
             settings,
             pool: Arc::new(Pool::new(MAX_IDLE_PER_WORKER)),
@@ -143,6 +147,28 @@
         }
     }
 
+    /// Sets the time by which the stopping entry must have answered all requests.
+    pub fn set_answer_by(&self, time: Instant) {
+        self.answer_by.send_replace(Some(time));
+    }
+
+    /// Returns the time by which the entry must have answered all requests, if it is stopping.
+    #[must_use]
+    pub fn answer_by(&self) -> Option<Instant> {
+        *self.answer_by.borrow()
+    }
+
+    /// Waits until the time by which the stopping entry must have answered all requests.
+    pub async fn wait_for_answer_by(&self) {
+        let mut times = self.answer_by.subscribe();
+        // The sender lives as long as the gateway.
+        if let Ok(time) = times.wait_for(Option::is_some).await.map(|time| *time)
+            && let Some(time) = time
+        {
+            sleep_until(time).await;
+        }
+    }
+
     /// Returns the link whose bandwidth the responses on routes of this kind share.
     #[must_use]
     pub fn link(&self, kind: Kind) -> Option<&SharedLink> {
--- a/crates/entry/src/gateway/inbound.rs
+++ b/crates/entry/src/gateway/inbound.rs
@@ -106,6 +106,14 @@
         })
     }
 
+    /// Brings the deadline forward to `limit`. A request that can't end by then is refused when it is admitted, while its caller
+    /// still has time to use another entry.
+    #[must_use]
+    pub fn limit_deadline(mut self, limit: Option<Instant>) -> Self {
+        self.deadline = limit.map_or(self.deadline, |limit| self.deadline.min(limit));
+        self
+    }
+
     /// Returns the time until the deadline.
     #[must_use]
     pub fn time_left(&self) -> Duration {
--- a/crates/entry/src/gateway/proxy.rs
+++ b/crates/entry/src/gateway/proxy.rs
@@ -46,7 +46,7 @@
     wait_for_first_routes(gateway, &request, arrived).await;
     gateway.sync();
     let inbound = match Inbound::read(gateway, request, arrived) {
-        Ok(inbound) => inbound,
+        Ok(inbound) => inbound.limit_deadline(gateway.answer_by()),
         Err(refusal) => {
             let (code, cause) = (refusal.fault.kind.answer().code, &refusal.fault.context);
             let waited_ms = arrived.elapsed().as_millis();
@@ -56,7 +56,11 @@
         }
     };
     let mut exchange = Exchange::new(gateway, &inbound);
-    let outcome = exchange.run().await;
+    let outcome = tokio::select! {
+        outcome = exchange.run() => Some(outcome),
+        () = gateway.wait_for_answer_by() => None,
+    };
+    let outcome = outcome.unwrap_or_else(|| Err(exchange.stop_refusal()));
     let (attempts, waited) = (exchange.sent, exchange.waited);
     let (id, service, route) = (&inbound.id, &inbound.service, &inbound.route.name);
     let elapsed = arrived.elapsed();
@@ -379,6 +383,15 @@
         }
     }
 
+    /// Builds the refusal of a request that is still in progress when this entry must end.
+    fn stop_refusal(&self) -> Refusal {
+        let cause = "this entry stops before the request can end";
+        if self.sent > 0 {
+            return Refusal::new(Kind::UpstreamTimeout, cause);
+        }
+        self.refusal(Kind::Draining, cause, None)
+    }
+
     /// Builds a refusal that never says "not executed" if an attempt may have been executed.
     fn refusal(
         &self,
