Take no lease for valid after a suspension of the machine

A leader measures its lease by the steady clock, which stands still while a machine is suspended. After a suspension of seconds it would confirm its document as the newest for up to 250 ms, although another replica may have led and accepted changes since.

The driver compares the clock that counts suspensions with the one that does not. A handle makes the same comparison, because a request may be handled before the driver runs.

--- a/crates/consensus/src/replica.rs
+++ b/crates/consensus/src/replica.rs
@@ -129,7 +129,10 @@
 #[derive(Debug)]
 struct LeaderState {
     progress: BTreeMap<ReplicaId, Progress>,
+    /// When this leader was elected, or its process was resumed after a suspension.
     elected_at: Instant,
+    /// Timestamp of the first message whose reply proves contact.
+    contact_from_us: u64,
     /// Index of the first entry of the leader's term.
     term_start: u64,
     /// Target of the leadership transfer in progress, and when the transfer began.
@@ -181,6 +184,7 @@
             leader_state: LeaderState {
                 progress: BTreeMap::new(),
                 elected_at: now,
+                contact_from_us: 0,
                 term_start: 0,
                 transfer: None,
                 lease_released: false,
@@ -237,6 +241,16 @@
         self.deadline
     }
 
+    /// Discards all evidence of contact with other replicas, after a suspension during which the clock of the instants stood
+    /// still. Another replica may lead by now.
+    pub fn resume(&mut self, now: Instant) {
+        self.quorum_until = None;
+        self.freshness = Freshness::default();
+        self.leader_state.elected_at = now;
+        // Replies that arrive now may answer messages from before the suspension.
+        self.leader_state.contact_from_us = self.timestamp_us(now);
+    }
+
     /// Handles a message from another replica.
     pub fn step(&mut self, now: Instant, from: ReplicaId, message: Message) {
         if self.fatal_error.is_some() {
--- a/crates/consensus/src/replica/leader.rs
+++ b/crates/consensus/src/replica/leader.rs
@@ -17,6 +17,7 @@
         self.leader_state = LeaderState {
             progress: BTreeMap::new(),
             elected_at: now,
+            contact_from_us: 0,
             term_start: self.log.last().index + 1,
             transfer: None,
             lease_released: false,
@@ -57,10 +58,10 @@
             if id == self.id {
                 return Some(self.timestamp_us(now));
             }
-            self.leader_state
-                .progress
-                .get(&id)
+            let progress = self.leader_state.progress.get(&id);
+            progress
                 .and_then(|p| p.last_acked_us)
+                .filter(|acked_us| *acked_us >= self.leader_state.contact_from_us)
         });
         Some(self.clock_origin + Duration::from_micros(last_contact??))
     }
--- a/crates/consensus/tests/all/restart.rs
+++ b/crates/consensus/tests/all/restart.rs
@@ -1,4 +1,4 @@
-//! Current state after a restart of all replicas and while a disk hangs.
+//! Current state after a restart of all replicas, after a suspension and while a disk hangs.
 
 use std::time::Duration;
 
@@ -65,3 +65,26 @@
     assert_eq!(sim.nodes[follower].applied, sim.nodes[leader].applied);
     assert_eq!(sim.replica(leader).term(), term);
 }
+
+/// Guards against a leader that counts replies to messages from before a suspension as contact: another replica may lead since.
+#[rstest]
+fn a_resumed_leader_needs_replies_to_later_messages(#[values(1, 2, 3, 4)] seed: u64) {
+    let mut sim = Sim::new(3, seed);
+    // Replies are under way at any time.
+    sim.max_delay_us = 60_000;
+    let leader = sim.elect();
+    sim.run(Duration::from_secs(1));
+    let term = sim.replica(leader).term();
+    let resumed_at = sim.now;
+    sim.replica_mut(leader).resume(resumed_at);
+    let later = Duration::from_millis(1);
+    while sim.replica(leader).lease_until(sim.now).is_none() {
+        sim.run(later);
+    }
+    // A heartbeat is due every 75 ms.
+    assert!(sim.now > resumed_at + later, "{:?}", sim.now - resumed_at);
+    assert!(sim.now < resumed_at + Duration::from_millis(300));
+    assert_eq!(sim.replica(leader).term(), term);
+    let until = sim.replica(leader).lease_until(sim.now).unwrap();
+    assert!(until >= resumed_at + Duration::from_millis(250));
+}
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -6,6 +6,7 @@
 mod link;
 pub mod network;
 pub mod options;
+mod suspension;
 
 use std::sync::Arc;
 
@@ -15,6 +16,7 @@
 pub use handle::{Handle, MAX_COMMAND_BYTES};
 pub use network::Network;
 pub use options::Options;
+pub use suspension::Suspension;
 
 /// Committed command as it is passed to the state machine.
 #[derive(Clone, Copy, Debug)]
--- a/crates/control/src/replica/driver.rs
+++ b/crates/control/src/replica/driver.rs
@@ -78,6 +78,8 @@
     view: watch::Sender<View>,
     /// Whether a leader has confirmed the applied state since the start.
     confirmed: bool,
+    /// Total suspended time up to which the evidence of contact with other replicas is valid.
+    suspended: Duration,
     /// Since when the applied state is behind the leader.
     lagging_since: Option<std::time::Instant>,
     /// Membership that the links match.
@@ -124,6 +126,7 @@
         quorum_until: None,
         current_until: None,
         lease_until: None,
+        suspended: options.suspension.total(),
         confirmed: false,
         members: Arc::default(),
     });
@@ -135,6 +138,7 @@
         inputs: inputs.clone(),
         view: view.subscribe(),
         exit: exit.subscribe(),
+        suspension: options.suspension.clone(),
     };
     let join_guard = replica.membership().0.members.is_empty().then(|| {
         let hello = Hello {
@@ -162,6 +166,7 @@
         ),
         replica,
         state_machine,
+        suspended: options.suspension.total(),
         options,
         slow_write_at: None,
         snapshot_writer: store.snapshot_writer(),
@@ -199,6 +204,7 @@
         mut proposals: mpsc::Receiver<Proposal>,
     ) -> Result<(), Fault> {
         loop {
+            self.check_suspension();
             self.process_output()?;
             if self.stop_at.is_some_and(|at| Instant::now() >= at) {
                 return self.finish().await;
@@ -243,6 +249,20 @@
         }
     }
 
+    /// Discards the evidence of contact with other replicas after a suspension.
+    fn check_suspension(&mut self) {
+        let suspension = &self.options.suspension;
+        if !suspension.occurred_since(self.suspended) {
+            return;
+        }
+        let total = suspension.total();
+        let suspended_ms = total.saturating_sub(self.suspended).as_millis();
+        let group = self.options.group.as_str();
+        spdlog::warn!("resumed after a suspension", kv: {group, suspended_ms});
+        self.suspended = total;
+        self.replica.resume(Instant::now().into_std());
+    }
+
     /// Waits for writes in progress, so that nothing uses the data directory afterwards.
     async fn finish(mut self) -> Result<(), Fault> {
         if let Some(pending) = self.pending_write.take() {
--- a/crates/control/src/replica/driver/group.rs
+++ b/crates/control/src/replica/driver/group.rs
@@ -50,6 +50,7 @@
             quorum_until: self.replica.quorum_until(now).map(Instant::from_std),
             current_until: current_until.map(Instant::from_std),
             lease_until: self.replica.lease_until(now).map(Instant::from_std),
+            suspended: self.suspended,
             confirmed: self.confirmed,
             members: Arc::clone(&self.members),
         };
--- a/crates/control/src/replica/handle.rs
+++ b/crates/control/src/replica/handle.rs
@@ -11,7 +11,7 @@
 use tokio::time::{Instant, timeout, timeout_at};
 
 use super::network::{ForwardedProposal, Input, Network, Outcome, Proposal, unconfirmed};
-use super::{Role, Status};
+use super::{Role, Status, Suspension};
 
 /// Maximum size of a command. A message contains at least one whole entry, and several messages share a frame of at most
 /// 64 MiB.
@@ -42,6 +42,8 @@
     pub quorum_until: Option<Instant>,
     pub current_until: Option<Instant>,
     pub lease_until: Option<Instant>,
+    /// Total suspended time up to which the instants of this view are valid.
+    pub suspended: Duration,
     pub confirmed: bool,
     pub members: Arc<Membership>,
 }
@@ -55,6 +57,15 @@
     pub(super) inputs: mpsc::Sender<Input>,
     pub(super) view: watch::Receiver<View>,
     pub(super) exit: watch::Receiver<Option<Result<(), Fault>>>,
+    pub(super) suspension: Suspension,
+}
+
+impl View {
+    /// Returns whether an instant of this view is still ahead. After a suspension none is.
+    fn is_ahead(&self, until: Option<Instant>, suspension: &Suspension) -> bool {
+        until.is_some_and(|until| Instant::now() < until)
+            && !suspension.occurred_since(self.suspended)
+    }
 }
 
 impl Handle {
@@ -149,9 +160,7 @@
             applied: view.applied,
             quorum: view.confirmed
                 && self.exit.borrow().is_none()
-                && view
-                    .quorum_until
-                    .is_some_and(|until| Instant::now() < until),
+                && view.is_ahead(view.quorum_until, &self.suspension),
         }
     }
 
@@ -159,16 +168,16 @@
     /// state is current.
     #[must_use]
     pub fn has_lease(&self) -> bool {
-        let until = self.view.borrow().lease_until;
-        self.exit.borrow().is_none() && until.is_some_and(|until| Instant::now() < until)
+        let view = self.view.borrow();
+        self.exit.borrow().is_none() && view.is_ahead(view.lease_until, &self.suspension)
     }
 
     /// Returns whether the applied state contains all that was committed up to a moment ago. A replica that has contact with a
     /// quorum may apply late, for example because its disk is slow.
     #[must_use]
     pub fn is_current(&self) -> bool {
-        let until = self.view.borrow().current_until;
-        self.exit.borrow().is_none() && until.is_some_and(|until| Instant::now() < until)
+        let view = self.view.borrow();
+        self.exit.borrow().is_none() && view.is_ahead(view.current_until, &self.suspension)
     }
 
     /// Returns whether a leader with a quorum has confirmed the applied state since this replica started. Until then the
--- a/crates/control/src/replica/options.rs
+++ b/crates/control/src/replica/options.rs
@@ -4,6 +4,7 @@
 
 use chestnutvalve_consensus::Settings;
 
+use super::Suspension;
 use crate::rendezvous::Rendezvous;
 
 /// Initial voter of a group.
@@ -27,6 +28,7 @@
     pub(super) settings: Settings,
     pub(super) snapshot_entries: u64,
     pub(super) retained_entries: u64,
+    pub(super) suspension: Suspension,
 }
 
 impl Options {
@@ -48,6 +50,7 @@
             settings: Settings::default(),
             snapshot_entries: 1_024,
             retained_entries: 1_024,
+            suspension: Suspension::default(),
         }
     }
 
@@ -86,4 +89,11 @@
         self.retained_entries = keep;
         self
     }
+
+    /// Sets how suspensions of the machine are detected.
+    #[must_use]
+    pub fn with_suspension(mut self, suspension: Suspension) -> Self {
+        self.suspension = suspension;
+        self
+    }
 }
--- a/crates/control/tests/replica/failover.rs
+++ b/crates/control/tests/replica/failover.rs
@@ -1,8 +1,13 @@
 //! Replication, and loss and return of replicas.
 
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
 use chestnutvalve_consensus::Settings;
-use chestnutvalve_control::replica::Role;
+use chestnutvalve_control::replica::{Options, Role, Suspension};
 use chestnutvalve_model::error::Kind;
+use chestnutvalve_storage::Disk;
 use tokio::time::Instant;
 
 use crate::cluster::{Cluster, wait};
@@ -130,3 +135,37 @@
     );
     assert!(cluster.handle(survivor).status().term > term + 1_000_000);
 }
+
+/// Guards against a leader that confirms an older state after a suspension, because the clock that measures its lease stood still
+/// meanwhile.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_suspended_leader_has_no_lease_until_it_has_heard_a_quorum() {
+    let mut cluster = Cluster::start(3).await;
+    cluster.handle(0).propose(b"first".to_vec()).await.unwrap();
+    let suspended_ms = Arc::new(AtomicU64::new(0));
+    let total = Arc::clone(&suspended_ms);
+    let suspension = Suspension::new(move || Duration::from_millis(total.load(Ordering::Relaxed)));
+    for number in 0..3 {
+        cluster.crash(number).await;
+    }
+    for number in 0..3 {
+        let adapt = |options: Options| options.with_suspension(suspension.clone());
+        let started = cluster.restart_with(number, Disk::default(), adapt).await;
+        started.unwrap();
+    }
+    let leader = cluster.wait_leader().await;
+    wait("current followers", || {
+        let mut followers = (0..3).filter(|number| *number != leader);
+        followers
+            .all(|number| cluster.handle(number).is_current())
+            .then_some(())
+    })
+    .await;
+    suspended_ms.store(5_000, Ordering::Relaxed);
+    for number in 0..3 {
+        let handle = cluster.handle(number);
+        assert!(!handle.has_lease() && !handle.is_current(), "{number}");
+    }
+    wait("a lease again", || cluster.leader()).await;
+    cluster.handle(0).propose(b"second".to_vec()).await.unwrap();
+}
