--- a/crates/control/src/replica/driver.rs
+++ b/crates/control/src/replica/driver.rs
@@ -3,24 +3,25 @@
 mod apply;
 mod group;
 mod input;
+mod write;
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
 use chestnutvalve_consensus::{
-    self as consensus, Membership, PersistentState, Replica, ReplicaId, Snapshot, Write, WriteId,
+    self as consensus, Membership, PersistentState, Replica, ReplicaId, Snapshot,
 };
 use chestnutvalve_model::error::{Fault, Kind};
 use chestnutvalve_storage::{Directory, Error, SnapshotWriter, Store};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::JoinHandle;
-use tokio::time::{Instant, sleep, sleep_until};
+use tokio::time::{Instant, sleep_until};
 
 use super::handle::{Handle, View};
 use super::join;
 use super::link::Links;
-use super::network::{Hello, Input, Network, Outcome, Proposal, unconfirmed};
+use super::network::{Hello, Input, Network, Outcome, Proposal};
 use super::options::Options;
 use super::{Role, StateMachine};
 
@@ -33,40 +34,20 @@
 /// Duration of a write after which a leader transfers its leadership: the followers still commit without its disk, but it
 /// can't answer proposers. Syncs on a busy disk take tens of milliseconds.
 const SLOW_WRITE_THRESHOLD: Duration = Duration::from_secs(1);
-/// Interval between two attempts at a write for which the disk has no room.
-const FULL_DISK_RETRY_INTERVAL: Duration = Duration::from_millis(100);
 /// Maximum number of inputs that are handled before their output is processed.
 const MAX_INPUTS_PER_ROUND: usize = 1_024;
 
 type Messages = Vec<(ReplicaId, consensus::Message)>;
-type WriteTask = JoinHandle<FinishedWrite>;
 type SnapshotTask = JoinHandle<Result<Snapshot, Error>>;
 type ExitSender = watch::Sender<Option<Result<(), Fault>>>;
 
-/// Write in progress.
-struct PendingWrite {
-    task: WriteTask,
-    id: WriteId,
-    /// Messages to send once the write is durable.
-    messages: Messages,
-    /// Since when the write is repeated because the disk has no room.
-    full_since: Option<Instant>,
-}
-
-/// Outcome of an attempt at a write.
-struct FinishedWrite {
-    store: Store,
-    write: Write,
-    outcome: Result<(), Error>,
-}
-
 struct Driver {
     replica: Replica,
     state_machine: StateMachine,
     options: Options,
     links: Links,
     store: Option<Store>,
-    pending_write: Option<PendingWrite>,
+    pending_write: Option<write::Pending>,
     /// When the write in progress counts as slow; `None` once the leadership transfer was requested.
     slow_write_at: Option<Instant>,
     snapshot_writer: SnapshotWriter,
@@ -232,7 +213,7 @@
                     }
                 }
                 saved = snapshot_saved(&mut self.snapshot_task) => self.finish_snapshot(saved)?,
-                written = write_finished(&mut self.pending_write) => self.finish_write(written)?,
+                written = write::finished(&mut self.pending_write) => self.finish_write(written)?,
                 () = sleep_until(wake) => {}
             }
             let now = Instant::now();
@@ -311,104 +292,6 @@
             .compact(snapshot, self.options.retained_entries);
         Ok(())
     }
-
-    fn start_write(&mut self, now: std::time::Instant) {
-        // Installing a snapshot of the leader would write to the same file.
-        if self.snapshot_task.is_some() && self.replica.is_installing_snapshot() {
-            return;
-        }
-        while let Some(mut write) = self.replica.take_write() {
-            let messages = std::mem::take(&mut write.messages);
-            let id = write.id;
-            if write.is_empty() {
-                self.replica.complete_write(now, id);
-                self.send(messages);
-                continue;
-            }
-            let Some(store) = self.store.take() else {
-                return;
-            };
-            self.pending_write = Some(PendingWrite {
-                task: tokio::task::spawn_blocking(move || attempt_write(store, write)),
-                id,
-                messages,
-                full_since: None,
-            });
-            self.slow_write_at = Some(Instant::now() + SLOW_WRITE_THRESHOLD);
-        }
-    }
-
-    fn send(&mut self, messages: Messages) {
-        for (to, message) in messages {
-            self.links.send(to, message);
-        }
-    }
-
-    /// Answers the proposals that wait for a commit which this replica can't apply soon. Another replica can tell their outcome
-    /// earlier.
-    fn give_up_proposals(&mut self, cause: &str) {
-        for (_, (_, reply)) in std::mem::take(&mut self.pending) {
-            let _ = reply.send(Err(unconfirmed(cause)));
-        }
-    }
-
-    fn finish_write(&mut self, finished: FinishedWrite) -> Result<(), Fault> {
-        let now = Instant::now();
-        let Some(mut pending) = self.pending_write.take() else {
-            return Ok(());
-        };
-        let FinishedWrite {
-            store,
-            write,
-            outcome,
-        } = finished;
-        match outcome {
-            Ok(()) => {}
-            Err(error @ Error::Full { .. }) => {
-                if pending.full_since.is_none() {
-                    let group = self.options.group.as_str();
-                    spdlog::error!("write is repeated until the disk has room", kv: {group, cause: = error});
-                    pending.full_since = Some(now);
-                    self.give_up_proposals("the disk has no room");
-                }
-                // The followers may have room. A transfer in progress rejects proposals.
-                if self.replica.accepts_proposals() {
-                    let _ = self.replica.transfer_leadership(now.into_std());
-                }
-                self.slow_write_at = None;
-                pending.task = tokio::spawn(repeat_write(store, write));
-                self.pending_write = Some(pending);
-                return Ok(());
-            }
-            // After a failed write the content of the disk is unknown, so the replica must not acknowledge anything.
-            Err(error) => return Err(Fault::new(Kind::Internal, error.to_string())),
-        }
-        if let Some(since) = pending.full_since {
-            let (group, full_ms) = (self.options.group.as_str(), since.elapsed().as_millis());
-            spdlog::info!("the disk has room again", kv: {group, full_ms});
-        }
-        self.slow_write_at = None;
-        self.store = Some(store);
-        self.send(pending.messages);
-        self.replica.complete_write(now.into_std(), pending.id);
-        Ok(())
-    }
-}
-
-fn attempt_write(mut store: Store, write: Write) -> FinishedWrite {
-    let outcome = store.write(&write);
-    FinishedWrite {
-        store,
-        write,
-        outcome,
-    }
-}
-
-/// Repeats a write for which the disk had no room.
-async fn repeat_write(store: Store, write: Write) -> FinishedWrite {
-    sleep(FULL_DISK_RETRY_INTERVAL).await;
-    let attempt = tokio::task::spawn_blocking(move || attempt_write(store, write));
-    attempt.await.expect("a write does not panic")
 }
 
 /// Waits for the snapshot that is being saved; never completes when there is none.
@@ -418,11 +301,3 @@
         None => std::future::pending().await,
     }
 }
-
-/// Waits for the write in progress; never completes when there is none.
-async fn write_finished(pending_write: &mut Option<PendingWrite>) -> FinishedWrite {
-    match pending_write {
-        Some(pending) => (&mut pending.task).await.expect("a write does not panic"),
-        None => std::future::pending().await,
-    }
-}
--- a/crates/entry/tests/all/main.rs
+++ b/crates/entry/tests/all/main.rs
@@ -8,6 +8,7 @@
 mod faulty;
 mod fleet;
 mod gateway;
+mod gateway_stop;
 mod narrow;
 mod proxy;
 mod sharing;
