Send nothing to workers that leave or want a pause

Cause: the gateway read neither Server-Leaving nor Retry-After of a worker's response.

Change: routing::schedule::notice keeps what an incarnation of a worker says about itself. A worker that leaves counts as gone at once, also when its registration is lost and comes back, until a later incarnation; other entries are told (a third value of the shared observation, which keeps the message format). Every request is checked once more right before it is sent, so that a reservation, a queued request, a retry and a hedge are covered by one place. If all workers want a pause, a request waits when it can still be answered, and is refused at once with the workers' own time otherwise.

Queued requests for which no worker is left are refused at once; before, they waited until there was no hope (known limit of docs/platform.md).

Ruled out: sharing pauses. A worker that turns away one entry's burst for two seconds is idle after 200 ms, and would stay so for the whole fleet.

--- a/crates/entry/src/gateway/attempt.rs
+++ b/crates/entry/src/gateway/attempt.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use chestnutvalve_model::routes::Kind;
-use chestnutvalve_routing::schedule::Outcome;
+use chestnutvalve_routing::schedule::{Hold, Notice, Outcome};
 use http::{Response, StatusCode, header, response};
 use http_body::{Body as _, Frame};
 use http_body_util::BodyExt;
@@ -72,7 +72,7 @@
 pub async fn attempt(
     gateway: &Gateway,
     inbound: &Inbound,
-    reservation: Reservation,
+    mut reservation: Reservation,
 ) -> Result<Received, AttemptError> {
     let Some(body) = inbound.source.replay() else {
         return Err(AttemptError::Unreached(
@@ -102,6 +102,10 @@
                 )));
             }
         };
+        // The time to connect, or a pause of this process, may have passed since the slot was reserved.
+        reservation = reservation
+            .check()
+            .map_err(|hold| AttemptError::Unreached(hold_cause(hold).into()))?;
         if inbound.time_left().is_zero() {
             return Err(AttemptError::Unreached(
                 "the deadline passed before the request was sent".into(),
@@ -136,6 +140,13 @@
     ))
 }
 
+fn hold_cause(hold: Hold) -> &'static str {
+    match hold {
+        Hold::Left => "the worker left before the request was sent",
+        Hold::Paused(_) => "the worker asked for a pause before the request was sent",
+    }
+}
+
 /// Returns the maximum idle time of a connection that carries a request of this kind.
 #[must_use]
 pub fn max_idle_time(dispatcher: &Dispatcher, kind: Kind) -> Duration {
@@ -182,6 +193,9 @@
         let context = "the response belongs to another request";
         return Err(AttemptError::Unknown(context.into()));
     }
+    if parts.status != StatusCode::MISDIRECTED_REQUEST {
+        record_notices(gateway, &reservation, &parts);
+    }
     if parts.headers.contains_key(&dialect.not_executed) {
         let status = parts.status;
         reservation.finish(if status == StatusCode::MISDIRECTED_REQUEST {
@@ -234,6 +248,32 @@
     }
 }
 
+/// Records what the worker says about itself in its response.
+fn record_notices(gateway: &Gateway, reservation: &Reservation, parts: &response::Parts) {
+    let (dialect, meters) = (&gateway.settings.dialect, &gateway.instance.meters);
+    if parts.headers.get(&dialect.state) == Some(&dialect.leaving)
+        && reservation.record_notice(Notice::Leaving)
+    {
+        meters.count_notice("leaving");
+    }
+    let Some(stated) = parts.headers.get(&dialect.retry_after) else {
+        return;
+    };
+    if parts.status != StatusCode::SERVICE_UNAVAILABLE {
+        return;
+    }
+    let pause = stated.to_str().ok().and_then(dialect.parse_retry_after);
+    if let Some(pause) = pause {
+        if reservation.record_notice(Notice::Pause(pause)) {
+            meters.count_notice("pause");
+        }
+    } else {
+        let worker = &reservation.worker;
+        spdlog::info!("ignored the pause of a worker: not a time", kv: {worker:, stated:?});
+        meters.count_notice("invalid_pause");
+    }
+}
+
 /// Buffers the start of a body. Returns whether that is the whole body.
 async fn buffer_start(
     body: &mut Incoming,
--- a/crates/entry/src/gateway/coordinator.rs
+++ b/crates/entry/src/gateway/coordinator.rs
@@ -123,6 +123,7 @@
             deadline: now + Duration::from_millis(self.deadline_ms),
             tried: self.tried,
             connected: self.connected,
+            remote: true,
         }
     }
 }
@@ -285,6 +286,10 @@
     dispatcher: &Arc<Dispatcher>,
     request: Request,
 ) -> Result<Reservation, Refusal> {
+    // The coordinator does not know the pauses that workers want from this entry.
+    if dispatcher.is_paused(&request) {
+        return dispatcher.admit(request).await;
+    }
     let mut queued = None;
     while let Some(coordinator) = remote_coordinator(gateway, dispatcher, &request) {
         let mode = match queued {
@@ -345,7 +350,7 @@
     Busy,
     /// The request is queued at the coordinator under this id.
     Waiting(u64),
-    /// The selected worker is unknown to this entry or is leaving, so that it cannot be used.
+    /// The selected worker is unknown to this entry, is leaving or wants a pause, so that it cannot be used.
     Unknown,
     /// The request's deadline passed before an answer arrived.
     Expired,
@@ -365,15 +370,17 @@
     let wait = mode.poll_wait() + ROUND_TRIP_TIMEOUT;
     // The coordinator has the full first query of a queued request. Repeating it would use up bandwidth on narrow
     // links.
-    let (tried, connected) = match mode {
+    let (tried, connected, excludes_unusable) = match mode {
         QueueMode::Resume(_) => Default::default(),
         QueueMode::Join | QueueMode::Skip => {
-            let tried = request
-                .tried
-                .iter()
-                .cloned()
-                .chain(dispatcher.unreachable_workers());
-            (tried.collect(), request.connected.clone())
+            let unusable = dispatcher.unusable_workers();
+            let excludes_unusable = !unusable.is_empty();
+            let tried = request.tried.iter().cloned().chain(unusable);
+            (
+                tried.collect(),
+                request.connected.clone(),
+                excludes_unusable,
+            )
         }
     };
     let query = Query {
@@ -414,6 +421,8 @@
     let cause = loop {
         let limit = deadline.saturating_duration_since(since).min(wait);
         match timeout(limit, &mut call).await {
+            // The query excluded workers that only this entry can't use, so that the local scheduler decides.
+            Ok(Ok(Ok((Answer::NoWorker, _)))) if excludes_unusable => return Resolved::Unknown,
             Ok(Ok(Ok((answer, remote)))) => return interpret(dispatcher, answer, remote),
             Ok(Ok(Err(error))) => break error.to_string(),
             Ok(Err(error)) => break error.to_string(),
@@ -485,7 +494,7 @@
         Ok(Ok(reservation)) => grant(gateway, id, reservation, deadline),
         Ok(Err(refusal)) => match refusal.reason {
             Reason::NoWorker => Answer::NoWorker,
-            Reason::Overload => Answer::Overload(millis(refusal.retry_after)),
+            Reason::Overload | Reason::Paused => Answer::Overload(millis(refusal.retry_after)),
         },
         Err(_) => {
             gateway.reservations.suspend(id, admission);
--- a/crates/entry/src/gateway/dialect.rs
+++ b/crates/entry/src/gateway/dialect.rs
@@ -21,10 +21,17 @@
     pub load: HeaderName,
     /// Present on every response that a worker produced.
     pub signature: HeaderName,
-    /// Time after which the caller of a refused request may retry.
+    /// Time after which a refused request may be retried: by the caller in a refusal of the gateway, by the gateway in
+    /// one of a worker.
     pub retry_after: HeaderName,
     /// Formats the value of `retry_after`.
     pub format_retry_after: fn(Duration) -> HeaderValue,
+    /// Parses the value of `retry_after`. Returns `None` for a value that is not a time.
+    pub parse_retry_after: fn(&str) -> Option<Duration>,
+    /// State of a worker.
+    pub state: HeaderName,
+    /// Value of `state` in the responses of a worker that leaves.
+    pub leaving: HeaderValue,
     /// Parses the number of requests that run or wait at the worker from its load.
     pub parse_load: fn(&str) -> Option<u32>,
 }
@@ -43,6 +50,9 @@
                 let after = u64::try_from(after.as_millis()).unwrap_or(u64::MAX);
                 HeaderValue::from(after)
             },
+            parse_retry_after: |after| after.trim().parse().ok().map(Duration::from_millis),
+            state: name::WORKER,
+            leaving: HeaderValue::from_static("leaving"),
             parse_load: |load| load.parse().ok(),
         }
     }
--- a/crates/entry/src/gateway/dispatcher.rs
+++ b/crates/entry/src/gateway/dispatcher.rs
@@ -5,15 +5,15 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-use chestnutvalve_model::id::{Service, Worker, Zone};
+use chestnutvalve_model::id::{Incarnation, Service, Worker, Zone};
 use chestnutvalve_routing::retry::{Bounds, Purpose, WindowBudget};
 use chestnutvalve_routing::schedule::{
-    Action, Decision, Evidence, Outcome, Reason, Refusal, Request, Scheduler, Spec,
+    Action, Decision, Evidence, Hold, Notice, Outcome, Reason, Refusal, Request, Scheduler, Spec,
 };
 use tokio::sync::{mpsc, oneshot};
 
 use super::coordinator::RemoteReservation;
-use super::observation::Observation;
+use super::observation::{Finding, Observation};
 use crate::clock;
 
 /// A worker that is registered with the control group.
@@ -154,10 +154,18 @@
 
     /// Records an observation that another entry has made of this incarnation of a worker.
     pub fn record_observation(&self, observation: &Observation) {
+        let (worker, incarnation) = (&observation.worker, observation.incarnation);
+        let evidence = match observation.finding {
+            Finding::Success => Evidence::Success,
+            Finding::Failure => Evidence::Failure,
+            Finding::Leaving => {
+                self.record_notice(worker, incarnation, Notice::Leaving, "other entry");
+                return;
+            }
+        };
         let mut inner = self.lock();
-        let registration = inner.registrations.get(&observation.worker);
-        if registration.is_some_and(|m| m.spec.incarnation == observation.incarnation) {
-            let (worker, evidence) = (&observation.worker, observation.evidence());
+        let registration = inner.registrations.get(worker);
+        if registration.is_some_and(|m| m.spec.incarnation == incarnation) {
             let now = clock::now();
             self.update_suspicion(&mut inner, now, worker, "other entry", |scheduler| {
                 scheduler.observe(now, worker, evidence);
@@ -165,6 +173,37 @@
         }
     }
 
+    /// Records what an incarnation of a worker says about itself, and refuses queued requests for which no worker is
+    /// left. Returns whether that changes what is known.
+    fn record_notice(
+        &self,
+        worker: &Worker,
+        incarnation: Incarnation,
+        notice: Notice,
+        source: &str,
+    ) -> bool {
+        let mut inner = self.lock();
+        let now = clock::now();
+        let changed = inner
+            .scheduler
+            .record_notice(now, worker, incarnation, notice);
+        if changed {
+            let (service, incarnation) = (&self.service, incarnation.0);
+            match notice {
+                Notice::Leaving => {
+                    spdlog::info!("worker says that it leaves", kv: {service:, worker:, incarnation, source});
+                }
+                Notice::Pause(pause) => {
+                    let pause_ms = pause.as_millis();
+                    spdlog::info!("worker asks for a pause", kv: {service:, worker:, incarnation, source, pause_ms});
+                }
+            }
+            let actions = inner.scheduler.tick(now);
+            inner.apply(now, actions);
+        }
+        changed
+    }
+
     /// Applies `change` to the scheduler, and logs if it causes the worker to be avoided.
     fn update_suspicion<T>(
         &self,
@@ -186,19 +225,23 @@
     /// Queues the outcome of an attempt for other entries if it is relevant to them. When the channel is full the
     /// outcome is dropped, and the others detect the fault themselves.
     fn share_outcome(&self, inner: &Inner, now: Instant, worker: &Worker, outcome: Outcome) {
-        let failed = match outcome {
-            Outcome::Failure => true,
-            Outcome::Success if inner.scheduler.is_suspect(now, worker) => false,
+        let finding = match outcome {
+            Outcome::Failure => Finding::Failure,
+            Outcome::Success if inner.scheduler.is_suspect(now, worker) => Finding::Success,
             _ => return,
         };
-        let Some(registration) = inner.registrations.get(worker) else {
-            return;
-        };
+        if let Some(registration) = inner.registrations.get(worker) {
+            self.share(worker, registration.spec.incarnation, finding);
+        }
+    }
+
+    /// Queues an observation for other entries.
+    fn share(&self, worker: &Worker, incarnation: Incarnation, finding: Finding) {
         let observation = Observation {
             service: self.service.clone(),
             worker: worker.clone(),
-            incarnation: registration.spec.incarnation,
-            failed,
+            incarnation,
+            finding,
         };
         if self.observations.try_send(observation).is_err() {
             spdlog::debug!("dropped an observation of {worker}: the queue is full");
@@ -248,10 +291,17 @@
         self.lock().reserve(self, worker, started)
     }
 
-    /// Returns the workers to which connections failed recently.
+    /// Returns whether all workers that the request may use want a pause from this entry.
     #[must_use]
-    pub fn unreachable_workers(&self) -> Vec<Worker> {
-        self.lock().scheduler.unreachable_workers(clock::now())
+    pub fn is_paused(&self, request: &Request) -> bool {
+        let inner = self.lock();
+        inner.scheduler.pause_left(clock::now(), request).is_some()
+    }
+
+    /// Returns the workers that this entry can't use although others may.
+    #[must_use]
+    pub fn unusable_workers(&self) -> Vec<Worker> {
+        self.lock().scheduler.unusable_workers(clock::now())
     }
 
     /// Returns the workers at the given addresses.
@@ -264,15 +314,21 @@
         matching.map(|(worker, _)| worker.clone()).collect()
     }
 
-    /// Records a reservation that the coordinator made. Returns `None` if this entry does not know the worker.
+    /// Records a reservation that the coordinator made. Returns `None` if this entry does not know the worker, or if
+    /// the worker said that it leaves or wants no requests.
     #[must_use]
     pub fn accept(
         self: &Arc<Self>,
         worker: &Worker,
-        remote: RemoteReservation,
+        mut remote: RemoteReservation,
     ) -> Option<Reservation> {
         let now = clock::now();
         let mut inner = self.lock();
+        let incarnation = inner.registrations.get(worker)?.spec.incarnation;
+        if let Some(hold) = inner.scheduler.hold(now, worker, incarnation) {
+            remote.outcome = held_outcome(hold);
+            return None;
+        }
         inner.scheduler.reserve_at(now, worker);
         let mut reservation = inner.reserve(self, worker.clone(), now).ok()?;
         reservation.remote = Some(remote);
@@ -304,6 +360,7 @@
         Ok(Reservation {
             dispatcher: Arc::clone(dispatcher),
             address: registration.address,
+            incarnation: registration.spec.incarnation,
             worker,
             started,
             outcome: Outcome::Cancelled,
@@ -360,6 +417,7 @@
     pub worker: Worker,
     /// Address of the worker.
     pub address: SocketAddr,
+    incarnation: Incarnation,
     started: Instant,
     outcome: Outcome,
     /// The coordinator's reservation, if the coordinator made it.
@@ -368,7 +426,47 @@
     is_released: bool,
 }
 
+/// Returns the outcome of an attempt that was not made because of `hold`.
+fn held_outcome(hold: Hold) -> Outcome {
+    match hold {
+        Hold::Left => Outcome::Gone,
+        Hold::Paused(_) => Outcome::Cancelled,
+    }
+}
+
 impl Reservation {
+    /// Records what the worker says about itself, and tells other entries that it leaves. Returns whether that changes
+    /// what is known.
+    #[must_use]
+    pub fn record_notice(&self, notice: Notice) -> bool {
+        let (dispatcher, worker, incarnation) = (&self.dispatcher, &self.worker, self.incarnation);
+        let changed = dispatcher.record_notice(worker, incarnation, notice, "response");
+        if changed && notice == Notice::Leaving {
+            dispatcher.share(worker, incarnation, Finding::Leaving);
+        }
+        changed
+    }
+
+    /// Releases the slot without an attempt if the worker must not get a request any more: it may have said so, or have
+    /// left or restarted, after the slot was reserved.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason.
+    pub fn check(self) -> Result<Self, Hold> {
+        let now = clock::now();
+        let inner = self.dispatcher.lock();
+        let hold = inner.scheduler.hold(now, &self.worker, self.incarnation);
+        drop(inner);
+        match hold {
+            Some(hold) => {
+                self.finish(held_outcome(hold));
+                Err(hold)
+            }
+            None => Ok(self),
+        }
+    }
+
     /// Records the load that the worker reports at this entry.
     pub fn record_load(&self, load: u32) {
         self.dispatcher.record_load(&self.worker, load);
--- a/crates/entry/src/gateway/observation.rs
+++ b/crates/entry/src/gateway/observation.rs
@@ -12,7 +12,6 @@
 use chestnutvalve_model::control::State;
 use chestnutvalve_model::error::Fault;
 use chestnutvalve_model::id::{Incarnation, Service, Worker};
-use chestnutvalve_routing::schedule::Evidence;
 use chestnutvalve_wire::{Error, Router};
 use rand::seq::IteratorRandom;
 use serde::{Deserialize, Serialize};
@@ -43,20 +42,19 @@
     pub worker: Worker,
     /// Incarnation of the worker that was observed.
     pub incarnation: Incarnation,
-    /// Whether the attempt failed.
-    pub failed: bool,
+    /// What was observed.
+    pub finding: Finding,
 }
 
-impl Observation {
-    /// Returns the evidence that the observation provides.
-    #[must_use]
-    pub fn evidence(&self) -> Evidence {
-        if self.failed {
-            Evidence::Failure
-        } else {
-            Evidence::Success
-        }
-    }
+/// What the response of a worker has shown. The order of the variants is part of the message format.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Finding {
+    /// The attempt succeeded.
+    Success,
+    /// The attempt failed.
+    Failure,
+    /// The worker said that it leaves.
+    Leaving,
 }
 
 /// Returns the peer addresses of the entries that serve a service: those that are assigned to its hosts.
--- a/crates/entry/src/gateway/proxy.rs
+++ b/crates/entry/src/gateway/proxy.rs
@@ -247,6 +247,10 @@
                     Kind::Overloaded,
                     "the request could not be answered before its deadline",
                 ),
+                Reason::Paused => (
+                    Kind::Overloaded,
+                    "all workers want no requests until after the deadline",
+                ),
             };
             self.refusal(kind, cause, Some(retry_after))
         })?;
@@ -327,6 +331,7 @@
             deadline: (inbound.deadline - ANSWER_MARGIN).into_std(),
             tried: self.tried.clone(),
             connected: self.connected(),
+            remote: false,
         }
     }
 
--- a/crates/entry/src/meters.rs
+++ b/crates/entry/src/meters.rs
@@ -29,6 +29,7 @@
     requests: Counter<u64>,
     attempts: Counter<u64>,
     refusals: Counter<u64>,
+    notices: Counter<u64>,
     added_latency: Histogram<f64>,
     queue_wait: Histogram<f64>,
     gateway_request: Histogram<f64>,
@@ -55,6 +56,10 @@
             requests: counter("requests", "Requests by service, rank and outcome"),
             attempts: counter("attempts", "Attempts at workers by result"),
             refusals: counter("refusals", "Requests that the entry refused, by kind"),
+            notices: counter(
+                "worker_notices",
+                "Responses in which workers said that they leave or want a pause, by kind",
+            ),
             added_latency: histogram(
                 "added_latency_ms",
                 "Time to the response without queueing and attempts, in ms",
@@ -122,6 +127,11 @@
         self.refusals.add(1, &[KeyValue::new("kind", code)]);
     }
 
+    /// Counts what a worker said about itself, by kind.
+    pub fn count_notice(&self, kind: &'static str) {
+        self.notices.add(1, &[KeyValue::new("kind", kind)]);
+    }
+
     /// Records the latency that the entry added to a response, and its time in the queue.
     pub fn record_latency(&self, added: Duration, queued: Duration) {
         self.added_latency.record(added.as_secs_f64() * 1e3, &[]);
--- a/crates/entry/tests/all/gateway.rs
+++ b/crates/entry/tests/all/gateway.rs
@@ -6,7 +6,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use chestnutvalve_entry::gateway::observation::Observation;
+use chestnutvalve_entry::gateway::observation::{Finding, Observation};
 use chestnutvalve_model::id::{Incarnation, Service, Worker as Name, Zone};
 use chestnutvalve_model::rank::Rank;
 use chestnutvalve_model::routes::{Kind, Limits, Route, Share, Table, Target};
@@ -193,7 +193,7 @@
         service: Service::new(SERVICE).unwrap(),
         worker: Name::new("w1").unwrap(),
         incarnation: Incarnation(1),
-        failed: true,
+        finding: Finding::Failure,
     };
     let peer = chestnutvalve_wire::Client::new(entry.peers);
     let limit = Duration::from_secs(1);
--- a/crates/entry/tests/all/main.rs
+++ b/crates/entry/tests/all/main.rs
@@ -10,6 +10,7 @@
 mod gateway;
 mod gateway_stop;
 mod narrow;
+mod notices;
 mod proxy;
 mod sharing;
 mod worker;
--- a/crates/routing/src/schedule.rs
+++ b/crates/routing/src/schedule.rs
@@ -10,19 +10,22 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::time::{Duration, Instant};
 
-use chestnutvalve_model::id::{Worker, Zone};
+use chestnutvalve_model::id::{Incarnation, Worker, Zone};
 use chestnutvalve_model::rank::Rank;
 use xxhash_rust::xxh3::Xxh3;
 
 mod failure_rate;
+mod notice;
 mod service_times;
 mod suspicion;
 mod upstream;
 
+pub use notice::{Hold, Notice};
 pub use suspicion::Evidence;
 pub use upstream::{Outcome, Spec};
 
 use failure_rate::FailureRate;
+use notice::Notices;
 use service_times::ServiceTimes;
 use upstream::Upstream;
 
@@ -69,6 +72,8 @@
     pub tried: Vec<Worker>,
     /// Workers to which the request can use an open connection.
     pub connected: Vec<Worker>,
+    /// Whether another entry sends the request. Pauses that workers asked this entry for don't apply to it.
+    pub remote: bool,
 }
 
 /// Immediate result of [`Scheduler::offer`].
@@ -98,6 +103,8 @@
     NoWorker,
     /// The request can't be answered in time.
     Overload,
+    /// All workers have asked this entry for a pause that outlasts the request.
+    Paused,
 }
 
 /// Deferred decision on a queued request.
@@ -140,6 +147,7 @@
     queues: [VecDeque<Request>; 3],
     service_times: ServiceTimes,
     failure_rate: FailureRate,
+    notices: Notices,
 }
 
 impl Scheduler {
@@ -154,6 +162,7 @@
             queues: Default::default(),
             service_times: ServiceTimes::default(),
             failure_rate: FailureRate::default(),
+            notices: Notices::default(),
         }
     }
 
@@ -167,11 +176,50 @@
             match self.upstreams.get_mut(worker) {
                 Some(upstream) if upstream.has_incarnation_of(spec) => upstream.update(spec),
                 _ => {
-                    let upstream = Upstream::new(now, spec.clone());
+                    let mut upstream = Upstream::new(now, spec.clone());
+                    if let Some(hold) = self.notices.hold(now, worker, spec.incarnation) {
+                        upstream.apply_hold(hold);
+                    }
                     self.upstreams.insert(worker.clone(), upstream);
                 }
             }
         }
+        let upstreams = &self.upstreams;
+        self.notices.expire(now, |worker, incarnation| {
+            let upstream = upstreams.get(worker);
+            upstream.is_some_and(|u| u.incarnation() == incarnation)
+        });
+    }
+
+    /// Records what an incarnation of a worker says about itself. Returns whether that changes what is known.
+    ///
+    /// A worker that leaves counts as gone at once, like one whose announcement says so: it serves its last requests
+    /// and gets no new ones, also when it is the last worker.
+    pub fn record_notice(
+        &mut self,
+        now: Instant,
+        worker: &Worker,
+        incarnation: Incarnation,
+        notice: Notice,
+    ) -> bool {
+        let changed = self.notices.record(now, worker, incarnation, notice);
+        let upstream = self.upstreams.get_mut(worker);
+        if let Some(upstream) = upstream.filter(|u| u.incarnation() == incarnation)
+            && let Some(hold) = self.notices.hold(now, worker, incarnation)
+        {
+            upstream.apply_hold(hold);
+        }
+        changed
+    }
+
+    /// Returns why an incarnation of a worker must not get a request now, although one was assigned to it before.
+    #[must_use]
+    pub fn hold(&self, now: Instant, worker: &Worker, incarnation: Incarnation) -> Option<Hold> {
+        let upstream = self.upstreams.get(worker);
+        match upstream.filter(|u| u.incarnation() == incarnation) {
+            Some(upstream) => upstream.hold(now),
+            None => Some(Hold::Left),
+        }
     }
 
     /// Sets the share of the zone's workers that must stay in use, if all requests of the zone pass through here.
@@ -210,8 +258,8 @@
 
     /// Decides whether a request is sent, queued or refused.
     pub fn offer(&mut self, now: Instant, request: Request) -> Decision {
-        if self.usable_workers() == 0 {
-            return Decision::Refuse(self.refusal(Reason::NoWorker, Duration::ZERO));
+        if let Some(refusal) = self.refusal_without_workers(now, &request) {
+            return Decision::Refuse(refusal);
         }
         let rank = request.rank.index();
         let first = self.queues[..=rank].iter().all(VecDeque::is_empty);
@@ -264,11 +312,25 @@
         }
     }
 
-    /// Returns the workers to which a connection failed recently.
+    /// Returns the workers that this entry can't use although others may: a connection to them failed recently, or
+    /// they said that they leave or want no requests.
+    #[must_use]
+    pub fn unusable_workers(&self, now: Instant) -> Vec<Worker> {
+        let unusable = |u: &Upstream| u.is_unreachable(now) || u.hold(now).is_some();
+        let upstreams = self.upstreams.iter().filter(|(_, u)| unusable(u));
+        upstreams.map(|(worker, _)| worker.clone()).collect()
+    }
+
+    /// Returns the time until the first worker takes the request from this entry, if all that it may use want a pause.
     #[must_use]
-    pub fn unreachable_workers(&self, now: Instant) -> Vec<Worker> {
-        let cut = self.upstreams.iter().filter(|(_, u)| u.is_unreachable(now));
-        cut.map(|(worker, _)| worker.clone()).collect()
+    pub fn pause_left(&self, now: Instant, request: &Request) -> Option<Duration> {
+        let mut left: Option<Duration> = None;
+        for upstream in self.candidates(request) {
+            let until = upstream.paused_until(now)?;
+            let pause = until.saturating_duration_since(now);
+            left = Some(left.map_or(pause, |left| left.min(pause)));
+        }
+        left.filter(|_| !request.remote)
     }
 
     /// Records the end of an attempt, releases its slot and dispatches queued requests.
@@ -342,7 +404,7 @@
 
     /// Refuses queued requests that can no longer be answered in time, and dispatches others if there is room.
     pub fn tick(&mut self, now: Instant) -> Vec<Action> {
-        let mut actions = Vec::new();
+        let mut actions = self.refuse_without_workers(now);
         let typical = self.service_times.typical();
         for rank in Rank::ALL {
             // A request that misses its target waits behind all requests that don't, so its wait is that of the whole
@@ -365,6 +427,44 @@
         actions
     }
 
+    /// Returns the workers that the request may use at some time.
+    fn candidates(&self, request: &Request) -> impl Iterator<Item = &Upstream> {
+        let upstreams = self.upstreams.iter();
+        let candidates =
+            upstreams.filter(|(worker, u)| !u.is_gone() && !request.tried.contains(worker));
+        candidates.map(|(_, upstream)| upstream)
+    }
+
+    /// Returns the refusal of a request for which no worker is left, or whose deadline passes before the workers' pauses
+    /// end.
+    fn refusal_without_workers(&self, now: Instant, request: &Request) -> Option<Refusal> {
+        if self.candidates(request).next().is_none() {
+            return Some(self.refusal(Reason::NoWorker, Duration::ZERO));
+        }
+        // The time is that of the workers and is not bounded: an earlier retry would only be refused again.
+        let retry_after = self.pause_left(now, request)?;
+        let answered_at = now + retry_after + self.service_times.typical();
+        (answered_at > request.deadline).then_some(Refusal {
+            reason: Reason::Paused,
+            retry_after,
+        })
+    }
+
+    fn refuse_without_workers(&mut self, now: Instant) -> Vec<Action> {
+        let mut refused = Vec::new();
+        for request in self.queues.iter().flatten() {
+            if let Some(refusal) = self.refusal_without_workers(now, request) {
+                refused.push(Action::Refuse(request.id, refusal));
+            }
+        }
+        for action in &refused {
+            if let Action::Refuse(id, _) = action {
+                self.cancel(*id);
+            }
+        }
+        refused
+    }
+
     /// Reserves free slots for queued requests, the most urgent rank first.
     ///
     /// Within a rank, requests that can still meet their target come first, in order of arrival. Late requests are
@@ -404,7 +504,9 @@
         let reserved = self.reserve_among(now, request, false);
         let mut others = self.upstreams.iter();
         let no_alternative = others.all(|(worker, upstream)| {
-            upstream.is_gone() || upstream.is_avoided(now) || request.tried.contains(worker)
+            !upstream.takes(now, request.remote)
+                || upstream.is_avoided(now)
+                || request.tried.contains(worker)
         });
         reserved.or_else(|| {
             no_alternative
@@ -417,7 +519,7 @@
     fn reserve_among(&mut self, now: Instant, request: &Request, avoided: bool) -> Option<Worker> {
         let typical = self.service_times.typical();
         let usable = |(worker, upstream): &(&Worker, &Upstream)| {
-            !upstream.is_gone() && !request.tried.contains(worker)
+            upstream.takes(now, request.remote) && !request.tried.contains(worker)
         };
         let probe_mode = self.probe_mode(now);
         let cost = |upstream: &Upstream| {
--- a/crates/routing/src/schedule/upstream.rs
+++ b/crates/routing/src/schedule/upstream.rs
@@ -4,6 +4,7 @@
 
 use chestnutvalve_model::id::{Incarnation, Zone};
 
+use super::notice::Hold;
 use super::suspicion::{Evidence, Suspicion};
 
 /// Maximum half-life of the reported load of other entries. The half-life is the typical response time if that is
@@ -81,6 +82,8 @@
     /// Consecutive connection failures, and the time until which no connection is tried.
     unreachable: (u32, Option<Instant>),
     full_until: Option<Instant>,
+    /// End of the pause that the worker asked this entry for.
+    paused_until: Option<Instant>,
     /// Time of the last dispatch.
     last_sent: Instant,
     /// Mean response time in seconds, and the time of its last update.
@@ -98,11 +101,16 @@
             suspicion: Suspicion::new(now),
             unreachable: (0, None),
             full_until: None,
+            paused_until: None,
             last_sent: now,
             response_time: None,
         }
     }
 
+    pub(super) fn incarnation(&self) -> Incarnation {
+        self.spec.incarnation
+    }
+
     pub(super) fn has_incarnation_of(&self, spec: &Spec) -> bool {
         self.spec.incarnation == spec.incarnation
     }
@@ -117,7 +125,7 @@
 
     /// Returns the slots that are available to requests, 0 for an avoided worker.
     pub(super) fn slots(&self, now: Instant) -> u32 {
-        if self.gone || self.is_avoided(now) {
+        if self.hold(now).is_some() || self.is_avoided(now) {
             0
         } else {
             self.spec.slots
@@ -128,6 +136,32 @@
         self.gone
     }
 
+    /// Applies what the worker said about itself.
+    pub(super) fn apply_hold(&mut self, hold: Hold) {
+        match hold {
+            Hold::Left => self.gone = true,
+            Hold::Paused(until) => self.paused_until = Some(until),
+        }
+    }
+
+    /// Returns why the worker must not get a request of this entry now.
+    pub(super) fn hold(&self, now: Instant) -> Option<Hold> {
+        if self.gone {
+            return Some(Hold::Left);
+        }
+        self.paused_until(now).map(Hold::Paused)
+    }
+
+    /// Returns the end of the pause that the worker asked this entry for, if it has not passed.
+    pub(super) fn paused_until(&self, now: Instant) -> Option<Instant> {
+        self.paused_until.filter(|until| now < *until)
+    }
+
+    /// Returns whether the worker may get a request, which another entry sends if `remote` is set.
+    pub(super) fn takes(&self, now: Instant, remote: bool) -> bool {
+        !self.gone && (remote || self.paused_until(now).is_none())
+    }
+
     pub(super) fn running(&self) -> u32 {
         u32::try_from(self.running.len()).unwrap_or(u32::MAX)
     }
--- a/crates/routing/tests/schedule/main.rs
+++ b/crates/routing/tests/schedule/main.rs
@@ -4,6 +4,7 @@
 //! are shared by four entries unless a test sets another number; an entry sees only its own requests and the load that
 //! workers report with each response.
 
+mod notices;
 mod replay;
 
 use std::time::{Duration, Instant};
@@ -49,6 +50,7 @@
         deadline: now + DEADLINE,
         tried: Vec::new(),
         connected: Vec::new(),
+        remote: false,
     }
 }
 
