Ignore the outcomes of a worker's earlier incarnation

Cause: an attempt that ended after its worker had restarted under the same name was charged to the new incarnation. If the old address had gone to another worker, its 421 marked the new incarnation as gone, and this entry never used it again.

Change: an outcome counts only if the attempt was started at the present incarnation.

Measured: the test failed before (0 usable workers, expected 1).

--- a/crates/routing/src/schedule/upstream.rs
+++ b/crates/routing/src/schedule/upstream.rs
@@ -262,9 +262,11 @@
         typical: Duration,
         may_avoid_longer: bool,
     ) {
-        if let Some(at) = self.running.iter().position(|at| *at == started) {
-            self.running.swap_remove(at);
-        }
+        let Some(at) = self.running.iter().position(|at| *at == started) else {
+            // The attempt was made at an earlier incarnation and says nothing about this one.
+            return;
+        };
+        self.running.swap_remove(at);
         match outcome {
             Outcome::Unreachable => {
                 let failures = self.unreachable.0 + 1;
--- a/crates/routing/tests/schedule/notices.rs
+++ b/crates/routing/tests/schedule/notices.rs
@@ -34,6 +34,23 @@
     }
 }
 
+/// Guards against a worker that its last incarnation's late outcome takes out of use: the address of the old
+/// incarnation may already belong to another worker, which says that the expected one is gone.
+#[test]
+fn an_outcome_of_an_earlier_incarnation_is_ignored() {
+    let now = Instant::now();
+    let mut scheduler = scheduler(now, 1, 1);
+    assert_eq!(
+        offer(&mut scheduler, now, 1),
+        Decision::Send(worker(0)),
+        "an idle worker takes the request"
+    );
+    scheduler.sync_workers(now, &[(worker(0), restarted())], 1);
+    let later = now + Duration::from_millis(100);
+    scheduler.finish(later, &worker(0), now, Outcome::Gone);
+    assert_eq!(scheduler.usable_workers(), 1);
+}
+
 /// Guards against a notice of one incarnation that applies to a later one, and against one that is forgotten when the
 /// registration is lost for a while.
 #[test]
