Play workers that leave or want a pause in the soak

The stand-in worker can turn requests away with a time, and say in its responses that it leaves while its announcement does not. The soak checks that no gateway sends more than two requests on a connection within a pause, and that a worker which has said that it leaves gets at most one more request of each gateway.

--- a/crates/bench/src/soak.rs
+++ b/crates/bench/src/soak.rs
@@ -51,6 +51,9 @@
 /// Time after its announcement of leaving from which a worker must receive no new request.
 const LEAVE_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Maximum number of requests from one gateway that a worker must bear while it wants none.
+const MAX_REQUESTS_IN_PAUSE: u32 = 2;
+
 /// Minimum time between the end of one disk loss and the next. Covers the longest other fault and the time until the emptied
 /// instance votes again.
 const DISK_LOSS_INTERVAL: Duration = Duration::from_secs(7);
@@ -148,10 +151,11 @@
 fn sample_worker_fault(rng: &mut StdRng) -> WorkerFault {
     let mut fault = WorkerFault::default();
     let percent = rng.random_range(20.0..90.0);
-    match rng.random_range(0..4) {
+    match rng.random_range(0..5) {
         0 => fault.fail_percent = percent,
         1 => fault.truncate_percent = percent,
         2 => fault.hang_percent = percent,
+        3 => (fault.shed_percent, fault.pause_ms) = (percent, rng.random_range(600..2_000)),
         _ => (fault.slow_percent, fault.slow_ms) = (percent, 600),
     }
     fault
@@ -251,6 +255,7 @@
     report.not_executed = not_executed.len();
     check_recovery(&fleet, accepted_version, &mut report).await;
     table.check_in_force(&fleet, &mut report).await;
+    check_worker_that_says_it_leaves(&fleet, &mut report).await?;
     check_leaving_worker(&fleet, &mut report).await?;
     check_executions(&fleet, &not_executed, &mut report).await?;
     fleet.keep_folder(!report.violations.is_empty());
@@ -436,21 +441,49 @@
     };
     fleet.register_worker(number, true).await?;
     sleep(LEAVE_TIMEOUT).await;
-    let worker = &fleet.workers[number];
-    let executed_before = worker.counts(&fleet.http).await?.executed;
+    let late = executed_under_load(fleet, number, "leaving").await?;
+    if late > 0 {
+        let name = &fleet.workers[number].name;
+        let text = format!("{name} got {late} requests later than {LEAVE_TIMEOUT:?} after it left");
+        report.violations.push(text);
+    }
+    Ok(())
+}
+
+/// Checks that the gateways send no new request to a worker whose responses say that it leaves, although its
+/// announcement does not. Each gateway may send one before it is told.
+async fn check_worker_that_says_it_leaves(fleet: &Fleet, report: &mut Report) -> Result<(), Error> {
+    let Some(worker) = fleet.workers.first() else {
+        return Ok(());
+    };
+    let leaving = WorkerFault {
+        leaving: true,
+        ..WorkerFault::default()
+    };
+    worker.set_fault(&fleet.http, &leaving).await?;
+    executed_under_load(fleet, 0, "telling").await?;
+    let late = executed_under_load(fleet, 0, "told").await?;
+    if late > fleet.entries.len() as u64 {
+        let text = format!(
+            "{} got {late} requests after it said that it leaves",
+            worker.name
+        );
+        report.violations.push(text);
+    }
+    Ok(())
+}
+
+/// Sends routed requests for a second, and returns how many of them a worker executed.
+async fn executed_under_load(fleet: &Fleet, worker: usize, name: &str) -> Result<u64, Error> {
+    let worker = &fleet.workers[worker];
+    let before = worker.counts(&fleet.http).await?.executed;
     for plan in load_plans(fleet, 2, Duration::from_secs(1)) {
         if plan.name == IDEMPOTENT_ROUTED_LOAD {
-            let name = format!("leaving-{}", plan.name);
+            let name = format!("{name}-{}", plan.name);
             load::run(&Plan { name, ..plan }).await?;
         }
     }
-    let executed_after = worker.counts(&fleet.http).await?.executed;
-    if executed_after > executed_before {
-        let (name, late) = (&worker.name, executed_after - executed_before);
-        let text = format!("{name} got {late} requests later than {LEAVE_TIMEOUT:?} after it left");
-        report.violations.push(text);
-    }
-    Ok(())
+    Ok(worker.counts(&fleet.http).await?.executed - before)
 }
 
 /// Checks the responses of callers against the executions that workers counted.
@@ -464,6 +497,13 @@
         (counts.executed == counts.finished + counts.cancelled).then_some(counts)
     });
     let counts = counts.await?;
+    if counts.most_in_pause > MAX_REQUESTS_IN_PAUSE {
+        let text = format!(
+            "a worker got {} requests of one gateway while it wanted none",
+            counts.most_in_pause
+        );
+        report.violations.push(text);
+    }
     for id in not_executed
         .iter()
         .filter(|id| counts.requests.contains_key(*id))
--- a/crates/bench/src/worker.rs
+++ b/crates/bench/src/worker.rs
@@ -198,9 +198,10 @@
         let worker = Arc::clone(&worker);
         tokio::spawn(async move {
             let _permit = permit;
+            let pause: Arc<Mutex<serve::Pause>> = Arc::default();
             let service = hyper::service::service_fn(move |request| {
-                let worker = Arc::clone(&worker);
-                async move { serve::handle(worker, request).await }
+                let (worker, pause) = (Arc::clone(&worker), Arc::clone(&pause));
+                async move { serve::handle(worker, &pause, request).await }
             });
             let server = auto::Builder::new(TokioExecutor::new());
             // Errors of a connection affect only its client.
--- a/crates/bench/src/worker/counts.rs
+++ b/crates/bench/src/worker/counts.rs
@@ -26,6 +26,8 @@
     pub attempts: BTreeMap<String, u32>,
     /// Executions by request id.
     pub requests: BTreeMap<String, u32>,
+    /// Most routed requests that arrived on one connection within a pause, from half a second after its start.
+    pub most_in_pause: u32,
     /// Time from the start of leaving to the arrival of each later request, in milliseconds.
     pub after_leaving_ms: Vec<u64>,
 }
@@ -46,6 +48,7 @@
         self.shed += other.shed;
         self.cancelled += other.cancelled;
         self.expired += other.expired;
+        self.most_in_pause = self.most_in_pause.max(other.most_in_pause);
         self.after_leaving_ms.extend(&other.after_leaving_ms);
         for (total, part) in [
             (&mut self.keys, &other.keys),
--- a/crates/bench/src/worker/fault.rs
+++ b/crates/bench/src/worker/fault.rs
@@ -18,6 +18,13 @@
     pub truncate_percent: f64,
     /// Share of requests that get no response, in percent.
     pub hang_percent: f64,
+    /// Share of requests that are turned away as not executed, in percent.
+    pub shed_percent: f64,
+    /// Time for which the worker wants no further requests from the entry whose request it turns away, in milliseconds.
+    /// Zero states no time.
+    pub pause_ms: u64,
+    /// Whether responses say that the worker leaves, although its announcement does not.
+    pub leaving: bool,
     /// Path prefix of the affected requests. `None` affects all requests.
     pub route: Option<String>,
     /// Half period with which the faults alternate between on and off, in milliseconds. Zero keeps them on.
@@ -36,6 +43,9 @@
             slow_ms: 0,
             truncate_percent: 0.0,
             hang_percent: 0.0,
+            shed_percent: 0.0,
+            pause_ms: 0,
+            leaving: false,
             route: None,
             flap_ms: 0,
             mute: false,
--- a/crates/bench/src/worker/serve.rs
+++ b/crates/bench/src/worker/serve.rs
@@ -1,8 +1,8 @@
 //! Request handling of a worker.
 
 use std::convert::Infallible;
-use std::sync::Arc;
-use std::time::Duration;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use futures_util::stream;
@@ -24,10 +24,43 @@
 const SIGNATURE_HEADER: &str = "chestnutvalve-signature";
 /// Header which states that the worker did not execute the request.
 const NOT_EXECUTED_HEADER: &str = "chestnutvalve-not-executed";
+/// Header with the time for which a worker that turns a request away wants no others from the same entry, in milliseconds.
+const RETRY_AFTER_HEADER: &str = "retry-after-ms";
+/// Header with the name of the worker that a routed request is meant for.
+const EXPECTED_WORKER_HEADER: &str = "chestnutvalve-expected-worker";
+/// Time after the start of a pause in which requests that were sent before still arrive.
+const PAUSE_GRACE: Duration = Duration::from_millis(500);
 const MAX_REQUEST_BYTES: usize = 4 * 1024 * 1024;
 /// Limit of the service time and of the pause between chunks, so that no request occupies a slot forever.
 const MAX_SERVICE_TIME: Duration = Duration::from_mins(2);
 
+/// Pause that the worker has asked for on one connection.
+#[derive(Debug, Default)]
+pub struct Pause {
+    /// Start and end.
+    span: Option<(Instant, Instant)>,
+    /// Requests that arrived within it.
+    requests: u32,
+}
+
+impl Pause {
+    fn start(&mut self, pause: Duration) {
+        let now = Instant::now();
+        *self = Self {
+            span: Some((now, now + pause)),
+            requests: 0,
+        };
+    }
+
+    /// Counts a request, and returns how many have arrived within the pause.
+    fn count_request(&mut self) -> u32 {
+        let now = Instant::now();
+        let is_within = |(start, end): (Instant, Instant)| now >= start + PAUSE_GRACE && now < end;
+        self.requests += u32::from(self.span.is_some_and(is_within));
+        self.requests
+    }
+}
+
 /// Handles one request: the worker's own paths under `/_worker/`, or any other as a request to the service.
 ///
 /// # Errors
@@ -35,13 +68,14 @@
 /// Never fails. The server requires a `Result`.
 pub async fn handle(
     worker: Arc<Worker>,
+    pause: &Mutex<Pause>,
     request: Request<Incoming>,
 ) -> Result<Response<Body>, Infallible> {
     let response = match request.uri().path() {
         "/_worker/counts" => json(StatusCode::OK, &*lock(&worker.counts)),
         "/_worker/health" => json(StatusCode::OK, &serde_json::json!({"status": "good"})),
         "/_worker/fault" => set_fault(&worker, request).await,
-        _ => handle_request(worker, request).await,
+        _ => handle_request(worker, pause, request).await,
     };
     Ok(response)
 }
@@ -139,10 +173,24 @@
 }
 
 /// Executes a request. The response repeats the attempt id.
-async fn handle_request(worker: Arc<Worker>, request: Request<Incoming>) -> Response<Body> {
+async fn handle_request(
+    worker: Arc<Worker>,
+    pause: &Mutex<Pause>,
+    request: Request<Incoming>,
+) -> Response<Body> {
     let attempt = request.headers().get(ATTEMPT_HEADER).cloned();
+    if request.headers().contains_key(EXPECTED_WORKER_HEADER) {
+        let arrived = lock(pause).count_request();
+        let mut counts = lock(&worker.counts);
+        counts.most_in_pause = counts.most_in_pause.max(arrived);
+    }
+    let pause_ms = lock(&worker.fault).0.pause_ms;
     let mut response = execute(worker, request).await;
     let headers = response.headers_mut();
+    if pause_ms > 0 && headers.contains_key(NOT_EXECUTED_HEADER) {
+        headers.insert(RETRY_AFTER_HEADER, pause_ms.into());
+        lock(pause).start(Duration::from_millis(pause_ms));
+    }
     headers.insert(SIGNATURE_HEADER, http::HeaderValue::from_static("worker"));
     if let Some(attempt) = attempt {
         headers.insert(ATTEMPT_HEADER, attempt);
@@ -165,6 +213,9 @@
     let (Ok(slot), false) = (slot, parameters.deadline == Some(Duration::ZERO)) else {
         return shed(&worker);
     };
+    if turns_away(&worker, &path) {
+        return shed(&worker);
+    }
     let mut execution = start_execution(&worker, slot, &parameters);
     let behavior = Behavior::sample(&worker, &parameters, &path);
     if behavior.hang {
@@ -227,16 +278,25 @@
 fn with_worker_state(worker: &Worker, mut response: Response<Body>) -> Response<Body> {
     let headers = response.headers_mut();
     headers.insert("chestnutvalve-load", worker.requests_in_progress().into());
-    let state = match (worker.leaving_since(), lock(&worker.fault).0.mute) {
+    let fault = lock(&worker.fault).0.clone();
+    let is_leaving = fault.leaving || worker.leaving_since().is_some();
+    let state = match (is_leaving, fault.mute) {
         (_, true) => return response,
-        (Some(_), false) => "leaving",
-        (None, false) => "accepting",
+        (true, false) => "leaving",
+        (false, false) => "accepting",
     };
     let state = http::HeaderValue::from_static(state);
     headers.insert("chestnutvalve-worker", state);
     response
 }
 
+/// Returns whether a fault lets the worker turn a request away, chosen at random.
+fn turns_away(worker: &Worker, path: &str) -> bool {
+    let (fault, since) = lock(&worker.fault).clone();
+    let sampled = lock(&worker.rng).random_range(0.0..100.0);
+    fault.applies_to(path, since.elapsed()) && sampled < fault.shed_percent
+}
+
 /// Outcome of one request, chosen at random from the settings and the faults.
 struct Behavior {
     service_time: Duration,
