Wait for the directory in a test of the coordinator

Cause: the test copies the directory of one control instance to another and did not wait until the entry had joined it. The test below it waits for the same condition.

Change: wait for it. All assertions stay.

--- a/crates/entry/tests/all/coordinator.rs
+++ b/crates/entry/tests/all/coordinator.rs
@@ -164,6 +164,8 @@
     let new = control(&[&stays]).await;
     let wide = Entry::start_with_link("wide", old.address, &[], WIDE_MBPS).await;
     wait_until("workers", || wide.state().roster.workers.len() == 1).await;
+    // Its address is copied to the other control instance below.
+    wide.wait_for_members(1).await;
     {
         let mut state = new.state.lock().unwrap();
         let members = old.state.lock().unwrap().directory.members.clone();
