Keep a test of the coordinator's queue from depending on the processor

Cause: the requests were sent 8 ms apart and expected to arrive in that order.

Change: the requests are 50 ms apart and the work takes four times as long, on a route with a longer timeout. The order that is required is the same.

--- a/crates/entry/tests/all/coordinator.rs
+++ b/crates/entry/tests/all/coordinator.rs
@@ -209,13 +209,19 @@
 #[tokio::test]
 async fn waiting_requests_of_two_entries_are_served_in_order() {
     let worker = Worker::start("w1", |seen| {
-        let mut steps = vec![Step::Wait(Duration::from_millis(60))];
+        let mut steps = vec![Step::Wait(Duration::from_millis(240))];
         steps.extend(success(seen));
         steps
     });
     let worker = worker.await;
     let control = control(&[&worker]).await;
+    let mut patient = route("/", Kind::Idempotent);
+    (patient.timeout_ms, patient.target_ms) = (6_000, 3_000);
+    control.publish(table(2, vec![patient]));
     let [_wide, first, second] = entries(&control, 1).await;
+    for entry in [&first, &second] {
+        wait_until("routes", || entry.state().routes.label == 2).await;
+    }
     // The coordinator measures how long the work takes.
     for n in 0..6 {
         let reply = ask_as(&first, "/x", &format!("first-{n}")).await;
@@ -224,7 +230,8 @@
     let ids: Vec<String> = (0..8).map(|n| format!("id-{n}")).collect();
     let asked = ids.iter().enumerate().map(async |(n, id)| {
         let entry = if n % 2 == 0 { &first } else { &second };
-        let wait = u64::try_from(n).unwrap() * 8;
+        // Far longer than a task waits for a processor on a busy machine.
+        let wait = u64::try_from(n).unwrap() * 50;
         sleep(Duration::from_millis(wait)).await;
         ask_as(entry, "/x", id).await.status
     });
