--- a/crates/control/src/daemon/instance.rs
+++ b/crates/control/src/daemon/instance.rs
@@ -24,6 +24,7 @@
 use super::limit::TokenBucket;
 use super::meters::Meters;
 use super::peers::Peers;
+use super::watch::OpenPolls;
 use super::{Error, Token};
 use crate::codec;
 use crate::rendezvous::Rendezvous;
@@ -59,6 +60,8 @@
     failure: watch::Sender<Option<Fault>>,
     /// Connections and inboxes of this instance's replicas.
     pub network: Network,
+    /// Polls of watchers that wait for a change.
+    pub open_polls: OpenPolls,
     /// Addresses of the group, used while this instance is not a member.
     pub rendezvous: Rendezvous,
     store: Arc<RwLock<Store>>,
@@ -84,6 +87,7 @@
             grants: Mutex::default(),
             failure: watch::Sender::new(None),
             network: Network::default(),
+            open_polls: OpenPolls::default(),
             rendezvous: Rendezvous::new(configured.collect()),
             settings,
             token,
--- a/crates/control/tests/all/cluster.rs
+++ b/crates/control/tests/all/cluster.rs
@@ -1,8 +1,8 @@
 //! Cluster of control instances, called through their internal listeners.
 
 use std::net::Ipv4Addr;
-use std::sync::Arc;
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use chestnutvalve_model::control::{
@@ -14,6 +14,7 @@
 use chestnutvalve_model::version::Version;
 use chestnutvalve_wire::Error;
 use rstest::rstest;
+use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep};
 
 use crate::harness::{CALL_TIMEOUT, Cluster, WAIT_TIMEOUT, follow, poll};
@@ -262,3 +263,51 @@
     instance.record_worker_event(valid).await.expect("recorded");
     assert_eq!(instance.store().state().roster.workers.len(), 1);
 }
+
+/// Load pattern: a hundred entries watch an instance while each of many workers registers with a version of its own.
+///
+/// Guards against an answer to every watcher for every version, which takes all the processor time of the instance.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_burst_of_versions_is_sent_in_few_answers() {
+    const WATCHERS: u32 = 100;
+    const CHANGES: u32 = 100;
+    let cluster = Cluster::start(1).await;
+    let running = cluster.running[0].as_ref().expect("runs");
+    let start = follow(&running.client, |_| true).await.version;
+    let answers = Arc::new(AtomicU32::new(0));
+    let mut watchers = JoinSet::new();
+    let last = Arc::new(Mutex::new(None::<Version>));
+    for _ in 0..WATCHERS {
+        let (client, answers) = (running.client.clone(), Arc::clone(&answers));
+        let last = Arc::clone(&last);
+        watchers.spawn(async move {
+            let mut have = start;
+            while last.lock().unwrap().is_none_or(|last| have < last) {
+                let update = poll(&client, have, 200).await;
+                if update.content != Content::Unchanged {
+                    answers.fetch_add(1, Ordering::Relaxed);
+                }
+                have = have.max(update.version);
+            }
+        });
+    }
+    sleep(Duration::from_millis(100)).await;
+    let began = Instant::now();
+    let mut version = Version::ZERO;
+    for n in 0..CHANGES {
+        let sent = change(&format!("amy-{n}"), version, timeout(1_000 + n));
+        version = running.instance.change(sent).await.expect("accepted");
+    }
+    *last.lock().unwrap() = Some(version);
+    let took = began.elapsed();
+    tokio::time::timeout(APPLY_LIMIT, watchers.join_all())
+        .await
+        .expect("the last change is in force in time");
+    // Each watcher gets one answer per batch of 100 ms, and one each for the first and the last change.
+    let batches = u32::try_from(took.as_millis() / 100).unwrap() + 3;
+    let answers = answers.load(Ordering::Relaxed);
+    assert!(
+        answers <= WATCHERS * batches,
+        "{answers} answers in {took:?}"
+    );
+}
