Let entries back off while no control instance has a quorum

Without a leader every entry asked all control instances every 200 ms, and sent each heartbeat to all of them. 447 entries so made thousands of calls per second, which took the processor time that an election needs; terms 2 to 11 ended without a leader, no configuration was in force when the traffic began, and 13,150 of 13,833 calls of workers failed.

Change: the delay between rounds doubles from 0.2 to 1.5 s, shortened by a random part of up to a half; a heartbeat goes to two instances at most.

Ruled out: the workers' heartbeats as the cause (1,257 calls per second over ten instances, unchanged by this).

The test makes 90 calls in 5 s without the change, at most 25 with it.

--- a/crates/entry/src/control_client.rs
+++ b/crates/entry/src/control_client.rs
@@ -16,6 +16,10 @@
 use crate::clock;
 use crate::instance::Instance;
 
+pub mod backoff;
+
+use backoff::Backoff;
+
 /// Maximum time that a control instance holds a watch open.
 ///
 /// Together with [`WATCH_MARGIN`] it bounds the time until a silently partitioned instance is abandoned to 2.5 s, half of
@@ -23,8 +27,8 @@
 const WATCH_WAIT: Duration = Duration::from_millis(1_500);
 /// Time that the response to a watch may take beyond [`WATCH_WAIT`].
 const WATCH_MARGIN: Duration = Duration::from_secs(1);
-/// Delay after a failed watch, so that a fleet without a control group doesn't flood the network.
-const WATCH_RETRY_DELAY: Duration = Duration::from_millis(200);
+/// Delay before an instance that responds at once without an update is polled again.
+const REPEATED_POLL_DELAY: Duration = Duration::from_millis(200);
 /// Interval between heartbeats; a member expires after 5 s without one.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_secs(1);
 /// Time limit for one heartbeat at one control instance.
@@ -35,6 +39,9 @@
 const FETCH_TIMEOUT: Duration = Duration::from_secs(2);
 /// Minimum rate at which a service is reported, in requests per second, so that idle services cause no control traffic.
 const MIN_REPORTED_RATE: u32 = 20;
+/// Maximum number of control instances that one heartbeat is sent to. The next heartbeat starts at the instance that is
+/// current then.
+const MAX_HEARTBEAT_ATTEMPTS: usize = 2;
 /// Maximum number of services that one heartbeat reports.
 const MAX_REPORTED_RATES: usize = 64;
 
@@ -156,10 +163,21 @@
         path: &str,
         message: &Q,
         timeout: Duration,
+    ) -> Result<A, Error> {
+        self.call_some(path, message, timeout, usize::MAX).await
+    }
+
+    /// Calls the current control instance, and after an error up to `attempts - 1` others in turn.
+    async fn call_some<Q: Serialize, A: DeserializeOwned>(
+        &self,
+        path: &str,
+        message: &Q,
+        timeout: Duration,
+        attempts: usize,
     ) -> Result<A, Error> {
         let first = self.current();
         let mut outcome = Err(Error::Malformed("no control instance is configured"));
-        for offset in 0..self.count() {
+        for offset in 0..self.count().min(attempts) {
             let Some(client) = self.client_at(first + offset) else {
                 break;
             };
@@ -175,6 +193,7 @@
 /// Watches the replicated state and keeps it in force until dropped.
 pub async fn watch(instance: Arc<Instance>) {
     let mut failures = 0;
+    let mut backoff = Backoff::default();
     let mut lost_at: Option<Instant> = None;
     let mut watched = None;
     let mut last_cause = String::new();
@@ -184,6 +203,7 @@
         match poll_watch(&instance, index, failures).await {
             Ok(()) => {
                 failures = 0;
+                backoff.reset();
                 if watched != address {
                     watched = address;
                     let cause = std::mem::take(&mut last_cause);
@@ -207,7 +227,7 @@
                     }
                     instance.control.add_configured();
                     fetch_from_peers(&instance).await;
-                    sleep(WATCH_RETRY_DELAY).await;
+                    sleep(backoff.next_delay(rand::random())).await;
                 }
             }
         }
@@ -244,7 +264,7 @@
         spdlog::info!("state {version} is in force");
     } else if !update.stale && sent_at.elapsed() < WATCH_WAIT / 10 {
         // An instance that responds at once without an update has an older state than this entry.
-        sleep(WATCH_RETRY_DELAY).await;
+        sleep(REPEATED_POLL_DELAY).await;
         if version < message.have {
             return Err(format!(
                 "control instance is at {version}, which is behind this entry"
@@ -306,9 +326,12 @@
         in_force_ms: u64::try_from(in_force.as_millis()).unwrap_or(u64::MAX),
         rates: rates(instance),
     };
-    let call = instance
-        .control
-        .call("directory/heartbeat", &message, HEARTBEAT_TIMEOUT);
+    let call = instance.control.call_some(
+        "directory/heartbeat",
+        &message,
+        HEARTBEAT_TIMEOUT,
+        MAX_HEARTBEAT_ATTEMPTS,
+    );
     let total = HEARTBEAT_TIMEOUT * 3;
     match timeout(total, call).await {
         Ok(Ok(HeartbeatReply::Accepted)) => {}
--- a/crates/entry/tests/all/control.rs
+++ b/crates/entry/tests/all/control.rs
@@ -22,6 +22,8 @@
     pub records: Arc<AtomicUsize>,
     /// Whether the instance reports that it has lost its quorum.
     pub quorum_lost: Arc<AtomicBool>,
+    /// Number of polls and of heartbeats received.
+    pub calls: Arc<AtomicUsize>,
     /// Whether calls to the ledger fail.
     pub ledger_down: Arc<AtomicBool>,
     task: tokio::task::JoinHandle<()>,
@@ -37,13 +39,20 @@
         let ledger_down = Arc::new(AtomicBool::new(false));
         let records: Arc<AtomicUsize> = Arc::default();
         let quorum_lost: Arc<AtomicBool> = Arc::default();
-        let router = router(&state, &quorum_lost, &ledger, &ledger_down, &records);
+        let calls: Arc<AtomicUsize> = Arc::default();
+        let router = router(
+            &state,
+            &quorum_lost,
+            &calls,
+            (&ledger, &ledger_down, &records),
+        );
         let task = tokio::spawn(server.serve(router));
         Self {
             address,
             state,
             records,
             quorum_lost,
+            calls,
             ledger_down,
             task,
         }
@@ -64,25 +73,35 @@
 fn router(
     state: &Arc<Mutex<State>>,
     quorum_lost: &Arc<AtomicBool>,
-    ledger: &Arc<Mutex<Ledger>>,
-    ledger_down: &Arc<AtomicBool>,
-    records: &Arc<AtomicUsize>,
+    calls: &Arc<AtomicUsize>,
+    (ledger, ledger_down, records): (&Arc<Mutex<Ledger>>, &Arc<AtomicBool>, &Arc<AtomicUsize>),
 ) -> Router {
     let (watched, quorum_lost) = (Arc::clone(state), Arc::clone(quorum_lost));
+    let (polled, beaten) = (Arc::clone(calls), Arc::clone(calls));
+    let beats_fail = Arc::clone(&quorum_lost);
     let joined = Arc::clone(state);
     let grants = Arc::new(Mutex::new(Grants::new(Instant::now())));
     let mut router = Router::default()
         .route("config/watch", move |request: Watch| {
+            polled.fetch_add(1, Ordering::SeqCst);
             let (state, lost) = (Arc::clone(&watched), quorum_lost.load(Ordering::SeqCst));
             async move { Ok::<_, Fault>(watch(&state, lost, &request).await) }
         })
         .route("directory/heartbeat", move |request: Heartbeat| {
+            beaten.fetch_add(1, Ordering::SeqCst);
             let mut state = joined.lock().unwrap();
-            if state.directory.members.get(&request.member.entry) != Some(&request.member) {
+            let answer = if beats_fail.load(Ordering::SeqCst) {
+                Err(Fault::new(Kind::NoQuorum, "no quorum"))
+            } else {
+                Ok(HeartbeatReply::Accepted)
+            };
+            if answer.is_ok()
+                && state.directory.members.get(&request.member.entry) != Some(&request.member)
+            {
                 state.directory.join(&request.member);
                 state.version.revision += 1;
             }
-            async { Ok::<_, Fault>(HeartbeatReply::Accepted) }
+            async { answer }
         })
         .route("eject/grant", move |request: EjectionRequest| {
             let granted = grants.lock().unwrap().decide(Instant::now(), &request);
--- a/crates/entry/tests/all/control_client.rs
+++ b/crates/entry/tests/all/control_client.rs
@@ -6,8 +6,10 @@
 use std::time::Duration;
 
 use chestnutvalve_entry::control_client::ControlClient;
+use chestnutvalve_entry::control_client::backoff::Backoff;
 use chestnutvalve_model::version::Version;
 use tokio::net::TcpListener;
+use tokio::time::sleep;
 
 use crate::control::Control;
 use crate::fleet::{Entry, wait_until};
@@ -58,3 +60,46 @@
     })
     .await;
 }
+
+/// Guards against entries that retry at the same time or too often, and against one that hears of a recovered group too
+/// late.
+#[test]
+fn retries_are_spread_and_bounded() {
+    let mut backoff = Backoff::default();
+    let delays: Vec<u128> = (0..5)
+        .map(|_| backoff.next_delay(0.0).as_millis())
+        .collect();
+    assert_eq!(delays, [200, 400, 800, 1_500, 1_500]);
+    assert_eq!(backoff.next_delay(1.0), Duration::from_millis(750));
+    backoff.reset();
+    assert_eq!(backoff.next_delay(0.5), Duration::from_millis(150));
+}
+
+/// Load pattern: the group has lost its leader, and 447 entries share five instances with a quarter of a core each. The
+/// instances can't elect a leader while they answer several thousand calls per second.
+///
+/// Guards against an entry that makes more than 4 calls per second to all instances together.
+#[tokio::test]
+async fn an_entry_calls_instances_without_a_quorum_less_and_less_often() {
+    let controls = [
+        Control::start().await,
+        Control::start().await,
+        Control::start().await,
+    ];
+    for control in &controls {
+        control.quorum_lost.store(true, Ordering::SeqCst);
+    }
+    let addresses = controls.each_ref().map(|c| c.address);
+    let _entry = Entry::start_with_controls("e1", &addresses, &[], 1_000).await;
+    sleep(Duration::from_secs(2)).await;
+    let calls = || -> usize {
+        controls
+            .iter()
+            .map(|c| c.calls.load(Ordering::SeqCst))
+            .sum()
+    };
+    let before = calls();
+    sleep(Duration::from_secs(5)).await;
+    let made = calls() - before;
+    assert!(made <= 5 * 5, "{made} calls in 5 s");
+}
