Share outcomes with the incarnation that they belong to

Cause: a failure that ended after its worker had restarted was sent to other entries as one of the new incarnation. The test failed before.

Change: a reservation keeps the incarnation of its worker, and an outcome of an earlier one is not shared. With tests of reservations that end because the worker has left, restarted or asked for a pause.

--- a/crates/entry/src/gateway/dispatcher.rs
+++ b/crates/entry/src/gateway/dispatcher.rs
@@ -224,14 +224,22 @@
 
     /// Queues the outcome of an attempt for other entries if it is relevant to them. When the channel is full the
     /// outcome is dropped, and the others detect the fault themselves.
-    fn share_outcome(&self, inner: &Inner, now: Instant, worker: &Worker, outcome: Outcome) {
+    fn share_outcome(
+        &self,
+        inner: &Inner,
+        now: Instant,
+        reservation: &Reservation,
+        outcome: Outcome,
+    ) {
+        let (worker, incarnation) = (&reservation.worker, reservation.incarnation);
         let finding = match outcome {
             Outcome::Failure => Finding::Failure,
             Outcome::Success if inner.scheduler.is_suspect(now, worker) => Finding::Success,
             _ => return,
         };
-        if let Some(registration) = inner.registrations.get(worker) {
-            self.share(worker, registration.spec.incarnation, finding);
+        let registration = inner.registrations.get(worker);
+        if registration.is_some_and(|r| r.spec.incarnation == incarnation) {
+            self.share(worker, incarnation, finding);
         }
     }
 
@@ -503,7 +511,7 @@
             Some(mut remote) => remote.outcome = self.outcome,
             None => self
                 .dispatcher
-                .share_outcome(&inner, now, &self.worker, self.outcome),
+                .share_outcome(&inner, now, self, self.outcome),
         }
         let (worker, started, outcome) = (&self.worker, self.started, self.outcome);
         // The dispatch time identifies the reservation in the scheduler, so that start and finish must use the same
@@ -522,7 +530,7 @@
         let now = clock::now();
         let worker = &self.worker;
         self.dispatcher
-            .share_outcome(&inner, now, worker, Outcome::Failure);
+            .share_outcome(&inner, now, self, Outcome::Failure);
         self.dispatcher
             .update_suspicion(&mut inner, now, worker, "transfer", |scheduler| {
                 scheduler.observe(now, worker, Evidence::Failure);
--- /dev/null
+++ b/crates/entry/tests/all/dispatcher.rs
@@ -0,0 +1,101 @@
+//! Reservations that outlive the incarnation or the promise of their worker.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use chestnutvalve_entry::gateway::dispatcher::{Dispatcher, Registration, Reservation};
+use chestnutvalve_entry::gateway::observation::{Finding, Observation};
+use chestnutvalve_model::id::{Incarnation, Service, Worker, Zone};
+use chestnutvalve_model::rank::Rank;
+use chestnutvalve_routing::retry::Bounds;
+use chestnutvalve_routing::schedule::{Hold, Notice, Outcome, Request, Spec};
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+
+const BUDGET: Bounds = Bounds {
+    ratio: 0.1,
+    slack: 10.0,
+    window: Duration::from_secs(10),
+};
+
+fn worker() -> Worker {
+    Worker::new("w1").unwrap()
+}
+
+fn sync(dispatcher: &Dispatcher, incarnation: u64) {
+    let registration = Registration {
+        spec: Spec {
+            incarnation: Incarnation(incarnation),
+            zone: Zone::new("z1").unwrap(),
+            slots: 2,
+            warm_up: Duration::ZERO,
+        },
+        address: SocketAddr::from(([127, 0, 0, 1], 1)),
+    };
+    let registrations = BTreeMap::from([(worker(), registration)]);
+    dispatcher.sync(&registrations, BUDGET, 1, None);
+}
+
+/// Returns a dispatcher with the first incarnation of a worker, a reservation of it and the shared observations.
+async fn reserved() -> (Arc<Dispatcher>, Reservation, mpsc::Receiver<Observation>) {
+    let (sender, observations) = mpsc::channel(8);
+    let (service, zone) = (Service::new("lookup").unwrap(), Zone::new("z1").unwrap());
+    let dispatcher = Arc::new(Dispatcher::new(service, zone, BUDGET, sender));
+    sync(&dispatcher, 1);
+    let now = Instant::now().into_std();
+    let request = Request {
+        id: 1,
+        rank: Rank::Top,
+        download: false,
+        at_most_once: true,
+        target: now + Duration::from_secs(1),
+        deadline: now + Duration::from_secs(2),
+        tried: Vec::new(),
+        connected: Vec::new(),
+        remote: false,
+    };
+    let reservation = dispatcher.admit(request).await.unwrap();
+    (dispatcher, reservation, observations)
+}
+
+/// Guards against telling other entries that a worker failed although its incarnation had ended before.
+#[tokio::test]
+async fn the_failure_of_an_earlier_incarnation_is_not_shared() {
+    let (dispatcher, reservation, mut observations) = reserved().await;
+    sync(&dispatcher, 2);
+    reservation.finish(Outcome::Failure);
+    assert!(observations.try_recv().is_err());
+}
+
+/// Guards against sending a request on a reservation that was made before the worker said that it leaves, and against
+/// other entries that don't hear of it, or hear of it again and again.
+#[tokio::test]
+async fn a_reservation_ends_when_the_worker_leaves() {
+    let (_dispatcher, reservation, mut observations) = reserved().await;
+    assert!(reservation.record_notice(Notice::Leaving));
+    assert!(!reservation.record_notice(Notice::Leaving));
+    let shared = observations.try_recv().map(|o| (o.incarnation, o.finding));
+    assert_eq!(shared, Ok((Incarnation(1), Finding::Leaving)));
+    assert!(observations.try_recv().is_err());
+    assert_eq!(reservation.check().err(), Some(Hold::Left));
+}
+
+/// Guards against sending a request on a reservation that was made before the worker asked for a pause, and against
+/// sharing a pause, which concerns one entry.
+#[tokio::test]
+async fn a_reservation_ends_when_the_worker_wants_a_pause() {
+    let (_dispatcher, reservation, mut observations) = reserved().await;
+    assert!(reservation.record_notice(Notice::Pause(Duration::from_secs(1))));
+    assert!(observations.try_recv().is_err());
+    assert!(matches!(reservation.check(), Err(Hold::Paused(_))));
+}
+
+/// Guards against sending a request to a worker that has restarted or left the state since the slot was reserved.
+#[tokio::test]
+async fn a_reservation_ends_with_its_incarnation() {
+    let (dispatcher, reservation, _observations) = reserved().await;
+    sync(&dispatcher, 2);
+    assert_eq!(reservation.check().err(), Some(Hold::Left));
+}
--- a/crates/entry/tests/all/main.rs
+++ b/crates/entry/tests/all/main.rs
@@ -5,6 +5,7 @@
 mod control;
 mod control_client;
 mod coordinator;
+mod dispatcher;
 mod drain;
 mod faulty;
 mod fleet;
