--- a/crates/routing/src/schedule/notice.rs
+++ b/crates/routing/src/schedule/notice.rs
@@ -36,7 +36,7 @@
 
 /// Notices of one incarnation of a worker.
 #[derive(Clone, Copy, Debug)]
-struct Entry {
+struct Record {
     incarnation: Incarnation,
     leaving: bool,
     paused_until: Option<Instant>,
@@ -47,7 +47,7 @@
 /// later incarnation of the worker.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Notices {
-    by_worker: BTreeMap<Worker, Entry>,
+    by_worker: BTreeMap<Worker, Record>,
 }
 
 impl Notices {
@@ -64,26 +64,26 @@
             return false;
         }
         let known = known.filter(|known| known.incarnation == incarnation);
-        let mut entry = known.copied().unwrap_or(Entry {
+        let mut record = known.copied().unwrap_or(Record {
             incarnation,
             leaving: false,
             paused_until: None,
             updated_at: now,
         });
-        entry.updated_at = now;
+        record.updated_at = now;
         let changed = match notice {
-            Notice::Leaving => !std::mem::replace(&mut entry.leaving, true),
+            Notice::Leaving => !std::mem::replace(&mut record.leaving, true),
             Notice::Pause(pause) => {
                 // Responses may arrive in another order than the worker sent them in, so the longer pause counts.
                 let until = now + pause.min(MAX_PAUSE);
-                let longer = entry.paused_until.is_none_or(|known| until > known);
+                let longer = record.paused_until.is_none_or(|known| until > known);
                 if longer {
-                    entry.paused_until = Some(until);
+                    record.paused_until = Some(until);
                 }
                 longer
             }
         };
-        self.by_worker.insert(worker.clone(), entry);
+        self.by_worker.insert(worker.clone(), record);
         changed
     }
 
@@ -108,16 +108,15 @@
         Some(Hold::Paused(until))
     }
 
-    /// Forgets notices that have ended: those of workers for which `is_registered` is false, after a time, and those
-    /// of earlier incarnations.
+    /// Forgets notices that are old, except that a worker leaves whose incarnation is still registered.
     pub(super) fn expire(
         &mut self,
         now: Instant,
         is_registered: impl Fn(&Worker, Incarnation) -> bool,
     ) {
-        self.by_worker.retain(|worker, entry| {
-            let recent = now.saturating_duration_since(entry.updated_at) < RETENTION;
-            recent || (entry.leaving && is_registered(worker, entry.incarnation))
+        self.by_worker.retain(|worker, record| {
+            let recent = now.saturating_duration_since(record.updated_at) < RETENTION;
+            recent || (record.leaving && is_registered(worker, record.incarnation))
         });
     }
 }
