--- a/review/standins/fleet.rs
+++ b/review/standins/fleet.rs
@@ -122,6 +122,27 @@
         }
     }
 
+    /// Sends SIGTERM to the entry and waits until it has ended; SIGKILL follows after `grace`.
+    pub fn stop_entry(&mut self, grace: Duration) {
+        let at = self.processes.iter().position(|(role, _)| *role == "entry");
+        let Some(at) = at else { return };
+        let (_, mut process) = self.processes.remove(at);
+        let mut kill = Command::new("kill");
+        let _ = kill.arg("-TERM").arg(process.id().to_string()).status();
+        let end = Instant::now() + grace;
+        while matches!(process.try_wait(), Ok(None)) {
+            if Instant::now() > end {
+                let _ = process.kill();
+            }
+            thread::sleep(Duration::from_millis(20));
+        }
+    }
+
+    /// Starts the entry again.
+    pub fn start_entry(&mut self, seeds: &[SocketAddr]) {
+        self.start("entry", seeds, false);
+    }
+
     /// Replaces the settings files and tells the processes.
     pub fn change_seeds(&self, seeds: &[SocketAddr]) {
         for (role, process) in &self.processes {
--- a/review/standins/http.rs
+++ b/review/standins/http.rs
@@ -62,8 +62,8 @@
     }
 }
 
-/// Reads a request (`is_response` false) or a response, with its whole body.
-pub fn read(reader: &mut impl BufRead, is_response: bool) -> io::Result<Message> {
+/// Reads the start line and the headers of a message.
+pub fn read_head(reader: &mut impl BufRead) -> io::Result<Message> {
     let start = read_line(reader)?;
     let mut headers = Vec::new();
     loop {
@@ -74,11 +74,15 @@
         let (name, value) = line.split_once(':').ok_or_else(|| invalid("header line"))?;
         headers.push((name.trim().to_owned(), value.trim().to_owned()));
     }
-    let mut message = Message {
+    Ok(Message {
         start,
         headers,
         body: Vec::new(),
-    };
+    })
+}
+
+/// Reads the body that belongs to a head.
+pub fn read_body(message: &mut Message, reader: &mut impl BufRead, is_response: bool) -> io::Result<()> {
     let chunked = message
         .header("transfer-encoding")
         .is_some_and(|value| value.eq_ignore_ascii_case("chunked"));
@@ -91,6 +95,13 @@
     } else if is_response && ![204, 304].contains(&message.status()) {
         reader.read_to_end(&mut message.body)?;
     }
+    Ok(())
+}
+
+/// Reads a request (`is_response` false) or a response, with its whole body.
+pub fn read(reader: &mut impl BufRead, is_response: bool) -> io::Result<Message> {
+    let mut message = read_head(reader)?;
+    read_body(&mut message, reader, is_response)?;
     Ok(message)
 }
 
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -7,6 +7,8 @@
 mod fleet;
 mod http;
 mod late_heartbeat;
+mod other_bytes;
+mod planned_stop;
 mod record;
 mod worker;
 
@@ -33,8 +35,11 @@
     let record = Arc::new(Record::create(Path::new(path)));
     let verdict = match case.as_str() {
         "late-heartbeat" => late_heartbeat::run(trouble, &record),
-        "cut-upload" => cut_upload::run(trouble, &record),
+        "cut-upload" => cut_upload::run(trouble, false, &record),
+        "cut-order" => cut_upload::run(trouble, true, &record),
         "chunked" => chunked::run(trouble, &record),
+        "other-bytes" => other_bytes::run(trouble, &record),
+        "planned-stop" => planned_stop::run(trouble, &record),
         "first-start" => first_start::run(trouble, &record),
         _ => Verdict::NotRun,
     };
--- a/review/standins/record.rs
+++ b/review/standins/record.rs
@@ -21,6 +21,8 @@
     start: Instant,
     file: Mutex<File>,
     runs: Mutex<Vec<Run>>,
+    /// Request ids with bytes that a worker got where the rest of their bodies was due.
+    rests: Mutex<Vec<(String, Vec<u8>)>>,
 }
 
 impl Record {
@@ -29,6 +31,7 @@
             start: Instant::now(),
             file: Mutex::new(File::create(path).expect("create the record")),
             runs: Mutex::default(),
+            rests: Mutex::default(),
         }
     }
 
@@ -59,6 +62,20 @@
         self.runs.lock().expect("lock the runs").push(run);
     }
 
+    pub fn rest_of_body(&self, worker: &str, request: &str, bytes: &[u8]) {
+        let mut rests = self.rests.lock().expect("lock the rests");
+        rests.push((request.to_owned(), bytes.to_vec()));
+        let start = String::from_utf8_lossy(&bytes[..bytes.len().min(60)]).into_owned();
+        self.line(&format!(
+            "worker {worker} reads on and gets {} bytes as the body of request {request}: {start:?}",
+            bytes.len()
+        ));
+    }
+
+    pub fn rests(&self) -> Vec<(String, Vec<u8>)> {
+        self.rests.lock().expect("lock the rests").clone()
+    }
+
     pub fn runs(&self) -> Vec<Run> {
         self.runs.lock().expect("lock the runs").clone()
     }
--- a/review/standins/worker.rs
+++ b/review/standins/worker.rs
@@ -1,9 +1,9 @@
 //! Stand-in worker: runs requests, says in its responses what the pages demand, and records each request that it gets.
 
-use std::io::{BufReader, Write};
+use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicUsize, Ordering};
 use std::thread;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -22,9 +22,20 @@
     sequence: AtomicU32,
     ended: AtomicBool,
     leaving: AtomicBool,
+    /// One in so many requests with a long body is turned away before the body is read; 0 for none.
+    early: u32,
+    /// Size of an answer, in bytes; 0 for a short text.
+    answer_bytes: AtomicUsize,
+    /// Long requests so far.
+    long: AtomicU32,
     record: Arc<Record>,
 }
 
+/// Time between the head and the text of a response that turns a request away early.
+const TEXT_DELAY: Duration = Duration::from_millis(40);
+/// Size from which a body counts as long, in bytes.
+const LONG_BODY_BYTES: usize = 10_000;
+
 impl Worker {
     /// Starts a worker at `address`. It announces itself only when it is told to.
     pub fn start(
@@ -34,6 +45,20 @@
         address: SocketAddr,
         work: Duration,
         record: &Arc<Record>,
+    ) -> Arc<Self> {
+        Self::start_early(id, service, zone, address, work, 0, record)
+    }
+
+    /// Starts a worker that turns one in `early` long requests away before it has read the body, keeps the connection and
+    /// reads on.
+    pub fn start_early(
+        id: &str,
+        service: &str,
+        zone: &str,
+        address: SocketAddr,
+        work: Duration,
+        early: u32,
+        record: &Arc<Record>,
     ) -> Arc<Self> {
         let listener = TcpListener::bind(address).expect("bind the worker's address");
         let born = SystemTime::now().duration_since(UNIX_EPOCH).expect("clock after 1970");
@@ -48,6 +73,9 @@
             sequence: AtomicU32::new(0),
             ended: AtomicBool::new(false),
             leaving: AtomicBool::new(false),
+            early,
+            answer_bytes: AtomicUsize::new(0),
+            long: AtomicU32::new(0),
             record: Arc::clone(record),
         });
         worker.record.line(&format!("worker {id} starts at {}", worker.address));
@@ -69,7 +97,16 @@
         let _ = socket.set_read_timeout(Some(Duration::from_secs(10)));
         let Ok(mut writer) = socket.try_clone() else { return };
         let mut reader = BufReader::new(socket);
-        while let Ok(request) = http::read(&mut reader, false) {
+        while let Ok(mut request) = http::read_head(&mut reader) {
+            if self.turns_away(&request) {
+                if self.read_on(&mut request, &mut reader, &mut writer).is_err() {
+                    break;
+                }
+                continue;
+            }
+            if http::read_body(&mut request, &mut reader, false).is_err() {
+                break;
+            }
             if self.ended.load(Ordering::SeqCst) {
                 break;
             }
@@ -81,6 +118,53 @@
         let _ = writer.shutdown(std::net::Shutdown::Both);
     }
 
+    /// Sets the size of the following answers.
+    pub fn set_answer_bytes(&self, bytes: usize) {
+        self.answer_bytes.store(bytes, Ordering::SeqCst);
+    }
+
+    fn turns_away(&self, request: &Message) -> bool {
+        let length = request.header("content-length").and_then(|l| l.parse().ok());
+        let is_long = length.is_some_and(|length: usize| length >= LONG_BODY_BYTES);
+        if self.early == 0 || !(is_long || request.header("transfer-encoding").is_some()) {
+            return false;
+        }
+        self.long.fetch_add(1, Ordering::SeqCst) % self.early == self.early - 1
+    }
+
+    /// Turns a request away, and then reads its body.
+    fn read_on(
+        &self,
+        request: &mut Message,
+        reader: &mut impl BufRead,
+        writer: &mut TcpStream,
+    ) -> std::io::Result<()> {
+        let id = request.header("x-request-id").unwrap_or_default().to_owned();
+        self.record.line(&format!("worker {} turns request {id} away before it has read its body", self.id));
+        write!(
+            writer,
+            "HTTP/1.1 503 Full\r\nX-Request-Id: {id}\r\nX-Not-Executed: 1\r\nContent-Length: 4\r\n\r\n"
+        )?;
+        thread::sleep(TEXT_DELAY);
+        writer.write_all(b"full")?;
+        if request.header("transfer-encoding").is_some() {
+            return http::read_body(request, reader, false);
+        }
+        let length = request.header("content-length").and_then(|l| l.parse().ok());
+        let mut left: usize = length.unwrap_or_default();
+        while left > 0 {
+            let bytes = reader.fill_buf()?;
+            if bytes.is_empty() {
+                return Err(std::io::ErrorKind::UnexpectedEof.into());
+            }
+            let taken = bytes.len().min(left);
+            self.record.rest_of_body(&self.id, &id, &bytes[..taken]);
+            reader.consume(taken);
+            left -= taken;
+        }
+        Ok(())
+    }
+
     fn respond(&self, request: &Message) -> Vec<u8> {
         if request.path() == "/healthz" {
             return format!(
@@ -103,7 +187,9 @@
         let running = self.running.fetch_add(1, Ordering::SeqCst) + 1;
         thread::sleep(self.work);
         self.running.fetch_sub(1, Ordering::SeqCst);
-        let answer = format!("done {id}");
+        let mut answer = format!("done {id}");
+        let missing = self.answer_bytes.load(Ordering::SeqCst).saturating_sub(answer.len());
+        answer.push_str(&"y".repeat(missing));
         let leaving = if self.leaving.load(Ordering::SeqCst) {
             "Connection: close\r\nServer-Leaving: 1\r\n"
         } else {
