--- a/review/standins/chunked.rs
+++ b/review/standins/chunked.rs
@@ -25,16 +25,42 @@
     };
     let controls = fleet.controls();
     let address = SocketAddr::new(fleet.other_ip.into(), 0);
-    let worker = Worker::start("i-1", "s1", "barre", address, Duration::from_millis(20), record);
-    if wait("the worker is registered", record, || worker.announce(&controls)).is_none() {
+    let worker = Worker::start(
+        "i-1",
+        "s1",
+        "barre",
+        address,
+        Duration::from_millis(20),
+        record,
+    );
+    if wait("the worker is registered", record, || {
+        worker.announce(&controls)
+    })
+    .is_none()
+    {
         return Verdict::NotRun;
     }
     let front = fleet.machines[0].front();
-    let framing = if trouble { Framing::Chunks } else { Framing::Length };
+    let framing = if trouble {
+        Framing::Chunks
+    } else {
+        Framing::Length
+    };
     let send = |id: &str, method: &str, body: &[u8]| {
-        let headers = [("Host", "a.example"), ("X-Request-Id", id), ("X-Deadline-Ms", "2000")];
+        let headers = [
+            ("Host", "a.example"),
+            ("X-Request-Id", id),
+            ("X-Deadline-Ms", "2000"),
+        ];
         let start = format!("{method} /p/query?q=1");
-        let answer = http::call(front, &start, &headers, body, framing, Duration::from_secs(3));
+        let answer = http::call(
+            front,
+            &start,
+            &headers,
+            body,
+            framing,
+            Duration::from_secs(3),
+        );
         let status = answer.map_or(0, |a| a.status());
         record.line(&format!(
             "request {id}: {start} with a body of {} bytes is answered {status}",
@@ -42,7 +68,11 @@
         ));
         status
     };
-    if wait("a request is served", record, || send("first", "POST", b"x") == 200).is_none() {
+    if wait("a request is served", record, || {
+        send("first", "POST", b"x") == 200
+    })
+    .is_none()
+    {
         return Verdict::NotRun;
     }
     thread::sleep(Duration::from_secs(1));
@@ -55,14 +85,21 @@
             send(&id, method, &body);
             let runs = record.runs();
             let runs = runs.iter().filter(|run| run.request == id);
-            let differing = runs.filter(|r| r.body != body || r.method != method || r.path != "/p/query?q=1");
+            let differing =
+                runs.filter(|r| r.body != body || r.method != method || r.path != "/p/query?q=1");
             let differing = differing.count();
             if differing > 0 {
-                record.line(&format!("request {id} ran with another method, path or body than it was sent with"));
+                record.line(&format!(
+                    "request {id} ran with another method, path or body than it was sent with"
+                ));
             }
             changed += differing;
         }
     }
     record.line(&format!("runs with a changed request: {changed}"));
-    if changed > 0 { Verdict::Broken } else { Verdict::Held }
+    if changed > 0 {
+        Verdict::Broken
+    } else {
+        Verdict::Held
+    }
 }
--- a/review/standins/cut_upload.rs
+++ b/review/standins/cut_upload.rs
@@ -37,7 +37,13 @@
 }
 
 /// Sends one request in two parts; a client that leaves closes its connection after the first part.
-fn send(front: SocketAddr, id: &str, body: &[u8], pause: Duration, leaves: bool) -> std::io::Result<u16> {
+fn send(
+    front: SocketAddr,
+    id: &str,
+    body: &[u8],
+    pause: Duration,
+    leaves: bool,
+) -> std::io::Result<u16> {
     let mut socket = TcpStream::connect(front)?;
     socket.set_nodelay(true)?;
     socket.set_read_timeout(Some(Duration::from_secs(4)))?;
@@ -61,7 +67,11 @@
 /// Runs the case with requests that may be repeated, or, with `orders`, with requests that must not. In that variant every
 /// second request is first turned away by a worker that is full and has not read the body.
 pub fn run(trouble: bool, orders: bool, record: &Arc<Record>) -> Verdict {
-    let (kind, pause, early) = if orders { ("unsafe", SHORT_PAUSE, 2) } else { ("safe", PAUSE, 0) };
+    let (kind, pause, early) = if orders {
+        ("unsafe", SHORT_PAUSE, 2)
+    } else {
+        ("safe", PAUSE, 0)
+    };
     let Some(fleet) = Fleet::start(&DOCUMENT.replace("KIND", kind), record) else {
         return Verdict::NotRun;
     };
@@ -70,18 +80,31 @@
     let start = |number: usize| {
         let id = format!("i-{number}");
         let zone = ["barre", "keene", "greenfield"][number];
-        Worker::start_early(&id, "s1", zone, address, Duration::from_millis(20), early, record)
+        Worker::start_early(
+            &id,
+            "s1",
+            zone,
+            address,
+            Duration::from_millis(20),
+            early,
+            record,
+        )
     };
     let workers: Vec<_> = (0..3).map(start).collect();
     for worker in &workers {
-        if wait("the worker is registered", record, || worker.announce(&controls)).is_none() {
+        if wait("the worker is registered", record, || {
+            worker.announce(&controls)
+        })
+        .is_none()
+        {
             return Verdict::NotRun;
         }
     }
     let fronts: Vec<_> = fleet.machines.iter().map(|m| m.front()).collect();
     let body = vec![b'x'; BODY_BYTES];
     for front in &fronts {
-        let served = || send(*front, "first", &body, pause, false).is_ok_and(|status| status == 200);
+        let served =
+            || send(*front, "first", &body, pause, false).is_ok_and(|status| status == 200);
         if wait("a request is served", record, served).is_none() {
             return Verdict::NotRun;
         }
@@ -98,7 +121,9 @@
             Ok(status) => format!("answered {status}"),
             Err(error) => format!("not answered: {error}"),
         };
-        record.line(&format!("request {id} at {front}, body of {BODY_BYTES} bytes in chunks: {outcome}"));
+        record.line(&format!(
+            "request {id} at {front}, body of {BODY_BYTES} bytes in chunks: {outcome}"
+        ));
     }
     thread::sleep(Duration::from_secs(4));
     let runs = record.runs();
@@ -118,5 +143,9 @@
         "requests: {REQUESTS}, of clients that left: {left}; runs with a changed body: {}",
         changed.len()
     ));
-    if changed.is_empty() { Verdict::Held } else { Verdict::Broken }
+    if changed.is_empty() {
+        Verdict::Held
+    } else {
+        Verdict::Broken
+    }
 }
--- a/review/standins/first_start.rs
+++ b/review/standins/first_start.rs
@@ -39,7 +39,10 @@
         fleet.replace(2);
         let seeds: Vec<_> = [0, 1, 3].map(|n: usize| fleet.machines[n].control()).into();
         fleet.machines[3].start_all(&seeds, false);
-        record.line(&format!("an empty machine starts at {}", fleet.machines[3].ip));
+        record.line(&format!(
+            "an empty machine starts at {}",
+            fleet.machines[3].ip
+        ));
         thread::sleep(SEED_LAG);
         fleet.machines[0].change_seeds(&seeds);
         fleet.machines[1].change_seeds(&seeds);
@@ -49,7 +52,14 @@
     let machines: Vec<&Machine> = running.iter().map(|n| &fleet.machines[*n]).collect();
     let controls: Vec<_> = machines.iter().map(|m| m.control()).collect();
     let address = SocketAddr::new(fleet.other_ip.into(), 0);
-    let worker = Worker::start("i-1", "s1", "barre", address, Duration::from_millis(20), record);
+    let worker = Worker::start(
+        "i-1",
+        "s1",
+        "barre",
+        address,
+        Duration::from_millis(20),
+        record,
+    );
     let end = Instant::now() + TIME;
     let (mut acknowledged, mut served) = (false, 0);
     for number in 0.. {
@@ -66,16 +76,32 @@
         worker.announce(&controls);
         for machine in &machines {
             let id = format!("c-{number}-{}", machine.zone);
-            let headers =
-                [("Host", "a.example"), ("X-Request-Id", id.as_str()), ("X-Deadline-Ms", "2000")];
+            let headers = [
+                ("Host", "a.example"),
+                ("X-Request-Id", id.as_str()),
+                ("X-Deadline-Ms", "2000"),
+            ];
             let limit = Duration::from_secs(3);
-            let answer = http::call(machine.front(), "GET /p/x", &headers, b"", Framing::Length, limit);
+            let answer = http::call(
+                machine.front(),
+                "GET /p/x",
+                &headers,
+                b"",
+                Framing::Length,
+                limit,
+            );
             let code = answer.map_or(0, |a| a.status());
             record.line(&format!("request {id} is answered {code}"));
             served += u32::from(code == 200);
         }
         thread::sleep(Duration::from_secs(1));
     }
-    record.line(&format!("configuration acknowledged: {acknowledged}; requests served: {served}"));
-    if acknowledged && served > 0 { Verdict::Held } else { Verdict::Broken }
+    record.line(&format!(
+        "configuration acknowledged: {acknowledged}; requests served: {served}"
+    ));
+    if acknowledged && served > 0 {
+        Verdict::Held
+    } else {
+        Verdict::Broken
+    }
 }
--- a/review/standins/fleet.rs
+++ b/review/standins/fleet.rs
@@ -91,7 +91,11 @@
         let errors = log.try_clone().expect("clone the log");
         let mut command = Command::new(PROGRAM);
         command.arg(role).env("CHESTNUTVALVE_SETTINGS", &settings);
-        let child = command.stdout(log).stderr(errors).spawn().expect("start the program");
+        let child = command
+            .stdout(log)
+            .stderr(errors)
+            .spawn()
+            .expect("start the program");
         self.processes.push((role, child));
     }
 }
@@ -183,7 +187,9 @@
         }
         let machines = ZONES.iter().zip(1..);
         Some(Self {
-            machines: machines.map(|(zone, last)| Machine::new(&folder, zone, ip(last))).collect(),
+            machines: machines
+                .map(|(zone, last)| Machine::new(&folder, zone, ip(last)))
+                .collect(),
             other_ip: ip(9),
             folder: folder.clone(),
         })
@@ -203,7 +209,9 @@
         })?;
         for machine in &fleet.machines {
             let ready = machine.ready();
-            wait("the entry is ready", record, || status("GET", ready, "/v1/readyz", "") == Some(200))?;
+            wait("the entry is ready", record, || {
+                status("GET", ready, "/v1/readyz", "") == Some(200)
+            })?;
         }
         record.line("all entries are ready");
         Some(fleet)
@@ -213,7 +221,11 @@
     pub fn replace(&mut self, lost: usize) {
         let zone = self.machines[lost].zone;
         let [a, b, c, last] = self.machines[lost].ip.octets();
-        self.machines.push(Machine::new(&self.folder, zone, Ipv4Addr::new(a, b, c, last + 1)));
+        self.machines.push(Machine::new(
+            &self.folder,
+            zone,
+            Ipv4Addr::new(a, b, c, last + 1),
+        ));
     }
 
     pub fn controls(&self) -> Vec<SocketAddr> {
@@ -224,10 +236,20 @@
 /// Returns the status of a call, `None` without an answer within 2 s.
 pub fn status(method: &str, address: SocketAddr, path: &str, body: &str) -> Option<u16> {
     let host = address.to_string();
-    let headers = [("Host", host.as_str()), ("Content-Type", "application/json")];
+    let headers = [
+        ("Host", host.as_str()),
+        ("Content-Type", "application/json"),
+    ];
     let start = format!("{method} {path}");
     let limit = Duration::from_secs(2);
-    let answer = http::call(address, &start, &headers, body.as_bytes(), Framing::Length, limit);
+    let answer = http::call(
+        address,
+        &start,
+        &headers,
+        body.as_bytes(),
+        Framing::Length,
+        limit,
+    );
     answer.ok().map(|a| a.status())
 }
 
--- a/review/standins/http.rs
+++ b/review/standins/http.rs
@@ -14,7 +14,10 @@
 
 impl Message {
     pub fn header(&self, name: &str) -> Option<&str> {
-        let found = self.headers.iter().find(|(n, _)| n.eq_ignore_ascii_case(name));
+        let found = self
+            .headers
+            .iter()
+            .find(|(n, _)| n.eq_ignore_ascii_case(name));
         found.map(|(_, value)| value.as_str())
     }
 
@@ -82,7 +85,11 @@
 }
 
 /// Reads the body that belongs to a head.
-pub fn read_body(message: &mut Message, reader: &mut impl BufRead, is_response: bool) -> io::Result<()> {
+pub fn read_body(
+    message: &mut Message,
+    reader: &mut impl BufRead,
+    is_response: bool,
+) -> io::Result<()> {
     let chunked = message
         .header("transfer-encoding")
         .is_some_and(|value| value.eq_ignore_ascii_case("chunked"));
--- a/review/standins/late_heartbeat.rs
+++ b/review/standins/late_heartbeat.rs
@@ -28,23 +28,47 @@
 "limits":{"max-header-bytes":16384,"max-body-bytes":65536,"header-timeout-s":3,"idle-timeout-s":15}}"#;
 
 /// Network path to a control instance that delivers one call `delay` after it was sent.
-fn slow_path(control: SocketAddr, at: SocketAddr, delay: Duration, record: &Arc<Record>) -> SocketAddr {
+fn slow_path(
+    control: SocketAddr,
+    at: SocketAddr,
+    delay: Duration,
+    record: &Arc<Record>,
+) -> SocketAddr {
     let listener = TcpListener::bind(at).expect("bind the path");
     let address = listener.local_addr().expect("own address");
     let record = Arc::clone(record);
     thread::spawn(move || {
         for socket in listener.incoming().flatten() {
-            let Ok(mut answer_to) = socket.try_clone() else { continue };
-            let Ok(call) = http::read(&mut BufReader::new(socket), false) else { continue };
+            let Ok(mut answer_to) = socket.try_clone() else {
+                continue;
+            };
+            let Ok(call) = http::read(&mut BufReader::new(socket), false) else {
+                continue;
+            };
             thread::sleep(delay);
             let start = format!("{} {}", call.method(), call.path());
             let host = control.to_string();
-            let headers = [("Host", host.as_str()), ("Content-Type", "application/json")];
+            let headers = [
+                ("Host", host.as_str()),
+                ("Content-Type", "application/json"),
+            ];
             let limit = Duration::from_secs(5);
-            let answer = http::call(control, &start, &headers, &call.body, Framing::Length, limit);
+            let answer = http::call(
+                control,
+                &start,
+                &headers,
+                &call.body,
+                Framing::Length,
+                limit,
+            );
             let status = answer.map_or(0, |a| a.status());
-            record.line(&format!("the delayed {start} is delivered at {control}: {status}"));
-            let _ = write!(answer_to, "HTTP/1.1 {status} -\r\nContent-Length: 0\r\n\r\n");
+            record.line(&format!(
+                "the delayed {start} is delivered at {control}: {status}"
+            ));
+            let _ = write!(
+                answer_to,
+                "HTTP/1.1 {status} -\r\nContent-Length: 0\r\n\r\n"
+            );
         }
     });
     address
@@ -61,8 +85,11 @@
                     return;
                 }
                 let id = format!("c{client}-{number}");
-                let headers =
-                    [("Host", "a.example"), ("X-Request-Id", id.as_str()), ("X-Deadline-Ms", "2000")];
+                let headers = [
+                    ("Host", "a.example"),
+                    ("X-Request-Id", id.as_str()),
+                    ("X-Deadline-Ms", "2000"),
+                ];
                 let limit = Duration::from_secs(3);
                 record.line(&format!("request {id} is sent to {front}"));
                 let answer = http::call(front, "GET /p/x", &headers, b"", Framing::Length, limit);
@@ -95,9 +122,19 @@
     }
     let front = fleet.machines[0].front();
     let served = || {
-        let headers = [("Host", "a.example"), ("X-Request-Id", "first"), ("X-Deadline-Ms", "2000")];
-        let answer =
-            http::call(front, "GET /p/x", &headers, b"", Framing::Length, Duration::from_secs(3));
+        let headers = [
+            ("Host", "a.example"),
+            ("X-Request-Id", "first"),
+            ("X-Deadline-Ms", "2000"),
+        ];
+        let answer = http::call(
+            front,
+            "GET /p/x",
+            &headers,
+            b"",
+            Framing::Length,
+            Duration::from_secs(3),
+        );
         answer.is_ok_and(|a| a.status() == 200)
     };
     if wait("a request is served", record, served).is_none() {
@@ -117,8 +154,14 @@
             let body = brief.heartbeat("ready");
             let target = format!("PUT /v1/instances/{}", brief.id);
             let headers = [("Host", "control"), ("Content-Type", "application/json")];
-            http::write_request(&mut socket, &target, &headers, body.as_bytes(), Framing::Length)
-                .expect("send the heartbeat");
+            http::write_request(
+                &mut socket,
+                &target,
+                &headers,
+                body.as_bytes(),
+                Framing::Length,
+            )
+            .expect("send the heartbeat");
             socket
         })
     };
@@ -140,12 +183,18 @@
     }
     let runs = record.runs();
     let of_brief = || runs.iter().filter(|run| run.worker == brief.id);
-    let late = of_brief().filter(|run| run.at > acknowledged + DRAIN).count();
+    let late = of_brief()
+        .filter(|run| run.at > acknowledged + DRAIN)
+        .count();
     record.line(&format!(
         "departure acknowledged at {:.3} s; requests at i-brief: {}, later than drain-s (2 s) after that: {late}; at the others: {}",
         acknowledged.as_secs_f64(),
         of_brief().count(),
         runs.len() - of_brief().count()
     ));
-    if late > 0 { Verdict::Broken } else { Verdict::Held }
+    if late > 0 {
+        Verdict::Broken
+    } else {
+        Verdict::Held
+    }
 }
--- a/review/standins/other_bytes.rs
+++ b/review/standins/other_bytes.rs
@@ -47,7 +47,11 @@
 }
 
 fn send_short(front: SocketAddr, id: &str) -> std::io::Result<u16> {
-    let headers = [("Host", "a.example"), ("X-Request-Id", id), ("X-Deadline-Ms", "2000")];
+    let headers = [
+        ("Host", "a.example"),
+        ("X-Request-Id", id),
+        ("X-Deadline-Ms", "2000"),
+    ];
     let limit = Duration::from_secs(3);
     let answer = http::call(front, "GET /p/short", &headers, b"", Framing::Length, limit)?;
     Ok(answer.status())
@@ -62,7 +66,11 @@
         let position = number % LEAVES_EACH;
         let leaves = trouble && position == 0;
         let is_long = position < 2;
-        let outcome = if is_long { send_long(front, &id, leaves) } else { send_short(front, &id) };
+        let outcome = if is_long {
+            send_long(front, &id, leaves)
+        } else {
+            send_short(front, &id)
+        };
         let outcome = match outcome {
             Ok(0) => "its client left before it sent the body".to_owned(),
             Ok(status) => format!("answered {status}"),
@@ -88,7 +96,11 @@
     };
     let workers: Vec<_> = zones.iter().enumerate().map(start).collect();
     for worker in &workers {
-        if wait("the worker is registered", record, || worker.announce(&controls)).is_none() {
+        if wait("the worker is registered", record, || {
+            worker.announce(&controls)
+        })
+        .is_none()
+        {
             return Verdict::NotRun;
         }
     }
@@ -110,10 +122,17 @@
     }
     thread::sleep(Duration::from_secs(3));
     let rests = record.rests();
-    let other: Vec<_> = rests.iter().filter(|(_, bytes)| bytes.iter().any(|b| *b != b'x')).collect();
+    let other: Vec<_> = rests
+        .iter()
+        .filter(|(_, bytes)| bytes.iter().any(|b| *b != b'x'))
+        .collect();
     record.line(&format!(
         "requests whose bodies were continued with bytes that their clients did not send: {}",
         other.len()
     ));
-    if other.is_empty() { Verdict::Held } else { Verdict::Broken }
+    if other.is_empty() {
+        Verdict::Held
+    } else {
+        Verdict::Broken
+    }
 }
--- a/review/standins/planned_stop.rs
+++ b/review/standins/planned_stop.rs
@@ -47,7 +47,9 @@
     loop {
         if let Some(head) = buffer.windows(4).position(|w| w == b"\r\n\r\n") {
             let text = String::from_utf8_lossy(&buffer[..head]).to_ascii_lowercase();
-            let length = text.lines().find_map(|l| l.strip_prefix("content-length: ")?.parse().ok());
+            let length = text
+                .lines()
+                .find_map(|l| l.strip_prefix("content-length: ")?.parse().ok());
             let length: usize = length.unwrap_or_default();
             if buffer.len() >= head + 4 + length {
                 buffer.drain(..head + 4 + length);
@@ -95,13 +97,19 @@
         let mut buffer = Vec::new();
         while Instant::now() < self.end {
             let mut group = Vec::new();
-            let Ok(mut sending) = socket.try_clone() else { return };
+            let Ok(mut sending) = socket.try_clone() else {
+                return;
+            };
             for number in 0..PIPELINED {
                 let id = format!("c{}-{}", self.number, *next);
                 *next += 1;
-                let headers =
-                    [("Host", "a.example"), ("X-Request-Id", id.as_str()), ("X-Deadline-Ms", "4000")];
-                let sent = http::write_request(&mut sending, "GET /p/x", &headers, b"", Framing::Length);
+                let headers = [
+                    ("Host", "a.example"),
+                    ("X-Request-Id", id.as_str()),
+                    ("X-Deadline-Ms", "4000"),
+                ];
+                let sent =
+                    http::write_request(&mut sending, "GET /p/x", &headers, b"", Framing::Length);
                 group.push((id, self.record.now()));
                 if sent.is_err() {
                     break;
@@ -114,7 +122,8 @@
                 match read_answer(&mut socket, &mut buffer) {
                     Ok(stays) => {
                         self.answered.fetch_add(1, Ordering::SeqCst);
-                        self.record.line(&format!("request {id} at {front} is answered"));
+                        self.record
+                            .line(&format!("request {id} at {front} is answered"));
                         if !stays {
                             return;
                         }
@@ -124,7 +133,14 @@
                         self.record.line(&format!(
                             "the connection of request {id} at {front} ends after {bytes} bytes of its answer: {cause}"
                         ));
-                        let cut = Cut { id, front, sent, ended, bytes, cause };
+                        let cut = Cut {
+                            id,
+                            front,
+                            sent,
+                            ended,
+                            bytes,
+                            cause,
+                        };
                         self.cuts.lock().expect("lock the cuts").push(cut);
                         return;
                     }
@@ -144,13 +160,21 @@
     for number in 0..12 {
         let zone = ["barre", "keene", "greenfield"][number % 3];
         let worker = Worker::start(&format!("i-{number}"), "s1", zone, address, WORK, record);
-        if wait("the worker is registered", record, || worker.announce(&controls)).is_none() {
+        if wait("the worker is registered", record, || {
+            worker.announce(&controls)
+        })
+        .is_none()
+        {
             return Verdict::NotRun;
         }
         worker.set_answer_bytes(ANSWER_BYTES);
     }
     let fronts: Vec<_> = fleet.machines.iter().map(|m| m.front()).collect();
-    let headers = [("Host", "a.example"), ("X-Request-Id", "first"), ("X-Deadline-Ms", "4000")];
+    let headers = [
+        ("Host", "a.example"),
+        ("X-Request-Id", "first"),
+        ("X-Deadline-Ms", "4000"),
+    ];
     let served = |front| {
         let limit = Duration::from_secs(5);
         let answer = http::call(front, "GET /p/x", &headers, b"", Framing::Length, limit);
@@ -163,7 +187,10 @@
     }
     thread::sleep(Duration::from_secs(2));
     let end = Instant::now() + TIME;
-    let (answered, cuts) = (Arc::new(AtomicUsize::new(0)), Arc::new(Mutex::new(Vec::new())));
+    let (answered, cuts) = (
+        Arc::new(AtomicUsize::new(0)),
+        Arc::new(Mutex::new(Vec::new())),
+    );
     let clients: Vec<_> = (0..CLIENTS)
         .map(|number| {
             let client = Client {
@@ -186,7 +213,10 @@
         let at = record.now();
         record.line(&format!("SIGTERM to the entry at {}", fronts[number]));
         fleet.machines[number].stop_entry(GRACE);
-        record.line(&format!("the entry at {} has ended and is started again", fronts[number]));
+        record.line(&format!(
+            "the entry at {} has ended and is started again",
+            fronts[number]
+        ));
         stops.push((fronts[number], at, record.now()));
         fleet.machines[number].start_entry(&controls);
         thread::sleep(Duration::from_secs(5));
@@ -201,10 +231,18 @@
         let run = runs.iter().find(|run| run.request == cut.id);
         let done = run.map(|run| run.at + WORK);
         let stop = stops.iter().find(|(front, at, _)| {
-            *front == cut.front && cut.sent < *at + GRACE && cut.ended > *at && cut.ended < *at + GRACE
+            *front == cut.front
+                && cut.sent < *at + GRACE
+                && cut.ended > *at
+                && cut.ended < *at + GRACE
         });
-        let (Some(done), Some((_, at, _))) = (done, stop) else { continue };
-        if done < *at + GRACE.mul_f64(5.0 / 6.0) && done < cut.ended && cut.ended < cut.sent + Duration::from_secs(3) {
+        let (Some(done), Some((_, at, _))) = (done, stop) else {
+            continue;
+        };
+        if done < *at + GRACE.mul_f64(5.0 / 6.0)
+            && done < cut.ended
+            && cut.ended < cut.sent + Duration::from_secs(3)
+        {
             lost += 1;
             record.line(&format!(
                 "lost: request {}, sent at {:.3} s, run and ended at {:.3} s, got {} of {ANSWER_BYTES} bytes by {:.3} s ({})",
@@ -221,5 +259,9 @@
         "requests answered: {}; passed on and not answered in whole around a planned stop: {lost}",
         answered.load(Ordering::SeqCst)
     ));
-    if lost > 0 { Verdict::Broken } else { Verdict::Held }
+    if lost > 0 {
+        Verdict::Broken
+    } else {
+        Verdict::Held
+    }
 }
--- a/review/standins/worker.rs
+++ b/review/standins/worker.rs
@@ -61,7 +61,9 @@
         record: &Arc<Record>,
     ) -> Arc<Self> {
         let listener = TcpListener::bind(address).expect("bind the worker's address");
-        let born = SystemTime::now().duration_since(UNIX_EPOCH).expect("clock after 1970");
+        let born = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .expect("clock after 1970");
         let worker = Arc::new(Self {
             id: id.to_owned(),
             service: service.to_owned(),
@@ -78,7 +80,9 @@
             long: AtomicU32::new(0),
             record: Arc::clone(record),
         });
-        worker.record.line(&format!("worker {id} starts at {}", worker.address));
+        worker
+            .record
+            .line(&format!("worker {id} starts at {}", worker.address));
         let accepting = Arc::clone(&worker);
         thread::spawn(move || {
             for socket in listener.incoming().flatten() {
@@ -95,11 +99,16 @@
     fn serve(&self, socket: TcpStream) {
         let _ = socket.set_nodelay(true);
         let _ = socket.set_read_timeout(Some(Duration::from_secs(10)));
-        let Ok(mut writer) = socket.try_clone() else { return };
+        let Ok(mut writer) = socket.try_clone() else {
+            return;
+        };
         let mut reader = BufReader::new(socket);
         while let Ok(mut request) = http::read_head(&mut reader) {
             if self.turns_away(&request) {
-                if self.read_on(&mut request, &mut reader, &mut writer).is_err() {
+                if self
+                    .read_on(&mut request, &mut reader, &mut writer)
+                    .is_err()
+                {
                     break;
                 }
                 continue;
@@ -124,7 +133,9 @@
     }
 
     fn turns_away(&self, request: &Message) -> bool {
-        let length = request.header("content-length").and_then(|l| l.parse().ok());
+        let length = request
+            .header("content-length")
+            .and_then(|l| l.parse().ok());
         let is_long = length.is_some_and(|length: usize| length >= LONG_BODY_BYTES);
         if self.early == 0 || !(is_long || request.header("transfer-encoding").is_some()) {
             return false;
@@ -139,8 +150,14 @@
         reader: &mut impl BufRead,
         writer: &mut TcpStream,
     ) -> std::io::Result<()> {
-        let id = request.header("x-request-id").unwrap_or_default().to_owned();
-        self.record.line(&format!("worker {} turns request {id} away before it has read its body", self.id));
+        let id = request
+            .header("x-request-id")
+            .unwrap_or_default()
+            .to_owned();
+        self.record.line(&format!(
+            "worker {} turns request {id} away before it has read its body",
+            self.id
+        ));
         write!(
             writer,
             "HTTP/1.1 503 Full\r\nX-Request-Id: {id}\r\nX-Not-Executed: 1\r\nContent-Length: 4\r\n\r\n"
@@ -150,7 +167,9 @@
         if request.header("transfer-encoding").is_some() {
             return http::read_body(request, reader, false);
         }
-        let length = request.header("content-length").and_then(|l| l.parse().ok());
+        let length = request
+            .header("content-length")
+            .and_then(|l| l.parse().ok());
         let mut left: usize = length.unwrap_or_default();
         while left > 0 {
             let bytes = reader.fill_buf()?;
@@ -173,11 +192,15 @@
             )
             .into_bytes();
         }
-        let id = request.header("x-request-id").unwrap_or_default().to_owned();
+        let id = request
+            .header("x-request-id")
+            .unwrap_or_default()
+            .to_owned();
         let (method, path, body) = (request.method(), request.path(), &request.body);
         let expected = request.header("x-expected-instance");
         if expected.is_some_and(|expected| expected != self.id) {
-            self.record.line(&format!("worker {} answers 421 to request {id}", self.id));
+            self.record
+                .line(&format!("worker {} answers 421 to request {id}", self.id));
             return format!(
                 "HTTP/1.1 421 Misdirected Request\r\nX-Request-Id: {id}\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
             )
@@ -188,7 +211,10 @@
         thread::sleep(self.work);
         self.running.fetch_sub(1, Ordering::SeqCst);
         let mut answer = format!("done {id}");
-        let missing = self.answer_bytes.load(Ordering::SeqCst).saturating_sub(answer.len());
+        let missing = self
+            .answer_bytes
+            .load(Ordering::SeqCst)
+            .saturating_sub(answer.len());
         answer.push_str(&"y".repeat(missing));
         let leaving = if self.leaving.load(Ordering::SeqCst) {
             "Connection: close\r\nServer-Leaving: 1\r\n"
@@ -216,7 +242,9 @@
     /// Sends a heartbeat to the control addresses in turn until one acknowledges it.
     pub fn announce(&self, controls: &[SocketAddr]) -> bool {
         let body = self.heartbeat("ready");
-        controls.iter().any(|control| self.call("PUT", *control, &body) == Some(200))
+        controls
+            .iter()
+            .any(|control| self.call("PUT", *control, &body) == Some(200))
     }
 
     /// Says that the worker is gone; returns whether that was acknowledged.
@@ -229,12 +257,25 @@
     fn call(&self, method: &str, control: SocketAddr, body: &str) -> Option<u16> {
         let start = format!("{method} /v1/instances/{}", self.id);
         let host = control.to_string();
-        let headers = [("Host", host.as_str()), ("Content-Type", "application/json")];
+        let headers = [
+            ("Host", host.as_str()),
+            ("Content-Type", "application/json"),
+        ];
         let limit = Duration::from_secs(1);
-        let answer = http::call(control, &start, &headers, body.as_bytes(), Framing::Length, limit);
+        let answer = http::call(
+            control,
+            &start,
+            &headers,
+            body.as_bytes(),
+            Framing::Length,
+            limit,
+        );
         let status = answer.ok().map(|a| a.status());
         if method == "DELETE" || status != Some(200) {
-            self.record.line(&format!("worker {}: {start} at {host}: {status:?}", self.id));
+            self.record.line(&format!(
+                "worker {}: {start} at {host}: {status:?}",
+                self.id
+            ));
         }
         status
     }
