--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-rustc --edition 2024 -O -o target/review/standins review/standins/main.rs
+rustc --edition 2024 -O -o target/review/standins review/standins.rs
--- a/review/standins/main.rs
+++ b/review/standins.rs
@@ -1,4 +1,4 @@
-//! Drivers and stand-ins of the scripts in this folder. Usage: `standins CASE RECORD`, in the root of the repository.
+//! Drivers and stand-ins of the scripts in the case folders. Usage: `standins CASE RECORD`, in the root of the repository.
 //! The environment variable `TROUBLE=0` leaves out the disruption.
 
 mod chunked;
