Do not send a request on whose body broke off

The worker of the first attempt sees the connection break. A second one runs the request with the first half as its whole body, requests that must not be repeated too, if the first worker had refused them early.

Cause: the HTTP library reports the error of a body once. Polled again, the body ends like a complete one. State in replay.rs kept polling it, recorded the end as complete, and no retry asked whether the body had failed. A trace of the polled frames shows it: data, `unexpected EOF during chunk size line`, then None for each further attempt.

Change: the body is open, complete or broken, and stays broken. A broken body can't be sent from its start: no retry, hedge, re-offer or forward to another entry is made (Source::check_replay), and the refusal is 400 if nothing ran. An attempt that another one has replaced never counts as sent. A request whose body is no longer buffered is refused at once, where it was reserved up to three further slots before. A body that its caller broke off during the response does not count against the worker.

Ruled out: cancelled HTTP/2 streams.

--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -139,7 +139,9 @@
     fn reserve_retry(&mut self) -> Option<Reservation> {
         let executed = execution::executed_in_any(&self.stages);
         let (left, typical_latency) = (self.call.time_left(), self.service_state.typical_latency());
-        if !retry::is_allowed(self.call.idempotent, executed, left, typical_latency) {
+        if !retry::is_allowed(self.call.idempotent, executed, left, typical_latency)
+            || self.call.source.check_replay().is_err()
+        {
             return None;
         }
         let reservation = self.reserve_untried()?;
@@ -153,7 +155,7 @@
     /// queued request against the same full workers, and sheds would drain the queues of all ranks alike. The delay limits
     /// the rate of these attempts, which need no retry budget.
     async fn reoffer(&mut self) -> Option<Reservation> {
-        if self.call.source.is_discarded() {
+        if self.call.source.check_replay().is_err() {
             return None;
         }
         if execution::executed_in_any(&self.stages) != Executed::No {
@@ -211,10 +213,7 @@
 
     async fn send(&self, reservation: &Reservation) -> Result<Received, ExchangeError> {
         let attempt = self.instance.next_attempt_id();
-        let Some(body) = self.call.source.replay() else {
-            let context = "the request body is no longer buffered";
-            return Err(ExchangeError::unsent(Kind::Internal, context));
-        };
+        let body = self.call.source.replay()?;
         let request = self.call.attempt_request(&attempt, body);
         let check = || self.check_worker(reservation);
         let (pool, address) = (&self.instance.worker_pool, reservation.address);
--- a/crates/entry/src/exchange.rs
+++ b/crates/entry/src/exchange.rs
@@ -19,7 +19,7 @@
 use crate::call::Call;
 use crate::header as name;
 use crate::pool::{Lease, Pool, SendError};
-use crate::replay::Replay;
+use crate::replay::{Replay, Unavailable};
 
 /// Maximum number of bytes of a response that are buffered, so that a response truncated within them can be retried.
 const MAX_BUFFERED_BYTES: usize = 64 * 1024;
@@ -53,6 +53,16 @@
     }
 }
 
+impl From<Unavailable> for ExchangeError {
+    fn from(cause: Unavailable) -> Self {
+        let kind = match cause {
+            Unavailable::Discarded => Kind::Internal,
+            Unavailable::Broken => Kind::BadRequest,
+        };
+        Self::unsent(kind, cause.to_string())
+    }
+}
+
 /// A response of which nothing was relayed yet.
 #[derive(Debug)]
 pub struct Received {
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -48,7 +48,7 @@
         let executed = execution::executed_in_any(&stages);
         let may_retry =
             retry::is_allowed(call.idempotent, executed, call.time_left(), Duration::ZERO);
-        if !may_retry || call.source.is_discarded() {
+        if !may_retry || call.source.check_replay().is_err() {
             break;
         }
     }
@@ -81,10 +81,7 @@
     call: &Call,
     owner: &Member,
 ) -> Result<UpstreamResponse, ExchangeError> {
-    let Some(body) = call.source.replay() else {
-        let context = "the request body is no longer buffered";
-        return Err(ExchangeError::unsent(Kind::Internal, context));
-    };
+    let body = call.source.replay()?;
     let request = call.forward_request(&instance.next_attempt_id(), body);
     let check = || Ok(());
     let received = exchange(&instance.entry_pool, owner.callers, call, request, check).await?;
--- a/crates/entry/src/gateway/attempt.rs
+++ b/crates/entry/src/gateway/attempt.rs
@@ -74,11 +74,8 @@
     inbound: &Inbound,
     mut reservation: Reservation,
 ) -> Result<Received, AttemptError> {
-    let Some(body) = inbound.source.replay() else {
-        return Err(AttemptError::Unreached(
-            "the request body is no longer buffered".into(),
-        ));
-    };
+    let body = inbound.source.replay();
+    let body = body.map_err(|cause| AttemptError::Unreached(cause.to_string()))?;
     let dialect = &gateway.settings.dialect;
     let mut request = inbound.attempt_request(dialect, reservation.worker.as_str(), body);
     let dispatcher = gateway.dispatcher(&inbound.service);
--- a/crates/entry/src/gateway/proxy.rs
+++ b/crates/entry/src/gateway/proxy.rs
@@ -18,6 +18,7 @@
 use super::inbound::{self, Inbound};
 use super::relay::relay;
 use crate::local_reply::{self, Body, Refusal};
+use crate::replay::Unavailable;
 
 /// Maximum number of attempts that no worker executed, in addition to the attempts of the route.
 const MAX_UNEXECUTED_ATTEMPTS: usize = 3;
@@ -221,8 +222,11 @@
         kind: Kind,
         cause: String,
     ) -> Result<Reservation, Refusal> {
+        if self.inbound.source.check_replay() == Err(Unavailable::Broken) {
+            return Err(self.refusal(Kind::BadRequest, Unavailable::Broken.to_string(), None));
+        }
         let may_repeat = self.inbound.route.kind.is_idempotent() || self.executed == Executed::No;
-        if !may_retry || !may_repeat {
+        if !may_retry || !may_repeat || self.inbound.source.check_replay().is_err() {
             return Err(self.refusal(kind, cause, None));
         }
         match self.try_reserve().await {
@@ -263,7 +267,11 @@
         if !self.inbound.route.kind.is_idempotent() {
             return None;
         }
-        match self.try_reserve_retry(purpose).await {
+        let reserved = match self.inbound.source.check_replay() {
+            Ok(()) => self.try_reserve_retry(purpose).await.map_err(str::to_owned),
+            Err(cause) => Err(cause.to_string()),
+        };
+        match reserved {
             Ok(reservation) => {
                 self.record_attempt(&reservation);
                 Some(reservation)
@@ -286,9 +294,6 @@
         if inbound.time_left() <= self.dispatcher.typical_latency() {
             return Err("the time left is shorter than a typical response time");
         }
-        if inbound.source.is_discarded() {
-            return Err("the request body is no longer buffered");
-        }
         if purpose == Purpose::Hedge {
             let reservation =
                 coordinator::try_reserve(self.gateway, &self.dispatcher, &self.request()).await;
--- a/crates/entry/src/gateway/relay.rs
+++ b/crates/entry/src/gateway/relay.rs
@@ -148,7 +148,12 @@
         self.rest = None;
         self.buffered.clear();
         if let Some(reservation) = self.reservation.take() {
-            reservation.finish(Outcome::Failure);
+            // A body that its caller broke off ends the exchange too.
+            reservation.finish(if self.source.has_failed() {
+                Outcome::Cancelled
+            } else {
+                Outcome::Failure
+            });
         }
         self.lease = None;
         Poll::Ready(Some(Err(error)))
--- a/crates/entry/src/replay.rs
+++ b/crates/entry/src/replay.rs
@@ -13,18 +13,39 @@
 /// Maximum size of a request body that is buffered for retries or covered by a fingerprint, in bytes.
 pub const MAX_REPLAY_BYTES: usize = 64 * 1024;
 
+/// Why a body can't be sent from its start.
+#[derive(Clone, Copy, Debug, Eq, thiserror::Error, PartialEq)]
+pub enum Unavailable {
+    /// A part of the body was forwarded and is no longer buffered.
+    #[error("the request body is no longer buffered")]
+    Discarded,
+    /// The caller did not send the whole body.
+    #[error("the request body broke off before its end")]
+    Broken,
+}
+
 /// Body of a caller's request, shared by all attempts.
 #[derive(Clone, Debug)]
 pub struct Source(Arc<Mutex<State>>);
 
+/// How much of a body has arrived.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Progress {
+    /// More may arrive.
+    Open,
+    /// All of it has arrived.
+    Complete,
+    /// It broke off, which the library reports only once.
+    Broken,
+}
+
 #[derive(Debug)]
 struct State {
     incoming: Incoming,
     declared_size: SizeHint,
     buffered: Vec<Bytes>,
     buffered_bytes: usize,
-    complete: bool,
-    failed: bool,
+    progress: Progress,
     /// Part of the body was forwarded and is no longer buffered.
     discarded: bool,
     /// Number of the latest replay, the only one that can read.
@@ -34,26 +55,46 @@
 impl State {
     fn poll_incoming(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, BodyError>>> {
         loop {
-            let Some(frame) = ready!(Pin::new(&mut self.incoming).poll_frame(cx)) else {
-                self.complete = true;
-                return Poll::Ready(None);
-            };
-            match frame {
+            match self.progress {
+                Progress::Open => {}
+                Progress::Complete => return Poll::Ready(None),
+                Progress::Broken => {
+                    return Poll::Ready(Some(Err(Unavailable::Broken.into())));
+                }
+            }
+            match ready!(Pin::new(&mut self.incoming).poll_frame(cx)) {
+                None => self.progress = Progress::Complete,
                 // Request trailers are not forwarded.
-                Ok(frame) => {
-                    self.complete = self.incoming.is_end_stream();
+                Some(Ok(frame)) => {
+                    if self.incoming.is_end_stream() {
+                        self.progress = Progress::Complete;
+                    }
                     if let Ok(data) = frame.into_data() {
                         return Poll::Ready(Some(Ok(data)));
                     }
                 }
-                Err(error) => {
-                    self.failed = true;
+                Some(Err(error)) => {
+                    self.progress = Progress::Broken;
                     return Poll::Ready(Some(Err(error.into())));
                 }
             }
         }
     }
 
+    fn is_complete(&self) -> bool {
+        self.progress == Progress::Complete
+    }
+
+    fn check_replay(&self) -> Result<(), Unavailable> {
+        if self.progress == Progress::Broken {
+            return Err(Unavailable::Broken);
+        }
+        if self.discarded {
+            return Err(Unavailable::Discarded);
+        }
+        Ok(())
+    }
+
     fn buffer(&mut self, data: &Bytes) {
         self.buffered_bytes += data.len();
         self.buffered.push(data.clone());
@@ -64,13 +105,17 @@
     /// Wraps the body of a request without reading from it.
     #[must_use]
     pub fn new(incoming: Incoming) -> Self {
+        let progress = if incoming.is_end_stream() {
+            Progress::Complete
+        } else {
+            Progress::Open
+        };
         Self(Arc::new(Mutex::new(State {
             declared_size: incoming.size_hint(),
-            complete: incoming.is_end_stream(),
+            progress,
             incoming,
             buffered: Vec::new(),
             buffered_bytes: 0,
-            failed: false,
             discarded: false,
             reader: 0,
         })))
@@ -80,17 +125,16 @@
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Returns the body from its start, or `None` when a part of it is no longer buffered.
+    /// Returns the body from its start. Bodies returned earlier then fail when they are read.
     ///
-    /// Bodies returned earlier then fail when they are read.
-    #[must_use]
-    pub fn replay(&self) -> Option<Replay> {
+    /// # Errors
+    ///
+    /// As [`Source::check_replay`].
+    pub fn replay(&self) -> Result<Replay, Unavailable> {
         let mut state = self.lock();
-        if state.discarded {
-            return None;
-        }
+        state.check_replay()?;
         state.reader += 1;
-        Some(Replay {
+        Ok(Replay {
             reader: state.reader,
             source: self.clone(),
             position: 0,
@@ -98,22 +142,25 @@
         })
     }
 
-    /// Returns whether the complete body was received from the caller.
-    #[must_use]
-    pub fn is_complete(&self) -> bool {
-        self.lock().complete
+    /// Checks that the body can be sent from its start, as far as is known.
+    ///
+    /// # Errors
+    ///
+    /// Returns why no further attempt can send the body.
+    pub fn check_replay(&self) -> Result<(), Unavailable> {
+        self.lock().check_replay()
     }
 
-    /// Returns whether a part of the body is no longer buffered, which rules out a retry.
+    /// Returns whether the complete body was received from the caller.
     #[must_use]
-    pub fn is_discarded(&self) -> bool {
-        self.lock().discarded
+    pub fn is_complete(&self) -> bool {
+        self.lock().is_complete()
     }
 
-    /// Returns whether the caller's connection failed before the body was complete.
+    /// Returns whether the body broke off before it was complete.
     #[must_use]
     pub fn has_failed(&self) -> bool {
-        self.lock().failed
+        self.lock().progress == Progress::Broken
     }
 
     /// Buffers the body until it is complete or exceeds [`MAX_REPLAY_BYTES`]; returns whether it is complete.
@@ -124,14 +171,14 @@
     pub async fn prefetch(&self) -> Result<bool, BodyError> {
         std::future::poll_fn(|cx| {
             let mut state = self.lock();
-            while !state.complete && state.buffered_bytes <= MAX_REPLAY_BYTES {
+            while !state.is_complete() && state.buffered_bytes <= MAX_REPLAY_BYTES {
                 match ready!(state.poll_incoming(cx)) {
                     Some(Ok(data)) => state.buffer(&data),
                     Some(Err(error)) => return Poll::Ready(Err(error)),
                     None => {}
                 }
             }
-            Poll::Ready(Ok(state.complete))
+            Poll::Ready(Ok(state.is_complete()))
         })
         .await
     }
@@ -176,8 +223,6 @@
         let data = if let Some(data) = state.buffered.get(this.position) {
             this.position += 1;
             data.clone()
-        } else if state.complete {
-            return Poll::Ready(None);
         } else {
             match ready!(state.poll_incoming(cx)) {
                 None => return Poll::Ready(None),
@@ -199,9 +244,10 @@
         Poll::Ready(Some(Ok(Frame::data(data))))
     }
 
+    /// Returns whether this attempt has sent the whole body; an attempt that another one has replaced never has.
     fn is_end_stream(&self) -> bool {
         let state = self.source.lock();
-        state.complete && self.position == state.buffered.len()
+        state.reader == self.reader && state.is_complete() && self.position == state.buffered.len()
     }
 
     fn size_hint(&self) -> SizeHint {
--- a/crates/entry/tests/all/main.rs
+++ b/crates/entry/tests/all/main.rs
@@ -15,4 +15,5 @@
 mod notices;
 mod proxy;
 mod sharing;
+mod upload;
 mod worker;
--- a/crates/entry/tests/all/worker.rs
+++ b/crates/entry/tests/all/worker.rs
@@ -28,7 +28,10 @@
 #[derive(Clone, Debug)]
 pub enum Step {
     Write(Vec<u8>),
+    /// Waits, and ends when the peer sends more or closes the connection.
     Wait(Duration),
+    /// Waits, whatever the peer does.
+    Pause(Duration),
     /// Writes the same bytes until the peer closes the connection.
     Repeat(Vec<u8>),
     /// Closes the connection.
@@ -37,6 +40,14 @@
 
 type Script = dyn Fn(&Received) -> Vec<Step> + Send + Sync;
 
+/// What a worker does with a request.
+struct Behavior {
+    /// Response to the head of a request, before its body is read; empty to respond to the whole request.
+    early: Box<Script>,
+    /// Response to a whole request that got no early one.
+    respond: Box<Script>,
+}
+
 pub struct Worker {
     pub name: String,
     pub address: SocketAddr,
@@ -60,20 +71,32 @@
     pub async fn start(
         name: &str,
         script: impl Fn(&Received) -> Vec<Step> + Send + Sync + 'static,
+    ) -> Self {
+        Self::start_early(name, |_| Vec::new(), script).await
+    }
+
+    /// Starts a worker that answers some requests before it reads their bodies, and then reads on.
+    pub async fn start_early(
+        name: &str,
+        early: impl Fn(&Received) -> Vec<Step> + Send + Sync + 'static,
+        respond: impl Fn(&Received) -> Vec<Step> + Send + Sync + 'static,
     ) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
         let seen: Arc<Mutex<Vec<Received>>> = Arc::default();
         let cancelled: Arc<AtomicUsize> = Arc::default();
-        let script: Arc<Script> = Arc::new(script);
+        let behavior = Arc::new(Behavior {
+            early: Box::new(early),
+            respond: Box::new(respond),
+        });
         let (log, closed) = (Arc::clone(&seen), Arc::clone(&cancelled));
         let task = tokio::spawn(async move {
             for connection in 0.. {
                 let (socket, _) = listener.accept().await.unwrap();
-                let (script, log) = (Arc::clone(&script), Arc::clone(&log));
+                let (behavior, log) = (Arc::clone(&behavior), Arc::clone(&log));
                 let closed = Arc::clone(&closed);
                 tokio::spawn(async move {
-                    let _ = converse(socket, connection, &*script, &log, &closed).await;
+                    let _ = converse(socket, connection, &behavior, &log, &closed).await;
                 });
             }
         });
@@ -140,40 +163,57 @@
 async fn converse(
     socket: TcpStream,
     connection: usize,
-    script: &Script,
+    behavior: &Behavior,
     log: &Mutex<Vec<Received>>,
     closed: &AtomicUsize,
 ) -> std::io::Result<()> {
     let mut stream = BufReader::new(socket);
-    loop {
-        let Some(seen) = read(&mut stream, connection).await? else {
+    while let Some(mut seen) = read_head(&mut stream, connection).await? {
+        let early = (behavior.early)(&seen);
+        let is_answered = !early.is_empty();
+        if !play(&mut stream, early, closed).await? {
             return Ok(());
-        };
+        }
+        seen.body = read_body(&mut stream, &seen.headers).await?;
         log.lock().unwrap().push(seen.clone());
-        for step in script(&seen) {
-            match step {
-                Step::Write(bytes) => stream.get_mut().write_all(&bytes).await?,
-                Step::Repeat(bytes) => {
-                    while stream.get_mut().write_all(&bytes).await.is_ok() {}
-                    closed.fetch_add(1, Ordering::SeqCst);
-                    return Ok(());
-                }
-                Step::Close => return Ok(()),
-                Step::Wait(time) => {
-                    tokio::select! {
-                        () = sleep(time) => {}
-                        _ = stream.fill_buf() => {
-                            closed.fetch_add(1, Ordering::SeqCst);
-                            return Ok(());
-                        }
+        if !is_answered && !play(&mut stream, (behavior.respond)(&seen), closed).await? {
+            return Ok(());
+        }
+    }
+    Ok(())
+}
+
+/// Carries out the steps; returns whether the connection is still in use.
+async fn play(
+    stream: &mut BufReader<TcpStream>,
+    steps: Vec<Step>,
+    closed: &AtomicUsize,
+) -> std::io::Result<bool> {
+    for step in steps {
+        match step {
+            Step::Write(bytes) => stream.get_mut().write_all(&bytes).await?,
+            Step::Repeat(bytes) => {
+                while stream.get_mut().write_all(&bytes).await.is_ok() {}
+                closed.fetch_add(1, Ordering::SeqCst);
+                return Ok(false);
+            }
+            Step::Close => return Ok(false),
+            Step::Pause(time) => sleep(time).await,
+            Step::Wait(time) => {
+                tokio::select! {
+                    () = sleep(time) => {}
+                    _ = stream.fill_buf() => {
+                        closed.fetch_add(1, Ordering::SeqCst);
+                        return Ok(false);
                     }
                 }
             }
         }
     }
+    Ok(true)
 }
 
-async fn read(
+async fn read_head(
     stream: &mut BufReader<TcpStream>,
     connection: usize,
 ) -> std::io::Result<Option<Received>> {
@@ -190,15 +230,38 @@
         };
         headers.insert(name.to_lowercase(), value.to_owned());
     }
-    let mut body = Vec::new();
-    if let Some(length) = headers.get("content-length") {
-        body.resize(length.parse().unwrap(), 0);
-        stream.read_exact(&mut body).await?;
-    }
     Ok(Some(Received {
         head: head.trim_end().to_owned(),
         headers,
-        body,
+        body: Vec::new(),
         connection,
     }))
 }
+
+/// Reads a body; one that breaks off before its end is an error.
+async fn read_body(
+    stream: &mut BufReader<TcpStream>,
+    headers: &HashMap<String, String>,
+) -> std::io::Result<Vec<u8>> {
+    let mut body = Vec::new();
+    if let Some(length) = headers.get("content-length") {
+        body.resize(length.parse().unwrap(), 0);
+        stream.read_exact(&mut body).await?;
+    } else if headers.contains_key("transfer-encoding") {
+        while let chunk @ [_, ..] = &*read_chunk(stream).await? {
+            body.extend_from_slice(chunk);
+        }
+    }
+    Ok(body)
+}
+
+/// Reads one chunk; the last one is empty.
+async fn read_chunk(stream: &mut BufReader<TcpStream>) -> std::io::Result<Vec<u8>> {
+    let mut size = String::new();
+    stream.read_line(&mut size).await?;
+    let size = usize::from_str_radix(size.trim_end(), 16).map_err(std::io::Error::other)?;
+    let mut chunk = vec![0; size + 2];
+    stream.read_exact(&mut chunk).await?;
+    chunk.truncate(size);
+    Ok(chunk)
+}
