Close callers' connections without cutting off the response

Cause: both listeners answer with `Connection: close` while the entry drains, and the library closes the socket as soon as the response is written to the kernel. The further requests lie unread in the socket then, so that the kernel resets the connection and drops what the caller has not received yet.

Change: both listeners wrap a connection in a Socket. Its shutdown sends the end of the stream and then discards what the caller still sends, until the caller closes too or 3 s have passed since the last write. The library awaits the shutdown before the connection counts as ended, so that a planned stop waits for it within its limits.

The same cause without a stop: a worker answers in whole before it has read a long body, and the caller, which is still sending, loses the answer.

Before: closing::a_planned_stop_delivers_the_response_of_a_pipelining_caller and the same test of the proxy failed with `Connection reset by peer`, an_early_response_is_delivered_to_a_caller_that_still_sends got 122,917 of 400,000 bytes. After: all pass.

--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -16,6 +16,7 @@
 use crate::instance::Instance;
 use crate::local_reply::Body;
 use crate::proxy;
+use crate::socket::Socket;
 
 /// Maximum number of concurrent connections; further ones wait in the listener's backlog.
 const MAX_CONNECTIONS: usize = 20_000;
@@ -89,12 +90,9 @@
     socket: TcpStream,
     permit: OwnedSemaphorePermit,
 ) {
-    if let Err(error) = socket.set_nodelay(true) {
-        spdlog::debug!("caller's connection: {error}");
-    }
     let instance = Arc::clone(instance);
     let service = service_fn(move |request| respond(Arc::clone(&instance), request));
-    let connection = builder.serve_connection(TokioIo::new(socket), service);
+    let connection = builder.serve_connection(TokioIo::new(Socket::new(socket)), service);
     let connection = graceful.watch(connection.into_owned());
     tokio::spawn(async move {
         if let Err(error) = connection.await {
--- a/crates/entry/src/gateway/listener.rs
+++ b/crates/entry/src/gateway/listener.rs
@@ -1,10 +1,7 @@
 //! The gateway's listener: HTTP/1.1 with persistent connections and pipelined requests.
 
 use std::convert::Infallible;
-use std::io;
-use std::pin::Pin;
-use std::sync::{Arc, Mutex, PoisonError};
-use std::task::{Context, Poll};
+use std::sync::Arc;
 use std::time::Duration;
 
 use http::{HeaderValue, header};
@@ -12,11 +9,10 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use hyper_util::server::graceful::GracefulShutdown;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::time::Instant;
 
 use super::{Gateway, proxy};
+use crate::socket::Socket;
 
 /// Delay before the next accept after a failed one, for example when no file descriptor is free.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
@@ -45,21 +41,15 @@
 }
 
 fn serve_connection(gateway: &Arc<Gateway>, graceful: &GracefulShutdown, socket: TcpStream) {
-    if let Err(error) = socket.set_nodelay(true) {
-        spdlog::debug!("gateway connection: setting TCP_NODELAY failed: {error}");
-    }
     let limits = gateway.instance.control_state.current().routes.limits;
     let buffer = usize::try_from(limits.head_bytes).unwrap_or(usize::MAX);
-    let last_read = Arc::new(Mutex::new(Instant::now()));
-    let socket = TimestampedSocket {
-        socket,
-        last_read: Arc::clone(&last_read),
-    };
+    let socket = Socket::new(socket);
+    let last_read = socket.last_read();
     let gateway = Arc::clone(gateway);
     let service = service_fn(move |request| {
         let gateway = Arc::clone(&gateway);
         // A pipelined request arrived with the last bytes that were read, which may be long before it is handled.
-        let arrived = *last_read.lock().unwrap_or_else(PoisonError::into_inner);
+        let arrived = last_read.at();
         async move {
             let mut response = proxy::handle(&gateway, request, arrived).await;
             if gateway.instance.is_draining() {
@@ -84,57 +74,3 @@
         }
     });
 }
-
-/// Socket that records when bytes were last read.
-struct TimestampedSocket {
-    socket: TcpStream,
-    last_read: Arc<Mutex<Instant>>,
-}
-
-impl AsyncRead for TimestampedSocket {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buffer: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        let before = buffer.filled().len();
-        let polled = Pin::new(&mut self.socket).poll_read(cx, buffer);
-        if buffer.filled().len() > before {
-            *self
-                .last_read
-                .lock()
-                .unwrap_or_else(PoisonError::into_inner) = Instant::now();
-        }
-        polled
-    }
-}
-
-impl AsyncWrite for TimestampedSocket {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        bytes: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.socket).poll_write(cx, bytes)
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.socket).poll_flush(cx)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.socket).poll_shutdown(cx)
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        bytes: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.socket).poll_write_vectored(cx, bytes)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.socket.is_write_vectored()
-    }
-}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod service;
 pub mod services;
 pub mod settings;
+pub mod socket;
 pub mod status;
 
 pub use daemon::Daemon;
