Record the departure of a worker that is not registered

Cause: Roster::would_change was false for the departure of a worker that is not registered. The control instance took it for one without effect and acknowledged it without a record, so that nothing told the late heartbeat of this incarnation from the first one of a new worker.

Change: such a departure is recorded if it names an incarnation, and the late heartbeat is then one of a departed incarnation. A worker has one record of its departure, so that repeated departures displace no others. Its incarnation is checked like that of an announcement, since an unlimited one would keep the worker out for good.

The same cause on related paths, each with a test: - A departure of a later incarnation than the registered one was recorded as that of the registered one. - A follower that had not applied the registration yet acknowledged the departure without a record and the worker stayed registered. A departure without an incarnation is now always proposed; one that names it is recorded as above.

Ruled out: withdrawals between entries (membership::worker) are recorded for unknown workers too; announcements that say `leaving` register the worker as leaving.

--- a/crates/control/src/daemon/instance.rs
+++ b/crates/control/src/daemon/instance.rs
@@ -352,8 +352,8 @@
             .ok_or_else(missing)
     }
 
-    /// Records a registration or departure of a worker; returns once it is committed, or immediately when it changes
-    /// nothing.
+    /// Records a registration or departure of a worker; returns once it is committed, or immediately when it is known to
+    /// change nothing.
     ///
     /// # Errors
     ///
@@ -361,7 +361,15 @@
     pub async fn record_worker_event(&self, event: Event) -> Result<(), Fault> {
         let checked = event.check();
         checked.map_err(|e| Fault::new(Kind::BadRequest, e.to_string()))?;
-        if !self.is_stale() && !self.store().state().roster.would_change(&event) {
+        // A follower may not have applied the registration yet that a departure without an incarnation ends.
+        let ends_any = matches!(
+            event,
+            Event::Departed {
+                incarnation: None,
+                ..
+            }
+        );
+        if !ends_any && !self.is_stale() && !self.store().state().roster.would_change(&event) {
             return Ok(());
         }
         let version: Version = self.propose(&Command::Workers(vec![event])).await?;
--- a/crates/control/tests/all/cluster.rs
+++ b/crates/control/tests/all/cluster.rs
@@ -5,6 +5,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use chestnutvalve_control::daemon::Instance;
 use chestnutvalve_model::control::{
     Content, EjectionGrant, EjectionRequest, Heartbeat, HeartbeatReply, State,
 };
@@ -233,6 +234,46 @@
     assert_eq!(running.instance.store().history().accepted().len(), 2_001);
 }
 
+fn announcement() -> Announcement {
+    Announcement {
+        worker: Worker::new("w1").expect("valid name"),
+        incarnation: Incarnation(1),
+        service: service("lookup"),
+        address: "10.0.0.1:8080".parse().expect("valid address"),
+        zone: Zone::new("z1").expect("valid name"),
+        slots: 2,
+        warm_up_ms: 0,
+        leaving: false,
+    }
+}
+
+/// Guards against a departure that a follower acknowledges without a record, because it has not applied the registration
+/// yet.
+#[rstest]
+#[case::of_an_incarnation(Some(Incarnation(1)))]
+#[case::of_any_incarnation(None)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_follower_that_lags_records_a_departure(#[case] incarnation: Option<Incarnation>) {
+    let cluster = Cluster::start(3).await;
+    let leader = cluster.leader().await;
+    let leader = &cluster.running[leader].as_ref().expect("runs").instance;
+    let follower = cluster.follower().await;
+    let registered = |instance: &Instance| !instance.store().state().roster.workers.is_empty();
+    follower.disk_hangs.store(true, Ordering::Relaxed);
+    let announced = leader.record_worker_event(Event::Announced(announcement()));
+    announced.await.expect("registered");
+    assert!(registered(leader) && !registered(&follower.instance));
+    let departed = Event::Departed {
+        worker: announcement().worker,
+        incarnation,
+    };
+    let recorded = follower.instance.record_worker_event(departed);
+    let recorded = recorded.await;
+    follower.disk_hangs.store(false, Ordering::Relaxed);
+    recorded.expect("departed");
+    assert!(!registered(leader));
+}
+
 /// Guards against a registered worker that no entry can reach, that warms up forever, or that no later run can supersede.
 #[rstest]
 #[case::port_zero(|a: &mut Announcement| a.address.set_port(0))]
@@ -245,16 +286,7 @@
 async fn an_unusable_worker_is_not_registered(#[case] spoil: fn(&mut Announcement)) {
     let cluster = Cluster::start(1).await;
     let instance = &cluster.alive().next().expect("runs").1.instance;
-    let mut announcement = Announcement {
-        worker: Worker::new("w1").expect("valid name"),
-        incarnation: Incarnation(1),
-        service: service("lookup"),
-        address: "10.0.0.1:8080".parse().expect("valid address"),
-        zone: Zone::new("z1").expect("valid name"),
-        slots: 2,
-        warm_up_ms: 0,
-        leaving: false,
-    };
+    let mut announcement = announcement();
     let valid = Event::Announced(announcement.clone());
     spoil(&mut announcement);
     let refused = instance.record_worker_event(Event::Announced(announcement));
--- a/crates/model/src/upstream.rs
+++ b/crates/model/src/upstream.rs
@@ -55,7 +55,7 @@
         }
         check_range("slots", self.slots, 1, MAX_SLOTS)?;
         check_range("warm_up_ms", self.warm_up_ms, 0, MAX_WARM_UP_MS)?;
-        check_range("incarnation", self.incarnation.0, 0, MAX_INCARNATION.0)
+        check_incarnation(self.incarnation)
     }
 
     /// Returns whether another announcement is equal apart from the remaining warm-up time, which decreases by itself.
@@ -67,6 +67,10 @@
     }
 }
 
+fn check_incarnation(incarnation: Incarnation) -> Result<(), Invalid> {
+    check_range("incarnation", incarnation.0, 0, MAX_INCARNATION.0)
+}
+
 fn check_range<T: Copy + Display + PartialOrd>(
     field: &str,
     value: T,
@@ -102,21 +106,23 @@
 }
 
 impl Event {
-    /// Checks the announcement of a worker, if the event contains one.
+    /// Checks the fields of the event. An accepted one reaches all entries and is kept across restarts.
     ///
     /// # Errors
     ///
-    /// As [`Announcement::check`].
+    /// As [`Announcement::check`]; of a departure, only the incarnation can be invalid.
     pub fn check(&self) -> Result<(), Invalid> {
         match self {
             Self::Announced(announcement) => announcement.check(),
-            Self::Departed { .. } => Ok(()),
+            Self::Departed { incarnation, .. } => incarnation.map_or(Ok(()), check_incarnation),
         }
     }
 }
 
 impl Roster {
     /// Returns whether applying an event would change the roster; late and repeated events don't.
+    ///
+    /// The departure of an incarnation that is not registered does, because its announcement may still arrive.
     #[must_use]
     pub fn would_change(&self, event: &Event) -> bool {
         match event {
@@ -124,16 +130,22 @@
             Event::Departed {
                 worker,
                 incarnation,
-            } => self.workers.get(worker).is_some_and(|registered| {
-                incarnation.is_none_or(|incarnation| incarnation >= registered.incarnation)
-            }),
+            } => match (self.workers.get(worker), incarnation) {
+                (Some(registered), Some(incarnation)) => *incarnation >= registered.incarnation,
+                (None, Some(incarnation)) => !self.has_departed(worker, *incarnation),
+                (registered, None) => registered.is_some(),
+            },
         }
     }
 
+    /// Returns whether an incarnation of a worker, or a later one, is recorded as departed.
+    fn has_departed(&self, worker: &Worker, incarnation: Incarnation) -> bool {
+        let mut departed = self.departed.iter();
+        departed.any(|(name, departed)| name == worker && *departed >= incarnation)
+    }
+
     fn accepts(&self, new: &Announcement) -> bool {
-        let departed = self.departed.iter();
-        let mut departed = departed.filter(|(worker, _)| *worker == new.worker);
-        if departed.any(|(_, incarnation)| *incarnation >= new.incarnation) {
+        if self.has_departed(&new.worker, new.incarnation) {
             return false;
         }
         // A later worker may reuse the address of a departed one, whose own late announcements are ignored.
@@ -170,16 +182,22 @@
                 }
                 self.workers.insert(new.worker.clone(), new.clone());
             }
-            Event::Departed { worker, .. } => {
-                if let Some(registered) = self.workers.get(worker).map(|w| w.incarnation) {
-                    self.remove(worker.clone(), registered);
+            Event::Departed {
+                worker,
+                incarnation,
+            } => {
+                let registered = self.workers.get(worker).map(|w| w.incarnation);
+                if let Some(last) = registered.max(*incarnation) {
+                    self.remove(worker.clone(), last);
                 }
             }
         }
     }
 
+    /// Removes a worker and records that `incarnation` and earlier ones have departed.
     fn remove(&mut self, worker: Worker, incarnation: Incarnation) {
         self.workers.remove(&worker);
+        self.departed.retain(|(name, _)| *name != worker);
         self.departed.push_back((worker, incarnation));
         if self.departed.len() > MAX_DEPARTED {
             self.departed.pop_front();
--- a/crates/model/tests/upstream.rs
+++ b/crates/model/tests/upstream.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use chestnutvalve_model::id::{Incarnation, Service, Worker, Zone};
-use chestnutvalve_model::upstream::{Announcement, Event, Roster};
+use chestnutvalve_model::upstream::{Announcement, Event, MAX_INCARNATION, Roster};
 
 fn worker(name: &str) -> Worker {
     Worker::new(name).unwrap()
@@ -74,6 +74,48 @@
     assert!(known.would_change(&Event::Announced(announcement("a", 6, 1))));
 }
 
+/// Guards against registering a worker whose first announcement arrives after its departure was acknowledged.
+#[test]
+fn a_departure_before_the_first_announcement_is_final() {
+    let left = departed("a", Some(5));
+    let known = roster(&[left.clone()]);
+    assert!(Roster::default().would_change(&left));
+    assert!(!known.would_change(&left));
+    assert!(!known.would_change(&Event::Announced(announcement("a", 5, 1))));
+    assert!(!known.would_change(&Event::Announced(announcement("a", 4, 1))));
+    assert!(known.would_change(&Event::Announced(announcement("a", 6, 1))));
+}
+
+/// Guards against registering an incarnation that departed while an earlier one was registered under the same name.
+#[test]
+fn a_departure_covers_the_incarnation_that_it_names() {
+    let known = roster(&[
+        Event::Announced(announcement("a", 5, 1)),
+        departed("a", Some(7)),
+    ]);
+    assert!(known.workers.is_empty());
+    assert!(!known.would_change(&Event::Announced(announcement("a", 7, 1))));
+    assert!(known.would_change(&Event::Announced(announcement("a", 8, 1))));
+}
+
+/// Guards against one worker whose repeated departures displace the records of all others.
+#[test]
+fn a_worker_has_one_record_of_its_departure() {
+    let mut known = roster(&[departed("a", Some(5))]);
+    for incarnation in 1..=10_000 {
+        known.apply(&departed("b", Some(incarnation)));
+    }
+    assert!(!known.would_change(&Event::Announced(announcement("a", 5, 1))));
+}
+
+/// Guards against a departure that keeps a worker out for good.
+#[test]
+fn a_departure_names_a_valid_incarnation() {
+    assert!(departed("a", Some(MAX_INCARNATION.0)).check().is_ok());
+    assert!(departed("a", Some(MAX_INCARNATION.0 + 1)).check().is_err());
+    assert!(departed("a", None).check().is_ok());
+}
+
 /// Guards against a delayed departure of an earlier incarnation that removes the registered one.
 #[test]
 fn a_late_departure_does_not_remove_a_later_incarnation() {
