Keep the latest departure of an entry

The leader kept the last departure that arrived of an entry, also when it was that of an earlier incarnation and had been delayed. A delayed heartbeat of the later, departed incarnation then listed the entry in the directory again until it expired, 5 s later.

Change: the departure of the latest incarnation is kept.

Before: heartbeats::a_late_departure_does_not_replace_a_later_one failed. After: it passes.

--- a/crates/control/src/daemon/heartbeats.rs
+++ b/crates/control/src/daemon/heartbeats.rs
@@ -92,7 +92,9 @@
             return;
         }
         self.received.remove(entry);
-        self.departed.insert(entry.clone(), (incarnation, now));
+        let departed = self.departed.get(entry).map(|(i, _)| *i);
+        let last = departed.map_or(incarnation, |departed| departed.max(incarnation));
+        self.departed.insert(entry.clone(), (last, now));
     }
 
     /// Returns the steps that bring the directory up to date. They form one list, so that a mass loss is one proposal.
--- a/crates/control/tests/all/heartbeats.rs
+++ b/crates/control/tests/all/heartbeats.rs
@@ -197,3 +197,21 @@
     // 1,000 requests/s need 5 owners of 200 requests/s, and one is added as a reserve.
     assert_eq!(*step, Step::Resize { service, owners: 6 });
 }
+
+/// Guards against an entry that a delayed heartbeat lists again, after a delayed departure of its earlier incarnation.
+#[test]
+fn a_late_departure_does_not_replace_a_later_one() {
+    let mut leader = Leader::new(&[]);
+    let now = leader.at(0);
+    leader.heartbeats.observe_leadership(now, Some(1));
+    for incarnation in [2, 1] {
+        let left = Incarnation(incarnation);
+        leader.heartbeats.record_leave(now, &entry("e1"), left);
+    }
+    let late = beat("e1", 2);
+    leader
+        .heartbeats
+        .record_heartbeat(now, &leader.directory, late);
+    let steps = leader.heartbeats.directory_steps(now, &leader.directory);
+    assert!(steps.is_empty(), "{steps:?}");
+}
