Send bodies in chunks with every method

Cause: the entry removes Transfer-Encoding as a header of one connection. For a body of unknown size the HTTP library then chooses the framing by the method, and sends no body with GET, HEAD and CONNECT unless the header is there.

Change: the request to a worker, or to another entry, states the framing of a body of unknown size (header::frame_body). Both listeners are covered; requests without a body are sent as before.

Before: upload::a_body_is_forwarded_with_every_method failed for GET and HEAD in chunks and passed for the five other methods and for bodies with a length. After: all 14 cases pass.

--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -130,6 +130,7 @@
         }
         let left_ms = u64::try_from(self.time_left().as_millis()).unwrap_or(u64::MAX);
         headers.insert(name::DEADLINE, left_ms.into());
+        name::frame_body(&mut request);
         request
     }
 
--- a/crates/entry/src/gateway/inbound.rs
+++ b/crates/entry/src/gateway/inbound.rs
@@ -138,6 +138,7 @@
         if let Ok(worker) = HeaderValue::from_str(worker) {
             headers.insert(&dialect.worker, worker);
         }
+        name::frame_body(&mut request);
         request
     }
 }
--- a/crates/entry/src/header.rs
+++ b/crates/entry/src/header.rs
@@ -1,6 +1,8 @@
 //! Names of the protocol's own headers, and removal of hop-by-hop headers.
 
-use http::header::{self, HeaderMap, HeaderName};
+use http::Request;
+use http::header::{self, HeaderMap, HeaderName, HeaderValue};
+use http_body::Body;
 
 /// Name of the requested service.
 pub const SERVICE: HeaderName = HeaderName::from_static("chestnutvalve-service");
@@ -53,3 +55,15 @@
         headers.remove(name);
     }
 }
+
+/// States the framing of a body of unknown size, so that it is sent with any method. The HTTP library otherwise sends no
+/// such body with GET and HEAD.
+pub fn frame_body(request: &mut Request<impl Body>) {
+    let body = request.body();
+    if body.size_hint().exact().is_none() && !body.is_end_stream() {
+        let chunked = HeaderValue::from_static("chunked");
+        request
+            .headers_mut()
+            .insert(header::TRANSFER_ENCODING, chunked);
+    }
+}
--- a/crates/entry/tests/all/upload.rs
+++ b/crates/entry/tests/all/upload.rs
@@ -8,7 +8,7 @@
 use tokio::net::TcpStream;
 use tokio::time::sleep;
 
-use crate::fleet::start_single;
+use crate::fleet::{start_single, wait_until};
 use crate::gateway::{ask_as, fleet, success};
 use crate::worker::{Received, Step, Worker, response};
 
@@ -108,6 +108,28 @@
     assert!(ran.iter().all(String::is_empty), "{ran:?}");
 }
 
+/// Guards against a body that is dropped although its request is otherwise forwarded unchanged.
+#[rstest]
+#[tokio::test]
+async fn a_body_is_forwarded_with_every_method(
+    #[values("GET", "HEAD", "POST", "PUT", "DELETE", "OPTIONS", "PATCH")] method: &str,
+    #[values(true, false)] chunked: bool,
+) {
+    let worker = Worker::start("w1", success).await;
+    let (_control, entry) = fleet(&[&worker]).await;
+    let mut caller = TcpStream::connect(entry.gateway).await.unwrap();
+    let framing = framing(chunked);
+    let body = if chunked {
+        format!("{:x}\r\n{BODY}\r\n0\r\n\r\n", BODY.len())
+    } else {
+        BODY.to_owned()
+    };
+    let request = format!("{method} /x HTTP/1.1\r\nhost: a.example\r\n{framing}\r\n\r\n{body}");
+    caller.write_all(request.as_bytes()).await.unwrap();
+    wait_until("request", || worker.count() == 1).await;
+    assert_eq!(bodies(&worker), [BODY]);
+}
+
 /// Returns an HTTP/2 frame of stream 1.
 fn h2_frame(kind: u8, flags: u8, payload: &[u8]) -> Vec<u8> {
     let length = u32::try_from(payload.len()).unwrap().to_be_bytes();
