Refuse requests for a tunnel at the gateway

Found while the ways in which a body can be lost were looked through. The gateway routed a CONNECT request like one for the path `/`, and its caller got no answer but a closed connection. The proxy refused such requests already.

Change: 400, as at the proxy. Before: upload::a_tunnel_is_refused failed with an early end of the connection. After: it passes.

--- a/crates/entry/src/gateway/inbound.rs
+++ b/crates/entry/src/gateway/inbound.rs
@@ -68,6 +68,9 @@
             let context = "expected HTTP/1.1 or later";
             return Err(Refusal::new(Kind::BadRequest, context));
         }
+        if parts.method == Method::CONNECT {
+            return Err(Refusal::new(Kind::BadRequest, "CONNECT is not supported"));
+        }
         let host = host(&parts.uri, &parts.headers)?;
         let route = table.find(host, path.path()).ok_or_else(|| {
             let (label, path) = (table.label, path.path());
--- a/crates/entry/tests/all/upload.rs
+++ b/crates/entry/tests/all/upload.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use rstest::rstest;
-use tokio::io::AsyncWriteExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::time::sleep;
 
@@ -130,6 +130,20 @@
     assert_eq!(bodies(&worker), [BODY]);
 }
 
+/// Guards against a request for a tunnel that runs at a worker, with another path and without the bytes that follow.
+#[tokio::test]
+async fn a_tunnel_is_refused() {
+    let worker = Worker::start("w1", success).await;
+    let (_control, entry) = fleet(&[&worker]).await;
+    let mut caller = TcpStream::connect(entry.gateway).await.unwrap();
+    let request = b"CONNECT a.example:80 HTTP/1.1\r\nhost: a.example\r\n\r\n";
+    caller.write_all(request).await.unwrap();
+    let mut status = [0; 12];
+    caller.read_exact(&mut status).await.unwrap();
+    assert_eq!(&status, b"HTTP/1.1 400");
+    assert_eq!(worker.count(), 0);
+}
+
 /// Returns an HTTP/2 frame of stream 1.
 fn h2_frame(kind: u8, flags: u8, payload: &[u8]) -> Vec<u8> {
     let length = u32::try_from(payload.len()).unwrap().to_be_bytes();
