Replace connections to control instances that go silent

A heartbeat that timed out did not help the watch, which stayed on the old connection.

Change: a call that waits on a connection from which no byte has come for a quarter of the limit sends a ping, and half the limit later the connection counts as silent. It is closed, which fails all its calls, and the watch is sent again to the same instance on a new connection. A connection that was idle for as long is not used any more. A discarded connection no longer takes along one that another call has opened since.

Ruled out: a silent peer of the replicated log. Its calls time out after 1 s each, and the leader was back in time.

Before: control_client::a_change_arrives_in_time_after_all_connections_went_silent failed (with the keep-alive switched off in the client). After: it passes, and so do the tests of the client, among them a link with a round trip just below the time for a ping.

--- a/crates/entry/src/control_client.rs
+++ b/crates/entry/src/control_client.rs
@@ -8,7 +8,7 @@
 
 use chestnutvalve_model::control::{Heartbeat, HeartbeatReply, Rate, State, Update, Watch};
 use chestnutvalve_model::version::Version;
-use chestnutvalve_wire::{Client, Error, Traffic};
+use chestnutvalve_wire::{Client, Error, KeepAlive, Traffic};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use tokio::time::{Instant, MissedTickBehavior, interval, sleep, timeout};
@@ -22,8 +22,8 @@
 
 /// Maximum time that a control instance holds a watch open.
 ///
-/// Together with [`WATCH_MARGIN`] it bounds the time until a silently partitioned instance is abandoned to 2.5 s, half of
-/// the time within which a change must take effect.
+/// Together with [`WATCH_MARGIN`] it bounds the time until an instance is abandoned that responds to pings but not to the
+/// watch. A silent connection is replaced earlier, within the limit of the settings.
 const WATCH_WAIT: Duration = Duration::from_millis(1_500);
 /// Time that the response to a watch may take beyond [`WATCH_WAIT`].
 const WATCH_MARGIN: Duration = Duration::from_secs(1);
@@ -54,6 +54,7 @@
     /// Addresses from the settings, used until the group has reported its members and when none of those responds.
     configured: Mutex<Vec<SocketAddr>>,
     clients: RwLock<Vec<Client>>,
+    keep_alive: KeepAlive,
     traffic: Arc<Traffic>,
     current: AtomicUsize,
 }
@@ -61,11 +62,12 @@
 impl ControlClient {
     /// Creates the clients and starts at a random instance, so that entries spread over all of them.
     #[must_use]
-    pub fn new(control: &[SocketAddr], traffic: &Arc<Traffic>) -> Self {
+    pub fn new(control: &[SocketAddr], keep_alive: KeepAlive, traffic: &Arc<Traffic>) -> Self {
         let start = rand::random_range(0..control.len().max(1));
         let client = Self {
             configured: Mutex::new(control.to_vec()),
             clients: RwLock::default(),
+            keep_alive,
             traffic: Arc::clone(traffic),
             current: AtomicUsize::new(start),
         };
@@ -110,7 +112,10 @@
         let current = clients.get(self.current() % clients.len().max(1));
         let current = current.map(Client::peer);
         let kept = |address: &SocketAddr| clients.iter().find(|c| c.peer() == *address).cloned();
-        let opened = |address: &SocketAddr| Client::new(*address).with_traffic(&self.traffic);
+        let opened = |address: &SocketAddr| {
+            let client = Client::new(*address).with_traffic(&self.traffic);
+            client.with_keep_alive(self.keep_alive)
+        };
         let next = members.iter().map(|m| kept(m).unwrap_or_else(|| opened(m)));
         *clients = next.collect();
         if let Some(at) = members.iter().position(|m| Some(*m) == current) {
@@ -247,10 +252,14 @@
         services: None,
         wait_ms: u32::try_from(WATCH_WAIT.as_millis()).unwrap_or(u32::MAX),
     };
-    let sent_at = Instant::now();
-    let update: Result<Update, Error> = client
-        .call("config/watch", &message, WATCH_WAIT + WATCH_MARGIN)
-        .await;
+    let mut sent_at = Instant::now();
+    let poll = || client.call("config/watch", &message, WATCH_WAIT + WATCH_MARGIN);
+    let mut update: Result<Update, Error> = poll().await;
+    if let Err(Error::Connection { .. }) = update {
+        // The instance may be well although the connection to it was lost or went silent.
+        sent_at = Instant::now();
+        update = poll().await;
+    }
     let update = update.map_err(|e| e.to_string())?;
     let version = update.version;
     instance.control.set_members(&update.controls);
--- a/crates/entry/src/instance.rs
+++ b/crates/entry/src/instance.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 use std::time::Instant;
 
 use chestnutvalve_burn::Counters;
@@ -15,7 +16,7 @@
 use chestnutvalve_model::id::{Incarnation, Service, Worker};
 use chestnutvalve_routing::placement;
 use chestnutvalve_telemetry::metrics;
-use chestnutvalve_wire::Traffic;
+use chestnutvalve_wire::{KeepAlive, Traffic};
 use tokio::sync::{Notify, Semaphore, watch};
 
 use crate::clock;
@@ -90,10 +91,12 @@
         let started = since_epoch.unwrap_or_default().as_millis();
         let incarnation = Incarnation(u64::try_from(started).unwrap_or(u64::MAX));
         let traffic: Arc<Traffic> = Arc::default();
+        let apply_limit = Duration::from_millis(settings.apply_limit_ms.into());
+        let keep_alive = KeepAlive::within(apply_limit);
         Ok(Self {
             incarnation,
             control_state: ControlState::default(),
-            control: ControlClient::new(&settings.control, &traffic),
+            control: ControlClient::new(&settings.control, keep_alive, &traffic),
             peers: Peers::new(&traffic),
             services: Services::new(settings.zone.clone()),
             worker_pool: Arc::new(Pool::new(MAX_IDLE_PER_WORKER)),
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -13,6 +13,16 @@
     DEFAULT_LINK_MBPS
 }
 
+/// Default of `apply_limit_ms`.
+pub const DEFAULT_APPLY_LIMIT_MS: u32 = 5_000;
+/// Minimum of `apply_limit_ms`. A connection counts as silent after half of it without an answer to a ping, which must be
+/// more than the round trip on a slow link.
+pub const MIN_APPLY_LIMIT_MS: u32 = 1_000;
+
+fn default_apply_limit_ms() -> u32 {
+    DEFAULT_APPLY_LIMIT_MS
+}
+
 /// Addresses at which other processes reach the instance.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -56,6 +66,10 @@
     /// Bandwidth of the instance's network link, in megabits per second.
     #[serde(default = "default_link_mbps")]
     pub link_mbps: u32,
+    /// Time within which an accepted change must be in force, in milliseconds; at least 1,000. Connections to control
+    /// instances that go silent are replaced within three quarters of it.
+    #[serde(default = "default_apply_limit_ms")]
+    pub apply_limit_ms: u32,
     /// Minimum level of messages that are logged.
     #[serde(default)]
     pub log: Threshold,
@@ -82,6 +96,12 @@
                 cause: "expected at least one control address, found none",
             });
         }
+        if self.apply_limit_ms < MIN_APPLY_LIMIT_MS {
+            return Err(Invalid {
+                field: "apply_limit_ms",
+                cause: "expected at least 1000",
+            });
+        }
         let unreachable = |a: &SocketAddr| a.ip().is_unspecified();
         let listening = [self.callers, self.platform, self.peers];
         if self.advertise.is_none() && listening.iter().any(unreachable) {
--- a/crates/entry/tests/all/control_client.rs
+++ b/crates/entry/tests/all/control_client.rs
@@ -7,12 +7,21 @@
 
 use chestnutvalve_entry::control_client::ControlClient;
 use chestnutvalve_entry::control_client::backoff::Backoff;
+use chestnutvalve_model::routes::Kind;
 use chestnutvalve_model::version::Version;
+use chestnutvalve_wire::KeepAlive;
 use tokio::net::TcpListener;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 use crate::control::Control;
-use crate::fleet::{Entry, wait_until};
+use crate::fleet::{APPLY_LIMIT_MS, Entry, wait_until};
+use crate::forwarder::Forwarder;
+use crate::gateway::{route, table};
+
+const KEEP_ALIVE: KeepAlive = KeepAlive {
+    interval: Duration::from_millis(500),
+    timeout: Duration::from_secs(1),
+};
 
 fn addresses(ports: &[u16]) -> Vec<SocketAddr> {
     let address = |port: &u16| SocketAddr::from(([127, 0, 0, 1], *port));
@@ -23,7 +32,7 @@
 /// blocked the whole entry.
 #[test]
 fn a_reload_adds_the_new_addresses_to_the_known_members() {
-    let client = ControlClient::new(&addresses(&[1, 2, 3]), &Arc::default());
+    let client = ControlClient::new(&addresses(&[1, 2, 3]), KEEP_ALIVE, &Arc::default());
     client.set_members(&addresses(&[2, 3, 4]));
     client.set_configured(&addresses(&[4, 5]));
     assert_eq!(client.addresses(), addresses(&[2, 3, 4, 5]));
@@ -32,7 +41,7 @@
 /// Guards against an entry that drops all control instances because one responded before it knew the members of its group.
 #[test]
 fn an_empty_list_of_members_is_not_adopted() {
-    let client = ControlClient::new(&addresses(&[1]), &Arc::default());
+    let client = ControlClient::new(&addresses(&[1]), KEEP_ALIVE, &Arc::default());
     client.set_members(&[]);
     assert_eq!(client.addresses(), addresses(&[1]));
 }
@@ -105,3 +114,24 @@
     let (rounds, heartbeats) = (7, 6);
     assert!(made <= rounds * 3 + heartbeats * 2, "{made} calls in 5 s");
 }
+
+/// Guards against an entry that keeps an older state because its connections to all control instances went silent, and each
+/// of them holds it up for the whole time limit of a watch.
+#[tokio::test]
+async fn a_change_arrives_in_time_after_all_connections_went_silent() {
+    let control = Control::start().await;
+    let mut forwarders = Vec::new();
+    for _ in 0..3 {
+        forwarders.push(Forwarder::start(control.address, Duration::ZERO).await);
+    }
+    let addresses: Vec<SocketAddr> = forwarders.iter().map(|f| f.address).collect();
+    let entry = Entry::start_with_controls("e1", &addresses, &[], 1_000).await;
+    entry.wait_for_members(1).await;
+    sleep(Duration::from_millis(500)).await;
+    forwarders.iter().for_each(Forwarder::silence);
+    control.publish(table(7, vec![route("/", Kind::Idempotent)]));
+    let since = Instant::now();
+    wait_until("change", || entry.state().routes.label == 7).await;
+    let limit = Duration::from_millis(APPLY_LIMIT_MS.into());
+    assert!(since.elapsed() < limit, "{:?}", since.elapsed());
+}
--- a/crates/entry/tests/all/fleet.rs
+++ b/crates/entry/tests/all/fleet.rs
@@ -15,6 +15,9 @@
 
 use crate::control::Control;
 
+/// Time within which a change must be in force at an entry under test, in milliseconds.
+pub const APPLY_LIMIT_MS: u32 = 2_000;
+
 pub struct Entry {
     pub callers: SocketAddr,
     pub platform: SocketAddr,
@@ -55,6 +58,7 @@
         let settings = serde_json::json!({
             "entry": name, "zone": "z1", "callers": any, "platform": any, "peers": any, "gateway": any,
             "control": controls, "peers_hint": hint, "link_mbps": mbps,
+            "apply_limit_ms": APPLY_LIMIT_MS,
         });
         let settings: Settings = serde_json::from_value(settings).unwrap();
         let shutdown = Shutdown::default();
--- a/crates/entry/tests/all/main.rs
+++ b/crates/entry/tests/all/main.rs
@@ -10,6 +10,8 @@
 mod drain;
 mod faulty;
 mod fleet;
+#[path = "../../../wire/tests/support/forwarder.rs"]
+mod forwarder;
 mod gateway;
 mod gateway_stop;
 mod narrow;
--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -9,10 +9,10 @@
 use h2::client::SendRequest;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
-use tokio::net::TcpStream;
 use tokio::sync::Mutex;
 use tokio::time::timeout;
 
+use crate::connection::{Connection, KeepAlive};
 use crate::server::read_body;
 use crate::{Error, Frame, Traffic};
 
@@ -20,14 +20,13 @@
 /// connection, and TCP retransmits the first packet only after 1 s: with a timeout of 1 s, a group whose instances
 /// restarted together had no leader for that time.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
-/// Flow-control window, large enough to transfer a snapshot in few round trips.
-const WINDOW_BYTES: u32 = 4 * 1024 * 1024;
 
 /// Client of one peer; clones share the connection.
 #[derive(Clone, Debug)]
 pub struct Client {
     peer: SocketAddr,
-    connection: Arc<Mutex<Option<SendRequest<Bytes>>>>,
+    connection: Arc<Mutex<Option<Arc<Connection>>>>,
+    keep_alive: Option<KeepAlive>,
     traffic: Arc<Traffic>,
 }
 
@@ -38,10 +37,18 @@
         Self {
             peer,
             connection: Arc::default(),
+            keep_alive: None,
             traffic: Arc::default(),
         }
     }
 
+    /// Replaces a connection on which the peer is silent. Calls that wait on it fail with [`Error::Connection`].
+    #[must_use]
+    pub fn with_keep_alive(mut self, keep_alive: KeepAlive) -> Self {
+        self.keep_alive = Some(keep_alive);
+        self
+    }
+
     /// Counts the messages of this client in `traffic`.
     #[must_use]
     pub fn with_traffic(mut self, traffic: &Arc<Traffic>) -> Self {
@@ -68,26 +75,47 @@
         limit: Duration,
     ) -> Result<A, Error> {
         let frame = Frame::encode(message)?;
-        let outcome = timeout(limit, self.call_or_reset(path, &frame)).await;
-        let Ok(outcome) = outcome else {
-            // The network path of the connection may be broken, so the next call opens a new connection.
-            self.reset().await;
-            return Err(Error::Timeout {
+        let mut used = None;
+        let outcome = timeout(limit, self.exchange(path, &frame, &mut used)).await;
+        let outcome = outcome.unwrap_or_else(|_| {
+            Err(Error::Timeout {
                 peer: self.peer.to_string(),
                 path: path.to_owned(),
-            });
-        };
+            })
+        });
+        if let Err(Error::Connection { .. } | Error::Timeout { .. } | Error::Unreachable { .. }) =
+            &outcome
+            && let Some(used) = used
+        {
+            // The network path of the connection may be broken, so the next call opens a new connection.
+            self.discard(&used).await;
+        }
         let answer: Result<A, Fault> = outcome?.decode()?;
         Ok(answer?)
     }
 
-    async fn call_or_reset(&self, path: &str, frame: &Frame) -> Result<Frame, Error> {
-        let sender = self.sender().await?;
-        let outcome = self.send_request(sender, path, frame).await;
-        if let Err(Error::Connection { .. } | Error::Unreachable { .. }) = &outcome {
-            self.reset().await;
+    /// Sends a call on the connection that is stored in `used`.
+    async fn exchange(
+        &self,
+        path: &str,
+        frame: &Frame,
+        used: &mut Option<Arc<Connection>>,
+    ) -> Result<Frame, Error> {
+        let connection = self.connection().await?;
+        *used = Some(Arc::clone(&connection));
+        let answer = self.send_request(connection.sender.clone(), path, frame);
+        let Some(keep_alive) = self.keep_alive else {
+            return answer.await;
+        };
+        tokio::select! {
+            answer = answer => answer,
+            () = connection.wait_for_silence(keep_alive) => {
+                let peer = self.peer;
+                spdlog::info!("internal connection is silent", kv: {peer:?, path});
+                connection.close();
+                Err(self.connection_error(&"the peer did not answer a ping in time"))
+            }
         }
-        outcome
     }
 
     async fn send_request(
@@ -115,20 +143,25 @@
         Frame::from_bytes(&bytes)
     }
 
-    async fn sender(&self) -> Result<SendRequest<Bytes>, Error> {
-        let mut connection = self.connection.lock().await;
-        if let Some(sender) = connection.as_ref() {
-            return Ok(sender.clone());
+    async fn connection(&self) -> Result<Arc<Connection>, Error> {
+        let mut current = self.connection.lock().await;
+        let is_idle = |c: &Arc<Connection>| self.keep_alive.is_some_and(|k| c.is_idle(k));
+        if let Some(connection) = current.as_ref().filter(|c| !is_idle(c)) {
+            return Ok(Arc::clone(connection));
         }
-        let opened = timeout(CONNECT_TIMEOUT, connect(self.peer)).await;
+        let opened = timeout(CONNECT_TIMEOUT, Connection::open(self.peer)).await;
         let opened = opened.map_err(|_| self.unreachable_error(&"connection attempt timed out"))?;
-        let sender = opened.map_err(|e| self.unreachable_error(&e))?;
-        *connection = Some(sender.clone());
-        Ok(sender)
+        let opened = Arc::new(opened.map_err(|e| self.unreachable_error(&e))?);
+        *current = Some(Arc::clone(&opened));
+        Ok(opened)
     }
 
-    async fn reset(&self) {
-        *self.connection.lock().await = None;
+    /// Makes the next call open a connection, unless another call has replaced this one already.
+    async fn discard(&self, used: &Arc<Connection>) {
+        let mut current = self.connection.lock().await;
+        if current.as_ref().is_some_and(|c| Arc::ptr_eq(c, used)) {
+            *current = None;
+        }
     }
 
     fn unreachable_error(&self, cause: &dyn std::fmt::Display) -> Error {
@@ -145,22 +178,3 @@
         }
     }
 }
-
-async fn connect(peer: SocketAddr) -> std::io::Result<SendRequest<Bytes>> {
-    let socket = TcpStream::connect(peer).await?;
-    socket.set_nodelay(true)?;
-    let mut builder = h2::client::Builder::new();
-    builder
-        .initial_window_size(WINDOW_BYTES)
-        .initial_connection_window_size(WINDOW_BYTES);
-    let (sender, connection) = builder
-        .handshake(socket)
-        .await
-        .map_err(std::io::Error::other)?;
-    tokio::spawn(async move {
-        if let Err(error) = connection.await {
-            spdlog::debug!("internal connection to {peer} failed: {error}");
-        }
-    });
-    Ok(sender)
-}
