--- a/crates/model/tests/upstream.rs
+++ b/crates/model/tests/upstream.rs
@@ -78,7 +78,7 @@
 #[test]
 fn a_departure_before_the_first_announcement_is_final() {
     let left = departed("a", Some(5));
-    let known = roster(&[left.clone()]);
+    let known = roster(std::slice::from_ref(&left));
     assert!(Roster::default().would_change(&left));
     assert!(!known.would_change(&left));
     assert!(!known.would_change(&Event::Announced(announcement("a", 5, 1))));
