Read a body's state once, and name what a stop closes

Cause: found while the changes were read. The retry after a refusal asked twice whether the body can be sent again, and the warning at the end of a planned stop spoke of requests, where connections may be open only until their callers close them.

Change: names and one message; no behaviour.

--- a/crates/control/src/daemon/instance.rs
+++ b/crates/control/src/daemon/instance.rs
@@ -362,14 +362,17 @@
         let checked = event.check();
         checked.map_err(|e| Fault::new(Kind::BadRequest, e.to_string()))?;
         // A follower may not have applied the registration yet that a departure without an incarnation ends.
-        let ends_any = matches!(
+        let ends_any_incarnation = matches!(
             event,
             Event::Departed {
                 incarnation: None,
                 ..
             }
         );
-        if !ends_any && !self.is_stale() && !self.store().state().roster.would_change(&event) {
+        if !ends_any_incarnation
+            && !self.is_stale()
+            && !self.store().state().roster.would_change(&event)
+        {
             return Ok(());
         }
         let version: Version = self.propose(&Command::Workers(vec![event])).await?;
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -275,7 +275,7 @@
                     ended.map_err(|e| Failure(e.to_string()))?;
                 } else {
                     spdlog::warn!(
-                        "requests are still in progress at the shutdown timeout; dropping them"
+                        "connections of callers are still open at the shutdown timeout; closing them"
                     );
                 }
             }
--- a/crates/entry/src/gateway/proxy.rs
+++ b/crates/entry/src/gateway/proxy.rs
@@ -222,11 +222,12 @@
         kind: Kind,
         cause: String,
     ) -> Result<Reservation, Refusal> {
-        if self.inbound.source.check_replay() == Err(Unavailable::Broken) {
+        let replay = self.inbound.source.check_replay();
+        if replay == Err(Unavailable::Broken) {
             return Err(self.refusal(Kind::BadRequest, Unavailable::Broken.to_string(), None));
         }
         let may_repeat = self.inbound.route.kind.is_idempotent() || self.executed == Executed::No;
-        if !may_retry || !may_repeat || self.inbound.source.check_replay().is_err() {
+        if !may_retry || !may_repeat || replay.is_err() {
             return Err(self.refusal(kind, cause, None));
         }
         match self.try_reserve().await {
