Test responses without end and callers that do not read

Looked for here: an entry takes at most what the sockets hold (under 32 MB in each case, in 1.5 s) while its caller does not read, for bodies without a length, with one, in chunks, and of a refusal. So no change.

Found with these tests and not fixed here: a caller that does not read holds its worker's slot beyond the deadline, because the deadline of a transfer is looked at only when the library asks for more of the body.

--- a/crates/entry/tests/all/faulty.rs
+++ b/crates/entry/tests/all/faulty.rs
@@ -4,8 +4,11 @@
 use std::time::Duration;
 
 use rstest::rstest;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
 use tokio::time::{Instant, sleep};
 
+use crate::control::Control;
 use crate::fleet::{Entry, Reply, send, start_single, wait_until};
 use crate::gateway::{answer, ask_as, fleet, success};
 use crate::worker::{Received, Step, Worker, response};
@@ -15,6 +18,8 @@
 const TIMEOUT: Duration = Duration::from_secs(1);
 /// Margin after the timeout within which a request must have ended and the connection to its worker must be closed.
 const END_MARGIN: Duration = Duration::from_millis(500);
+/// Maximum size of the send and receive buffers of two connections on which nobody reads, in bytes.
+const MAX_SOCKET_BYTES: usize = 32 * 1024 * 1024;
 /// Head of a complete response with status 200, without the final line breaks.
 const HEAD: &str = "HTTP/1.1 200 X\r\nchestnutvalve-attempt: ID\r\nchestnutvalve-signature: s\r\n";
 
@@ -182,6 +187,49 @@
     );
 }
 
+/// Starts a worker with an endless response, and a caller that sends a request and does not read.
+async fn start_endless(start: &str, more: &str) -> (Worker, TcpStream, (Control, Entry)) {
+    let (start, more) = (start.to_owned(), more.repeat(512));
+    let worker = Worker::start("w1", move |seen| {
+        let start = start.replace("HEAD", HEAD).replace("ID", id(seen));
+        vec![write(&start), Step::Repeat(more.clone().into_bytes())]
+    })
+    .await;
+    let running = fleet(&[&worker]).await;
+    let mut caller = TcpStream::connect(running.1.gateway).await.unwrap();
+    let head = "POST /once/x HTTP/1.1\r\nhost: a.example\r\nchestnutvalve-attempt: first\r\n\r\n";
+    caller.write_all(head.as_bytes()).await.unwrap();
+    (worker, caller, running)
+}
+
+/// Guards against an entry that keeps an endless response in memory while its caller does not read it.
+#[rstest]
+#[case::unframed("HEAD\r\n", "nonsense")]
+#[case::length("HEADcontent-length: 1000000000000\r\n\r\n", "nonsense")]
+#[case::chunks("HEADtransfer-encoding: chunked\r\n\r\n", "8\r\nnonsense\r\n")]
+#[case::refusal(
+    "HTTP/1.1 503 X\r\nchestnutvalve-attempt: ID\r\nchestnutvalve-not-executed: 1\r\n\r\n",
+    "nonsense"
+)]
+#[tokio::test]
+async fn an_endless_response_is_read_as_its_caller_reads(#[case] start: &str, #[case] more: &str) {
+    let (worker, _caller, _running) = start_endless(start, more).await;
+    sleep(TIMEOUT + END_MARGIN).await;
+    let read = worker.repeated.load(Ordering::SeqCst);
+    assert!((1..MAX_SOCKET_BYTES).contains(&read), "{read} bytes");
+}
+
+/// Guards against a worker's slot that a caller holds beyond the deadline because it does not read.
+#[rstest]
+#[case::unframed("HEAD\r\n")]
+#[case::length("HEADcontent-length: 1000000000000\r\n\r\n")]
+#[tokio::test]
+async fn a_transfer_ends_at_its_deadline_while_its_caller_does_not_read(#[case] start: &str) {
+    let (worker, _caller, _running) = start_endless(start, "nonsense").await;
+    sleep(TIMEOUT + END_MARGIN).await;
+    assert_eq!(worker.cancelled.load(Ordering::SeqCst), 1);
+}
+
 /// Guards against bytes after a complete response that reach a caller, and against reuse of the connection on which
 /// they arrive.
 #[tokio::test]
--- a/crates/entry/tests/all/worker.rs
+++ b/crates/entry/tests/all/worker.rs
@@ -54,6 +54,8 @@
     pub seen: Arc<Mutex<Vec<Received>>>,
     /// Connections that the peer closed while a response was due or being written.
     pub cancelled: Arc<AtomicUsize>,
+    /// Bytes of endless responses that were written.
+    pub repeated: Arc<AtomicUsize>,
     announcing: Arc<AtomicBool>,
     tasks: Vec<JoinHandle<()>>,
 }
@@ -67,6 +69,13 @@
     vec![Step::Write(text.into_bytes())]
 }
 
+/// Counts that the connections of a worker share.
+#[derive(Clone)]
+struct Counts {
+    closed: Arc<AtomicUsize>,
+    repeated: Arc<AtomicUsize>,
+}
+
 impl Worker {
     pub async fn start(
         name: &str,
@@ -85,18 +94,23 @@
         let address = listener.local_addr().unwrap();
         let seen: Arc<Mutex<Vec<Received>>> = Arc::default();
         let cancelled: Arc<AtomicUsize> = Arc::default();
+        let repeated: Arc<AtomicUsize> = Arc::default();
         let behavior = Arc::new(Behavior {
             early: Box::new(early),
             respond: Box::new(respond),
         });
-        let (log, closed) = (Arc::clone(&seen), Arc::clone(&cancelled));
+        let log = Arc::clone(&seen);
+        let counts = Counts {
+            closed: Arc::clone(&cancelled),
+            repeated: Arc::clone(&repeated),
+        };
         let task = tokio::spawn(async move {
             for connection in 0.. {
                 let (socket, _) = listener.accept().await.unwrap();
                 let (behavior, log) = (Arc::clone(&behavior), Arc::clone(&log));
-                let closed = Arc::clone(&closed);
+                let counts = counts.clone();
                 tokio::spawn(async move {
-                    let _ = converse(socket, connection, &behavior, &log, &closed).await;
+                    let _ = converse(socket, connection, &behavior, &log, &counts).await;
                 });
             }
         });
@@ -105,6 +119,7 @@
             address,
             seen,
             cancelled,
+            repeated,
             announcing: Arc::default(),
             tasks: vec![task],
         }
@@ -165,18 +180,18 @@
     connection: usize,
     behavior: &Behavior,
     log: &Mutex<Vec<Received>>,
-    closed: &AtomicUsize,
+    counts: &Counts,
 ) -> std::io::Result<()> {
     let mut stream = BufReader::new(socket);
     while let Some(mut seen) = read_head(&mut stream, connection).await? {
         let early = (behavior.early)(&seen);
         let is_answered = !early.is_empty();
-        if !play(&mut stream, early, closed).await? {
+        if !play(&mut stream, early, counts).await? {
             return Ok(());
         }
         seen.body = read_body(&mut stream, &seen.headers).await?;
         log.lock().unwrap().push(seen.clone());
-        if !is_answered && !play(&mut stream, (behavior.respond)(&seen), closed).await? {
+        if !is_answered && !play(&mut stream, (behavior.respond)(&seen), counts).await? {
             return Ok(());
         }
     }
@@ -187,14 +202,16 @@
 async fn play(
     stream: &mut BufReader<TcpStream>,
     steps: Vec<Step>,
-    closed: &AtomicUsize,
+    counts: &Counts,
 ) -> std::io::Result<bool> {
     for step in steps {
         match step {
             Step::Write(bytes) => stream.get_mut().write_all(&bytes).await?,
             Step::Repeat(bytes) => {
-                while stream.get_mut().write_all(&bytes).await.is_ok() {}
-                closed.fetch_add(1, Ordering::SeqCst);
+                while stream.get_mut().write_all(&bytes).await.is_ok() {
+                    counts.repeated.fetch_add(bytes.len(), Ordering::SeqCst);
+                }
+                counts.closed.fetch_add(1, Ordering::SeqCst);
                 return Ok(false);
             }
             Step::Close => return Ok(false),
@@ -203,7 +220,7 @@
                 tokio::select! {
                     () = sleep(time) => {}
                     _ = stream.fill_buf() => {
-                        closed.fetch_add(1, Ordering::SeqCst);
+                        counts.closed.fetch_add(1, Ordering::SeqCst);
                         return Ok(false);
                     }
                 }
