Give a peer the whole limit for its first answer

Change: a connection counts as silent only after a call was answered on it. A new connection works, so that a slow first answer comes from a busy peer. The second watch after a lost connection asks for an answer at once and waits for 1 s, so that an instance that is frozen costs 2.5 s, as before the keep-alive, and not 3 s.

Result: keep_alive::a_peer_has_the_whole_limit_for_its_first_answer failed without the change in the client (by reading; not run) and passes.

--- a/crates/entry/src/control_client.rs
+++ b/crates/entry/src/control_client.rs
@@ -245,7 +245,7 @@
         .control
         .client_at(index)
         .ok_or("no control instance is configured")?;
-    let message = Watch {
+    let mut message = Watch {
         entry: instance.settings.entry.clone(),
         incarnation: instance.incarnation,
         have: instance.control_state.version(),
@@ -253,12 +253,13 @@
         wait_ms: u32::try_from(WATCH_WAIT.as_millis()).unwrap_or(u32::MAX),
     };
     let mut sent_at = Instant::now();
-    let poll = || client.call("config/watch", &message, WATCH_WAIT + WATCH_MARGIN);
-    let mut update: Result<Update, Error> = poll().await;
+    let limit = WATCH_WAIT + WATCH_MARGIN;
+    let mut update: Result<Update, Error> = client.call("config/watch", &message, limit).await;
     if let Err(Error::Connection { .. }) = update {
-        // The instance may be well although the connection to it was lost or went silent.
+        // The instance may be well although the connection to it was lost or went silent. It then answers at once.
+        message.wait_ms = 0;
         sent_at = Instant::now();
-        update = poll().await;
+        update = client.call("config/watch", &message, WATCH_MARGIN).await;
     }
     let update = update.map_err(|e| e.to_string())?;
     let version = update.version;
--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -108,7 +108,12 @@
             return answer.await;
         };
         tokio::select! {
-            answer = answer => answer,
+            answer = answer => {
+                if answer.is_ok() {
+                    connection.record_answer();
+                }
+                answer
+            }
             () = connection.wait_for_silence(keep_alive) => {
                 let peer = self.peer;
                 spdlog::info!("internal connection is silent", kv: {peer:?, path});
--- a/crates/wire/src/connection.rs
+++ b/crates/wire/src/connection.rs
@@ -3,6 +3,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll, Waker};
 use std::time::Duration;
@@ -50,6 +51,8 @@
     pub sender: SendRequest<Bytes>,
     pings: Mutex<PingPong>,
     last_read: LastRead,
+    /// Whether a call was answered.
+    answered: AtomicBool,
     task: AbortHandle,
 }
 
@@ -90,6 +93,7 @@
             sender,
             pings: Mutex::new(pings),
             last_read,
+            answered: AtomicBool::new(false),
             task: task.abort_handle(),
         })
     }
@@ -99,8 +103,19 @@
         self.last_read.at().elapsed() > keep_alive.max_idle()
     }
 
+    /// Records that a call was answered.
+    pub fn record_answer(&self) {
+        self.answered.store(true, Ordering::Relaxed);
+    }
+
     /// Waits until the peer is silent: it has not sent a byte for an interval from now on, nor in time after a ping.
+    ///
+    /// Before the first answer this waits forever. A new connection works, and a peer that is slow to answer on it is
+    /// overloaded, for example by all entries that start at the same time. Further connections would add to its load.
     pub async fn wait_for_silence(&self, keep_alive: KeepAlive) {
+        if !self.answered.load(Ordering::Relaxed) {
+            return std::future::pending().await;
+        }
         let started = Instant::now();
         loop {
             let since = self.last_read.at().max(started);
--- a/crates/wire/tests/keep_alive.rs
+++ b/crates/wire/tests/keep_alive.rs
@@ -85,6 +85,14 @@
     assert_eq!(wait(&client, 2_000).await.unwrap(), 2_000);
 }
 
+/// Guards against connections that are replaced again and again while an overloaded peer prepares its first answer.
+#[tokio::test]
+async fn a_peer_has_the_whole_limit_for_its_first_answer() {
+    let forwarder = Forwarder::start(start_server().await, KEEP_ALIVE.timeout).await;
+    let client = Client::new(forwarder.address).with_keep_alive(KEEP_ALIVE);
+    assert_eq!(wait(&client, 500).await.unwrap(), 500);
+}
+
 /// Guards against a time limit that is shorter than the round trip on a link with a delay of 300 ms.
 #[test]
 fn the_limit_of_a_deployment_allows_slow_links() {
