Notice a connection that goes silent right after a pong

Cause: a call that had sent a ping waited for the whole time limit, also when the pong came at once. A connection that went silent meanwhile was noticed only after the rest of it and another ping, up to twice the limit, 2 s in place of 1.5 s.

Change: the wait ends with the next byte, and the next ping follows an interval after it.

--- a/crates/wire/src/connection.rs
+++ b/crates/wire/src/connection.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::task::{Context, Poll, Waker};
 use std::time::Duration;
 
@@ -13,8 +13,9 @@
 use h2::{Ping, PingPong};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 use tokio::task::AbortHandle;
-use tokio::time::{Instant, sleep_until};
+use tokio::time::{Instant, sleep_until, timeout};
 
 /// Flow-control window, large enough to transfer a snapshot in few round trips.
 const WINDOW_BYTES: u32 = 4 * 1024 * 1024;
@@ -50,7 +51,7 @@
     /// Sends the requests of calls.
     pub sender: SendRequest<Bytes>,
     pings: Mutex<PingPong>,
-    last_read: LastRead,
+    last_read: Arc<LastRead>,
     /// Whether a call was answered.
     answered: AtomicBool,
     task: AbortHandle,
@@ -71,10 +72,13 @@
     pub async fn open(peer: SocketAddr) -> io::Result<Self> {
         let stream = TcpStream::connect(peer).await?;
         stream.set_nodelay(true)?;
-        let last_read = LastRead(Arc::new(Mutex::new(Instant::now())));
+        let last_read = Arc::new(LastRead {
+            at: Mutex::new(Instant::now()),
+            arrived: Notify::new(),
+        });
         let stream = ObservedStream {
             stream,
-            last_read: last_read.clone(),
+            last_read: Arc::clone(&last_read),
         };
         let mut builder = h2::client::Builder::new();
         builder
@@ -123,10 +127,9 @@
             if self.last_read.at() > since {
                 continue;
             }
-            let asked = Instant::now();
+            let arrived = self.last_read.arrived.notified();
             self.send_ping();
-            sleep_until(asked + keep_alive.timeout).await;
-            if self.last_read.at() < asked {
+            if timeout(keep_alive.timeout, arrived).await.is_err() {
                 return;
             }
         }
@@ -147,23 +150,27 @@
 }
 
 /// When bytes were last read from a connection.
-#[derive(Clone)]
-struct LastRead(Arc<Mutex<Instant>>);
+struct LastRead {
+    at: Mutex<Instant>,
+    /// Notified of each read.
+    arrived: Notify,
+}
 
 impl LastRead {
-    fn lock(&self) -> MutexGuard<'_, Instant> {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    fn at(&self) -> Instant {
+        *self.at.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn at(&self) -> Instant {
-        *self.lock()
+    fn record(&self) {
+        *self.at.lock().unwrap_or_else(PoisonError::into_inner) = Instant::now();
+        self.arrived.notify_waiters();
     }
 }
 
 /// Stream that records when bytes were last read.
 struct ObservedStream {
     stream: TcpStream,
-    last_read: LastRead,
+    last_read: Arc<LastRead>,
 }
 
 impl AsyncRead for ObservedStream {
@@ -175,7 +182,7 @@
         let before = buffer.filled().len();
         let polled = Pin::new(&mut self.stream).poll_read(cx, buffer);
         if buffer.filled().len() > before {
-            *self.last_read.lock() = Instant::now();
+            self.last_read.record();
         }
         polled
     }
--- a/crates/wire/tests/keep_alive.rs
+++ b/crates/wire/tests/keep_alive.rs
@@ -37,18 +37,25 @@
     client.call("wait", &ms, LIMIT).await
 }
 
-/// Guards against calls that wait for their whole time limit on a connection that has gone silent.
+/// Guards against calls that wait for their whole time limit on a connection that has gone silent, also when it went silent
+/// right after the answer to a ping.
+#[rstest]
 #[tokio::test]
-async fn a_call_on_a_silent_connection_fails_early() {
+async fn a_call_on_a_silent_connection_fails_early(
+    #[values(50, 105, 150, 205, 305)] silent_after_ms: u64,
+) {
     let forwarder = Forwarder::start(start_server().await, Duration::ZERO).await;
     let client = Client::new(forwarder.address).with_keep_alive(KEEP_ALIVE);
     assert_eq!(wait(&client, 0).await.unwrap(), 0);
     let second = client.clone();
     let waiting = tokio::spawn(async move { wait(&second, 4_000).await });
-    sleep(Duration::from_millis(50)).await;
-    forwarder.silence();
-    let since = Instant::now();
-    let (first, second) = tokio::join!(wait(&client, 4_000), waiting);
+    let first = wait(&client, 4_000);
+    let silence = async {
+        sleep(Duration::from_millis(silent_after_ms)).await;
+        forwarder.silence();
+        Instant::now()
+    };
+    let (first, second, since) = tokio::join!(first, waiting, silence);
     assert!(since.elapsed() < NOTICE_TIME, "{:?}", since.elapsed());
     for outcome in [first, second.unwrap()] {
         assert!(
