Let the test of silent connections fail without the fix

Cause: the test cut the connections half a second into a watch, so that the time limit of the watch alone, 2.5 s, brought the change after 2.0 s, at the bound of the test.

Change: the cut comes 100 ms into the watch. The bound stays at 2 s, so that the test is stricter.

--- a/crates/entry/tests/all/control_client.rs
+++ b/crates/entry/tests/all/control_client.rs
@@ -127,7 +127,8 @@
     let addresses: Vec<SocketAddr> = forwarders.iter().map(|f| f.address).collect();
     let entry = Entry::start_with_controls("e1", &addresses, &[], 1_000).await;
     entry.wait_for_members(1).await;
-    sleep(Duration::from_millis(500)).await;
+    // Early in a watch, which waits for 2.5 s.
+    sleep(Duration::from_millis(100)).await;
     forwarders.iter().for_each(Forwarder::silence);
     control.publish(table(7, vec![route("/", Kind::Idempotent)]));
     let since = Instant::now();
