--- a/crates/bench/src/soak/table.rs
+++ b/crates/bench/src/soak/table.rs
@@ -46,6 +46,7 @@
                 weight: 1.0,
             }],
             attempts: 2,
+            public: false,
         };
         let target = Target {
             health: "/_worker/health".into(),
@@ -61,6 +62,7 @@
             ],
             services: BTreeMap::from([(service.clone(), target)]),
             limits: Limits::default(),
+            accounts: Vec::new(),
             source: Vec::new(),
         }
     }
--- a/crates/control/tests/all/publish.rs
+++ b/crates/control/tests/all/publish.rs
@@ -33,6 +33,7 @@
             weight: 1.0,
         }],
         attempts: 1,
+        public: false,
     };
     Publication {
         label,
@@ -40,6 +41,7 @@
         routes: vec![route],
         services: BTreeMap::from([(service, target)]),
         limits: Limits::default(),
+        accounts: Vec::new(),
         source: format!("{label} {base} {timeout_ms}").into_bytes(),
     }
 }
--- a/crates/entry/tests/all/gateway.rs
+++ b/crates/entry/tests/all/gateway.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use chestnutvalve_entry::gateway::observation::{Finding, Observation};
+use chestnutvalve_model::account::Registry;
 use chestnutvalve_model::id::{Incarnation, Service, Worker as Name, Zone};
 use chestnutvalve_model::rank::Rank;
 use chestnutvalve_model::routes::{Kind, Limits, Route, Share, Table, Target};
@@ -36,6 +37,7 @@
             weight: 1.0,
         }],
         attempts: 2,
+        public: false,
     }
 }
 
@@ -49,6 +51,7 @@
         routes: routes.into_iter().map(|r| (r.key(), r)).collect(),
         services: BTreeMap::from([(Service::new(SERVICE).unwrap(), target)]),
         limits: Limits::default(),
+        accounts: Registry::default(),
     }
 }
 
--- a/crates/model/src/error.rs
+++ b/crates/model/src/error.rs
@@ -71,7 +71,7 @@
 kinds! {
     /// The request is malformed.
     BadRequest => 400, "bad_request", No, false;
-    /// The operator's token is missing or invalid.
+    /// The operator's token or the customer's API key is missing or invalid.
     Unauthorized => 401, "unauthorized", No, false;
     /// No resource or call has that name.
     NotFound => 404, "not_found", No, false;
@@ -114,6 +114,8 @@
     ChangeUnconfirmed => 504, "change_unconfirmed", Unknown, true;
     /// Internal error of the system.
     Internal => 500, "internal", Unknown, false;
+    /// The customer's requests exceed the limit of its account.
+    LimitExceeded => 429, "limit_exceeded", No, true;
 }
 
 /// Error with a kind from the closed set and a short context.
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -1,8 +1,9 @@
-//! Types that all crates of the fleet share: identifiers, configuration, directory, routes, control messages and error
-//! kinds.
+//! Types that all crates of the fleet share: identifiers, accounts, configuration, directory, routes, control messages
+//! and error kinds.
 //!
 //! This crate does no I/O and reads no clock.
 
+pub mod account;
 pub mod config;
 pub mod control;
 pub mod directory;
--- a/crates/model/src/routes.rs
+++ b/crates/model/src/routes.rs
@@ -4,8 +4,9 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::account::{Account, Registry};
 use crate::config::Invalid;
-use crate::id::Service;
+use crate::id::{Customer, Service};
 use crate::rank::Rank;
 
 /// Max routes of one table. A table of this size takes about 4 MB.
@@ -62,6 +63,8 @@
     pub split: Vec<Share>,
     /// Max workers to which one request may be sent.
     pub attempts: u8,
+    /// Whether requests need no API key although there are accounts.
+    pub public: bool,
 }
 
 /// Settings of a service that routes target.
@@ -110,6 +113,8 @@
     pub services: BTreeMap<Service, Target>,
     /// What callers may send.
     pub limits: Limits,
+    /// Accounts of the customers. If there are none, requests need no API key.
+    pub accounts: Registry,
 }
 
 /// Complete table that an operator publishes to replace the current one.
@@ -125,6 +130,8 @@
     pub services: BTreeMap<Service, Target>,
     /// What callers may send.
     pub limits: Limits,
+    /// Accounts in the order of the operator's document.
+    pub accounts: Vec<Account>,
     /// Operator's document, which is returned unchanged to readers.
     #[serde(default)]
     pub source: Vec<u8>,
@@ -143,6 +150,10 @@
     pub services: Option<BTreeMap<Service, Target>>,
     /// What callers may send.
     pub limits: Limits,
+    /// Accounts that are new or changed.
+    pub accounts: Vec<Account>,
+    /// Customers whose accounts are removed.
+    pub removed_accounts: Vec<Customer>,
 }
 
 impl Publication {
@@ -171,6 +182,7 @@
             routes,
             services: self.services.clone(),
             limits: self.limits,
+            accounts: Registry::build(&self.accounts)?,
         })
     }
 }
@@ -233,6 +245,8 @@
             removed: removed.cloned().collect(),
             services: (self.services != next.services).then(|| next.services.clone()),
             limits: next.limits,
+            accounts: self.accounts.changed(&next.accounts),
+            removed_accounts: self.accounts.removed(&next.accounts),
         }
     }
 
@@ -249,6 +263,12 @@
             self.services.clone_from(services);
         }
         self.limits = delta.limits;
+        for customer in &delta.removed_accounts {
+            self.accounts.remove(customer);
+        }
+        for account in &delta.accounts {
+            self.accounts.put(account.clone());
+        }
     }
 
     /// Returns the route of a request: the one for the host with the longest matching path prefix.
--- a/crates/model/tests/routes.rs
+++ b/crates/model/tests/routes.rs
@@ -25,6 +25,7 @@
             weight: 1.0,
         }],
         attempts: 2,
+        public: false,
     }
 }
 
@@ -39,6 +40,7 @@
         routes,
         services: BTreeMap::from([(service("lookup"), target)]),
         limits: Limits::default(),
+        accounts: Vec::new(),
         source: Vec::new(),
     }
 }
