Let a removed control instance join again without ending its process

What operators saw: a control instance that the group had removed while it was cut off or frozen ended with code 1 when it heard of it, and joined only after the process was started again. Each such end took a standby away for the time of the restart and counted as a failure of the process itself.

Cause: a replica that learns that it is no longer a member stops, and the daemon treated this like a failed disk: it reported the fault and ended.

Change: the fault has a kind of its own (member_removed). The service that runs the replicas stops all of them, waits for their writes, discards the state that they had applied, and starts empty replicas that join under a new identity. Listeners and connections stay; until the new replica is confirmed by a leader, the instance counts as stale, as after a start. Other faults still end the process.

Evidence: cluster::a_removed_member_joins_again_without_ending fails on the code before (no new member within 10 s, one run) and passes now, with the other 53 tests of the suite.

--- a/crates/control/src/daemon/instance.rs
+++ b/crates/control/src/daemon/instance.rs
@@ -67,7 +67,7 @@
     store: Arc<RwLock<Store>>,
     versions: watch::Sender<Version>,
     heartbeats: Mutex<Heartbeats>,
-    config: OnceLock<Handle>,
+    config: RwLock<Option<Handle>>,
     disk: OnceLock<Disk>,
 }
 
@@ -97,7 +97,7 @@
             store: Arc::default(),
             versions: watch::Sender::new(Version::ZERO),
             heartbeats: Mutex::default(),
-            config: OnceLock::new(),
+            config: RwLock::default(),
             disk: OnceLock::new(),
         })
     }
@@ -180,8 +180,19 @@
 
     /// Sets the replica of the config group once it is running.
     pub fn set_config(&self, handle: Handle) {
-        // The service that starts the replica runs once, so the cell is empty.
-        let _ = self.config.set(handle);
+        let mut config = self.config.write().unwrap_or_else(PoisonError::into_inner);
+        *config = Some(handle);
+    }
+
+    /// Discards the replicated state, of which a replica that joins anew knows nothing.
+    pub fn clear_store(&self) {
+        let mut store = self.store.write().unwrap_or_else(PoisonError::into_inner);
+        *store = Store::default();
+    }
+
+    fn running_config(&self) -> Option<Handle> {
+        let config = self.config.read().unwrap_or_else(PoisonError::into_inner);
+        config.clone()
     }
 
     /// Returns the replica of the config group.
@@ -189,27 +200,32 @@
     /// # Errors
     ///
     /// Returns [`Kind::NoQuorum`] before the replica has started.
-    pub fn config(&self) -> Result<&Handle, Fault> {
+    pub fn config(&self) -> Result<Handle, Fault> {
         let missing = || Fault::new(Kind::NoQuorum, "the replica has not started yet");
-        self.config.get().ok_or_else(missing)
+        self.running_config().ok_or_else(missing)
     }
 
     /// Returns the status of the config group at this instance, or `None` before its replica has started.
     #[must_use]
     pub fn status(&self) -> Option<Status> {
-        self.config.get().map(Handle::status)
+        self.running_config().as_ref().map(Handle::status)
     }
 
     /// Returns whether this instance has no contact with a quorum of the config group, or applies its log late.
     #[must_use]
     pub fn is_stale(&self) -> bool {
-        !self.config.get().is_some_and(Handle::is_current)
+        !self
+            .running_config()
+            .as_ref()
+            .is_some_and(Handle::is_current)
     }
 
     /// Returns whether the applied state was confirmed by a quorum since this instance started.
     #[must_use]
     pub fn is_confirmed(&self) -> bool {
-        self.config.get().is_some_and(Handle::is_confirmed)
+        self.running_config()
+            .as_ref()
+            .is_some_and(Handle::is_confirmed)
     }
 
     /// Returns the term in which this instance leads the config group with a quorum, or `None` when it does not.
@@ -222,14 +238,17 @@
     /// Returns whether this instance leads the config group with a lease, so that no other instance can.
     #[must_use]
     pub fn has_lease(&self) -> bool {
-        self.config.get().is_some_and(Handle::has_lease)
+        self.running_config()
+            .as_ref()
+            .is_some_and(Handle::has_lease)
     }
 
     /// Returns the addresses of the control instances by name: the members of the config group, or the initial voters before
     /// it has joined.
     #[must_use]
     pub fn control_addresses(&self) -> BTreeMap<String, SocketAddr> {
-        let members = self.config.get().map(Handle::members).unwrap_or_default();
+        let config = self.running_config();
+        let members = config.as_ref().map(Handle::members).unwrap_or_default();
         if members.members.is_empty() {
             let voters = self.settings.members.iter();
             return voters.map(|v| (v.control.to_string(), v.peers)).collect();
@@ -241,7 +260,7 @@
     /// Returns the internal addresses of the members of the config group as far as this instance knows them.
     #[must_use]
     pub fn addresses(&self) -> Vec<SocketAddr> {
-        let joined = self.config.get().map(Handle::members);
+        let joined = self.running_config().as_ref().map(Handle::members);
         if joined.is_some_and(|members| !members.members.is_empty()) {
             return self.control_addresses().into_values().collect();
         }
@@ -264,7 +283,8 @@
     /// Returns [`Kind::NoQuorum`] when the command was definitely not appended, and [`Kind::ChangeUnconfirmed`] when its
     /// outcome is unknown.
     pub async fn propose<A: DeserializeOwned>(&self, command: &Command) -> Result<A, Fault> {
-        let proposed = self.config()?.propose(codec::encode(command));
+        let config = self.config()?;
+        let proposed = config.propose(codec::encode(command));
         let unconfirmed = |_| Fault::new(Kind::ChangeUnconfirmed, "not committed in time");
         let result = timeout(PROPOSE_TIMEOUT, proposed).await;
         codec::decode(&result.map_err(unconfirmed)??)
--- a/crates/control/src/daemon/ledger.rs
+++ b/crates/control/src/daemon/ledger.rs
@@ -1,6 +1,6 @@
 //! Ledger groups: batched claims, and the advance of log time.
 
-use std::sync::{Arc, OnceLock, PoisonError, RwLock};
+use std::sync::{Arc, PoisonError, RwLock};
 use std::time::Duration;
 
 use chestnutvalve_kernel::Service;
@@ -81,7 +81,7 @@
 #[derive(Debug, Default)]
 pub struct Group {
     state: Arc<RwLock<State>>,
-    handle: OnceLock<Handle>,
+    handle: RwLock<Option<Handle>>,
     batcher: Batcher<Command, Option<ClaimReply>>,
 }
 
@@ -91,15 +91,20 @@
     /// # Errors
     ///
     /// Returns [`Kind::LedgerUnavailable`] before the replica has started.
-    pub fn handle(&self) -> Result<&Handle, Fault> {
+    pub fn handle(&self) -> Result<Handle, Fault> {
         let missing = || Fault::new(Kind::LedgerUnavailable, "the replica has not started yet");
-        self.handle.get().ok_or_else(missing)
+        let handle = self.handle.read().unwrap_or_else(PoisonError::into_inner);
+        handle.clone().ok_or_else(missing)
     }
 
     /// Sets the replica once it is running.
     pub fn set_handle(&self, handle: Handle) {
-        // The service that starts the replica runs once, so the cell is empty.
-        let _ = self.handle.set(handle);
+        *self.handle.write().unwrap_or_else(PoisonError::into_inner) = Some(handle);
+    }
+
+    /// Discards the replicated state, of which a replica that joins anew knows nothing.
+    pub fn clear_state(&self) {
+        *self.state.write().unwrap_or_else(PoisonError::into_inner) = State::default();
     }
 
     /// Returns the number of claims and the log time in milliseconds, as applied by this replica.
@@ -129,7 +134,8 @@
     }
 
     async fn commit<A: DeserializeOwned>(&self, command: &LogCommand) -> Result<A, Fault> {
-        let proposed = self.handle()?.propose(codec::encode(command));
+        let handle = self.handle()?;
+        let proposed = handle.propose(codec::encode(command));
         let late = |_| Fault::new(Kind::ChangeUnconfirmed, "not committed in time");
         codec::decode(&timeout(COMMIT_TIMEOUT, proposed).await.map_err(late)??)
     }
@@ -176,7 +182,7 @@
     let mut last_advance: Option<(u64, Instant)> = None;
     loop {
         ticks.tick().await;
-        let status = group.handle().ok().map(Handle::status);
+        let status = group.handle().ok().as_ref().map(Handle::status);
         let term = status.filter(|s| s.role == Role::Leader && s.quorum);
         let term = term.map(|s| s.term);
         let now = Instant::now();
--- a/crates/control/src/daemon/members.rs
+++ b/crates/control/src/daemon/members.rs
@@ -111,7 +111,7 @@
         .collect()
 }
 
-fn find_handle<'a>(instance: &'a Instance, name: &str) -> Result<&'a Handle, Fault> {
+fn find_handle(instance: &Instance, name: &str) -> Result<Handle, Fault> {
     if name == replicas::CONFIG {
         return instance.config();
     }
--- a/crates/control/src/daemon/replicas.rs
+++ b/crates/control/src/daemon/replicas.rs
@@ -5,7 +5,7 @@
 
 use chestnutvalve_kernel::Service;
 use chestnutvalve_kernel::service::Failure;
-use chestnutvalve_model::error::Fault;
+use chestnutvalve_model::error::{Fault, Kind};
 use chestnutvalve_storage::Directory;
 use tokio::task::JoinSet;
 
@@ -28,21 +28,50 @@
 #[must_use]
 pub fn service(instance: &Arc<Instance>) -> Service {
     background_service(NAME, instance, |instance, shutdown| async move {
-        let handles = start(&instance).map_err(Failure)?;
-        let watching = Arc::clone(&instance);
-        let watched = handles.clone();
-        let mut ends = JoinSet::new();
-        ends.spawn(async move { watching.report_failure(first_failure(watched).await) });
+        let mut handles = start(&instance).map_err(Failure)?;
         Ok(async move {
-            shutdown.requested().await;
-            ends.shutdown().await;
-            let stops = handles.into_iter();
-            let stops = stops.map(|handle| async move { handle.stop().await });
-            stops.collect::<JoinSet<()>>().join_all().await;
+            loop {
+                let fault = tokio::select! {
+                    () = shutdown.requested() => break,
+                    fault = first_failure(&handles) => fault,
+                };
+                let joining = if fault.kind == Kind::MemberRemoved {
+                    spdlog::warn!("removed from the group; joining it again", kv: {fault:});
+                    let joining = rejoin(&instance, &handles).await;
+                    joining.map_err(|cause| Fault::new(Kind::Internal, cause))
+                } else {
+                    Err(fault)
+                };
+                match joining {
+                    Ok(joining) => handles = joining,
+                    Err(fault) => {
+                        instance.report_failure(fault);
+                        shutdown.requested().await;
+                        break;
+                    }
+                }
+            }
+            stop(&handles).await;
         })
     })
 }
 
+/// Stops the replicas, whose identity was removed, and starts empty ones that join the groups under a new identity.
+async fn rejoin(instance: &Instance, removed: &[Handle]) -> Result<Vec<Handle>, String> {
+    stop(removed).await;
+    instance.clear_store();
+    for group in &instance.ledgers {
+        group.clear_state();
+    }
+    start(instance)
+}
+
+async fn stop(handles: &[Handle]) {
+    let stops = handles.iter().cloned();
+    let stops = stops.map(|handle| async move { handle.stop().await });
+    stops.collect::<JoinSet<()>>().join_all().await;
+}
+
 fn start(instance: &Instance) -> Result<Vec<Handle>, String> {
     let directory = Directory::open(&instance.settings.data, &mut instance.disk());
     let directory = Arc::new(directory.map_err(|e| e.to_string())?);
@@ -84,9 +113,10 @@
 }
 
 /// Waits until a replica stops by itself and returns the reason.
-async fn first_failure(handles: Vec<Handle>) -> Fault {
+async fn first_failure(handles: &[Handle]) -> Fault {
     let mut stopped = handles
-        .into_iter()
+        .iter()
+        .cloned()
         .map(|handle| async move { handle.stopped().await })
         .collect::<JoinSet<_>>();
     while let Some(stopped) = stopped.join_next().await {
--- a/crates/control/src/replica/driver.rs
+++ b/crates/control/src/replica/driver.rs
@@ -137,7 +137,7 @@
         };
         join::start(search, inputs.clone())
     });
-    let driver = Driver {
+    let mut driver = Driver {
         links: Links::new(
             network.clone(),
             inputs.clone(),
@@ -171,7 +171,12 @@
         let outcome = driver.run(received, proposed).await;
         if let Err(fault) = &outcome {
             spdlog::error!("group {group}: replica {id} stopped: {fault}");
+            if fault.kind == Kind::MemberRemoved {
+                // The instance empties the data directory before it joins again.
+                driver.finish().await;
+            }
         }
+        drop(driver);
         network.unregister(&group, &inputs);
         exit.send_replace(Some(outcome));
     });
@@ -180,7 +185,7 @@
 
 impl Driver {
     async fn run(
-        mut self,
+        &mut self,
         mut inputs: mpsc::Receiver<Input>,
         mut proposals: mpsc::Receiver<Proposal>,
     ) -> Result<(), Fault> {
@@ -188,7 +193,8 @@
             self.check_suspension();
             self.process_output()?;
             if self.stop_at.is_some_and(|at| Instant::now() >= at) {
-                return self.finish().await;
+                self.finish().await;
+                return Ok(());
             }
             let wake = Instant::from_std(self.replica.next_tick());
             let wake = [self.stop_at, self.slow_write_at]
@@ -205,7 +211,10 @@
                 }
                 proposal = proposals.recv(), if self.pending.len() < MAX_PENDING_PROPOSALS => {
                     // All handles were dropped.
-                    let Some(proposal) = proposal else { return self.finish().await };
+                    let Some(proposal) = proposal else {
+                        self.finish().await;
+                        return Ok(());
+                    };
                     self.propose(proposal);
                     for _ in 0..MAX_INPUTS_PER_ROUND {
                         let Ok(proposal) = proposals.try_recv() else { break };
@@ -245,14 +254,13 @@
     }
 
     /// Waits for writes in progress, so that nothing uses the data directory afterwards.
-    async fn finish(mut self) -> Result<(), Fault> {
+    async fn finish(&mut self) {
         if let Some(pending) = self.pending_write.take() {
             let _ = pending.task.await;
         }
         if let Some(snapshot_task) = self.snapshot_task.take() {
             let _ = snapshot_task.await;
         }
-        Ok(())
     }
 
     fn process_output(&mut self) -> Result<(), Fault> {
@@ -264,12 +272,16 @@
             self.links.send(to, message);
         }
         if let Some(fault) = self.replica.fatal_error() {
-            if matches!(fault, consensus::Error::Removed(_)) {
-                // A removed identity must never vote again; the next start joins with a new one.
-                let retired = self.directory.retire();
-                retired.map_err(|e| Fault::new(Kind::Internal, e.to_string()))?;
-            }
-            return Err(Fault::new(Kind::Internal, fault.to_string()));
+            let kind = match fault {
+                consensus::Error::Removed(_) => {
+                    // A removed identity must never vote again; the next start joins with a new one.
+                    let retired = self.directory.retire();
+                    retired.map_err(|e| Fault::new(Kind::Internal, e.to_string()))?;
+                    Kind::MemberRemoved
+                }
+                _ => Kind::Internal,
+            };
+            return Err(Fault::new(kind, fault.to_string()));
         }
         self.start_write(now);
         self.publish_view(now);
--- a/crates/control/tests/all/cluster.rs
+++ b/crates/control/tests/all/cluster.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use chestnutvalve_control::daemon::Instance;
+use chestnutvalve_control::daemon::{Instance, members};
 use chestnutvalve_model::control::{
     Content, EjectionGrant, EjectionRequest, Heartbeat, HeartbeatReply, State,
 };
@@ -343,3 +343,51 @@
         "{answers} answers in {took:?}"
     );
 }
+
+/// Guards against the end of a process, and of everything else that it serves, when its replica was removed from the group
+/// while it was cut off.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_removed_member_joins_again_without_ending() {
+    let cluster = Cluster::start(4).await;
+    let leader = cluster.leader().await;
+    let removed = cluster
+        .alive()
+        .find(|(n, _)| *n != leader)
+        .expect("a follower");
+    let removed = &removed.1.instance;
+    let groups = members::groups(removed);
+    let name = removed.settings.control.as_str();
+    let config = groups
+        .iter()
+        .find(|g| g.group == "config")
+        .expect("the config group");
+    let member = config.members.iter().find(|m| m.control == name);
+    let before = member.expect("a member").replica.clone();
+    let action = members::Action::Remove {
+        group: config.group.clone(),
+        replica: before.clone(),
+    };
+    let leader = cluster.running[leader].as_ref().expect("it runs");
+    members::apply_action(&leader.instance, &action)
+        .await
+        .expect("removed");
+    let deadline = Instant::now() + WAIT_TIMEOUT;
+    loop {
+        let groups = members::groups(&leader.instance);
+        let all = groups.iter().flat_map(|g| &g.members);
+        let joined = all
+            .filter(|m| m.control == name && m.replica != before)
+            .count();
+        let is_current = !removed.is_stale() && removed.is_confirmed();
+        if joined == groups.len() && is_current {
+            break;
+        }
+        assert!(Instant::now() < deadline, "not joined again: {groups:?}");
+        sleep(Duration::from_millis(50)).await;
+    }
+    let limit = Duration::from_millis(200);
+    let failure = tokio::time::timeout(limit, removed.wait_for_failure()).await;
+    assert!(failure.is_err(), "the instance reports {failure:?}");
+    let state = poll(&leader.client, Version::ZERO, 0).await.version;
+    assert_eq!(removed.store().state().version, state);
+}
--- a/crates/model/src/error.rs
+++ b/crates/model/src/error.rs
@@ -116,6 +116,8 @@
     Internal => 500, "internal", Unknown, false;
     /// The customer's requests exceed the limit of its account.
     LimitExceeded => 429, "limit_exceeded", No, true;
+    /// The control instance was removed from its group and joins it again as a new member.
+    MemberRemoved => 503, "member_removed", No, true;
 }
 
 /// Error with a kind from the closed set and a short context.
