End proxied transfers at their deadline as well

The proxy by service looked at a caller's deadline, like the gateway, only when the HTTP library asked for more of the body. Both cases of faulty::a_proxied_transfer_ends_at_its_deadline_while_its_caller_does_not_read failed before: the worker's connection was still open 0.5 s after the deadline of 1 s.

The response is now read by a task of its own, as at the gateway. Without a deadline of the caller the configured timeout limits each stall of the worker, as before; a caller that does not read then still holds the worker's slot.

--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -1,24 +1,22 @@
 //! Relaying of a response to the caller, and the cleanup when it ends.
 
 use std::collections::VecDeque;
-use std::pin::Pin;
 use std::sync::Arc;
-use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use bytes::Bytes;
 use chestnutvalve_routing::sample::Verdict;
 use http::{Response, response};
-use http_body::{Body, Frame, SizeHint};
+use http_body::Frame;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use tokio::time::{Instant, Sleep, sleep_until};
 
 use crate::call::Call;
 use crate::exchange::Received;
 use crate::instance::Instance;
-use crate::local_reply::{self, BodyError};
+use crate::local_reply;
 use crate::pool::Lease;
+use crate::read_ahead::{End, Limit, ReadAhead};
 use crate::replay::Source;
 use crate::reservation::{Permit, Reservation};
 
@@ -48,6 +46,16 @@
         }
     }
 
+    fn end(mut self, end: End) {
+        match end {
+            End::Complete => self.complete(),
+            End::Broken if self.source.has_failed() => self.finish(Verdict::Cancelled),
+            End::Broken => self.finish(Verdict::Truncated),
+            End::Late => self.finish(Verdict::Timeout),
+            End::Unread => self.finish(Verdict::Cancelled),
+        }
+    }
+
     fn finish(&mut self, verdict: Verdict) {
         if let Some(reservation) = self.reservation.take()
             && reservation.finish(verdict, self.latency)
@@ -133,136 +141,31 @@
     }
 
     /// Returns the response for the caller, whose body is relayed as it arrives.
+    ///
+    /// A deadline that the caller set covers the whole body. Without one, the configured timeout limits each stall of
+    /// the worker, so that a long transfer is not cut off.
     #[must_use]
     pub fn into_response(mut self, call: &Call) -> Response<local_reply::Body> {
         if self.remaining.is_none() {
             self.completion.complete();
         }
-        let stall_timeout = Duration::from_millis(call.settings.timeout_ms.into());
         let limit = if call.has_explicit_deadline {
-            call.deadline
+            Limit::Deadline(call.deadline)
         } else {
-            Instant::now() + stall_timeout
+            Limit::Stall(Duration::from_millis(call.settings.timeout_ms.into()))
         };
-        let body = RelayBody {
-            buffered: self.buffered,
-            remaining: self.remaining,
-            completion: self.completion,
-            timer: Box::pin(sleep_until(limit)),
-            stall_timeout: (!call.has_explicit_deadline).then_some(stall_timeout),
-            waiting_since: None,
-        };
-        Response::from_parts(self.parts, body.boxed_unsync())
-    }
-}
-
-/// Body that is relayed to the caller.
-///
-/// A deadline that the caller set covers the whole body. Without one, the configured timeout limits each stall of the
-/// worker, so that a long transfer is not cut off.
-struct RelayBody {
-    buffered: VecDeque<Frame<Bytes>>,
-    remaining: Option<Incoming>,
-    completion: Completion,
-    timer: Pin<Box<Sleep>>,
-    stall_timeout: Option<Duration>,
-    /// Since when the body has been waiting for data from the worker.
-    waiting_since: Option<Instant>,
-}
-
-impl RelayBody {
-    /// Adds the wait for the worker to the latency. Time that a slow caller takes to read is not the worker's latency.
-    fn record_wait(&mut self) {
-        if let Some(since) = self.waiting_since.take() {
-            self.completion.latency += since.elapsed();
-        }
-    }
-
-    fn fail(
-        &mut self,
-        verdict: Verdict,
-        error: BodyError,
-    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        self.remaining = None;
-        self.completion.finish(verdict);
-        // The connection closes here, and the error resets the caller's stream.
-        self.completion.lease = None;
-        Poll::Ready(Some(Err(error)))
-    }
-}
-
-impl Body for RelayBody {
-    type Data = Bytes;
-    type Error = BodyError;
-
-    fn poll_frame(
-        self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        let this = self.get_mut();
-        if let Some(frame) = this.buffered.pop_front() {
-            return Poll::Ready(Some(Ok(frame)));
-        }
-        let Some(remaining) = &mut this.remaining else {
-            return Poll::Ready(None);
-        };
-        let polled = Pin::new(&mut *remaining).poll_frame(cx);
-        let ended = remaining.is_end_stream();
-        if polled.is_pending() {
-            this.waiting_since.get_or_insert_with(Instant::now);
-        } else {
-            this.record_wait();
-        }
-        match polled {
-            Poll::Ready(Some(Ok(frame))) => {
-                if ended {
-                    this.remaining = None;
-                    this.completion.complete();
-                } else if let Some(stall_timeout) = this.stall_timeout {
-                    this.timer.as_mut().reset(Instant::now() + stall_timeout);
-                }
-                Poll::Ready(Some(Ok(frame)))
-            }
-            Poll::Ready(None) => {
-                this.remaining = None;
-                this.completion.complete();
-                Poll::Ready(None)
-            }
-            Poll::Ready(Some(Err(error))) => {
-                let verdict = if this.completion.source.has_failed() {
-                    Verdict::Cancelled
-                } else {
-                    Verdict::Truncated
+        let body = match self.remaining {
+            None => ReadAhead::received(self.buffered),
+            Some(remaining) => {
+                let mut completion = self.completion;
+                let on_end = move |end, waited| {
+                    // Time that a slow caller takes to read is not the worker's latency.
+                    completion.latency += waited;
+                    completion.end(end);
                 };
-                this.fail(verdict, error.into())
-            }
-            Poll::Pending => {
-                ready!(this.timer.as_mut().poll(cx));
-                this.record_wait();
-                let error = "the response exceeded its deadline or the stall timeout";
-                this.fail(Verdict::Timeout, error.into())
+                ReadAhead::open(self.buffered, remaining, limit, on_end)
             }
-        }
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.buffered.is_empty() && self.remaining.is_none()
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        let buffered: usize = self
-            .buffered
-            .iter()
-            .filter_map(Frame::data_ref)
-            .map(Bytes::len)
-            .sum();
-        let buffered = buffered as u64;
-        match &self.remaining {
-            None => SizeHint::with_exact(buffered),
-            Some(remaining) => match remaining.size_hint().exact() {
-                Some(left) => SizeHint::with_exact(buffered + left),
-                None => SizeHint::default(),
-            },
-        }
+        };
+        Response::from_parts(self.parts, body.boxed_unsync())
     }
 }
--- a/crates/entry/tests/all/faulty.rs
+++ b/crates/entry/tests/all/faulty.rs
@@ -230,6 +230,33 @@
     assert_eq!(worker.cancelled.load(Ordering::SeqCst), 1);
 }
 
+/// Guards against the same fault at the listener that proxies requests by service.
+#[rstest]
+#[case::length("content-length: 1000000000000", "nonsense".repeat(512))]
+#[case::chunks("transfer-encoding: chunked", format!("1000\r\n{}\r\n", "nonsense".repeat(512)))]
+#[tokio::test]
+async fn a_proxied_transfer_ends_at_its_deadline_while_its_caller_does_not_read(
+    #[case] framing: &'static str,
+    #[case] more: String,
+) {
+    let mut worker = Worker::start("w1", move |_| {
+        let head = write(&format!("HTTP/1.1 200 X\r\n{framing}\r\n\r\n"));
+        vec![head, Step::Repeat(more.clone().into_bytes())]
+    })
+    .await;
+    let (_control, entry) = start_single().await;
+    worker.announce(entry.platform, "rationdesk").await;
+    let mut caller = TcpStream::connect(entry.callers).await.unwrap();
+    let timeout = TIMEOUT.as_millis();
+    let head = format!(
+        "POST / HTTP/1.1\r\nhost: rationdesk\r\nchestnutvalve-service: rationdesk\r\nchestnutvalve-deadline-ms: {timeout}\r\n\r\n"
+    );
+    caller.write_all(head.as_bytes()).await.unwrap();
+    sleep(TIMEOUT + END_MARGIN).await;
+    assert_eq!(worker.count(), 1);
+    assert_eq!(worker.cancelled.load(Ordering::SeqCst), 1);
+}
+
 /// Guards against bytes after a complete response that reach a caller, and against reuse of the connection on which
 /// they arrive.
 #[tokio::test]
