Deliver responses to callers that have closed their sending side

The HTTP library aborts a response when it reads the end of the caller's input meanwhile, so that a caller which had sent its only request and closed its sending side got 2.5 MB of a response of 8 MB, at the gateway and at the proxy by service (streams::a_caller_that_has_sent_everything_gets_its_response, both cases failed). The connection now holds the end of the input back while a response is delivered. A caller that has closed the connection altogether resets it at the next write. The end of the input still cancels a request that waits for its response, as before.

The other tests of streams:: found no fault and stay as guards: a chunked body with trailers behind a pipelined request, 100-continue, HEAD with a body, a response that breaks off behind a complete one, and slow callers during a planned stop.

--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use http::{HeaderValue, Request, Response, Version, header};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
@@ -16,7 +17,7 @@
 use crate::instance::Instance;
 use crate::local_reply::Body;
 use crate::proxy;
-use crate::socket::Socket;
+use crate::socket::{Delivery, Socket};
 
 /// Maximum number of concurrent connections; further ones wait in the listener's backlog.
 const MAX_CONNECTIONS: usize = 20_000;
@@ -91,8 +92,11 @@
     permit: OwnedSemaphorePermit,
 ) {
     let instance = Arc::clone(instance);
-    let service = service_fn(move |request| respond(Arc::clone(&instance), request));
-    let connection = builder.serve_connection(TokioIo::new(Socket::new(socket)), service);
+    let socket = Socket::new(socket);
+    let delivery = socket.delivery();
+    let service =
+        service_fn(move |request| respond(Arc::clone(&instance), delivery.clone(), request));
+    let connection = builder.serve_connection(TokioIo::new(socket), service);
     let connection = graceful.watch(connection.into_owned());
     tokio::spawn(async move {
         if let Err(error) = connection.await {
@@ -104,6 +108,7 @@
 
 async fn respond(
     instance: Arc<Instance>,
+    delivery: Delivery,
     request: Request<Incoming>,
 ) -> Result<Response<Body>, Infallible> {
     let closes_with_header = request.version() == Version::HTTP_11;
@@ -113,5 +118,9 @@
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
     }
-    Ok(response)
+    // With HTTP/2 the caller ends each stream by itself.
+    if !closes_with_header {
+        return Ok(response);
+    }
+    Ok(response.map(|body| delivery.deliver(body).boxed_unsync()))
 }
--- a/crates/entry/src/gateway/listener.rs
+++ b/crates/entry/src/gateway/listener.rs
@@ -44,12 +44,13 @@
     let limits = gateway.instance.control_state.current().routes.limits;
     let buffer = usize::try_from(limits.head_bytes).unwrap_or(usize::MAX);
     let socket = Socket::new(socket);
-    let last_read = socket.last_read();
+    let (last_read, delivery) = (socket.last_read(), socket.delivery());
     let gateway = Arc::clone(gateway);
     let service = service_fn(move |request| {
         let gateway = Arc::clone(&gateway);
         // A pipelined request arrived with the last bytes that were read, which may be long before it is handled.
         let arrived = last_read.at();
+        let delivery = delivery.clone();
         async move {
             let mut response = proxy::handle(&gateway, request, arrived).await;
             if gateway.instance.is_draining() {
@@ -57,7 +58,7 @@
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(header::CONNECTION, close);
             }
-            Ok::<_, Infallible>(response)
+            Ok::<_, Infallible>(response.map(|body| delivery.deliver(body)))
         }
     });
     // The library's timeout covers both the idle time before a request head and the time to read it.
--- a/crates/entry/src/socket.rs
+++ b/crates/entry/src/socket.rs
@@ -2,14 +2,19 @@
 
 use std::io;
 use std::pin::Pin;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
+use bytes::Bytes;
+use http_body::{Body, Frame, SizeHint};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::time::{Instant, Sleep, sleep_until};
 
+use crate::local_reply::{self, BodyError};
+
 /// Time after the last write in which a caller can receive the response and close the connection. A send buffer of 1 MB
 /// takes 2.5 s on a link of 3.2 Mbit/s.
 const LINGER_TIMEOUT: Duration = Duration::from_secs(3);
@@ -20,10 +25,19 @@
 /// response that it has not received yet. Unread bytes are common: further requests of a caller that pipelines, or the
 /// rest of a body to which the worker has already responded. A shutdown therefore discards what the caller still sends,
 /// until it closes its side too.
+///
+/// The HTTP library aborts a response when the caller closes its sending side. A caller that has sent its requests may do
+/// so while it reads, so that the end of its input is held back while a response is delivered. A caller that has closed
+/// the connection altogether resets it at the next write.
 pub struct Socket {
     stream: TcpStream,
     last_read: LastRead,
     last_write: Instant,
+    delivery: Delivery,
+    /// Whether the end of the input was read and held back.
+    is_end_held: bool,
+    /// Whether the library may hold bytes that it has not written.
+    is_unflushed: bool,
     /// Present after the write side was shut down.
     linger: Option<Pin<Box<Sleep>>>,
 }
@@ -44,6 +58,55 @@
     }
 }
 
+/// Whether a response is delivered on a connection.
+#[derive(Clone, Debug, Default)]
+pub struct Delivery(Arc<AtomicBool>);
+
+impl Delivery {
+    /// Marks a response as being delivered until its body ends or is dropped.
+    #[must_use]
+    pub fn deliver(&self, body: local_reply::Body) -> Delivered {
+        self.0.store(true, Ordering::Relaxed);
+        Delivered {
+            body,
+            delivery: self.clone(),
+        }
+    }
+}
+
+/// Body of a response that is delivered.
+#[derive(Debug)]
+pub struct Delivered {
+    body: local_reply::Body,
+    delivery: Delivery,
+}
+
+impl Drop for Delivered {
+    fn drop(&mut self) {
+        self.delivery.0.store(false, Ordering::Relaxed);
+    }
+}
+
+impl Body for Delivered {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
 impl Socket {
     /// Wraps a connection that was just accepted, and disables the delay of small segments.
     #[must_use]
@@ -56,6 +119,9 @@
             stream,
             last_read: LastRead(Arc::new(Mutex::new(now))),
             last_write: now,
+            delivery: Delivery::default(),
+            is_end_held: false,
+            is_unflushed: false,
             linger: None,
         }
     }
@@ -66,6 +132,17 @@
         self.last_read.clone()
     }
 
+    /// Returns a handle that marks responses as being delivered.
+    #[must_use]
+    pub fn delivery(&self) -> Delivery {
+        self.delivery.clone()
+    }
+
+    /// Returns whether the end of the caller's input must be held back.
+    fn is_delivering(&self) -> bool {
+        self.is_unflushed || self.delivery.0.load(Ordering::Relaxed)
+    }
+
     /// Discards what the caller sends until it closes the connection or the time is over.
     fn poll_linger(&mut self, cx: &mut Context<'_>) -> Poll<()> {
         let Self { stream, linger, .. } = self;
@@ -91,9 +168,16 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let before = buffer.filled().len();
+        if self.is_end_held && self.is_delivering() {
+            return Poll::Pending;
+        }
         let polled = Pin::new(&mut self.stream).poll_read(cx, buffer);
         if buffer.filled().len() > before {
             self.last_read.record();
+        } else if matches!(polled, Poll::Ready(Ok(()))) && self.is_delivering() {
+            // The flush of the response wakes the task.
+            self.is_end_held = true;
+            return Poll::Pending;
         }
         polled
     }
@@ -106,10 +190,14 @@
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
         self.last_write = Instant::now();
+        self.is_unflushed = true;
         Pin::new(&mut self.stream).poll_write(cx, bytes)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if std::mem::take(&mut self.is_unflushed) && self.is_end_held {
+            cx.waker().wake_by_ref();
+        }
         Pin::new(&mut self.stream).poll_flush(cx)
     }
 
@@ -126,6 +214,7 @@
         bytes: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         self.last_write = Instant::now();
+        self.is_unflushed = true;
         Pin::new(&mut self.stream).poll_write_vectored(cx, bytes)
     }
 
--- a/crates/entry/tests/all/main.rs
+++ b/crates/entry/tests/all/main.rs
@@ -19,5 +19,6 @@
 mod proxy;
 mod readers;
 mod sharing;
+mod streams;
 mod upload;
 mod worker;
