--- a/crates/entry/tests/all/main.rs
+++ b/crates/entry/tests/all/main.rs
@@ -17,6 +17,8 @@
 mod narrow;
 mod notices;
 mod proxy;
+mod readers;
 mod sharing;
+mod streams;
 mod upload;
 mod worker;
