Authenticate callers by the API keys of their customers

Cause: the route table carries accounts, but nothing read them: the platform's tenants were skipped, and a request without a key reached a worker.

Change: - The platform's document is decoded with its tenants and public routes. Errors about a document with keys quote nothing of it, and the debug output of a publication omits the document. - gateway::credentials decides from the table and the headers. On a route that is not public, a missing, malformed, duplicate or unknown key is answered with 401 before the body is read. On a public route a valid key still states the customer; any other one is ignored. - With accounts, workers get the customer's name in the header that the dialect names, and neither the caller's credentials nor its customer header. Without accounts, headers pass as before. - The rank of an account replaces that of the route (Inbound::rank). - rejected_credentials counts refused requests by reason; each is logged as "not authenticated". - Fields of accounts and of public routes may be absent in a published document, as before they existed.

Of the new tests over a gateway, those of the worker's headers look at the raw lines.

--- a/crates/control/src/daemon/operators.rs
+++ b/crates/control/src/daemon/operators.rs
@@ -7,6 +7,7 @@
 use chestnutvalve_kernel::service::Failure;
 use chestnutvalve_model::config::Change;
 use chestnutvalve_model::error::{Fault, Kind};
+use chestnutvalve_model::json;
 use chestnutvalve_model::routes::Publication;
 use chestnutvalve_model::upstream::Event;
 use poem::endpoint::make;
@@ -168,7 +169,7 @@
 
 async fn read_json<T: serde::de::DeserializeOwned>(request: Request) -> Result<T, Fault> {
     let body = read_body(request).await?;
-    parse(&body).map_err(|e| Fault::new(Kind::BadRequest, e))
+    json::parse(&body).map_err(|e| Fault::new(Kind::BadRequest, e))
 }
 
 async fn read_body(request: Request) -> Result<Vec<u8>, Fault> {
@@ -184,15 +185,6 @@
     Ok(body.to_vec())
 }
 
-/// Parses JSON; `serde_json` limits the nesting depth.
-fn parse<T: serde::de::DeserializeOwned>(body: &[u8]) -> Result<T, String> {
-    let mut json = serde_json::Deserializer::from_slice(body);
-    let parsed = serde_path_to_error::deserialize(&mut json);
-    let parsed = parsed.map_err(|e| format!("field {}: {}", e.path(), e.inner()))?;
-    json.end().map_err(|e| e.to_string())?;
-    Ok(parsed)
-}
-
 async fn accepted_change(instance: Arc<Instance>, request: Request) -> Answer {
     let id = request.raw_path_param("id").unwrap_or_default();
     let store = instance.store();
@@ -230,14 +222,14 @@
 /// Returns the operator's route document, confirmed to be the latest.
 async fn routes_in_force(instance: Arc<Instance>, _request: Request) -> Answer {
     let document = instance.read_published().await?;
-    parse(&document).map_err(|e| Fault::new(Kind::Internal, e).into())
+    json::parse_confidential(&document).map_err(|e| Fault::new(Kind::Internal, e).into())
 }
 
 /// Replaces the route table; readers get the request body back unchanged.
 async fn publish(instance: Arc<Instance>, request: Request) -> Answer {
     authorize(&instance, &request)?;
     let body = read_body(request).await?;
-    let publication = parse::<Publication>(&body);
+    let publication = json::parse_confidential::<Publication>(&body);
     let mut publication = publication.map_err(|e| Fault::new(Kind::BadRequest, e))?;
     publication.source = body;
     let (label, base) = (publication.label, publication.base);
--- a/crates/control/src/state/publish.rs
+++ b/crates/control/src/state/publish.rs
@@ -1,6 +1,7 @@
 //! Publication of a complete route table, with compare-and-set on the operator's labels.
 
 use std::collections::VecDeque;
+use std::fmt;
 use std::sync::Arc;
 
 use chestnutvalve_model::control::Step;
@@ -16,12 +17,21 @@
 const MAX_ACCEPTED_DIGESTS: usize = 4_096;
 
 /// Document in force, and the digests of all recently accepted documents.
-#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[derive(Clone, Default, Deserialize, PartialEq, Serialize)]
 pub struct PublishedRoutes {
     source: Vec<u8>,
     accepted_digests: VecDeque<u128>,
 }
 
+impl fmt::Debug for PublishedRoutes {
+    /// Omits the document, which contains the API keys.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("PublishedRoutes")
+            .field("accepted_digests", &self.accepted_digests)
+            .finish_non_exhaustive()
+    }
+}
+
 impl PublishedRoutes {
     /// Returns the operator's document in force, `None` before the first publication.
     #[must_use]
--- a/crates/entry/src/gateway/dialect.rs
+++ b/crates/entry/src/gateway/dialect.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use http::{HeaderName, HeaderValue};
+use http::{HeaderName, HeaderValue, header};
 
 use crate::header as name;
 
@@ -28,6 +28,12 @@
     pub format_retry_after: fn(Duration) -> HeaderValue,
     /// Parses the value of `retry_after`. Returns `None` for a value that is not a time.
     pub parse_retry_after: fn(&str) -> Option<Duration>,
+    /// Credentials of a caller: `SCHEME KEY` with the API key of a customer.
+    pub credentials: HeaderName,
+    /// Scheme of the credentials.
+    pub scheme: &'static str,
+    /// Name of the customer on whose behalf the request is made. Workers receive it if there are accounts.
+    pub customer: HeaderName,
     /// State of a worker.
     pub state: HeaderName,
     /// Value of `state` in the responses of a worker that leaves.
@@ -51,6 +57,9 @@
                 HeaderValue::from(after)
             },
             parse_retry_after: |after| after.trim().parse().ok().map(Duration::from_millis),
+            credentials: header::AUTHORIZATION,
+            scheme: "Bearer",
+            customer: name::CUSTOMER,
             state: name::WORKER,
             leaving: HeaderValue::from_static("leaving"),
             parse_load: |load| load.parse().ok(),
--- a/crates/entry/src/gateway/inbound.rs
+++ b/crates/entry/src/gateway/inbound.rs
@@ -3,8 +3,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use chestnutvalve_model::account::Account;
 use chestnutvalve_model::error::Kind;
 use chestnutvalve_model::id::Service;
+use chestnutvalve_model::rank::Rank;
 use chestnutvalve_model::routes::Route;
 use http::uri::PathAndQuery;
 use http::{HeaderMap, HeaderValue, Method, Request, Uri, Version, header};
@@ -13,6 +15,7 @@
 use tokio::time::Instant;
 
 use super::Gateway;
+use super::credentials::{self, Rejection};
 use super::dialect::Dialect;
 use crate::header as name;
 use crate::local_reply::Refusal;
@@ -28,6 +31,11 @@
     pub id: String,
     /// Route that the request matches.
     pub route: Route,
+    /// Account on whose behalf the request is made; `None` without accounts, and for a request without a valid key on a public
+    /// route.
+    pub account: Option<Arc<Account>>,
+    /// Priority class: that of the account if it has one, else that of the route.
+    pub rank: Rank,
     /// Service to which the request goes.
     pub service: Service,
     /// Version of the route table that matched the request.
@@ -48,7 +56,8 @@
     ///
     /// # Errors
     ///
-    /// Refuses a malformed request, a request that no route matches, and every request before the first route table.
+    /// Refuses a malformed request, a request that no route matches, one without a valid API key on a route that requires one, and
+    /// every request before the first route table.
     pub fn read(
         gateway: &Gateway,
         request: Request<Incoming>,
@@ -77,6 +86,9 @@
             let context = format!("no route for {host}{path} in route table version {label:x}");
             Refusal::new(Kind::NotFound, context)
         })?;
+        let accounts = &table.accounts;
+        let account = credentials::authenticate(accounts, route.public, dialect, &parts.headers)
+            .map_err(|rejection| unauthorized(gateway, route, rejection))?;
         let length = body.size_hint().lower();
         if length > table.limits.body_bytes {
             let limit = table.limits.body_bytes;
@@ -95,8 +107,14 @@
         name::remove_hop_by_hop(&mut headers);
         headers.remove(header::EXPECT);
         headers.remove(&dialect.worker);
+        if !table.accounts.is_empty() {
+            credentials::replace(&mut headers, dialect, account.as_deref());
+        }
+        let rank = account.as_ref().and_then(|account| account.rank);
         Ok(Self {
             id,
+            account,
+            rank: rank.unwrap_or(route.rank),
             route: route.clone(),
             service,
             label: table.label,
@@ -146,6 +164,15 @@
     }
 }
 
+fn unauthorized(gateway: &Gateway, route: &Route, rejection: Rejection) -> Refusal {
+    gateway.instance.meters.count_rejection(rejection.name());
+    let dialect = &gateway.settings.dialect;
+    let (name, header, scheme) = (&route.name, &dialect.credentials, dialect.scheme);
+    let context =
+        format!("route {name}: expected the header {header}: {scheme} KEY, found {rejection}");
+    Refusal::new(Kind::Unauthorized, context)
+}
+
 fn host<'a>(uri: &'a Uri, headers: &'a HeaderMap) -> Result<&'a str, Refusal> {
     let stated = headers.get(header::HOST).and_then(|h| h.to_str().ok());
     let host = uri.host().or(stated);
--- a/crates/entry/src/gateway/proxy.rs
+++ b/crates/entry/src/gateway/proxy.rs
@@ -7,7 +7,7 @@
 use chestnutvalve_model::id::Worker;
 use chestnutvalve_routing::retry::Purpose;
 use chestnutvalve_routing::schedule::{self, Outcome, Reason};
-use http::{Request, Response};
+use http::{HeaderValue, Request, Response, header};
 use hyper::body::Incoming;
 use tokio::time::{Instant, sleep, timeout_at};
 
@@ -51,7 +51,12 @@
         Err(refusal) => {
             let (code, cause) = (refusal.fault.kind.answer().code, &refusal.fault.context);
             let waited_ms = arrived.elapsed().as_millis();
-            spdlog::info!("not routed", kv: {id:, code, cause:, waited_ms});
+            // A flood of one of the events must not keep the other one out of the log, which limits lines by their text.
+            if refusal.fault.kind == Kind::Unauthorized {
+                spdlog::info!("not authenticated", kv: {id:, code, cause:, waited_ms});
+            } else {
+                spdlog::info!("not routed", kv: {id:, code, cause:, waited_ms});
+            }
             gateway.instance.meters.count_refusal(refusal.fault.kind);
             return refusal_response(gateway, &refusal);
         }
@@ -72,7 +77,7 @@
         Ok(_) => "answered",
         Err(refusal) => refusal.fault.kind.answer().code,
     };
-    meters.record_routed(service, inbound.route.rank, outcome_name, elapsed, waited);
+    meters.record_routed(service, inbound.rank, outcome_name, elapsed, waited);
     match outcome {
         Ok(received) => {
             let (status, worker) = (received.parts.status.as_u16(), &received.reservation.worker);
@@ -111,6 +116,12 @@
 fn refusal_response(gateway: &Gateway, refusal: &Refusal) -> Response<Body> {
     let dialect = &gateway.settings.dialect;
     let mut response = local_reply::refusal(refusal);
+    if refusal.fault.kind == Kind::Unauthorized {
+        let scheme = HeaderValue::from_static(dialect.scheme);
+        response
+            .headers_mut()
+            .insert(header::WWW_AUTHENTICATE, scheme);
+    }
     if let Some(after) = refusal.retry_after {
         let value = (dialect.format_retry_after)(after);
         response.headers_mut().insert(&dialect.retry_after, value);
@@ -330,7 +341,7 @@
         let target = Duration::from_millis(inbound.route.target_ms);
         schedule::Request {
             id: self.gateway.next_request_id(),
-            rank: inbound.route.rank,
+            rank: inbound.rank,
             download: inbound.route.kind == chestnutvalve_model::routes::Kind::Download,
             at_most_once: !inbound.route.kind.is_idempotent(),
             target: (inbound.arrived + target).into_std(),
--- a/crates/entry/src/meters.rs
+++ b/crates/entry/src/meters.rs
@@ -29,6 +29,7 @@
     requests: Counter<u64>,
     attempts: Counter<u64>,
     refusals: Counter<u64>,
+    rejections: Counter<u64>,
     notices: Counter<u64>,
     added_latency: Histogram<f64>,
     queue_wait: Histogram<f64>,
@@ -56,6 +57,10 @@
             requests: counter("requests", "Requests by service, rank and outcome"),
             attempts: counter("attempts", "Attempts at workers by result"),
             refusals: counter("refusals", "Requests that the entry refused, by kind"),
+            rejections: counter(
+                "rejected_credentials",
+                "Requests without a valid API key, by reason",
+            ),
             notices: counter(
                 "worker_notices",
                 "Responses in which workers said that they leave or want a pause, by kind",
@@ -127,6 +132,11 @@
         self.refusals.add(1, &[KeyValue::new("kind", code)]);
     }
 
+    /// Counts a request without a valid API key, by the reason.
+    pub fn count_rejection(&self, reason: &'static str) {
+        self.rejections.add(1, &[KeyValue::new("reason", reason)]);
+    }
+
     /// Counts what a worker said about itself, by kind.
     pub fn count_notice(&self, kind: &'static str) {
         self.notices.add(1, &[KeyValue::new("kind", kind)]);
--- a/crates/entry/tests/all/main.rs
+++ b/crates/entry/tests/all/main.rs
@@ -6,6 +6,8 @@
 mod control;
 mod control_client;
 mod coordinator;
+mod credentials;
+mod customers;
 mod dispatcher;
 mod drain;
 mod faulty;
--- a/crates/entry/tests/all/worker.rs
+++ b/crates/entry/tests/all/worker.rs
@@ -19,6 +19,8 @@
 pub struct Received {
     pub head: String,
     pub headers: HashMap<String, String>,
+    /// Header lines as they were sent, so that repeated headers are visible.
+    pub lines: Vec<String>,
     pub body: Vec<u8>,
     /// Index of the connection in order of acceptance.
     pub connection: usize,
@@ -238,7 +240,7 @@
     if stream.read_line(&mut head).await? == 0 {
         return Ok(None);
     }
-    let mut headers = HashMap::new();
+    let (mut headers, mut lines) = (HashMap::new(), Vec::new());
     loop {
         let mut line = String::new();
         stream.read_line(&mut line).await?;
@@ -246,10 +248,12 @@
             break;
         };
         headers.insert(name.to_lowercase(), value.to_owned());
+        lines.push(line.trim_end().to_owned());
     }
     Ok(Some(Received {
         head: head.trim_end().to_owned(),
         headers,
+        lines,
         body: Vec::new(),
         connection,
     }))
--- a/crates/model/src/account.rs
+++ b/crates/model/src/account.rs
@@ -61,6 +61,7 @@
     /// Name of the customer, which workers receive.
     pub customer: Customer,
     /// Keys with which callers act for the customer.
+    #[serde(default)]
     pub keys: Vec<Key>,
     /// Priority class of the customer's requests; it replaces that of their route.
     pub rank: Option<Rank>,
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -1,5 +1,5 @@
 //! Types that all crates of the fleet share: identifiers, accounts, configuration, directory, routes, control messages
-//! and error kinds.
+//! and error kinds; and the parsing of JSON texts.
 //!
 //! This crate does no I/O and reads no clock.
 
@@ -9,6 +9,7 @@
 pub mod directory;
 pub mod error;
 pub mod id;
+pub mod json;
 pub mod rank;
 pub mod routes;
 pub mod upstream;
--- a/crates/model/src/routes.rs
+++ b/crates/model/src/routes.rs
@@ -1,6 +1,7 @@
 //! Routes by host and path prefix, and the services that they target.
 
 use std::collections::BTreeMap;
+use std::fmt;
 
 use serde::{Deserialize, Serialize};
 
@@ -64,6 +65,7 @@
     /// Max workers to which one request may be sent.
     pub attempts: u8,
     /// Whether requests need no API key although there are accounts.
+    #[serde(default)]
     pub public: bool,
 }
 
@@ -118,7 +120,7 @@
 }
 
 /// Complete table that an operator publishes to replace the current one.
-#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[derive(Clone, Deserialize, PartialEq, Serialize)]
 pub struct Publication {
     /// Version of the table; it must be higher than the current one.
     pub label: u64,
@@ -131,6 +133,7 @@
     /// What callers may send.
     pub limits: Limits,
     /// Accounts in the order of the operator's document.
+    #[serde(default)]
     pub accounts: Vec<Account>,
     /// Operator's document, which is returned unchanged to readers.
     #[serde(default)]
@@ -156,6 +159,29 @@
     pub removed_accounts: Vec<Customer>,
 }
 
+impl fmt::Debug for Publication {
+    /// Omits the operator's document, which contains the API keys.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self {
+            label,
+            base,
+            routes,
+            services,
+            limits,
+            accounts,
+            source: _,
+        } = self;
+        f.debug_struct("Publication")
+            .field("label", label)
+            .field("base", base)
+            .field("routes", routes)
+            .field("services", services)
+            .field("limits", limits)
+            .field("accounts", accounts)
+            .finish_non_exhaustive()
+    }
+}
+
 impl Publication {
     /// Validates everything that does not depend on the table in force, and builds the table.
     ///
