Show customers to operators, and keep their keys from everyone else

Cause: operators could not see which customers are in force, and anyone who reaches a control instance's operator listener could read a published document with its keys.

Change: - GET /v1/customers and "chestnutvalve routes customers" list customers with rank, limit and number of keys. - Reading a published document that has keys requires the operators' token; the command line sends it.

--- a/crates/cli/src/arguments.rs
+++ b/crates/cli/src/arguments.rs
@@ -117,9 +117,13 @@
 
 fn routes() -> Command {
     Command::new("routes")
-        .about("Shows and replaces the routes by host and path, and lists the registered workers")
+        .about(
+            "Shows and replaces the routes by host and path, and lists the registered workers and the customers",
+        )
         .subcommand_required(true)
-        .subcommand(Command::new("show").about("Prints the route document in force"))
+        .subcommand(Command::new("show").about(
+            "Prints the route document in force; one with API keys requires --token-file",
+        ))
         .subcommand(
             Command::new("publish")
                 .about(
@@ -132,6 +136,11 @@
                 .about("Lists the workers registered with the control group")
                 .arg(json()),
         )
+        .subcommand(
+            Command::new("customers")
+                .about("Lists the customers with their rank, limit and number of API keys")
+                .arg(json()),
+        )
 }
 
 fn demo() -> Command {
--- a/crates/cli/src/http.rs
+++ b/crates/cli/src/http.rs
@@ -98,9 +98,27 @@
     ///
     /// Returns [`Error::Failed`] with the error of each instance, or when the response can't be parsed.
     pub async fn get_any<T: DeserializeOwned>(&self, path: &str) -> Result<T, Error> {
+        self.get_first(path, None).await
+    }
+
+    /// As [`Client::get_any`], with the operator token if one is given.
+    ///
+    /// # Errors
+    ///
+    /// As [`Client::get_any`], and returns [`Error::Usage`] when the token file can't be read.
+    pub async fn get_any_authorized<T: DeserializeOwned>(&self, path: &str) -> Result<T, Error> {
+        let token = self.token_file.is_some().then(|| self.read_token());
+        self.get_first(path, token.transpose()?.as_deref()).await
+    }
+
+    async fn get_first<T: DeserializeOwned>(
+        &self,
+        path: &str,
+        token: Option<&str>,
+    ) -> Result<T, Error> {
         let mut errors = Vec::new();
         for control in &self.controls {
-            match self.get(*control, path).await {
+            match self.get_with(*control, path, token).await {
                 Ok(value) => {
                     let parsed = parse(value);
                     return parsed.map_err(|e| Error::Failed(format!("{control}{path}: {e}")));
@@ -117,7 +135,19 @@
     ///
     /// Returns a [`RequestError`] when there is no successful response.
     pub async fn get(&self, address: SocketAddr, path: &str) -> Result<Value, RequestError> {
-        let request = http::Request::get(format!("http://{address}{path}"));
+        self.get_with(address, path, None).await
+    }
+
+    async fn get_with(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        token: Option<&str>,
+    ) -> Result<Value, RequestError> {
+        let mut request = http::Request::get(format!("http://{address}{path}"));
+        if let Some(token) = token {
+            request = request.header(http::header::AUTHORIZATION, format!("Bearer {token}"));
+        }
         self.exchange(request, Bytes::new()).await
     }
 
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -62,6 +62,7 @@
             Some(("show", _)) => routes::show(&client).await,
             Some(("publish", publish)) => routes::publish(&client, publish).await,
             Some(("workers", workers)) => routes::workers(&client, workers).await,
+            Some(("customers", customers)) => routes::customers(&client, customers).await,
             _ => Err(Error::Usage("expected a subcommand of routes".to_owned())),
         },
         Some(("demo", demo)) => demo::run(demo).await,
--- a/crates/cli/src/routes.rs
+++ b/crates/cli/src/routes.rs
@@ -1,8 +1,10 @@
-//! Subcommands of `routes`: routes by host and path, and the registered workers.
+//! Subcommands of `routes`: routes by host and path, the registered workers, and the customers.
 
 use std::path::PathBuf;
 
 use bytes::Bytes;
+use chestnutvalve_model::account::Summary;
+use chestnutvalve_model::rank::Rank;
 use chestnutvalve_model::upstream::Announcement;
 use clap::ArgMatches;
 use serde_json::Value;
@@ -16,7 +18,7 @@
 ///
 /// Returns [`Error::Failed`] when no control instance can confirm it, or when no document has been published.
 pub async fn show(client: &Client) -> Result<(), Error> {
-    let document: Value = client.get_any("/v1/routes").await?;
+    let document: Value = client.get_any_authorized("/v1/routes").await?;
     output::print(&format!("{}\n", output::to_pretty_json(&document)?))
 }
 
@@ -65,3 +67,31 @@
     };
     workers.iter().map(line).collect::<Vec<_>>().concat()
 }
+
+/// Lists the customers.
+///
+/// # Errors
+///
+/// Returns [`Error::Failed`] when no control instance responds.
+pub async fn customers(client: &Client, matches: &ArgMatches) -> Result<(), Error> {
+    let customers: Vec<Summary> = client.get_any("/v1/customers").await?;
+    if matches.get_flag("json") {
+        return output::print(&format!("{}\n", output::to_pretty_json(&customers)?));
+    }
+    output::print(&render_customers(&customers))
+}
+
+/// Renders customers, one per line.
+#[must_use]
+pub fn render_customers(customers: &[Summary]) -> String {
+    let line = |summary: &Summary| {
+        let Summary { customer, keys, .. } = summary;
+        let noun = if *keys == 1 { "key" } else { "keys" };
+        let rank = summary.rank.map_or("rank of the route", Rank::name);
+        let limit = summary.limit.map_or("no limit".to_owned(), |limit| {
+            format!("{} requests/s, burst {}", limit.per_second, limit.burst)
+        });
+        format!("{customer}  {keys} {noun}  {rank}  {limit}\n")
+    };
+    customers.iter().map(line).collect()
+}
--- a/crates/cli/tests/cli.rs
+++ b/crates/cli/tests/cli.rs
@@ -6,6 +6,7 @@
 use chestnutvalve_cli::{burn, routes, status, wait};
 use chestnutvalve_control::daemon::status::{Control, Entry, Overview, Replica};
 use chestnutvalve_control::replica::{Role, Status};
+use chestnutvalve_model::account::{Account, Key, Limit, Summary};
 use chestnutvalve_model::config::Document;
 use chestnutvalve_model::directory::Member;
 use chestnutvalve_model::id::{self, Incarnation, Service, Zone};
@@ -157,3 +158,32 @@
     kasa  w2  run 1784905232000  127.0.0.1:8080  keene  2 slots  leaving
     ");
 }
+
+/// Guards against a list that hides a limit or the rank, or that shows a key.
+#[test]
+fn customers_are_listed_without_their_keys() {
+    let account = |name: &str, keys: &[&str], rank, limit: Option<(f64, f64)>| Account {
+        customer: id::Customer::new(name).unwrap(),
+        keys: keys.iter().map(|k| Key::new(k)).collect(),
+        rank,
+        limit: limit.map(|(per_second, burst)| Limit { per_second, burst }),
+    };
+    let customers = [
+        account(
+            "co-op",
+            &["secret-1", "secret-2"],
+            Some(Rank::Top),
+            Some((12.5, 30.0)),
+        ),
+        account("farm", &["secret-3"], None, Some((200.0, 0.0))),
+        account("guest", &[], Some(Rank::Bottom), None),
+    ];
+    let customers: Vec<Summary> = customers.iter().map(Account::summary).collect();
+    insta::assert_snapshot!(routes::render_customers(&customers), @r"
+    co-op  2 keys  top  12.5 requests/s, burst 30
+    farm  1 key  rank of the route  200 requests/s, burst 0
+    guest  0 keys  bottom  no limit
+    ");
+    let json = serde_json::to_string(&customers).unwrap();
+    assert!(!json.contains("secret"), "{json}");
+}
--- a/crates/control/src/daemon/operators.rs
+++ b/crates/control/src/daemon/operators.rs
@@ -25,8 +25,10 @@
 
 /// Service name in the registry.
 pub const NAME: &str = "operators";
-/// Maximum size of a request body.
-pub const MAX_BODY_BYTES: usize = 4 * 1024 * 1024;
+/// Maximum size of a request body, except for a route document.
+const MAX_BODY_BYTES: usize = 4 * 1024 * 1024;
+/// Maximum size of a route document. 20,000 routes and 20,000 accounts with two keys of 64 characters each take 8.6 MB.
+pub const MAX_DOCUMENT_BYTES: usize = 10 * 1024 * 1024;
 /// Timeout for receiving a whole request body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time after which an idle connection is closed.
@@ -69,6 +71,7 @@
             "/v1/routes",
             get(endpoint(instance, routes_in_force)).post(endpoint(instance, publish)),
         )
+        .at("/v1/customers", get(endpoint(instance, customers)))
         .at(
             "/v1/workers",
             get(endpoint(instance, workers)).post(endpoint(instance, record_worker_event)),
@@ -168,17 +171,17 @@
 }
 
 async fn read_json<T: serde::de::DeserializeOwned>(request: Request) -> Result<T, Fault> {
-    let body = read_body(request).await?;
+    let body = read_body(request, MAX_BODY_BYTES).await?;
     json::parse(&body).map_err(|e| Fault::new(Kind::BadRequest, e))
 }
 
-async fn read_body(request: Request) -> Result<Vec<u8>, Fault> {
-    let body = request.into_body().into_bytes_limit(MAX_BODY_BYTES);
+async fn read_body(request: Request, max_bytes: usize) -> Result<Vec<u8>, Fault> {
+    let body = request.into_body().into_bytes_limit(max_bytes);
     let late = |_| Fault::new(Kind::BadRequest, "the body was not sent in time");
     let body = timeout(BODY_TIMEOUT, body).await.map_err(late)?;
     let body = body.map_err(|e| match e {
         poem::error::ReadBodyError::PayloadTooLarge => {
-            Fault::new(Kind::TooLarge, format!("body above {MAX_BODY_BYTES} bytes"))
+            Fault::new(Kind::TooLarge, format!("body above {max_bytes} bytes"))
         }
         e => Fault::new(Kind::BadRequest, e.to_string()),
     })?;
@@ -219,16 +222,22 @@
     limit.ok_or_else(|| Fault::new(Kind::BadRequest, context()))
 }
 
-/// Returns the operator's route document, confirmed to be the latest.
-async fn routes_in_force(instance: Arc<Instance>, _request: Request) -> Answer {
+/// Returns the operator's route document, confirmed to be the latest. Reading one with API keys requires the token.
+async fn routes_in_force(instance: Arc<Instance>, request: Request) -> Answer {
     let document = instance.read_published().await?;
+    // The document may be newer than the state of this instance, and need not have the product's own format.
+    let in_force = !instance.store().state().routes.accounts.is_empty();
+    let published = json::parse_confidential::<Publication>(&document);
+    if in_force || published.is_ok_and(|p| !p.accounts.is_empty()) {
+        authorize(&instance, &request)?;
+    }
     json::parse_confidential(&document).map_err(|e| Fault::new(Kind::Internal, e).into())
 }
 
 /// Replaces the route table; readers get the request body back unchanged.
 async fn publish(instance: Arc<Instance>, request: Request) -> Answer {
     authorize(&instance, &request)?;
-    let body = read_body(request).await?;
+    let body = read_body(request, MAX_DOCUMENT_BYTES).await?;
     let publication = json::parse_confidential::<Publication>(&body);
     let mut publication = publication.map_err(|e| Fault::new(Kind::BadRequest, e))?;
     publication.source = body;
@@ -243,6 +252,18 @@
     Ok(json!({ "label": outcome? }))
 }
 
+/// Returns the customers without their keys.
+async fn customers(instance: Arc<Instance>, _request: Request) -> Answer {
+    let table = Arc::clone(&instance.store().state().routes);
+    to_json(
+        &table
+            .accounts
+            .iter()
+            .map(|a| a.summary())
+            .collect::<Vec<_>>(),
+    )
+}
+
 async fn workers(instance: Arc<Instance>, _request: Request) -> Answer {
     let roster = Arc::clone(&instance.store().state().roster);
     to_json(&roster.workers.values().collect::<Vec<_>>())
--- a/crates/control/src/state/publish.rs
+++ b/crates/control/src/state/publish.rs
@@ -6,7 +6,7 @@
 
 use chestnutvalve_model::control::Step;
 use chestnutvalve_model::error::{Fault, Kind};
-use chestnutvalve_model::routes::Publication;
+use chestnutvalve_model::routes::{Publication, Table};
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_128;
 
@@ -58,8 +58,13 @@
     /// Returns [`Kind::InvalidChange`] for an invalid field or a label that does not increase, and
     /// [`Kind::VersionConflict`] when the table in force is not the one that the publication replaces.
     pub fn check_publication(&self, publication: &Publication) -> Result<bool, Fault> {
+        Ok(self.build_table(publication)?.is_none())
+    }
+
+    /// Returns the table of a publication, or `None` if the same document was accepted before.
+    fn build_table(&self, publication: &Publication) -> Result<Option<Table>, Fault> {
         if self.published.has_accepted(xxh3_128(&publication.source)) {
-            return Ok(true);
+            return Ok(None);
         }
         let (current, base) = (self.state.routes.label, publication.base);
         if base != current {
@@ -71,9 +76,9 @@
             let context = format!("expected a version above {current:x}, found {label:x}");
             return Err(Fault::new(Kind::InvalidChange, context));
         }
-        let checked = publication.table();
-        checked.map_err(|e| Fault::new(Kind::InvalidChange, e.to_string()))?;
-        Ok(false)
+        let table = publication.table();
+        let table = table.map_err(|e| Fault::new(Kind::InvalidChange, e.to_string()))?;
+        Ok(Some(table))
     }
 
     /// Applies a publication; returns the label in force.
@@ -82,11 +87,9 @@
         term: u64,
         publication: Publication,
     ) -> Result<u64, Fault> {
-        if self.check_publication(&publication)? {
+        let Some(table) = self.build_table(&publication)? else {
             return Ok(self.state.routes.label);
-        }
-        let table = publication.table();
-        let table = table.map_err(|e| Fault::new(Kind::InvalidChange, e.to_string()))?;
+        };
         let delta = self.state.routes.delta(&table);
         self.published
             .accepted_digests
--- a/crates/control/tests/all/main.rs
+++ b/crates/control/tests/all/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the control daemon.
 
+mod accounts;
 mod batcher;
 mod claims;
 mod cluster;
--- a/crates/control/tests/all/publish.rs
+++ b/crates/control/tests/all/publish.rs
@@ -14,7 +14,7 @@
 use chestnutvalve_model::upstream::{Announcement, Event};
 use chestnutvalve_model::version::Version;
 
-fn publication(label: u64, base: u64, timeout_ms: u64) -> Publication {
+pub fn publication(label: u64, base: u64, timeout_ms: u64) -> Publication {
     let service = Service::new("lookup").unwrap();
     let target = Target {
         health: "/healthz".to_owned(),
@@ -46,7 +46,7 @@
     }
 }
 
-fn apply(store: &mut Store, command: &Command) -> Vec<u8> {
+pub fn apply(store: &mut Store, command: &Command) -> Vec<u8> {
     store.apply(CommittedCommand {
         term: 1,
         index: 1,
@@ -54,7 +54,7 @@
     })
 }
 
-fn publish(store: &mut Store, publication: &Publication) -> Result<u64, Kind> {
+pub fn publish(store: &mut Store, publication: &Publication) -> Result<u64, Kind> {
     let result = apply(store, &Command::Publish(publication.clone()));
     let result: Result<u64, Fault> = codec::decode(&result).unwrap();
     result.map_err(|fault| fault.kind)
--- a/crates/model/src/account.rs
+++ b/crates/model/src/account.rs
@@ -69,6 +69,19 @@
     pub limit: Option<Limit>,
 }
 
+/// Account without its keys, for reports.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Summary {
+    /// Name of the customer.
+    pub customer: Customer,
+    /// Number of keys.
+    pub keys: usize,
+    /// Priority class of the customer's requests, if it replaces that of their route.
+    pub rank: Option<Rank>,
+    /// Limit on the customer's requests.
+    pub limit: Option<Limit>,
+}
+
 /// All accounts, by customer and by key.
 #[derive(Clone, Debug, Default, Deserialize, Serialize)]
 #[serde(from = "Vec<Account>", into = "Vec<Account>")]
@@ -203,6 +216,17 @@
 }
 
 impl Account {
+    /// Returns the account without its keys.
+    #[must_use]
+    pub fn summary(&self) -> Summary {
+        Summary {
+            customer: self.customer.clone(),
+            keys: self.keys.len(),
+            rank: self.rank,
+            limit: self.limit,
+        }
+    }
+
     fn validate(&self) -> Result<(), Invalid> {
         let field = |name: &str| format!("accounts[{}].{name}", self.customer);
         for (at, key) in self.keys.iter().enumerate() {
--- a/tests/all/control.rs
+++ b/tests/all/control.rs
@@ -318,3 +318,51 @@
     assert_eq!(publish(3, 0, "desk").0, Some(0));
     assert_eq!(shown(), Some(first));
 }
+
+/// Guards against API keys that are shown without the operators' token, in the list of customers or in an error, and against
+/// a token that is required to read a document without keys.
+#[test]
+fn customers_are_shown_without_their_keys() {
+    let control = Control::start();
+    let publish = |label: u32, accounts: &str| {
+        let document = format!(
+            r#"{{"label":{label},"base":{base},"routes":[],"services":{{}},"accounts":{accounts},
+            "limits":{{"head_bytes":16384,"body_bytes":65536,"head_ms":3000,"idle_ms":15000}}}}"#,
+            base = label - 1
+        );
+        let path = control.path(&format!("routes-{label}.json"));
+        std::fs::write(&path, document).unwrap();
+        let output = control.run(&["routes", "publish", path.to_str().unwrap()]);
+        let text = String::from_utf8([output.stdout, output.stderr].concat()).unwrap();
+        (output.status.code(), text)
+    };
+    let read = || control.send(b"GET /v1/routes HTTP/1.1\r\nhost: c1\r\nconnection: close\r\n\r\n");
+    let shown = |subcommand: &str| {
+        let output = control.run(&["routes", subcommand]);
+        assert!(output.status.success());
+        String::from_utf8(output.stdout).unwrap()
+    };
+    assert_eq!(publish(1, "[]").0, Some(0));
+    assert!(read().starts_with("HTTP/1.1 200"));
+    assert_eq!(shown("customers"), "");
+    let accounts = r#"[{"customer":"farm","keys":["secret-1","secret-2"],"limit":{"per_second":5.5,"burst":10}},
+        {"customer":"co-op","keys":["secret-3"],"rank":"top"},{"customer":"guest"}]"#;
+    assert_eq!(publish(2, accounts).0, Some(0));
+    let refused = read();
+    assert!(refused.starts_with("HTTP/1.1 401"), "{refused}");
+    assert!(!refused.contains("secret"), "{refused}");
+    assert!(shown("show").contains("secret-1"));
+    insta::assert_snapshot!(shown("customers"));
+    for contradictory in [
+        r#"[{"customer":"a","keys":["secret"]},{"customer":"b","keys":["secret"]}]"#,
+        r#"[{"customer":"a","keys":"secret"}]"#,
+        r#"[{"customer":"secret /"}]"#,
+        r#"["secret"]"#,
+    ] {
+        let (code, text) = publish(3, contradictory);
+        assert_eq!(code, Some(2), "{text}");
+        assert!(!text.contains("secret"), "{text}");
+    }
+    assert_eq!(publish(3, "[]").0, Some(0));
+    assert!(read().starts_with("HTTP/1.1 200"));
+}
