--- a/crates/entry/src/gateway/inbound.rs
+++ b/crates/entry/src/gateway/inbound.rs
@@ -7,7 +7,7 @@
 use chestnutvalve_model::error::Kind;
 use chestnutvalve_model::id::Service;
 use chestnutvalve_model::rank::Rank;
-use chestnutvalve_model::routes::Route;
+use chestnutvalve_model::routes::{Route, Table};
 use http::uri::PathAndQuery;
 use http::{HeaderMap, HeaderValue, Method, Request, Uri, Version, header};
 use http_body::Body as _;
@@ -88,7 +88,7 @@
         })?;
         let accounts = &table.accounts;
         let account = credentials::authenticate(accounts, route.public, dialect, &parts.headers)
-            .map_err(|rejection| unauthorized(gateway, route, rejection))?;
+            .map_err(|rejection| unauthorized(gateway, &table, route, rejection))?;
         let length = body.size_hint().lower();
         if length > table.limits.body_bytes {
             let limit = table.limits.body_bytes;
@@ -164,12 +164,14 @@
     }
 }
 
-fn unauthorized(gateway: &Gateway, route: &Route, rejection: Rejection) -> Refusal {
+fn unauthorized(gateway: &Gateway, table: &Table, route: &Route, rejection: Rejection) -> Refusal {
     gateway.instance.meters.count_rejection(rejection.name());
     let dialect = &gateway.settings.dialect;
-    let (name, header, scheme) = (&route.name, &dialect.credentials, dialect.scheme);
-    let context =
-        format!("route {name}: expected the header {header}: {scheme} KEY, found {rejection}");
+    let (label, name) = (table.label, &route.name);
+    let (header, scheme) = (&dialect.credentials, dialect.scheme);
+    let context = format!(
+        "route {name} in route table version {label:x}: expected the header {header}: {scheme} KEY, found {rejection}"
+    );
     Refusal::new(Kind::Unauthorized, context)
 }
 
