--- a/crates/control/src/state/publish.rs
+++ b/crates/control/src/state/publish.rs
@@ -1,11 +1,12 @@
 //! Publication of a complete route table, with compare-and-set on the operator's labels.
 
 use std::collections::VecDeque;
+use std::fmt;
 use std::sync::Arc;
 
 use chestnutvalve_model::control::Step;
 use chestnutvalve_model::error::{Fault, Kind};
-use chestnutvalve_model::routes::Publication;
+use chestnutvalve_model::routes::{Publication, Table};
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_128;
 
@@ -16,12 +17,21 @@
 const MAX_ACCEPTED_DIGESTS: usize = 4_096;
 
 /// Document in force, and the digests of all recently accepted documents.
-#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[derive(Clone, Default, Deserialize, PartialEq, Serialize)]
 pub struct PublishedRoutes {
     source: Vec<u8>,
     accepted_digests: VecDeque<u128>,
 }
 
+impl fmt::Debug for PublishedRoutes {
+    /// Omits the document, which contains the API keys.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("PublishedRoutes")
+            .field("accepted_digests", &self.accepted_digests)
+            .finish_non_exhaustive()
+    }
+}
+
 impl PublishedRoutes {
     /// Returns the operator's document in force, `None` before the first publication.
     #[must_use]
@@ -48,8 +58,13 @@
     /// Returns [`Kind::InvalidChange`] for an invalid field or a label that does not increase, and
     /// [`Kind::VersionConflict`] when the table in force is not the one that the publication replaces.
     pub fn check_publication(&self, publication: &Publication) -> Result<bool, Fault> {
+        Ok(self.build_table(publication)?.is_none())
+    }
+
+    /// Returns the table of a publication, or `None` if the same document was accepted before.
+    fn build_table(&self, publication: &Publication) -> Result<Option<Table>, Fault> {
         if self.published.has_accepted(xxh3_128(&publication.source)) {
-            return Ok(true);
+            return Ok(None);
         }
         let (current, base) = (self.state.routes.label, publication.base);
         if base != current {
@@ -61,9 +76,9 @@
             let context = format!("expected a version above {current:x}, found {label:x}");
             return Err(Fault::new(Kind::InvalidChange, context));
         }
-        let checked = publication.table();
-        checked.map_err(|e| Fault::new(Kind::InvalidChange, e.to_string()))?;
-        Ok(false)
+        let table = publication.table();
+        let table = table.map_err(|e| Fault::new(Kind::InvalidChange, e.to_string()))?;
+        Ok(Some(table))
     }
 
     /// Applies a publication; returns the label in force.
@@ -72,11 +87,9 @@
         term: u64,
         publication: Publication,
     ) -> Result<u64, Fault> {
-        if self.check_publication(&publication)? {
+        let Some(table) = self.build_table(&publication)? else {
             return Ok(self.state.routes.label);
-        }
-        let table = publication.table();
-        let table = table.map_err(|e| Fault::new(Kind::InvalidChange, e.to_string()))?;
+        };
         let delta = self.state.routes.delta(&table);
         self.published
             .accepted_digests
