Bound the memory that the gateway holds for slow callers

What an entry buffered for callers and workers was bounded for each connection only, so that callers that do not read could use up the memory of the process.

All bytes of responses and request bodies now count, until the operating system has taken them, toward a budget of a quarter of the setting memory_mb (the platform's limits.memory-mb; no limit if absent). routing::memory decides without I/O how far a response is read ahead, which requests are refused and which connections give way; entry::gateway::memory closes these. A transfer that has passed its deadline also ends the caller's connection. Send buffers of the operating system are limited by the same setting. New metrics: held_bytes, memory_refusals, memory_closed_connections.

--- a/crates/cli/src/demo.rs
+++ b/crates/cli/src/demo.rs
@@ -122,6 +122,7 @@
         callers: addresses.callers,
         gateway: None,
         link_mbps: chestnutvalve_entry::settings::DEFAULT_LINK_MBPS,
+        memory_mb: None,
         apply_limit_ms: chestnutvalve_entry::settings::DEFAULT_APPLY_LIMIT_MS,
         platform: addresses.platform,
         peers: addresses.peers,
--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -12,6 +12,7 @@
 use tokio::time::Instant;
 
 use crate::header as name;
+use crate::holding::Holder;
 use crate::instance::Instance;
 use crate::local_reply::Refusal;
 use crate::replay::{Replay, Source};
@@ -103,7 +104,7 @@
             route,
             deadline,
             has_explicit_deadline,
-            source: Source::new(body),
+            source: Source::new(body, Holder::default()),
             method: parts.method,
             path,
             timings: Arc::default(),
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -108,7 +108,7 @@
         let peers = peers.map_err(listen("peers", peers_address))?;
         let gateway_listener = match settings.gateway {
             Some(address) => {
-                let bound = TcpListener::bind(address).await;
+                let bound = gateway::listener::bind(address, settings.memory_mb);
                 Some(bound.map_err(listen("gateway", address))?)
             }
             None => None,
@@ -295,7 +295,8 @@
                 gateway.pool.close_idle();
             }
         };
-        tokio::join!(follow, share, report, ticks);
+        let enforce = gateway.memory.enforce(&gateway.instance.meters);
+        tokio::join!(follow, share, report, ticks, enforce);
     };
     [Service::background("gateway upkeep", maintenance), listener]
 }
--- a/crates/entry/src/gateway.rs
+++ b/crates/entry/src/gateway.rs
@@ -31,6 +31,7 @@
 pub mod dispatcher;
 pub mod inbound;
 pub mod listener;
+pub mod memory;
 pub mod observation;
 pub mod proxy;
 pub mod relay;
@@ -38,6 +39,7 @@
 use coordinator::{Contacts, ReportSender, Reservations};
 pub use dialect::Dialect;
 use dispatcher::Dispatcher;
+use memory::Memory;
 use observation::Observation;
 use relay::SharedLink;
 
@@ -106,6 +108,8 @@
     pub contacts: Contacts,
     /// Entries that may coordinate a service, cached for a version of the state.
     coordinators: Cache<Arc<Vec<SocketAddr>>>,
+    /// Bytes that are held for the callers' connections.
+    pub memory: Arc<Memory>,
     /// Link of the entry, if it is so narrow that downloads can fill it.
     link: Option<SharedLink>,
     /// Entries that dispatch requests to the workers of a service, cached for a version of the state.
@@ -132,6 +136,7 @@
             reservations: Reservations::default(),
             contacts: Contacts::default(),
             coordinators: Mutex::default(),
+            memory: Arc::new(Memory::new(instance.settings.memory_mb, &instance.meters)),
             link: shared_link(instance.settings.link_mbps),
             dispatching_entries: Mutex::default(),
             serving_entries: Mutex::default(),
--- a/crates/entry/src/gateway/attempt.rs
+++ b/crates/entry/src/gateway/attempt.rs
@@ -16,6 +16,7 @@
 use super::Gateway;
 use super::dispatcher::{Dispatcher, Reservation};
 use super::inbound::Inbound;
+use crate::holding::{Holder, Message};
 use crate::pool::{IDLE_TIMEOUT, Lease, SendError};
 
 /// Maximum part of a response that is buffered, in bytes, so that another attempt can replace a response that breaks
@@ -201,7 +202,11 @@
             Outcome::Shed
         });
         let mut unused = VecDeque::new();
-        let complete = timeout_at(inbound.deadline, buffer_start(&mut body, &mut unused)).await;
+        let complete = timeout_at(
+            inbound.deadline,
+            buffer_start(&inbound.holder, &mut body, &mut unused),
+        )
+        .await;
         if matches!(complete, Ok(Ok(true))) && inbound.source.is_complete() {
             lease.return_to_pool();
         }
@@ -224,7 +229,12 @@
         return Err(AttemptError::Unknown(context.into()));
     }
     let mut buffered = VecDeque::new();
-    match timeout_at(inbound.deadline, buffer_start(&mut body, &mut buffered)).await {
+    match timeout_at(
+        inbound.deadline,
+        buffer_start(&inbound.holder, &mut body, &mut buffered),
+    )
+    .await
+    {
         Ok(Ok(complete)) => Ok(Received {
             rest: (!complete).then_some(body),
             parts,
@@ -273,6 +283,7 @@
 
 /// Buffers the start of a body. Returns whether that is the whole body.
 async fn buffer_start(
+    holder: &Holder,
     body: &mut Incoming,
     buffered: &mut VecDeque<Frame<Bytes>>,
 ) -> hyper::Result<bool> {
@@ -284,7 +295,7 @@
             Ok(Some(frame)) => {
                 let frame = frame?;
                 bytes += frame.data_ref().map_or(0, Bytes::len);
-                buffered.push_back(frame);
+                buffered.push_back(frame.map_data(|data| holder.hold(Message::Response, data)));
                 if bytes >= MAX_BUFFERED_BYTES && !body.is_end_stream() {
                     return Ok(false);
                 }
--- a/crates/entry/src/gateway/inbound.rs
+++ b/crates/entry/src/gateway/inbound.rs
@@ -15,6 +15,7 @@
 use super::Gateway;
 use super::dialect::Dialect;
 use crate::header as name;
+use crate::holding::Holder;
 use crate::local_reply::Refusal;
 use crate::replay::{Replay, Source};
 
@@ -38,13 +39,15 @@
     pub deadline: Instant,
     /// Body of the request.
     pub source: Source,
+    /// Count of the bytes that are held for the caller's connection.
+    pub holder: Holder,
     method: Method,
     path: PathAndQuery,
     headers: HeaderMap,
 }
 
 impl Inbound {
-    /// Parses a request that arrived at `arrived`.
+    /// Parses a request that arrived at `arrived` on the connection of `holder`.
     ///
     /// # Errors
     ///
@@ -53,6 +56,7 @@
         gateway: &Gateway,
         request: Request<Incoming>,
         arrived: Instant,
+        holder: &Holder,
     ) -> Result<Self, Refusal> {
         let (parts, body) = request.into_parts();
         let dialect = &gateway.settings.dialect;
@@ -102,7 +106,8 @@
             label: table.label,
             arrived,
             deadline,
-            source: Source::new(body),
+            source: Source::new(body, holder.clone()),
+            holder: holder.clone(),
             method: parts.method,
             path,
             headers,
--- a/crates/entry/src/gateway/listener.rs
+++ b/crates/entry/src/gateway/listener.rs
@@ -1,6 +1,8 @@
 //! The gateway's listener: HTTP/1.1 with persistent connections and pipelined requests.
 
 use std::convert::Infallible;
+use std::io;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -9,7 +11,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use hyper_util::server::graceful::GracefulShutdown;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
 use super::{Gateway, proxy};
 use crate::socket::Socket;
@@ -19,6 +21,37 @@
 /// Minimum read buffer that the HTTP library accepts, in bytes.
 const MIN_BUFFER_BYTES: usize = 8 * 1024;
 
+/// Backlog of the listener, in connections.
+const BACKLOG: u32 = 1_024;
+/// Part of the process's memory that the send buffer of one connection may take. The operating system's default grows to
+/// several megabytes for a caller that reads slowly.
+const SEND_BUFFER_DIVISOR: u32 = 2_000;
+/// Minimum and maximum size of a limited send buffer, in bytes. 64 kB on the way are 30 Mbit/s at a round trip of 17 ms.
+const SEND_BUFFER_BYTES: (u32, u32) = (64 * 1024, 1024 * 1024);
+
+/// Binds the listener. With a memory limit, in megabytes, the send buffers of its connections are limited too.
+///
+/// # Errors
+///
+/// Returns an error when the address can't be bound.
+pub fn bind(address: SocketAddr, memory_mb: Option<u32>) -> io::Result<TcpListener> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4(),
+        SocketAddr::V6(_) => TcpSocket::new_v6(),
+    }?;
+    socket.set_reuseaddr(true)?;
+    if let Some(limit) = memory_mb {
+        let (min, max) = SEND_BUFFER_BYTES;
+        let bytes = limit.saturating_mul(1_000_000 / SEND_BUFFER_DIVISOR);
+        // Connections inherit the size.
+        if let Err(error) = socket.set_send_buffer_size(bytes.clamp(min, max)) {
+            spdlog::warn!("gateway listener: limiting the send buffers failed: {error}");
+        }
+    }
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
 /// Serves callers until `stop` completes, then finishes the requests in progress.
 pub async fn serve(gateway: Arc<Gateway>, listener: TcpListener, stop: impl Future<Output = ()>) {
     let graceful = GracefulShutdown::new();
@@ -46,13 +79,15 @@
     let socket = Socket::new(socket);
     let (last_read, delivery) = (socket.last_read(), socket.delivery());
     let gateway = Arc::clone(gateway);
+    let open = gateway.memory.open();
+    let holder = open.holder.clone();
     let service = service_fn(move |request| {
         let gateway = Arc::clone(&gateway);
         // A pipelined request arrived with the last bytes that were read, which may be long before it is handled.
         let arrived = last_read.at();
-        let delivery = delivery.clone();
+        let (delivery, holder) = (delivery.clone(), holder.clone());
         async move {
-            let mut response = proxy::handle(&gateway, request, arrived).await;
+            let mut response = proxy::handle(&gateway, request, arrived, &holder).await;
             if gateway.instance.is_draining() {
                 // The caller's next request then opens a connection to another entry.
                 let close = HeaderValue::from_static("close");
@@ -70,8 +105,12 @@
         .serve_connection(TokioIo::new(socket), service);
     let connection = graceful.watch(connection);
     tokio::spawn(async move {
-        if let Err(error) = connection.await {
-            spdlog::debug!("gateway connection ended with an error: {error}");
+        tokio::select! {
+            biased;
+            ended = connection => if let Err(error) = ended {
+                spdlog::debug!("gateway connection ended with an error: {error}");
+            },
+            () = open.holder.closed() => {}
         }
     });
 }
--- a/crates/entry/src/gateway/proxy.rs
+++ b/crates/entry/src/gateway/proxy.rs
@@ -17,6 +17,7 @@
 use super::dispatcher::{Dispatcher, Reservation};
 use super::inbound::{self, Inbound};
 use super::relay::relay;
+use crate::holding::Holder;
 use crate::local_reply::{self, Body, Refusal};
 use crate::replay::Unavailable;
 
@@ -35,18 +36,22 @@
 /// time.
 const ANSWER_MARGIN: Duration = Duration::from_millis(10);
 
-/// Handles a request that arrived at `arrived`.
+/// Handles a request that arrived at `arrived` on the connection of `holder`.
 pub async fn handle(
     gateway: &Arc<Gateway>,
     request: Request<Incoming>,
     arrived: Instant,
+    holder: &Holder,
 ) -> Response<Body> {
     let id = request.headers().get(&gateway.settings.dialect.request_id);
     let id = id.and_then(|id| id.to_str().ok()).unwrap_or_default();
     let id = id.to_owned();
     wait_for_first_routes(gateway, &request, arrived).await;
     gateway.sync();
-    let inbound = match Inbound::read(gateway, request, arrived) {
+    holder.set_complete(false);
+    let inbound = match Inbound::read(gateway, request, arrived, holder)
+        .and_then(|inbound| check_memory(gateway, inbound))
+    {
         Ok(inbound) => inbound.limit_deadline(gateway.answer_by()),
         Err(refusal) => {
             let (code, cause) = (refusal.fault.kind.answer().code, &refusal.fault.context);
@@ -80,7 +85,7 @@
                 "answered", kv: {id:, route:, service:, worker:, status, attempts, waited_ms = waited.as_millis(), took_ms = took, label = inbound.label}
             );
             let link = gateway.link(inbound.route.kind);
-            relay(received, &inbound.source, inbound.deadline, link)
+            relay(received, &inbound, link)
         }
         Err(refusal) => {
             let (code, cause) = (refusal.fault.kind.answer().code, &refusal.fault.context);
@@ -93,6 +98,18 @@
     }
 }
 
+/// Refuses a request for which there is no memory.
+fn check_memory(gateway: &Gateway, inbound: Inbound) -> Result<Inbound, Refusal> {
+    let Err(retry_after) = gateway.memory.admit(inbound.route.kind) else {
+        return Ok(inbound);
+    };
+    gateway.instance.meters.count_memory_refusal();
+    let cause = "the entry holds too many bytes for other requests";
+    let mut refusal = Refusal::new(Kind::Overloaded, cause);
+    refusal.retry_after = Some(retry_after);
+    Err(refusal)
+}
+
 /// Waits for the first route table of an entry that has just started. Other entries already have one.
 async fn wait_for_first_routes(gateway: &Gateway, request: &Request<Incoming>, arrived: Instant) {
     let mut states = gateway.instance.control_state.subscribe();
--- a/crates/entry/src/gateway/relay.rs
+++ b/crates/entry/src/gateway/relay.rs
@@ -14,6 +14,7 @@
 
 use super::attempt::Received;
 use super::dispatcher::Reservation;
+use super::inbound::Inbound;
 use crate::clock;
 use crate::header as name;
 use crate::local_reply::{self, BodyError};
@@ -58,14 +59,13 @@
     rest: Bytes,
 }
 
-/// Returns the response for the caller. A transfer from the worker that lasts beyond `deadline` is aborted, whether or
+/// Returns the response for the caller. A transfer from the worker that lasts beyond the deadline is aborted, whether or
 /// not the caller reads; a response that was received whole is delivered also later. A download shares the bandwidth of
 /// `link` with others.
 #[must_use]
 pub fn relay(
     received: Received,
-    source: &Source,
-    deadline: Instant,
+    inbound: &Inbound,
     link: Option<&SharedLink>,
 ) -> Response<local_reply::Body> {
     let Received {
@@ -85,11 +85,21 @@
         if outcome == Outcome::Success && link.is_some() {
             reservation.release();
         }
-        let source = source.clone();
-        let on_end = move |end, _| complete(end, &source, lease, reservation, outcome);
-        ReadAhead::open(buffered, rest, Limit::Deadline(deadline), on_end)
+        let (source, holder) = (inbound.source.clone(), inbound.holder.clone());
+        let limit = Limit::Deadline(inbound.deadline);
+        let on_end = move |end, _| {
+            complete(end, &source, lease, reservation, outcome);
+            match end {
+                End::Complete => holder.set_complete(true),
+                // The rest of the response can't follow, so that its start need not be held for the caller.
+                End::Late | End::Unread => holder.close(),
+                End::Broken => {}
+            }
+        };
+        ReadAhead::open(buffered, rest, limit, &inbound.holder, on_end)
     } else {
-        complete(End::Complete, source, lease, reservation, outcome);
+        complete(End::Complete, &inbound.source, lease, reservation, outcome);
+        inbound.holder.set_complete(true);
         ReadAhead::received(buffered)
     };
     let body = match link {
--- /dev/null
+++ b/crates/entry/src/holding.rs
@@ -0,0 +1,229 @@
+//! Count of the bytes that are held for the connections of callers.
+
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::task::{Context, Poll, Waker};
+use std::time::Instant;
+
+use bytes::Bytes;
+use chestnutvalve_routing::memory::{Budget, Holding};
+use tokio::sync::Notify;
+
+use crate::clock;
+
+/// Bytes that each held part takes besides its data, for queues and the allocator.
+const OVERHEAD_BYTES: u64 = 256;
+
+/// Bytes that are held for all connections.
+#[derive(Debug)]
+pub struct Total {
+    /// Budget for them.
+    pub budget: Budget,
+    held: AtomicU64,
+    /// Notified when bytes become scarce.
+    pub scarce: Notify,
+}
+
+impl Total {
+    /// Creates a count that starts at zero.
+    #[must_use]
+    pub fn new(budget: Budget) -> Self {
+        Self {
+            budget,
+            held: AtomicU64::new(0),
+            scarce: Notify::new(),
+        }
+    }
+
+    /// Returns the number of bytes that are held.
+    #[must_use]
+    pub fn held(&self) -> u64 {
+        self.held.load(Ordering::Relaxed)
+    }
+
+    fn add(&self, bytes: u64) {
+        let held = self.held.fetch_add(bytes, Ordering::Relaxed) + bytes;
+        if self.budget.is_scarce(held) {
+            self.scarce.notify_one();
+        }
+    }
+}
+
+/// Message to which held bytes belong.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Message {
+    /// Body of a request, held until its worker has read it and no further attempt needs it.
+    Request,
+    /// Body of a response, held until it is delivered to the operating system.
+    Response,
+}
+
+/// Bytes that are held for one connection of a caller.
+#[derive(Clone, Debug)]
+pub struct Holder(Arc<State>);
+
+#[derive(Debug)]
+struct State {
+    total: Arc<Total>,
+    id: u64,
+    held: AtomicU64,
+    held_of_responses: AtomicU64,
+    passed: AtomicU64,
+    times: Mutex<Times>,
+    is_complete: AtomicBool,
+    /// Waits for room to read a response ahead.
+    writer: Mutex<Option<Waker>>,
+    closed: Notify,
+}
+
+#[derive(Debug)]
+struct Times {
+    /// When the connection began to hold bytes.
+    since: Instant,
+    /// Bytes that it had passed on by then.
+    passed_before: u64,
+    last_passed: Instant,
+}
+
+/// Bytes that count as held until they are dropped.
+struct Held {
+    data: Bytes,
+    message: Message,
+    holder: Holder,
+}
+
+impl AsRef<[u8]> for Held {
+    fn as_ref(&self) -> &[u8] {
+        &self.data
+    }
+}
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        self.holder.release(self.message, size(&self.data));
+    }
+}
+
+impl Default for Holder {
+    /// Creates a count without a limit on the total.
+    fn default() -> Self {
+        Self::new(&Arc::new(Total::new(Budget::new(None))), 0)
+    }
+}
+
+fn size(data: &Bytes) -> u64 {
+    data.len() as u64 + OVERHEAD_BYTES
+}
+
+impl Holder {
+    /// Creates the count of the connection `id`.
+    #[must_use]
+    pub fn new(total: &Arc<Total>, id: u64) -> Self {
+        let now = clock::now();
+        Self(Arc::new(State {
+            total: Arc::clone(total),
+            id,
+            held: AtomicU64::new(0),
+            held_of_responses: AtomicU64::new(0),
+            passed: AtomicU64::new(0),
+            times: Mutex::new(Times {
+                since: now,
+                passed_before: 0,
+                last_passed: now,
+            }),
+            is_complete: AtomicBool::new(false),
+            writer: Mutex::default(),
+            closed: Notify::new(),
+        }))
+    }
+
+    /// Counts `data` as held until the returned bytes are dropped.
+    #[must_use]
+    pub fn hold(&self, message: Message, data: Bytes) -> Bytes {
+        let (state, bytes) = (&self.0, size(&data));
+        if state.held.fetch_add(bytes, Ordering::Relaxed) == 0 {
+            let now = clock::now();
+            *state.times.lock().unwrap_or_else(PoisonError::into_inner) = Times {
+                since: now,
+                passed_before: state.passed.load(Ordering::Relaxed),
+                last_passed: now,
+            };
+        }
+        if message == Message::Response {
+            state.held_of_responses.fetch_add(bytes, Ordering::Relaxed);
+        }
+        state.total.add(bytes);
+        let holder = self.clone();
+        Bytes::from_owner(Held {
+            data,
+            message,
+            holder,
+        })
+    }
+
+    fn release(&self, message: Message, bytes: u64) {
+        let state = &self.0;
+        state.held.fetch_sub(bytes, Ordering::Relaxed);
+        state.passed.fetch_add(bytes, Ordering::Relaxed);
+        state.total.held.fetch_sub(bytes, Ordering::Relaxed);
+        state
+            .times
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .last_passed = clock::now();
+        if message == Message::Response {
+            state.held_of_responses.fetch_sub(bytes, Ordering::Relaxed);
+            let mut writer = state.writer.lock().unwrap_or_else(PoisonError::into_inner);
+            if self.has_room() {
+                writer.take().iter().for_each(Waker::wake_by_ref);
+            }
+        }
+    }
+
+    fn has_room(&self) -> bool {
+        let held = self.0.held_of_responses.load(Ordering::Relaxed);
+        held < self.0.total.budget.read_ahead(self.0.total.held())
+    }
+
+    /// Waits until more of a response may be read ahead.
+    pub fn poll_room(&self, cx: &mut Context<'_>) -> Poll<()> {
+        let mut writer = self.0.writer.lock().unwrap_or_else(PoisonError::into_inner);
+        if self.has_room() {
+            return Poll::Ready(());
+        }
+        *writer = Some(cx.waker().clone());
+        Poll::Pending
+    }
+
+    /// Records whether the response that is delivered was received whole from its worker.
+    pub fn set_complete(&self, is_complete: bool) {
+        self.0.is_complete.store(is_complete, Ordering::Relaxed);
+    }
+
+    /// Asks for the connection to be closed.
+    pub fn close(&self) {
+        self.0.closed.notify_one();
+    }
+
+    /// Waits until the connection must be closed.
+    pub async fn closed(&self) {
+        self.0.closed.notified().await;
+    }
+
+    /// Returns what the connection holds.
+    #[must_use]
+    pub fn holding(&self, now: Instant) -> Holding {
+        let state = &self.0;
+        let times = state.times.lock().unwrap_or_else(PoisonError::into_inner);
+        let passed = state.passed.load(Ordering::Relaxed);
+        Holding {
+            id: state.id,
+            held: state.held.load(Ordering::Relaxed),
+            progress: passed.saturating_sub(times.passed_before),
+            age: now.saturating_duration_since(times.since),
+            idle: now.saturating_duration_since(times.last_passed),
+            is_delivering: state.held_of_responses.load(Ordering::Relaxed) > 0,
+            is_complete: state.is_complete.load(Ordering::Relaxed),
+        }
+    }
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod forward;
 pub mod gateway;
 pub mod header;
+pub mod holding;
 pub mod instance;
 pub mod local_reply;
 pub mod meters;
--- a/crates/entry/src/meters.rs
+++ b/crates/entry/src/meters.rs
@@ -30,6 +30,8 @@
     attempts: Counter<u64>,
     refusals: Counter<u64>,
     notices: Counter<u64>,
+    memory_refusals: Counter<u64>,
+    memory_closes: Counter<u64>,
     added_latency: Histogram<f64>,
     queue_wait: Histogram<f64>,
     gateway_request: Histogram<f64>,
@@ -60,6 +62,14 @@
                 "worker_notices",
                 "Responses in which workers said that they leave or want a pause, by kind",
             ),
+            memory_refusals: counter(
+                "memory_refusals",
+                "Requests that were refused because too many bytes are held",
+            ),
+            memory_closes: counter(
+                "memory_closed_connections",
+                "Connections of callers that were closed because too many bytes are held",
+            ),
             added_latency: histogram(
                 "added_latency_ms",
                 "Time to the response without queueing and attempts, in ms",
@@ -132,6 +142,26 @@
         self.notices.add(1, &[KeyValue::new("kind", kind)]);
     }
 
+    /// Counts a request that was refused for lack of memory.
+    pub fn count_memory_refusal(&self) {
+        self.memory_refusals.add(1, &[]);
+    }
+
+    /// Counts a connection that was closed for lack of memory.
+    pub fn count_memory_close(&self) {
+        self.memory_closes.add(1, &[]);
+    }
+
+    /// Exports the number of bytes that are held for the callers' connections.
+    pub fn observe_held_bytes(&self, read: impl Fn() -> u64 + Send + Sync + 'static) {
+        let meter = self.metrics.meter();
+        meter
+            .u64_observable_gauge("held_bytes")
+            .with_description("Bytes of requests and responses held for callers and workers")
+            .with_callback(move |observer| observer.observe(read(), &[]))
+            .build();
+    }
+
     /// Records the latency that the entry added to a response, and its time in the queue.
     pub fn record_latency(&self, added: Duration, queued: Duration) {
         self.added_latency.record(added.as_secs_f64() * 1e3, &[]);
--- a/crates/entry/src/read_ahead.rs
+++ b/crates/entry/src/read_ahead.rs
@@ -16,11 +16,9 @@
 use tokio::task::AbortHandle;
 use tokio::time::{Instant, sleep_until};
 
+use crate::holding::{Holder, Message};
 use crate::local_reply::BodyError;
 
-/// Maximum part of a response that is read ahead of its caller, in bytes.
-const MAX_AHEAD_BYTES: usize = 256 * 1024;
-
 /// Time limit of a transfer.
 #[derive(Clone, Copy, Debug)]
 pub enum Limit {
@@ -76,29 +74,12 @@
 #[derive(Debug, Default)]
 struct State {
     frames: VecDeque<Frame<Bytes>>,
-    bytes: usize,
     end: Option<Result<(), BodyError>>,
     /// Waits for a frame.
     reader: Option<Waker>,
-    /// Waits for room.
-    writer: Option<Waker>,
 }
 
 impl State {
-    fn push(&mut self, frame: Frame<Bytes>) {
-        self.bytes += frame.data_ref().map_or(0, Bytes::len);
-        self.frames.push_back(frame);
-    }
-
-    fn pop(&mut self) -> Option<Frame<Bytes>> {
-        let frame = self.frames.pop_front()?;
-        self.bytes -= frame.data_ref().map_or(0, Bytes::len);
-        if self.bytes < MAX_AHEAD_BYTES {
-            self.writer.take().iter().for_each(Waker::wake_by_ref);
-        }
-        Some(frame)
-    }
-
     fn wake_reader(&mut self) {
         self.reader.take().iter().for_each(Waker::wake_by_ref);
     }
@@ -109,31 +90,25 @@
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn poll_room(&self, cx: &mut Context<'_>) -> Poll<()> {
-        let mut state = self.lock();
-        if state.bytes < MAX_AHEAD_BYTES {
-            return Poll::Ready(());
-        }
-        state.writer = Some(cx.waker().clone());
-        Poll::Pending
-    }
-
     fn push(&self, frame: Frame<Bytes>) {
         let mut state = self.lock();
-        state.push(frame);
+        state.frames.push_back(frame);
         state.wake_reader();
     }
 
     fn end(&self, last: Option<Frame<Bytes>>, end: Result<(), BodyError>) {
         let mut state = self.lock();
-        if let Some(last) = last {
-            state.push(last);
-        }
+        state.frames.extend(last);
         state.end = Some(end);
         state.wake_reader();
     }
 }
 
+fn data_bytes(frames: &VecDeque<Frame<Bytes>>) -> u64 {
+    let data = frames.iter().filter_map(Frame::data_ref);
+    data.map(Bytes::len).sum::<usize>() as u64
+}
+
 impl ReadAhead {
     /// Returns a body of which everything is buffered.
     #[must_use]
@@ -143,24 +118,21 @@
 
     /// Returns a body of which the start is buffered, and reads `rest` in a task of its own. `on_end` is called when the
     /// worker has sent everything or the transfer failed, with the time for which the worker was waited for; it is
-    /// dropped if the caller leaves before.
+    /// dropped if the caller leaves before. What is received counts for `holder`, which bounds how far the body is read
+    /// ahead.
     #[must_use]
     pub fn open(
         buffered: VecDeque<Frame<Bytes>>,
         rest: Incoming,
         limit: Limit,
+        holder: &Holder,
         on_end: impl FnOnce(End, Duration) + Send + 'static,
     ) -> Self {
+        let left = rest.size_hint().exact();
+        let left = left.map(|rest| rest + data_bytes(&buffered));
         let queue = Queue::default();
-        let left = {
-            let mut state = queue.lock();
-            for frame in buffered {
-                state.push(frame);
-            }
-            let exact = rest.size_hint().exact();
-            exact.map(|rest| rest + state.bytes as u64)
-        };
-        let task = tokio::spawn(read(queue.clone(), rest, limit, on_end));
+        queue.lock().frames = buffered;
+        let task = tokio::spawn(read(queue.clone(), rest, limit, holder.clone(), on_end));
         Self(Progress::Open(Transfer {
             queue,
             task: task.abort_handle(),
@@ -174,6 +146,7 @@
     queue: Queue,
     mut rest: Incoming,
     limit: Limit,
+    holder: Holder,
     on_end: impl FnOnce(End, Duration) + Send + 'static,
 ) {
     let (mut waited, mut unread) = (Duration::ZERO, Duration::ZERO);
@@ -186,7 +159,7 @@
         let since = Instant::now();
         let has_room = tokio::select! {
             biased;
-            () = std::future::poll_fn(|cx| queue.poll_room(cx)) => true,
+            () = std::future::poll_fn(|cx| holder.poll_room(cx)) => true,
             () = timer.as_mut(), if matches!(limit, Limit::Deadline(_)) => false,
         };
         unread += since.elapsed();
@@ -206,7 +179,9 @@
         let Some(frame) = frame else {
             break (None, Ok(End::Late));
         };
-        match frame {
+        let hold =
+            |frame: Frame<Bytes>| frame.map_data(|data| holder.hold(Message::Response, data));
+        match frame.map(|frame| frame.map(hold)) {
             Some(Ok(frame)) if rest.is_end_stream() => break (Some(frame), Ok(End::Complete)),
             Some(Ok(frame)) => queue.push(frame),
             None => break (None, Ok(End::Complete)),
@@ -249,7 +224,7 @@
             Progress::Open(transfer) => transfer,
         };
         let mut state = transfer.queue.lock();
-        if let Some(frame) = state.pop() {
+        if let Some(frame) = state.frames.pop_front() {
             let taken = frame.data_ref().map_or(0, Bytes::len) as u64;
             transfer.left = transfer.left.map(|left| left.saturating_sub(taken));
             return Poll::Ready(Some(Ok(frame)));
@@ -283,10 +258,7 @@
 
     fn size_hint(&self) -> SizeHint {
         match &self.0 {
-            Progress::Received(frames) => {
-                let data = frames.iter().filter_map(Frame::data_ref);
-                SizeHint::with_exact(data.map(Bytes::len).sum::<usize>() as u64)
-            }
+            Progress::Received(frames) => SizeHint::with_exact(data_bytes(frames)),
             Progress::Open(transfer) => transfer
                 .left
                 .map_or_else(SizeHint::default, SizeHint::with_exact),
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -13,6 +13,7 @@
 
 use crate::call::Call;
 use crate::exchange::Received;
+use crate::holding::Holder;
 use crate::instance::Instance;
 use crate::local_reply;
 use crate::pool::Lease;
@@ -163,7 +164,7 @@
                     completion.latency += waited;
                     completion.end(end);
                 };
-                ReadAhead::open(self.buffered, remaining, limit, on_end)
+                ReadAhead::open(self.buffered, remaining, limit, &Holder::default(), on_end)
             }
         };
         Response::from_parts(self.parts, body.boxed_unsync())
--- a/crates/entry/src/replay.rs
+++ b/crates/entry/src/replay.rs
@@ -8,6 +8,7 @@
 use http_body::{Body, Frame, SizeHint};
 use hyper::body::Incoming;
 
+use crate::holding::{Holder, Message};
 use crate::local_reply::BodyError;
 
 /// Maximum size of a request body that is buffered for retries or covered by a fingerprint, in bytes.
@@ -42,6 +43,7 @@
 #[derive(Debug)]
 struct State {
     incoming: Incoming,
+    holder: Holder,
     declared_size: SizeHint,
     buffered: Vec<Bytes>,
     buffered_bytes: usize,
@@ -70,7 +72,7 @@
                         self.progress = Progress::Complete;
                     }
                     if let Ok(data) = frame.into_data() {
-                        return Poll::Ready(Some(Ok(data)));
+                        return Poll::Ready(Some(Ok(self.holder.hold(Message::Request, data))));
                     }
                 }
                 Some(Err(error)) => {
@@ -102,9 +104,9 @@
 }
 
 impl Source {
-    /// Wraps the body of a request without reading from it.
+    /// Wraps the body of a request without reading from it. What is held of it counts for `holder`.
     #[must_use]
-    pub fn new(incoming: Incoming) -> Self {
+    pub fn new(incoming: Incoming, holder: Holder) -> Self {
         let progress = if incoming.is_end_stream() {
             Progress::Complete
         } else {
@@ -114,6 +116,7 @@
             declared_size: incoming.size_hint(),
             progress,
             incoming,
+            holder,
             buffered: Vec::new(),
             buffered_bytes: 0,
             discarded: false,
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -19,6 +19,9 @@
 /// more than the round trip on a slow link.
 pub const MIN_APPLY_LIMIT_MS: u32 = 1_000;
 
+/// Minimum of `memory_mb`. An entry without load takes 5 to 8 MB.
+pub const MIN_MEMORY_MB: u32 = 16;
+
 fn default_apply_limit_ms() -> u32 {
     DEFAULT_APPLY_LIMIT_MS
 }
@@ -66,6 +69,10 @@
     /// Bandwidth of the instance's network link, in megabits per second.
     #[serde(default = "default_link_mbps")]
     pub link_mbps: u32,
+    /// Memory limit of the process, in megabytes; a quarter of it may be held for the callers of the gateway. No limit if
+    /// absent.
+    #[serde(default)]
+    pub memory_mb: Option<u32>,
     /// Time within which an accepted change must be in force, in milliseconds; at least 1,000. Connections to control
     /// instances that go silent are replaced within three quarters of it.
     #[serde(default = "default_apply_limit_ms")]
@@ -102,6 +109,12 @@
                 cause: "expected at least 1000",
             });
         }
+        if self.memory_mb.is_some_and(|limit| limit < MIN_MEMORY_MB) {
+            return Err(Invalid {
+                field: "memory_mb",
+                cause: "expected at least 16",
+            });
+        }
         let unreachable = |a: &SocketAddr| a.ip().is_unspecified();
         let listening = [self.callers, self.platform, self.peers];
         if self.advertise.is_none() && listening.iter().any(unreachable) {
--- a/crates/entry/tests/all/fleet.rs
+++ b/crates/entry/tests/all/fleet.rs
@@ -53,11 +53,27 @@
         controls: &[SocketAddr],
         hint: &[SocketAddr],
         mbps: u32,
+    ) -> Self {
+        Self::start_with(name, controls, hint, mbps, None).await
+    }
+
+    /// Starts an entry whose process has a memory limit of `memory_mb` megabytes.
+    pub async fn start_with_memory(name: &str, control: SocketAddr, memory_mb: u32) -> Self {
+        Self::start_with(name, &[control], &[], 1_000, Some(memory_mb)).await
+    }
+
+    async fn start_with(
+        name: &str,
+        controls: &[SocketAddr],
+        hint: &[SocketAddr],
+        mbps: u32,
+        memory_mb: Option<u32>,
     ) -> Self {
         let any = "127.0.0.1:0";
         let settings = serde_json::json!({
             "entry": name, "zone": "z1", "callers": any, "platform": any, "peers": any, "gateway": any,
             "control": controls, "peers_hint": hint, "link_mbps": mbps,
+            "memory_mb": memory_mb,
             "apply_limit_ms": APPLY_LIMIT_MS,
         });
         let settings: Settings = serde_json::from_value(settings).unwrap();
--- /dev/null
+++ b/crates/entry/tests/all/memory.rs
@@ -0,0 +1,219 @@
+//! Memory that the gateway holds for callers and workers that read slowly.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use chestnutvalve_model::routes::{Kind, Route};
+use chestnutvalve_model::upstream::Event;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpSocket, TcpStream};
+use tokio::time::{Instant, sleep, timeout};
+
+use crate::control::Control;
+use crate::fleet::{Entry, wait_until};
+use crate::gateway::{announcement, answer, ask_as, route, success, table};
+use crate::worker::{Received, Step, Worker};
+
+/// Part of the memory limit that may be held.
+const HELD_SHARE: f64 = 0.25;
+
+fn path(seen: &Received) -> &str {
+    seen.head.split(' ').nth(1).unwrap()
+}
+
+/// Starts an entry with a memory limit, routes with a timeout of 5 s, of which the one at `/files/` is for downloads, and a worker with many slots.
+async fn start(worker: &Worker, memory_mb: u32) -> (Control, Entry) {
+    let control = Control::start().await;
+    let patient = Route {
+        timeout_ms: 5_000,
+        target_ms: 5_000,
+        ..route("/", Kind::Idempotent)
+    };
+    let download = Route {
+        kind: Kind::Download,
+        ..patient.clone()
+    };
+    let download = Route {
+        prefix: "/files/".to_owned(),
+        name: "files".to_owned(),
+        ..download
+    };
+    control.publish(table(1, vec![patient, download]));
+    let Event::Announced(mut announced) = announcement(worker, 1, false) else {
+        unreachable!("an announcement")
+    };
+    announced.slots = 400;
+    control.register(&Event::Announced(announced));
+    let entry = Entry::start_with_memory("e1", control.address, memory_mb).await;
+    wait_until("workers", || entry.state().roster.workers.len() == 1).await;
+    wait_until("directory", || !entry.state().directory.members.is_empty()).await;
+    (control, entry)
+}
+
+/// Connects with a small receive buffer and sends the start of a request.
+async fn connect(entry: &Entry, method: &str, path: &str, more: &str) -> TcpStream {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.set_recv_buffer_size(4 * 1024).unwrap();
+    let mut caller = socket.connect(entry.gateway).await.unwrap();
+    let head = format!(
+        "{method} {path} HTTP/1.1\r\nhost: a.example\r\nchestnutvalve-attempt: {path}\r\n{more}\r\n"
+    );
+    caller.write_all(head.as_bytes()).await.unwrap();
+    caller
+}
+
+/// Guards against an entry that holds more than its budget for callers that do not read, or that refuses others for them:
+/// transfers without progress give way, and requests beside them are served.
+#[tokio::test]
+async fn unread_transfers_give_way() {
+    let worker = Worker::start("w1", |seen| {
+        if path(seen) == "/small" {
+            return success(seen);
+        }
+        let id = &seen.headers["chestnutvalve-attempt"];
+        let head = format!(
+            "HTTP/1.1 200 X\r\nchestnutvalve-attempt: {id}\r\nchestnutvalve-signature: s\r\ncontent-length: 100000000\r\n\r\n"
+        );
+        vec![
+            Step::Write(head.into_bytes()),
+            Step::Repeat(vec![0; 16 * 1024]),
+        ]
+    })
+    .await;
+    let (_control, entry) = start(&worker, 16).await;
+    let budget = 16_000_000.0 * HELD_SHARE;
+    let mut callers = Vec::new();
+    let mut greatest = 0.0_f64;
+    for n in 0..70 {
+        callers.push(connect(&entry, "GET", &format!("/{n}"), "").await);
+        sleep(Duration::from_millis(45)).await;
+        if n % 5 == 0 {
+            greatest = greatest.max(entry.metric("held_bytes", "held_bytes").await);
+            assert_eq!(ask_as(&entry, "/small", &format!("s{n}")).await.status, 200);
+        }
+    }
+    assert!(
+        greatest > budget / 4.0,
+        "{greatest} bytes held, the test holds too few"
+    );
+    assert!(greatest <= budget, "{greatest} bytes held");
+    let closed = entry.metric("memory_closed_connections", "total").await;
+    assert!(closed > 0.0);
+    assert!(worker.cancelled.load(Ordering::SeqCst) > 0);
+}
+
+/// Guards against a budget that requests in progress exceed because new ones are still taken, and against a refusal
+/// without a time to come back.
+#[tokio::test]
+async fn requests_are_refused_while_the_budget_is_used_up() {
+    let silent = Arc::new(AtomicBool::new(true));
+    let is_silent = Arc::clone(&silent);
+    // The worker reads requests but does not answer, so that their bodies are held for another attempt.
+    let worker = Worker::start("w1", move |seen| {
+        if is_silent.load(Ordering::SeqCst) {
+            vec![Step::Wait(Duration::from_secs(2)), Step::Close]
+        } else {
+            success(seen)
+        }
+    })
+    .await;
+    let (_control, entry) = start(&worker, 16).await;
+    let body = vec![b'x'; 60_000];
+    let mut callers = Vec::new();
+    for n in 0..64 {
+        let mut caller = connect(
+            &entry,
+            "POST",
+            &format!("/{n}"),
+            "content-length: 60000\r\n",
+        )
+        .await;
+        caller.write_all(&body).await.unwrap();
+        callers.push(caller);
+        sleep(Duration::from_millis(2)).await;
+    }
+    wait_until("bodies", || worker.count() >= 63).await;
+    let refused = ask_as(&entry, "/more", "more").await;
+    assert_eq!(
+        refused.status,
+        503,
+        "{}",
+        entry.metric("held_bytes", "").await
+    );
+    assert_eq!(refused.header("chestnutvalve-executed"), "no");
+    let after: u64 = refused.header("retry-after-ms").parse().unwrap();
+    assert!((300..=900).contains(&after), "{after} ms");
+    assert!(entry.metric("memory_refusals", "total").await >= 1.0);
+    assert!(worker.count() <= 64, "a refused request ran");
+    drop(callers);
+    silent.store(false, Ordering::SeqCst);
+    sleep(Duration::from_millis(300)).await;
+    assert_eq!(ask_as(&entry, "/again", "again").await.status, 200);
+    let held = entry.metric("held_bytes", "held_bytes").await;
+    assert!(held < 1.0, "{held} bytes held");
+}
+
+/// Guards against an entry that takes in the whole body of a request while its worker reads it slowly.
+#[tokio::test]
+async fn a_body_is_taken_in_as_its_worker_reads() {
+    let worker = Worker::start_early(
+        "w1",
+        |_| vec![Step::Pause(Duration::from_millis(800)), Step::Close],
+        success,
+    )
+    .await;
+    let (_control, entry) = start(&worker, 16).await;
+    let mut callers = Vec::new();
+    for n in 0..5 {
+        let more = "content-length: 50000000\r\n";
+        let mut caller = connect(&entry, "POST", &format!("/{n}"), more).await;
+        tokio::spawn(async move {
+            let _ = caller.write_all(&vec![0; 50_000_000]).await;
+        });
+        callers.push(n);
+    }
+    sleep(Duration::from_millis(400)).await;
+    let held = entry.metric("held_bytes", "held_bytes").await;
+    assert!(held > 0.0);
+    assert!(held <= 5.0 * 256_000.0, "{held} bytes held");
+}
+
+/// Guards against slow callers that use up the memory, the slots of workers or the time of an entry, so that others notice:
+/// 2,000 callers take responses of 300 kB at 1 kB/s each. Some of them may be refused.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn slow_callers_are_not_noticed_by_others() {
+    let body = "x".repeat(300_000);
+    let worker = Worker::start("w1", move |seen| {
+        if path(seen) == "/small" {
+            success(seen)
+        } else {
+            answer(seen, 200, "", &body)
+        }
+    })
+    .await;
+    let (_control, entry) = start(&worker, 160).await;
+    let mut callers = Vec::new();
+    let mut slowest = Duration::ZERO;
+    for n in 0..2_000 {
+        let mut caller = connect(&entry, "GET", &format!("/files/{n}"), "").await;
+        callers.push(tokio::spawn(async move {
+            let mut part = [0; 100];
+            while caller.read_exact(&mut part).await.is_ok() {
+                sleep(Duration::from_millis(100)).await;
+            }
+        }));
+        if n % 20 == 19 {
+            let asked = Instant::now();
+            let id = format!("s{n}");
+            let reply = timeout(Duration::from_secs(2), ask_as(&entry, "/small", &id)).await;
+            assert_eq!(reply.unwrap().status, 200);
+            slowest = slowest.max(asked.elapsed());
+            sleep(Duration::from_millis(10)).await;
+        }
+    }
+    let held = entry.metric("held_bytes", "held_bytes").await;
+    assert!(held <= 160_000_000.0 * HELD_SHARE, "{held} bytes held");
+    assert!(slowest < Duration::from_millis(500), "{slowest:?}");
+    callers.iter().for_each(tokio::task::JoinHandle::abort);
+}
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod bandwidth;
 pub mod eject;
 pub mod execution;
+pub mod memory;
 pub mod placement;
 pub mod retry;
 pub mod sample;
