--- a/crates/entry/src/gateway/inbound.rs
+++ b/crates/entry/src/gateway/inbound.rs
@@ -18,6 +18,7 @@
 use super::credentials::{self, Rejection};
 use super::dialect::Dialect;
 use crate::header as name;
+use crate::holding::Holder;
 use crate::local_reply::Refusal;
 use crate::replay::{Replay, Source};
 
@@ -46,13 +47,15 @@
     pub deadline: Instant,
     /// Body of the request.
     pub source: Source,
+    /// Count of the bytes that are held for the caller's connection.
+    pub holder: Holder,
     method: Method,
     path: PathAndQuery,
     headers: HeaderMap,
 }
 
 impl Inbound {
-    /// Parses a request that arrived at `arrived`.
+    /// Parses a request that arrived at `arrived` on the connection of `holder`.
     ///
     /// # Errors
     ///
@@ -62,6 +65,7 @@
         gateway: &Gateway,
         request: Request<Incoming>,
         arrived: Instant,
+        holder: &Holder,
     ) -> Result<Self, Refusal> {
         let (parts, body) = request.into_parts();
         let dialect = &gateway.settings.dialect;
@@ -120,7 +124,8 @@
             label: table.label,
             arrived,
             deadline,
-            source: Source::new(body),
+            source: Source::new(body, holder.clone()),
+            holder: holder.clone(),
             method: parts.method,
             path,
             headers,
