--- a/crates/entry/src/gateway/proxy.rs
+++ b/crates/entry/src/gateway/proxy.rs
@@ -7,7 +7,7 @@
 use chestnutvalve_model::id::Worker;
 use chestnutvalve_routing::retry::Purpose;
 use chestnutvalve_routing::schedule::{self, Outcome, Reason};
-use http::{Request, Response};
+use http::{HeaderValue, Request, Response, header};
 use hyper::body::Incoming;
 use tokio::time::{Instant, sleep, timeout_at};
 
@@ -17,6 +17,7 @@
 use super::dispatcher::{Dispatcher, Reservation};
 use super::inbound::{self, Inbound};
 use super::relay::relay;
+use crate::holding::Holder;
 use crate::local_reply::{self, Body, Refusal};
 use crate::replay::Unavailable;
 
@@ -35,23 +36,32 @@
 /// time.
 const ANSWER_MARGIN: Duration = Duration::from_millis(10);
 
-/// Handles a request that arrived at `arrived`.
+/// Handles a request that arrived at `arrived` on the connection of `holder`.
 pub async fn handle(
     gateway: &Arc<Gateway>,
     request: Request<Incoming>,
     arrived: Instant,
+    holder: &Holder,
 ) -> Response<Body> {
     let id = request.headers().get(&gateway.settings.dialect.request_id);
     let id = id.and_then(|id| id.to_str().ok()).unwrap_or_default();
     let id = id.to_owned();
     wait_for_first_routes(gateway, &request, arrived).await;
     gateway.sync();
-    let inbound = match Inbound::read(gateway, request, arrived) {
+    holder.set_complete(false);
+    let inbound = match Inbound::read(gateway, request, arrived, holder)
+        .and_then(|inbound| check_memory(gateway, inbound))
+    {
         Ok(inbound) => inbound.limit_deadline(gateway.answer_by()),
         Err(refusal) => {
             let (code, cause) = (refusal.fault.kind.answer().code, &refusal.fault.context);
             let waited_ms = arrived.elapsed().as_millis();
-            spdlog::info!("not routed", kv: {id:, code, cause:, waited_ms});
+            // A flood of one of the events must not keep the other one out of the log, which limits lines by their text.
+            if refusal.fault.kind == Kind::Unauthorized {
+                spdlog::info!("not authenticated", kv: {id:, code, cause:, waited_ms});
+            } else {
+                spdlog::info!("not routed", kv: {id:, code, cause:, waited_ms});
+            }
             gateway.instance.meters.count_refusal(refusal.fault.kind);
             return refusal_response(gateway, &refusal);
         }
@@ -72,7 +82,7 @@
         Ok(_) => "answered",
         Err(refusal) => refusal.fault.kind.answer().code,
     };
-    meters.record_routed(service, inbound.route.rank, outcome_name, elapsed, waited);
+    meters.record_routed(service, inbound.rank, outcome_name, elapsed, waited);
     match outcome {
         Ok(received) => {
             let (status, worker) = (received.parts.status.as_u16(), &received.reservation.worker);
@@ -80,7 +90,7 @@
                 "answered", kv: {id:, route:, service:, worker:, status, attempts, waited_ms = waited.as_millis(), took_ms = took, label = inbound.label}
             );
             let link = gateway.link(inbound.route.kind);
-            relay(received, &inbound.source, inbound.deadline, link)
+            relay(received, &inbound, link)
         }
         Err(refusal) => {
             let (code, cause) = (refusal.fault.kind.answer().code, &refusal.fault.context);
@@ -93,6 +103,18 @@
     }
 }
 
+/// Refuses a request for which there is no memory.
+fn check_memory(gateway: &Gateway, inbound: Inbound) -> Result<Inbound, Refusal> {
+    let Err(retry_after) = gateway.memory.admit(inbound.route.kind) else {
+        return Ok(inbound);
+    };
+    gateway.instance.meters.count_memory_refusal();
+    let cause = "the entry holds too many bytes for other requests";
+    let mut refusal = Refusal::new(Kind::Overloaded, cause);
+    refusal.retry_after = Some(retry_after);
+    Err(refusal)
+}
+
 /// Waits for the first route table of an entry that has just started. Other entries already have one.
 async fn wait_for_first_routes(gateway: &Gateway, request: &Request<Incoming>, arrived: Instant) {
     let mut states = gateway.instance.control_state.subscribe();
@@ -111,6 +133,12 @@
 fn refusal_response(gateway: &Gateway, refusal: &Refusal) -> Response<Body> {
     let dialect = &gateway.settings.dialect;
     let mut response = local_reply::refusal(refusal);
+    if refusal.fault.kind == Kind::Unauthorized {
+        let scheme = HeaderValue::from_static(dialect.scheme);
+        response
+            .headers_mut()
+            .insert(header::WWW_AUTHENTICATE, scheme);
+    }
     if let Some(after) = refusal.retry_after {
         let value = (dialect.format_retry_after)(after);
         response.headers_mut().insert(&dialect.retry_after, value);
@@ -330,7 +358,7 @@
         let target = Duration::from_millis(inbound.route.target_ms);
         schedule::Request {
             id: self.gateway.next_request_id(),
-            rank: inbound.route.rank,
+            rank: inbound.rank,
             download: inbound.route.kind == chestnutvalve_model::routes::Kind::Download,
             at_most_once: !inbound.route.kind.is_idempotent(),
             target: (inbound.arrived + target).into_std(),
--- a/crates/entry/src/meters.rs
+++ b/crates/entry/src/meters.rs
@@ -29,7 +29,10 @@
     requests: Counter<u64>,
     attempts: Counter<u64>,
     refusals: Counter<u64>,
+    rejections: Counter<u64>,
     notices: Counter<u64>,
+    memory_refusals: Counter<u64>,
+    memory_closes: Counter<u64>,
     added_latency: Histogram<f64>,
     queue_wait: Histogram<f64>,
     gateway_request: Histogram<f64>,
@@ -56,10 +59,22 @@
             requests: counter("requests", "Requests by service, rank and outcome"),
             attempts: counter("attempts", "Attempts at workers by result"),
             refusals: counter("refusals", "Requests that the entry refused, by kind"),
+            rejections: counter(
+                "rejected_credentials",
+                "Requests without a valid API key, by reason",
+            ),
             notices: counter(
                 "worker_notices",
                 "Responses in which workers said that they leave or want a pause, by kind",
             ),
+            memory_refusals: counter(
+                "memory_refusals",
+                "Requests that were refused because too many bytes are held",
+            ),
+            memory_closes: counter(
+                "memory_closed_connections",
+                "Connections of callers that were closed because too many bytes are held",
+            ),
             added_latency: histogram(
                 "added_latency_ms",
                 "Time to the response without queueing and attempts, in ms",
@@ -127,11 +142,36 @@
         self.refusals.add(1, &[KeyValue::new("kind", code)]);
     }
 
+    /// Counts a request without a valid API key, by the reason.
+    pub fn count_rejection(&self, reason: &'static str) {
+        self.rejections.add(1, &[KeyValue::new("reason", reason)]);
+    }
+
     /// Counts what a worker said about itself, by kind.
     pub fn count_notice(&self, kind: &'static str) {
         self.notices.add(1, &[KeyValue::new("kind", kind)]);
     }
 
+    /// Counts a request that was refused for lack of memory.
+    pub fn count_memory_refusal(&self) {
+        self.memory_refusals.add(1, &[]);
+    }
+
+    /// Counts a connection that was closed for lack of memory.
+    pub fn count_memory_close(&self) {
+        self.memory_closes.add(1, &[]);
+    }
+
+    /// Exports the number of bytes that are held for the callers' connections.
+    pub fn observe_held_bytes(&self, read: impl Fn() -> u64 + Send + Sync + 'static) {
+        let meter = self.metrics.meter();
+        meter
+            .u64_observable_gauge("held_bytes")
+            .with_description("Bytes of requests and responses held for callers and workers")
+            .with_callback(move |observer| observer.observe(read(), &[]))
+            .build();
+    }
+
     /// Records the latency that the entry added to a response, and its time in the queue.
     pub fn record_latency(&self, added: Duration, queued: Duration) {
         self.added_latency.record(added.as_secs_f64() * 1e3, &[]);
