Hold customers' limits in token buckets of a few accountants

Cause: a customer's limit holds over all entries, also while they don't see each other, and its requests move between entries within a second.

Change: routing::quota holds the shares of the limits at one accountant (Book) and decides when the accountant may grant permits (Membership). An accountant that restarts starts with empty buckets and smaller shares; one that may have been replaced unnoticed stops after 8 s; one that finds the state unchanged resumes at once.

--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod eject;
 pub mod execution;
 pub mod placement;
+pub mod quota;
 pub mod retry;
 pub mod sample;
 pub mod schedule;
--- /dev/null
+++ b/crates/routing/tests/quota/membership.rs
@@ -0,0 +1,158 @@
+//! When an accountant may grant permits.
+
+use std::time::{Duration, Instant};
+
+use chestnutvalve_model::version::Version;
+use chestnutvalve_routing::quota::Membership;
+use chestnutvalve_routing::quota::membership::{Change, Start, View};
+
+fn view(confirmed_at: Instant, revision: u64) -> View {
+    View {
+        accountants: 6,
+        listed: true,
+        restarted: false,
+        limits: true,
+        confirmed: Some((confirmed_at, Version { term: 1, revision })),
+    }
+}
+
+fn seconds(seconds: u64) -> Duration {
+    Duration::from_secs(seconds)
+}
+
+/// Observes `view`, confirmed at each time, every 100 ms for `time`. Returns the changes and when they came.
+fn follow(
+    membership: &mut Membership,
+    from: Instant,
+    time: Duration,
+    view: &View,
+) -> Vec<(u128, Change)> {
+    let steps = time.as_millis() / 100;
+    let mut changes = Vec::new();
+    for step in 1..=steps {
+        let after = Duration::from_millis(100 * u64::try_from(step).unwrap());
+        let version = view.confirmed.unwrap().1;
+        let view = View {
+            confirmed: Some((from + after, version)),
+            ..*view
+        };
+        if let Some(change) = membership.observe(from + after, &view) {
+            changes.push((after.as_millis(), change));
+        }
+    }
+    changes
+}
+
+/// Guards against a fleet that refuses all requests of limited customers for 10 s after its first table.
+#[test]
+fn at_the_first_table_with_limits_nobody_waits() {
+    let start = Instant::now();
+    let mut membership = Membership::default();
+    let unlimited = View {
+        limits: false,
+        ..view(start, 1)
+    };
+    assert_eq!(
+        follow(&mut membership, start, seconds(2), &unlimited),
+        vec![]
+    );
+    let started = follow(
+        &mut membership,
+        start + seconds(2),
+        seconds(1),
+        &view(start, 2),
+    );
+    assert_eq!(started, [(100, Change::Started(Start::Full))]);
+}
+
+/// Guards against an accountant that starts while the one that it replaces may still grant.
+#[test]
+fn a_new_accountant_waits() {
+    let start = Instant::now();
+    let mut membership = Membership::default();
+    let changes = follow(&mut membership, start, seconds(12), &view(start, 1));
+    assert_eq!(changes, [(10_100, Change::Started(Start::Empty))]);
+}
+
+/// Guards against an outage after all entries restart.
+#[test]
+fn a_restarted_accountant_starts_empty_with_smaller_shares() {
+    let start = Instant::now();
+    let mut membership = Membership::default();
+    let restarted = View {
+        restarted: true,
+        ..view(start, 1)
+    };
+    let change = membership.observe(start, &restarted);
+    assert_eq!(change, Some(Change::Started(Start::Empty)));
+    assert_eq!(membership.shares(start), 8);
+    follow(&mut membership, start, seconds(11), &restarted);
+    assert_eq!(membership.shares(start + seconds(11)), 6);
+}
+
+/// Guards against an accountant that grants although it may have been replaced, also if it was frozen meanwhile and sees
+/// the next confirmation first.
+#[test]
+fn without_confirmation_an_accountant_stops_and_waits() {
+    let start = Instant::now();
+    let mut membership = Membership::default();
+    follow(&mut membership, start, seconds(11), &view(start, 1));
+    let last = start + seconds(11);
+    assert_eq!(
+        membership.observe(last + seconds(8), &view(last, 1)),
+        None,
+        "not yet too old"
+    );
+    let late = last + Duration::from_millis(8_001);
+    assert_eq!(
+        membership.observe(late, &view(last, 1)),
+        Some(Change::Stopped)
+    );
+    let back = last + seconds(20);
+    let changes = follow(&mut membership, back, seconds(11), &view(back, 2));
+    assert_eq!(changes, [(10_100, Change::Started(Start::Empty))]);
+
+    let frozen_until = back + seconds(30);
+    assert_eq!(
+        membership.observe(frozen_until, &view(frozen_until, 3)),
+        Some(Change::Stopped)
+    );
+}
+
+/// Guards against a wait after the control group was out of service: nothing can have changed without it.
+#[test]
+fn an_accountant_resumes_with_an_unchanged_state() {
+    let start = Instant::now();
+    let mut membership = Membership::default();
+    follow(&mut membership, start, seconds(11), &view(start, 1));
+    let last = start + seconds(11);
+    let back = last + seconds(20);
+    membership.observe(last + seconds(9), &view(last, 1));
+    assert_eq!(
+        membership.observe(back, &view(back, 1)),
+        Some(Change::Started(Start::Resumed))
+    );
+}
+
+/// Guards against larger shares at some accountants while others still hold their part of the former division.
+#[test]
+fn shares_grow_only_after_a_hold() {
+    let start = Instant::now();
+    let mut membership = Membership::default();
+    follow(&mut membership, start, seconds(2), &view(start, 1));
+    let fewer = View {
+        accountants: 4,
+        ..view(start, 2)
+    };
+    let left = start + seconds(2);
+    follow(&mut membership, left, seconds(10), &fewer);
+    assert_eq!(membership.shares(left + seconds(10)), 6);
+    follow(&mut membership, left + seconds(10), seconds(1), &fewer);
+    assert_eq!(membership.shares(left + seconds(11)), 4);
+    let more = View {
+        accountants: 5,
+        ..view(start, 3)
+    };
+    membership.observe(left + seconds(12), &more);
+    assert_eq!(membership.shares(left + seconds(12)), 5);
+}
