Take permits for customers' limits from accountants

Cause: each entry sees a few of a customer's requests, so that the limit needs a common account (docs/design/quota.md).

Change: before a request is dispatched, gateway::quota takes a permit from an accountant: two entries of each zone, chosen by rendezvous hashing. Accountants borrow spare tokens from each other. The control client records when a quorum confirmed the state, on a clock that counts suspensions. The proxy passes no account until requests carry one, so that nothing changes for deployments without accounts.

Result: 7 tests with several entries pass (limit over all entries, lost accountant, no accountant, restart, lost quorum, unused permits, no limit).

--- a/crates/entry/src/control_client.rs
+++ b/crates/entry/src/control_client.rs
@@ -253,12 +253,14 @@
         wait_ms: u32::try_from(WATCH_WAIT.as_millis()).unwrap_or(u32::MAX),
     };
     let mut sent_at = Instant::now();
+    let mut asked_at = clock::now_with_suspension();
     let limit = WATCH_WAIT + WATCH_MARGIN;
     let mut update: Result<Update, Error> = client.call("config/watch", &message, limit).await;
     if let Err(Error::Connection { .. }) = update {
         // The instance may be well although the connection to it was lost or went silent. It then answers at once.
         message.wait_ms = 0;
         sent_at = Instant::now();
+        asked_at = clock::now_with_suspension();
         update = client.call("config/watch", &message, WATCH_MARGIN).await;
     }
     let update = update.map_err(|e| e.to_string())?;
@@ -284,6 +286,9 @@
     if update.stale {
         return Err(NO_QUORUM.to_owned());
     }
+    if version >= instance.control_state.version() {
+        instance.control_state.confirm(asked_at);
+    }
     Ok(())
 }
 
--- a/crates/entry/src/control_state.rs
+++ b/crates/entry/src/control_state.rs
@@ -28,6 +28,8 @@
 pub struct ControlState {
     state: watch::Sender<Arc<State>>,
     since: Mutex<Instant>,
+    /// When the state that a quorum confirmed last was asked for, and its version.
+    confirmed: Mutex<Option<(Instant, Version)>>,
 }
 
 impl Default for ControlState {
@@ -35,6 +37,7 @@
         Self {
             state: watch::Sender::new(Arc::default()),
             since: Mutex::new(clock::now()),
+            confirmed: Mutex::default(),
         }
     }
 }
@@ -58,6 +61,26 @@
         *self.since.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Records that a control instance with a quorum had no newer state than the one in force, when it was asked at
+    /// `asked_at` on the clock that counts suspensions.
+    pub fn confirm(&self, asked_at: Instant) {
+        let confirmed = Some((asked_at, self.version()));
+        *self
+            .confirmed
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner) = confirmed;
+    }
+
+    /// Returns when the state that a quorum confirmed last was asked for, on the clock that counts suspensions, and its
+    /// version.
+    #[must_use]
+    pub fn confirmed(&self) -> Option<(Instant, Version)> {
+        *self
+            .confirmed
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Returns a receiver that is notified of each new state.
     #[must_use]
     pub fn subscribe(&self) -> watch::Receiver<Arc<State>> {
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -63,6 +63,7 @@
 #[derive(Debug)]
 pub struct Daemon {
     instance: Arc<Instance>,
+    gateway: Arc<Gateway>,
     registry: Registry,
 }
 
@@ -138,6 +139,7 @@
                 gateway::observation::add_routes(router, &gateway),
                 &gateway,
             );
+            let router = gateway::quota::add_routes(router, &gateway.quota);
             async move { peers.serve(router).await }
         }))?;
         registry.register(platform_service(&instance, platform))?;
@@ -175,7 +177,11 @@
         registry.start().await?;
         let entry = &instance.settings.entry;
         spdlog::info!("entry {entry} serves callers on {}", bound.callers);
-        Ok(Self { instance, registry })
+        Ok(Self {
+            instance,
+            gateway,
+            registry,
+        })
     }
 
     /// Returns the shared state of the instance.
@@ -184,6 +190,12 @@
         &self.instance
     }
 
+    /// Returns the gateway of the instance.
+    #[must_use]
+    pub fn gateway(&self) -> &Arc<Gateway> {
+        &self.gateway
+    }
+
     /// Waits for the shutdown signal, then finishes all requests in progress.
     ///
     /// # Errors
--- a/crates/entry/src/gateway.rs
+++ b/crates/entry/src/gateway.rs
@@ -15,6 +15,7 @@
 use chestnutvalve_model::routes::{Kind, Route};
 use chestnutvalve_model::version::Version;
 use chestnutvalve_routing::bandwidth::Link;
+use chestnutvalve_routing::quota::Bounds as QuotaBounds;
 use chestnutvalve_routing::retry::Bounds;
 use chestnutvalve_routing::schedule::Spec;
 use tokio::sync::{mpsc, watch};
@@ -33,12 +34,14 @@
 pub mod listener;
 pub mod observation;
 pub mod proxy;
+pub mod quota;
 pub mod relay;
 
 use coordinator::{Contacts, ReportSender, Reservations};
 pub use dialect::Dialect;
 use dispatcher::Dispatcher;
 use observation::Observation;
+use quota::Quota;
 use relay::SharedLink;
 
 /// Maximum number of idle connections to one worker: two for each of the two slots that workers usually have.
@@ -65,6 +68,8 @@
     pub retry_budget: Bounds,
     /// Share of a service's workers that must stay in use, 0 to 1, however many failed recently.
     pub floor_share: f64,
+    /// What is tolerated beyond the limits of customers.
+    pub quota: QuotaBounds,
 }
 
 impl Default for Settings {
@@ -73,6 +78,7 @@
             dialect: Dialect::default(),
             retry_budget: DEFAULT_RETRY_BUDGET,
             floor_share: DEFAULT_FLOOR_SHARE,
+            quota: QuotaBounds::default(),
         }
     }
 }
@@ -104,6 +110,8 @@
     pub reservations: Reservations,
     /// Which coordinators have answered recently.
     pub contacts: Contacts,
+    /// Permits for requests of customers with a limit.
+    pub quota: Arc<Quota>,
     /// Entries that may coordinate a service, cached for a version of the state.
     coordinators: Cache<Arc<Vec<SocketAddr>>>,
     /// Link of the entry, if it is so narrow that downloads can fill it.
@@ -131,6 +139,7 @@
             reports,
             reservations: Reservations::default(),
             contacts: Contacts::default(),
+            quota: Arc::new(Quota::new(instance, settings.quota)),
             coordinators: Mutex::default(),
             link: shared_link(instance.settings.link_mbps),
             dispatching_entries: Mutex::default(),
@@ -310,6 +319,7 @@
         if synced.replace(state.version) == Some(state.version) {
             return;
         }
+        self.quota.tick();
         let dispatchers = self
             .dispatchers
             .lock()
@@ -327,6 +337,7 @@
 
     /// Dispatches or refuses queued requests that are due, for all services.
     pub fn tick(&self) {
+        self.quota.tick();
         let dispatchers = self
             .dispatchers
             .lock()
--- a/crates/entry/src/gateway/proxy.rs
+++ b/crates/entry/src/gateway/proxy.rs
@@ -16,6 +16,7 @@
 use super::coordinator;
 use super::dispatcher::{Dispatcher, Reservation};
 use super::inbound::{self, Inbound};
+use super::quota::Permit;
 use super::relay::relay;
 use crate::local_reply::{self, Body, Refusal};
 use crate::replay::Unavailable;
@@ -148,7 +149,11 @@
     }
 
     async fn run(&mut self) -> Result<Received, Refusal> {
+        let permit = self.take_permit().await?;
         let mut reservation = self.admit().await?;
+        if let Some(permit) = permit {
+            permit.spend();
+        }
         loop {
             let attempted = self.attempt_hedged(reservation).await;
             let failed = match attempted {
@@ -175,6 +180,11 @@
         }
     }
 
+    /// Takes a permit if the customer has a limit. It is given back if the request is refused before an attempt.
+    async fn take_permit(&self) -> Result<Option<Permit>, Refusal> {
+        self.gateway.quota.take(None).await
+    }
+
     /// Reserves a slot for the next attempt after a failed one.
     async fn reserve_after_failure(
         &mut self,
--- /dev/null
+++ b/crates/entry/src/gateway/quota/accountant.rs
@@ -0,0 +1,338 @@
+//! Permits that this entry grants as an accountant, and tokens that accountants hand over to each other.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use chestnutvalve_model::account::Limit;
+use chestnutvalve_model::control::State;
+use chestnutvalve_model::id::Customer;
+use chestnutvalve_routing::quota::membership::{Change, Start, View};
+use chestnutvalve_routing::quota::{Book, Bounds, Membership, Need, first_ask, second_ask};
+use chestnutvalve_wire::Error;
+use futures_util::future::join_all;
+use rand::seq::IndexedRandom;
+use tokio::sync::Notify;
+use tokio::time::timeout_at;
+
+use super::accountants::Accountants;
+use super::message::{BORROW_PATH, Borrow, Grant, Lent, Take, Taken};
+use super::silence::Silence;
+use crate::clock;
+use crate::instance::Instance;
+
+/// Time for the answer of a lender. Two of them fit into the time for which an entry waits for a permit.
+const LEND_TIMEOUT: Duration = Duration::from_millis(80);
+/// Age at which the answer of a lender is dropped, on a clock that also counts while the machine sleeps.
+const MAX_ANSWER_AGE: Duration = Duration::from_millis(300);
+/// How long a request waits for tokens that are on the way.
+const MAX_TOKEN_WAIT: Duration = Duration::from_millis(160);
+/// How often an accountant asks the others for one request.
+const MAX_ROUNDS: u32 = 2;
+/// Interval at which idle customers are forgotten.
+const FORGET_INTERVAL: Duration = Duration::from_secs(1);
+
+/// This entry as an accountant.
+#[derive(Debug)]
+pub struct Accountant {
+    instance: Arc<Instance>,
+    ledger: Mutex<Ledger>,
+    /// Notified when tokens of other accountants have arrived.
+    arrived: Notify,
+    /// Lenders that did not answer.
+    silence: Silence,
+}
+
+#[derive(Debug)]
+struct Ledger {
+    book: Book,
+    membership: Membership,
+    forgotten_at: Instant,
+}
+
+/// The book of an active accountant, and the limits in force.
+struct Desk<'a> {
+    book: &'a mut Book,
+    state: &'a State,
+    now: Instant,
+}
+
+impl Desk<'_> {
+    /// Returns the limit of a customer, or `None` without one.
+    fn limit(&self, customer: &Customer) -> Option<Limit> {
+        let account = self.state.routes.accounts.of_customer(customer)?;
+        account.limit
+    }
+}
+
+impl Accountant {
+    /// Creates the accountant of an entry.
+    #[must_use]
+    pub fn new(instance: &Arc<Instance>, bounds: Bounds) -> Self {
+        let ledger = Ledger {
+            book: Book::new(bounds),
+            membership: Membership::default(),
+            forgotten_at: clock::now(),
+        };
+        Self {
+            instance: Arc::clone(instance),
+            ledger: Mutex::new(ledger),
+            arrived: Notify::new(),
+            silence: Silence::default(),
+        }
+    }
+
+    /// Applies the state in force, and calls `act` if this entry may grant permits.
+    fn open<T>(
+        &self,
+        accountants: &Accountants,
+        act: impl FnOnce(&mut Desk<'_>) -> T,
+    ) -> Option<T> {
+        let state = self.instance.control_state.current();
+        let (now, at) = (clock::now(), clock::now_with_suspension());
+        let view = View {
+            accountants: accountants.preferred.len(),
+            listed: accountants.listed,
+            restarted: accountants.restarted,
+            limits: accountants.limits,
+            confirmed: self.instance.control_state.confirmed(),
+        };
+        let mut ledger = self.ledger.lock().unwrap_or_else(PoisonError::into_inner);
+        let Ledger {
+            book, membership, ..
+        } = &mut *ledger;
+        let change = membership.observe(at, &view);
+        if change == Some(Change::Started(Start::Empty)) {
+            book.empty(now);
+        }
+        let shares = membership.shares(at);
+        book.set_shares(shares);
+        match change {
+            Some(Change::Started(start)) => {
+                spdlog::info!("accountant starts to grant permits", kv: {start:?, shares});
+            }
+            Some(Change::Stopped) => {
+                let (listed, limits) = (view.listed, view.limits);
+                spdlog::info!("accountant stops granting permits", kv: {listed, limits});
+            }
+            None => {}
+        }
+        if !membership.is_active() {
+            return None;
+        }
+        let state = &state;
+        Some(act(&mut Desk { book, state, now }))
+    }
+
+    /// Follows the state, and forgets idle customers.
+    pub fn tick(&self, accountants: &Accountants) {
+        self.open(accountants, |_| ());
+        let now = clock::now();
+        let mut ledger = self.ledger.lock().unwrap_or_else(PoisonError::into_inner);
+        if now.saturating_duration_since(ledger.forgotten_at) >= FORGET_INTERVAL {
+            ledger.forgotten_at = now;
+            ledger.book.forget_idle(now);
+        }
+    }
+
+    /// Answers the request of an entry for permits.
+    pub async fn serve(self: &Arc<Self>, accountants: &Arc<Accountants>, message: Take) -> Taken {
+        let unused = message.unused;
+        let returned = self.open(accountants, |desk| {
+            for (customer, count) in &unused {
+                desk.give_back(customer, *count);
+            }
+        });
+        if returned.is_none() {
+            return Taken::Inactive;
+        }
+        let count = unused.iter().map(|(_, count)| u64::from(*count)).sum();
+        self.instance.meters.count_permits("returned", count);
+        let wanted = message.wanted.iter();
+        let grants = wanted.map(|(customer, count)| self.take(accountants, customer, *count));
+        let grants: Option<Vec<Grant>> = join_all(grants).await.into_iter().collect();
+        grants.map_or(Taken::Inactive, Taken::Permits)
+    }
+
+    /// Gives back a permit that was not used.
+    pub fn give_back(&self, accountants: &Accountants, customer: &Customer) {
+        self.open(accountants, |desk| desk.give_back(customer, 1));
+        self.instance.meters.count_permits("returned", 1);
+    }
+
+    /// Takes `count` permits of a customer. Returns `None` if this entry grants none at present.
+    pub async fn take(
+        self: &Arc<Self>,
+        accountants: &Arc<Accountants>,
+        customer: &Customer,
+        count: u32,
+    ) -> Option<Grant> {
+        let taken = self.open(accountants, |desk| match desk.limit(customer) {
+            Some(limit) => desk.book.take(desk.now, customer, &limit, count),
+            // Its limit was lifted, or is not known here yet.
+            None => count,
+        })?;
+        let unmet = self
+            .wait_for_tokens(accountants, customer, count - taken)
+            .await?;
+        let wait = self.open(accountants, |desk| match desk.limit(customer) {
+            Some(limit) if unmet > 0 => Some(desk.book.refuse(desk.now, customer, &limit, unmet)),
+            _ => None,
+        })?;
+        let granted = count - unmet;
+        let meters = &self.instance.meters;
+        meters.count_permits("granted", granted.into());
+        meters.count_permits("refused", unmet.into());
+        let millis = |time: Duration| u32::try_from(time.as_millis()).unwrap_or(u32::MAX);
+        Some(Grant {
+            granted,
+            first_ms: wait.map_or(0, |wait| millis(wait.first)),
+            step_ms: wait.map_or(0, |wait| millis(wait.step)),
+        })
+    }
+
+    /// Asks the other accountants for tokens, if they are needed, and waits while requests have no permit. Returns the
+    /// number that are left without one.
+    async fn wait_for_tokens(
+        self: &Arc<Self>,
+        accountants: &Arc<Accountants>,
+        customer: &Customer,
+        mut unmet: u32,
+    ) -> Option<u32> {
+        let until = tokio::time::Instant::now() + MAX_TOKEN_WAIT;
+        let mut rounds = 0;
+        while rounds < MAX_ROUNDS && tokio::time::Instant::now() < until {
+            let mut arrived = std::pin::pin!(self.arrived.notified());
+            // Tokens that arrive after the question below must not be missed.
+            arrived.as_mut().enable();
+            let need = self.open(accountants, |desk| match desk.limit(customer) {
+                Some(limit) => desk.book.need(desk.now, customer, &limit, unmet),
+                None => Need::None,
+            })?;
+            match need {
+                Need::Tokens(need) => {
+                    rounds += 1;
+                    // The task ends also if the caller leaves, so that the tokens are not lost.
+                    let borrowed = tokio::spawn(Arc::clone(self).borrow(
+                        Arc::clone(accountants),
+                        customer.clone(),
+                        need,
+                        unmet,
+                    ));
+                    if unmet == 0 {
+                        break;
+                    }
+                    unmet -= borrowed.await.unwrap_or(0);
+                }
+                Need::Asked if unmet > 0 => {
+                    let _ = timeout_at(until, arrived).await;
+                    unmet -= self.open(accountants, |desk| match desk.limit(customer) {
+                        Some(limit) => desk.book.take_again(desk.now, customer, &limit, unmet),
+                        None => unmet,
+                    })?;
+                }
+                Need::Asked | Need::None => break,
+            }
+            if unmet == 0 {
+                break;
+            }
+        }
+        Some(unmet)
+    }
+
+    /// Borrows tokens, and returns the number that was taken at once for requests without a permit.
+    async fn borrow(
+        self: Arc<Self>,
+        accountants: Arc<Accountants>,
+        customer: Customer,
+        need: f64,
+        unmet: u32,
+    ) -> u32 {
+        let own = self.instance.member().peers;
+        let all = accountants.preferred.iter().copied();
+        let mut lenders: Vec<SocketAddr> = all
+            .filter(|a| *a != own && !self.silence.is_silent(*a))
+            .collect();
+        let sent_at = clock::now_with_suspension();
+        let mut tokens = 0.0;
+        if unmet == 0 {
+            let lender = lenders.choose(&mut rand::rng()).copied();
+            lenders = lender.into_iter().collect();
+        }
+        let ask = first_ask(need, lenders.len());
+        let first = lenders
+            .iter()
+            .map(|lender| self.ask(*lender, &customer, ask, false));
+        let first = join_all(first).await;
+        tokens += first.iter().map(|lent| lent.tokens).sum::<f64>();
+        if unmet > 0 {
+            let spare: Vec<f64> = first.iter().map(|lent| lent.spare).collect();
+            let more = second_ask(f64::from(unmet) - tokens, &spare);
+            let asks = lenders.iter().zip(more).filter(|(_, ask)| *ask > 0.0);
+            let asks = asks.map(|(lender, ask)| self.ask(*lender, &customer, ask, true));
+            tokens += join_all(asks).await.iter().map(|l| l.tokens).sum::<f64>();
+        }
+        let age = clock::now_with_suspension().saturating_duration_since(sent_at);
+        if age > MAX_ANSWER_AGE {
+            tokens = 0.0;
+        }
+        let taken = self.open(&accountants, |desk| match desk.limit(&customer) {
+            Some(limit) => desk.book.accept(desk.now, &customer, &limit, tokens, unmet),
+            None => unmet,
+        });
+        self.arrived.notify_waiters();
+        self.instance.meters.count_borrowed(tokens);
+        taken.unwrap_or(0)
+    }
+
+    async fn ask(
+        &self,
+        lender: SocketAddr,
+        customer: &Customer,
+        tokens: f64,
+        urgent: bool,
+    ) -> Lent {
+        let message = Borrow {
+            customer: customer.clone(),
+            tokens,
+            urgent,
+        };
+        let client = self.instance.peers.client(lender);
+        let answer: Result<Lent, Error> = client.call(BORROW_PATH, &message, LEND_TIMEOUT).await;
+        match answer {
+            // No entry hands over more than it was asked for.
+            Ok(lent) if (0.0..=tokens).contains(&lent.tokens) => lent,
+            Ok(_) => Lent::default(),
+            Err(error) => {
+                spdlog::debug!("borrowing from accountant {lender}: {error}");
+                self.instance.meters.count_accountant_timeout();
+                self.silence.record(lender);
+                Lent::default()
+            }
+        }
+    }
+
+    /// Answers the request of another accountant for tokens.
+    pub fn lend(&self, accountants: &Accountants, message: &Borrow) -> Lent {
+        let Borrow {
+            customer,
+            tokens,
+            urgent,
+        } = message;
+        let lent = self.open(accountants, |desk| {
+            let limit = desk.limit(customer)?;
+            let lent = desk.book.lend(desk.now, customer, &limit, *tokens, *urgent);
+            Some(lent)
+        });
+        let (tokens, spare) = lent.flatten().unwrap_or_default();
+        Lent { tokens, spare }
+    }
+}
+
+impl Desk<'_> {
+    fn give_back(&mut self, customer: &Customer, count: u32) {
+        if let Some(limit) = self.limit(customer) {
+            self.book.give_back(self.now, customer, &limit, count);
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/gateway/quota/accountants.rs
@@ -0,0 +1,91 @@
+//! The entries that hold the shares of customers' limits.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+
+use chestnutvalve_model::control::State;
+use chestnutvalve_model::directory::{Directory, Member};
+use chestnutvalve_model::id::{Service, Zone};
+use chestnutvalve_routing::placement;
+
+use crate::gateway::assignment;
+
+/// Accountants of an availability zone. The second one serves while the first doesn't answer.
+const PER_ZONE: usize = 2;
+/// Name under which the accountants are chosen.
+const SUBJECT: &str = "quota-accountants";
+
+/// What the state says about the accountants and the limits, to one entry.
+#[derive(Debug)]
+pub struct Accountants {
+    /// Peer addresses of all accountants, in the order in which the entry asks them: those of its zone first.
+    pub preferred: Vec<SocketAddr>,
+    /// Whether the entry is an accountant.
+    pub listed: bool,
+    /// Whether the directory lists an earlier process of the entry.
+    pub restarted: bool,
+    /// Whether any customer has a limit.
+    pub limits: bool,
+}
+
+impl Accountants {
+    /// Derives the accountants from a state, for the entry that `own` describes.
+    #[must_use]
+    pub fn new(state: &State, own: &Member) -> Self {
+        let chosen = choose(&state.directory);
+        let (near, far): (Vec<&Member>, Vec<&Member>) = chosen
+            .members
+            .values()
+            .partition(|member| member.zone == own.zone);
+        let mut preferred = order(own, &near);
+        preferred.extend(order(own, &far));
+        if let Some(at) = preferred.iter().position(|a| *a == own.peers) {
+            preferred[..=at].rotate_right(1);
+        }
+        let mut accounts = state.routes.accounts.iter();
+        let known = state.directory.members.get(&own.entry);
+        Self {
+            listed: chosen.members.contains_key(&own.entry),
+            restarted: known.is_some_and(|m| m.incarnation < own.incarnation),
+            limits: accounts.any(|account| account.limit.is_some()),
+            preferred,
+        }
+    }
+}
+
+/// Returns the accountants of all zones: entries with a wide link, or any if none has one.
+fn choose(directory: &Directory) -> Directory {
+    let is_wide = |m: &Member| m.link_mbps >= assignment::NARROW_LINK_MBPS;
+    let any_wide = directory.members.values().any(is_wide);
+    let zones: BTreeSet<&Zone> = directory.members.values().map(|m| &m.zone).collect();
+    let mut chosen = Directory::default();
+    let Ok(subject) = Service::new(SUBJECT) else {
+        return chosen;
+    };
+    for zone in zones {
+        let mut candidates = assignment::in_zone(directory, zone);
+        candidates.members.retain(|_, m| !any_wide || is_wide(m));
+        for entry in placement::owners(&subject, PER_ZONE, &candidates) {
+            if let Some(member) = candidates.members.remove(&entry) {
+                chosen.members.insert(entry, member);
+            }
+        }
+    }
+    chosen
+}
+
+/// Returns the addresses of accountants in the order in which an entry asks them. Entries differ in it, so that each
+/// accountant is asked by a part of them.
+fn order(own: &Member, accountants: &[&Member]) -> Vec<SocketAddr> {
+    let members = accountants.iter().map(|m| (m.entry.clone(), (*m).clone()));
+    let directory = Directory {
+        members: members.collect(),
+    };
+    // A name that is valid for an entry is valid for a service.
+    let Ok(subject) = Service::new(own.entry.as_str()) else {
+        return accountants.iter().map(|m| m.peers).collect();
+    };
+    let ordered = placement::owners(&subject, accountants.len(), &directory);
+    let members = ordered.iter().filter_map(|e| directory.members.get(e));
+    members.map(|m| m.peers).collect()
+}
--- a/crates/entry/src/meters.rs
+++ b/crates/entry/src/meters.rs
@@ -30,6 +30,8 @@
     attempts: Counter<u64>,
     refusals: Counter<u64>,
     notices: Counter<u64>,
+    permits: Counter<f64>,
+    accountant_timeouts: Counter<u64>,
     added_latency: Histogram<f64>,
     queue_wait: Histogram<f64>,
     gateway_request: Histogram<f64>,
@@ -60,6 +62,14 @@
                 "worker_notices",
                 "Responses in which workers said that they leave or want a pause, by kind",
             ),
+            permits: meter
+                .f64_counter("quota_permits")
+                .with_description("Permits of customers with a limit at this accountant, by event")
+                .build(),
+            accountant_timeouts: counter(
+                "quota_timeouts",
+                "Requests to accountants that were not answered in time",
+            ),
             added_latency: histogram(
                 "added_latency_ms",
                 "Time to the response without queueing and attempts, in ms",
@@ -132,6 +142,25 @@
         self.notices.add(1, &[KeyValue::new("kind", kind)]);
     }
 
+    /// Counts permits that this entry granted, refused or got back as an accountant, by event.
+    pub fn count_permits(&self, event: &'static str, count: u64) {
+        if let Ok(count) = u32::try_from(count) {
+            let labels = [KeyValue::new("event", event)];
+            self.permits.add(f64::from(count), &labels);
+        }
+    }
+
+    /// Counts tokens that this entry borrowed as an accountant.
+    pub fn count_borrowed(&self, tokens: f64) {
+        let labels = [KeyValue::new("event", "borrowed")];
+        self.permits.add(tokens, &labels);
+    }
+
+    /// Counts a request to an accountant that was not answered in time.
+    pub fn count_accountant_timeout(&self) {
+        self.accountant_timeouts.add(1, &[]);
+    }
+
     /// Records the latency that the entry added to a response, and its time in the queue.
     pub fn record_latency(&self, added: Duration, queued: Duration) {
         self.added_latency.record(added.as_secs_f64() * 1e3, &[]);
--- a/crates/entry/tests/all/fleet.rs
+++ b/crates/entry/tests/all/fleet.rs
@@ -25,6 +25,7 @@
     pub gateway: SocketAddr,
     pub shutdown: Shutdown,
     pub running: JoinHandle<()>,
+    pub quota: std::sync::Arc<chestnutvalve_entry::gateway::quota::Quota>,
     instance: std::sync::Arc<chestnutvalve_entry::instance::Instance>,
 }
 
@@ -64,6 +65,7 @@
         let shutdown = Shutdown::default();
         let daemon = Daemon::start(settings, shutdown.clone()).await.unwrap();
         let instance = std::sync::Arc::clone(daemon.instance());
+        let quota = std::sync::Arc::clone(&daemon.gateway().quota);
         let member = instance.member();
         Self {
             callers: member.callers,
@@ -71,6 +73,7 @@
             peers: member.peers,
             gateway: member.gateway.unwrap(),
             shutdown,
+            quota,
             running: tokio::spawn(async move { daemon.run().await.unwrap() }),
             instance,
         }
--- a/crates/entry/tests/all/main.rs
+++ b/crates/entry/tests/all/main.rs
@@ -17,6 +17,7 @@
 mod narrow;
 mod notices;
 mod proxy;
+mod quota;
 mod sharing;
 mod upload;
 mod worker;
--- /dev/null
+++ b/crates/entry/tests/all/quota.rs
@@ -0,0 +1,269 @@
+//! Limits of customers over several entries.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use chestnutvalve_model::account::{Account, Key, Limit, Registry};
+use chestnutvalve_model::directory::Member;
+use chestnutvalve_model::error::Kind;
+use chestnutvalve_model::id::{Customer, Entry as Id, Incarnation, Zone};
+use futures_util::future::join_all;
+use tokio::net::TcpListener;
+use tokio::time::{Instant, sleep};
+
+use crate::control::Control;
+use crate::fleet::{Entry, wait_until};
+use crate::gateway::table;
+
+const NARROW_MBPS: u32 = 3;
+const WIDE_MBPS: u32 = 1_000;
+const RATE: f64 = 10.0;
+const BURST: f64 = 20.0;
+
+fn account() -> Account {
+    Account {
+        customer: Customer::new("acme").unwrap(),
+        keys: vec![Key::new("k-1")],
+        rank: None,
+        limit: Some(Limit {
+            per_second: RATE,
+            burst: BURST,
+        }),
+    }
+}
+
+/// Publishes a table with the limit, and waits until it is in force at the entries.
+async fn publish_limit(control: &Control, label: u64, entries: &[&Entry]) {
+    // Accountants start at once only if they have seen a state without limits.
+    sleep(Duration::from_millis(300)).await;
+    let mut limited = table(label, Vec::new());
+    limited.accounts = Registry::from(vec![account()]);
+    control.publish(limited);
+    for entry in entries {
+        wait_until("limit", || entry.state().routes.label == label).await;
+    }
+}
+
+/// Outcomes of requests for a permit.
+#[derive(Debug, Default)]
+struct Outcomes {
+    granted: u32,
+    refused: BTreeMap<&'static str, u32>,
+    waits: Vec<Duration>,
+}
+
+/// Asks for `count` permits at once at each entry, and uses those that are granted.
+async fn ask(entries: &[&Entry], count: usize) -> Outcomes {
+    let account = account();
+    let asked = entries.iter().flat_map(|e| (0..count).map(move |_| *e));
+    let asked = asked.map(|entry| entry.quota.take(Some(&account)));
+    let mut outcomes = Outcomes::default();
+    for outcome in join_all(asked).await {
+        match outcome {
+            Ok(permit) => {
+                permit.expect("the customer has a limit").spend();
+                outcomes.granted += 1;
+            }
+            Err(refusal) => {
+                let code = refusal.fault.kind.answer().code;
+                *outcomes.refused.entry(code).or_default() += 1;
+                outcomes.waits.push(refusal.retry_after.unwrap());
+            }
+        }
+    }
+    outcomes
+}
+
+/// Adds an entry to the directory that accepts connections and never answers.
+async fn add_silent(control: &Control, name: &str) -> TcpListener {
+    let silent = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address: SocketAddr = silent.local_addr().unwrap();
+    let mut state = control.state.lock().unwrap();
+    state.directory.join(&Member {
+        entry: Id::new(name).unwrap(),
+        incarnation: Incarnation(1),
+        zone: Zone::new("z1").unwrap(),
+        callers: address,
+        gateway: Some(address),
+        link_mbps: WIDE_MBPS,
+        platform: address,
+        peers: address,
+        draining: false,
+    });
+    state.version.revision += 1;
+    silent
+}
+
+/// Guards against a limit that holds at each entry instead of all together, and against callers that are told to come
+/// back at the same time.
+#[tokio::test]
+async fn a_limit_holds_over_all_entries() {
+    let control = Control::start().await;
+    let start = |name| Entry::start_with_link(name, control.address, &[], WIDE_MBPS);
+    let entries = [start("e1").await, start("e2").await, start("e3").await];
+    let entries: Vec<&Entry> = entries.iter().collect();
+    for entry in &entries {
+        entry.wait_for_members(3).await;
+    }
+    publish_limit(&control, 1, &entries).await;
+    let started = Instant::now();
+    let mut granted = 0;
+    let mut waits = Vec::new();
+    for _ in 0..10 {
+        let outcomes = ask(&entries, 10).await;
+        assert!(
+            outcomes
+                .refused
+                .keys()
+                .all(|code| *code == "limit_exceeded")
+        );
+        granted += outcomes.granted;
+        waits.extend(outcomes.waits);
+        sleep(Duration::from_millis(100)).await;
+    }
+    let allowed = BURST + RATE * started.elapsed().as_secs_f64();
+    let granted = f64::from(granted);
+    assert!(granted <= allowed, "{granted} of {allowed} permits");
+    assert!(granted >= allowed * 0.8, "{granted} of {allowed} permits");
+    assert!(waits.iter().all(|wait| *wait <= Duration::from_secs(2)));
+    waits.sort_unstable();
+    waits.dedup();
+    assert!(waits.len() > 20, "{waits:?}");
+}
+
+/// Guards against customers that lose their permits with one accountant: the next one of the zone grants.
+#[tokio::test]
+async fn the_next_accountant_answers_for_a_lost_one() {
+    let control = Control::start().await;
+    let _silent = add_silent(&control, "silent").await;
+    let start = |name, mbps| Entry::start_with_link(name, control.address, &[], mbps);
+    let wide = start("wide", WIDE_MBPS).await;
+    let mut narrow = Vec::new();
+    for name in ["n1", "n2", "n3", "n4"] {
+        narrow.push(start(name, NARROW_MBPS).await);
+    }
+    let mut entries: Vec<&Entry> = narrow.iter().collect();
+    wide.wait_for_members(6).await;
+    entries.push(&wide);
+    publish_limit(&control, 1, &entries).await;
+    let mut timeouts = 0.0;
+    for entry in &entries {
+        let started = Instant::now();
+        let outcomes = ask(&[entry], 1).await;
+        assert_eq!(outcomes.granted, 1, "{outcomes:?}");
+        assert!(started.elapsed() < Duration::from_millis(600));
+        let started = Instant::now();
+        let outcomes = ask(&[entry], 1).await;
+        assert_eq!(outcomes.granted, 1, "{outcomes:?}");
+        assert!(started.elapsed() < Duration::from_millis(200));
+        timeouts += entry.metric("quota_timeouts", "").await;
+    }
+    assert!(timeouts > 0.0, "no entry asked the lost accountant first");
+}
+
+/// Guards against requests beyond a limit, and against callers that wait, while no accountant answers.
+#[tokio::test]
+async fn without_an_accountant_requests_are_refused_soon() {
+    let control = Control::start().await;
+    let _silent = (
+        add_silent(&control, "s1").await,
+        add_silent(&control, "s2").await,
+    );
+    let narrow = Entry::start_with_link("n1", control.address, &[], NARROW_MBPS).await;
+    narrow.wait_for_members(3).await;
+    publish_limit(&control, 1, &[&narrow]).await;
+    for most in [700, 100] {
+        let started = Instant::now();
+        let refusal = narrow.quota.take(Some(&account())).await.unwrap_err();
+        assert_eq!(refusal.fault.kind, Kind::NoEligibleWorker);
+        assert!(refusal.retry_after.unwrap() <= Duration::from_secs(1));
+        let took = started.elapsed();
+        assert!(took < Duration::from_millis(most), "{took:?}");
+    }
+}
+
+/// Guards against messages and waits for customers without a limit.
+#[tokio::test]
+async fn without_a_limit_nobody_is_asked() {
+    let control = Control::start().await;
+    let _silent = add_silent(&control, "s1").await;
+    let narrow = Entry::start_with_link("n1", control.address, &[], NARROW_MBPS).await;
+    narrow.wait_for_members(2).await;
+    let mut unlimited = account();
+    unlimited.limit = None;
+    assert!(narrow.quota.take(Some(&unlimited)).await.unwrap().is_none());
+    assert!(narrow.quota.take(None).await.unwrap().is_none());
+}
+
+/// Guards against a new burst of each process that restarts, and against a customer that gets no permits afterwards.
+#[tokio::test]
+async fn a_restarted_accountant_starts_without_tokens() {
+    let control = Control::start().await;
+    let first = Entry::start("e1", control.address).await;
+    first.wait_for_members(1).await;
+    publish_limit(&control, 1, &[&first]).await;
+    let burst = ask(&[&first], 30).await;
+    assert!((20..=22).contains(&burst.granted), "{burst:?}");
+    drop(first);
+    let restarted_at = Instant::now();
+    let second = Entry::start("e1", control.address).await;
+    let mut granted = 0;
+    while granted == 0 {
+        granted += ask(&[&second], 30).await.granted;
+        let after = restarted_at.elapsed();
+        assert!(after < Duration::from_secs(13), "no permit in {after:?}");
+        sleep(Duration::from_millis(50)).await;
+    }
+    let allowed = RATE * restarted_at.elapsed().as_secs_f64();
+    assert!(granted <= 3 && f64::from(granted) <= allowed, "{granted}");
+}
+
+/// Guards against permits of an accountant that may have been replaced, and against a wait after the control group was
+/// out of service although nothing has changed.
+#[tokio::test]
+async fn an_accountant_without_confirmation_stops_until_it_has_one() {
+    let control = Control::start().await;
+    let entry = Entry::start("e1", control.address).await;
+    entry.wait_for_members(1).await;
+    publish_limit(&control, 1, &[&entry]).await;
+    assert_eq!(ask(&[&entry], 1).await.granted, 1);
+    control.quorum_lost.store(true, Ordering::SeqCst);
+    sleep(Duration::from_millis(5_500)).await;
+    assert_eq!(ask(&[&entry], 1).await.granted, 1);
+    sleep(Duration::from_secs(3)).await;
+    let outcomes = ask(&[&entry], 1).await;
+    assert_eq!(
+        outcomes.refused,
+        BTreeMap::from([("no_eligible_worker", 1)])
+    );
+    control.quorum_lost.store(false, Ordering::SeqCst);
+    let since = Instant::now();
+    while ask(&[&entry], 1).await.granted == 0 {
+        assert!(since.elapsed() < Duration::from_secs(3));
+        sleep(Duration::from_millis(50)).await;
+    }
+}
+
+/// Guards against tokens that are lost with requests that are refused for another reason.
+#[tokio::test]
+async fn a_permit_that_is_not_used_is_given_back() {
+    let control = Control::start().await;
+    let start = |name, mbps| Entry::start_with_link(name, control.address, &[], mbps);
+    let (wide, narrow) = (
+        start("wide", WIDE_MBPS).await,
+        start("n1", NARROW_MBPS).await,
+    );
+    for entry in [&wide, &narrow] {
+        entry.wait_for_members(2).await;
+    }
+    publish_limit(&control, 1, &[&wide, &narrow]).await;
+    for entry in [&wide, &narrow] {
+        for _ in 0..60 {
+            let permit = entry.quota.take(Some(&account())).await;
+            drop(permit.expect("the permits before were given back"));
+        }
+    }
+    assert!(wide.metric("quota_permits", "returned").await >= 100.0);
+}
