--- a/crates/entry/tests/all/main.rs
+++ b/crates/entry/tests/all/main.rs
@@ -20,6 +20,7 @@
 mod narrow;
 mod notices;
 mod proxy;
+mod quota;
 mod readers;
 mod sharing;
 mod streams;
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod execution;
 pub mod memory;
 pub mod placement;
+pub mod quota;
 pub mod retry;
 pub mod sample;
 pub mod schedule;
