Drop a caller's customer header also when it is written with underscores

Cause: servers that pass headers as variables don't tell "_" from "-", so that a caller could name another customer to such a worker.

Change: with accounts, every spelling of the credentials and of the customer header is dropped.

Result: the tests of credentials and customers pass; the new case is in the_headers_of_the_caller_are_replaced.

--- a/crates/entry/src/gateway/credentials.rs
+++ b/crates/entry/src/gateway/credentials.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use chestnutvalve_model::account::{Account, Registry};
-use http::{HeaderMap, HeaderValue};
+use http::{HeaderMap, HeaderName, HeaderValue};
 
 use super::dialect::Dialect;
 
@@ -93,11 +93,23 @@
 /// Replaces the caller's credentials and customer headers by the name of the account's customer. The headers that apply to a single
 /// connection must have been removed before, because a caller may name any header as one of them.
 pub fn replace(headers: &mut HeaderMap, dialect: &Dialect, account: Option<&Account>) {
-    headers.remove(&dialect.credentials);
-    headers.remove(&dialect.customer);
+    let replaced = [&dialect.credentials, &dialect.customer];
+    let names = headers.keys();
+    let names = names.filter(|name| replaced.iter().any(|wanted| is_same(name, wanted)));
+    let names: Vec<HeaderName> = names.cloned().collect();
+    for name in names {
+        headers.remove(name);
+    }
     // The characters of a customer's name are valid in a header.
     let name = account.and_then(|a| HeaderValue::from_str(a.customer.as_str()).ok());
     if let Some(name) = name {
         headers.insert(&dialect.customer, name);
     }
 }
+
+/// Returns whether a worker may take a header for another one: servers that pass headers as variables don't tell `_` from `-`.
+fn is_same(name: &HeaderName, wanted: &HeaderName) -> bool {
+    let name = name.as_str().bytes();
+    let name = name.map(|byte| if byte == b'_' { b'-' } else { byte });
+    name.eq(wanted.as_str().bytes())
+}
--- a/crates/entry/tests/all/credentials.rs
+++ b/crates/entry/tests/all/credentials.rs
@@ -104,6 +104,7 @@
     for name in [
         "chestnutvalve-customer",
         "Chestnutvalve-Customer",
+        "chestnutvalve_customer",
         "x-other",
     ] {
         let name = HeaderName::from_bytes(name.as_bytes()).unwrap();
@@ -114,5 +115,6 @@
     let sent: Vec<_> = headers.get_all(&dialect.customer).iter().collect();
     assert_eq!(sent, customer.iter().collect::<Vec<_>>());
     assert!(!headers.contains_key(&dialect.credentials));
+    assert!(!headers.contains_key("chestnutvalve_customer"));
     assert_eq!(headers["x-other"], "forged");
 }
