Give the callers of the soak API keys

Cause: nothing checked keys while instances restart, lose their disks or are cut off.

Change: the callers of the gateway are two customers with a key each, and claim to be others. Each route table has one key that the next one lacks. The soak reports a request with a valid key that is refused with 401, one that reaches a worker with a key or another customer, a key of the former table that is accepted in the end, and a process that writes a key. The worker counts such requests only where the caller states the expected customer.

--- a/crates/bench/src/load.rs
+++ b/crates/bench/src/load.rs
@@ -31,6 +31,16 @@
 /// Interval between batches. All requests that are due since the last batch start together.
 const BATCH_INTERVAL: Duration = Duration::from_millis(2);
 
+/// API key of a customer.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Credentials {
+    /// Customer that workers must be told.
+    pub customer: String,
+    /// Key that requests carry.
+    pub key: String,
+}
+
 /// A class of requests in the mix.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(default, deny_unknown_fields)]
@@ -49,6 +59,8 @@
     pub customers: u32,
     /// Whether each request carries a unique idempotency key.
     pub key: bool,
+    /// API key that each request carries.
+    pub credentials: Option<Credentials>,
     /// Deadline of each request, in milliseconds after its start.
     pub deadline_ms: u32,
     /// Size of the response body, in bytes.
@@ -67,6 +79,7 @@
             weight: 1.0,
             customers: 10,
             key: false,
+            credentials: None,
             deadline_ms: 2_000,
             size: crate::payload::DEFAULT_BYTES,
             pace_ms: 0,
--- a/crates/bench/src/load/caller.rs
+++ b/crates/bench/src/load/caller.rs
@@ -74,6 +74,12 @@
         if let Some(key) = &self.key {
             request = request.header("idempotency-key", key);
         }
+        if let Some(credentials) = &class.credentials {
+            let bearer = format!("Bearer {}", credentials.key);
+            request = request
+                .header(http::header::AUTHORIZATION, bearer)
+                .header(payload::EXPECTED_CUSTOMER_HEADER, &credentials.customer);
+        }
         let body = match class.method.as_str() {
             "GET" | "HEAD" => Bytes::new(),
             _ => Bytes::from_static(b"{}"),
--- a/crates/bench/src/payload.rs
+++ b/crates/bench/src/payload.rs
@@ -4,6 +4,8 @@
 
 /// Request header with the request id, which the worker repeats in the response body.
 pub const REQUEST_HEADER: &str = "bench-request";
+/// Request header with the customer that the worker must be told, whatever customer the caller claims to be.
+pub const EXPECTED_CUSTOMER_HEADER: &str = "bench-expected-customer";
 /// Size of a body whose request states none.
 pub const DEFAULT_BYTES: usize = 256;
 /// Maximum size of a body; larger requested sizes are reduced to it.
--- a/crates/bench/src/soak.rs
+++ b/crates/bench/src/soak.rs
@@ -22,6 +22,7 @@
 use crate::load::{self, Class, Plan};
 use crate::worker::Fault as WorkerFault;
 
+mod customers;
 mod table;
 
 use table::RouteTable;
@@ -191,11 +192,16 @@
         ..lookup.clone()
     };
     let orders = vec![order(true), order(false)];
-    let routed_orders = vec![order(false)];
+    let with_key = |class: Class, customer| Class {
+        credentials: Some(customers::credentials(customer)),
+        ..class
+    };
+    let routed_lookups = vec![with_key(lookup.clone(), customers::READER)];
+    let routed_orders = vec![with_key(order(false), customers::BUYER)];
     let (callers, gateways) = (fleet.callers(), fleet.gateways());
     [
         (IDEMPOTENT_LOAD, false, vec![lookup.clone()]),
-        (IDEMPOTENT_ROUTED_LOAD, true, vec![lookup.clone()]),
+        (IDEMPOTENT_ROUTED_LOAD, true, routed_lookups),
         (AT_MOST_ONCE_LOAD, false, orders),
         (AT_MOST_ONCE_ROUTED_LOAD, true, routed_orders),
     ]
@@ -250,6 +256,11 @@
             );
             report.violations.push(text);
         }
+        let refused = total.error("unauthorized");
+        if refused > 0 {
+            let text = format!("{refused} requests with a valid key were refused");
+            report.violations.push(text);
+        }
         not_executed.extend(load_report.not_executed);
     }
     report.not_executed = not_executed.len();
@@ -258,6 +269,7 @@
     check_worker_that_says_it_leaves(&fleet, &mut report).await?;
     check_leaving_worker(&fleet, &mut report).await?;
     check_executions(&fleet, &not_executed, &mut report).await?;
+    customers::check_output(fleet.folder(), &mut report)?;
     fleet.keep_folder(!report.violations.is_empty());
     Ok(report)
 }
@@ -504,6 +516,13 @@
         );
         report.violations.push(text);
     }
+    if counts.misattributed > 0 {
+        let text = format!(
+            "workers got {} requests with a key or another customer",
+            counts.misattributed
+        );
+        report.violations.push(text);
+    }
     for id in not_executed
         .iter()
         .filter(|id| counts.requests.contains_key(*id))
--- a/crates/bench/src/soak/table.rs
+++ b/crates/bench/src/soak/table.rs
@@ -1,22 +1,24 @@
 //! Route table of the soak, which is replaced repeatedly while faults are injected.
 
 use std::collections::BTreeMap;
-use std::net::Ipv4Addr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
 use chestnutvalve_model::id;
 use chestnutvalve_model::rank::Rank;
 use chestnutvalve_model::routes::{Kind, Limits, Publication, Route, Share, Target};
-use http::StatusCode;
+use http::{Request, StatusCode, header};
+use http_body_util::Full;
 
-use super::{RECOVERY_TIMEOUT, Report, SERVICE};
+use super::{RECOVERY_TIMEOUT, Report, SERVICE, customers};
 use crate::Error;
 use crate::fleet::{Fleet, until};
 
 /// Timeout of the request that reveals which table a gateway uses.
 const PROBE_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Source of successive route tables. Each table has one probe route that its successor lacks.
+/// Source of successive route tables. Each table has one probe route and one probe key that its successor
+/// lacks.
 #[derive(Debug)]
 pub struct RouteTable {
     /// Label of the next table to publish.
@@ -62,7 +64,7 @@
             ],
             services: BTreeMap::from([(service.clone(), target)]),
             limits: Limits::default(),
-            accounts: Vec::new(),
+            accounts: customers::accounts(self.label),
             source: Vec::new(),
         }
     }
@@ -108,7 +110,23 @@
     format!("/only-{label}/")
 }
 
-/// Waits until all gateways use a table: they serve its probe route and no longer that of its predecessor.
+/// Returns the status of a request on the probe route of one table with the probe key of another.
+async fn probe_status(
+    fleet: &Fleet,
+    gateway: SocketAddr,
+    path: u64,
+    key: u64,
+) -> Result<StatusCode, String> {
+    let bearer = format!("Bearer {}", customers::probe_key(key));
+    let request = Request::get(format!("http://{gateway}{}", probe_path(path)))
+        .header(header::AUTHORIZATION, bearer);
+    let request = request.body(Full::default()).map_err(|e| e.to_string())?;
+    let response = fleet.http.send(request, PROBE_TIMEOUT).await;
+    response.map(|r| r.status).map_err(|e| e.name().to_owned())
+}
+
+/// Waits until all gateways use a table: they serve its probe route and accept its probe key, and no longer those of its
+/// predecessor.
 async fn wait_in_force(fleet: &Fleet, label: u64) -> Result<(), Error> {
     let gateways = fleet.gateways();
     let mut last_mismatch = String::new();
@@ -117,16 +135,15 @@
         RECOVERY_TIMEOUT,
         async || {
             for gateway in &gateways {
-                for (label, expected) in
-                    [(label, StatusCode::OK), (label - 1, StatusCode::NOT_FOUND)]
-                {
-                    let response = fleet
-                        .http
-                        .get(*gateway, &probe_path(label), PROBE_TIMEOUT)
-                        .await;
-                    let status = response.map(|a| a.status).map_err(|e| e.to_string());
+                for (path, key, expected) in [
+                    (label, label, StatusCode::OK),
+                    (label - 1, label, StatusCode::NOT_FOUND),
+                    (label, label - 1, StatusCode::UNAUTHORIZED),
+                ] {
+                    let status = probe_status(fleet, *gateway, path, key).await;
                     if status != Ok(expected) {
-                        last_mismatch = format!("{gateway} {}: {status:?}", probe_path(label));
+                        let path = probe_path(path);
+                        last_mismatch = format!("{gateway} {path} key {key}: {status:?}");
                         return None;
                     }
                 }
--- a/crates/bench/src/worker/counts.rs
+++ b/crates/bench/src/worker/counts.rs
@@ -28,6 +28,8 @@
     pub requests: BTreeMap<String, u32>,
     /// Most routed requests that arrived on one connection within a pause, from half a second after its start.
     pub most_in_pause: u32,
+    /// Requests with an API key, or with another customer than the one that their key belongs to.
+    pub misattributed: u64,
     /// Time from the start of leaving to the arrival of each later request, in milliseconds.
     pub after_leaving_ms: Vec<u64>,
 }
@@ -48,6 +50,7 @@
         self.shed += other.shed;
         self.cancelled += other.cancelled;
         self.expired += other.expired;
+        self.misattributed += other.misattributed;
         self.most_in_pause = self.most_in_pause.max(other.most_in_pause);
         self.after_leaving_ms.extend(&other.after_leaving_ms);
         for (total, part) in [
--- a/crates/bench/src/worker/serve.rs
+++ b/crates/bench/src/worker/serve.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use futures_util::stream;
-use http::{Request, Response, StatusCode};
+use http::{HeaderMap, Request, Response, StatusCode};
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full, Limited, StreamBody};
 use hyper::body::{Frame, Incoming};
@@ -26,6 +26,8 @@
 const NOT_EXECUTED_HEADER: &str = "chestnutvalve-not-executed";
 /// Header with the time for which a worker that turns a request away wants no others from the same entry, in milliseconds.
 const RETRY_AFTER_HEADER: &str = "retry-after-ms";
+/// Header with the customer on whose behalf a request is made.
+const CUSTOMER_HEADER: &str = "chestnutvalve-customer";
 /// Header with the name of the worker that a routed request is meant for.
 const EXPECTED_WORKER_HEADER: &str = "chestnutvalve-expected-worker";
 /// Time after the start of a pause in which requests that were sent before still arrive.
@@ -138,7 +140,7 @@
             pairs.find(|(n, _)| *n == name)?.1.parse().ok()
         };
         let size = parameter("size").and_then(|s| usize::try_from(s).ok());
-        let customer = header("chestnutvalve-customer").unwrap_or_default();
+        let customer = header(CUSTOMER_HEADER).unwrap_or_default();
         let deadline = header("chestnutvalve-deadline-ms").and_then(|d| d.parse().ok());
         Self {
             id: header(payload::REQUEST_HEADER).unwrap_or_else(|| "unnamed".into()),
@@ -184,6 +186,7 @@
         let mut counts = lock(&worker.counts);
         counts.most_in_pause = counts.most_in_pause.max(arrived);
     }
+    lock(&worker.counts).misattributed += u64::from(is_misattributed(request.headers()));
     let pause_ms = lock(&worker.fault).0.pause_ms;
     let mut response = execute(worker, request).await;
     let headers = response.headers_mut();
@@ -198,6 +201,15 @@
     response
 }
 
+/// Returns whether a request that was sent with an API key arrives with a key or without the customer of its key.
+fn is_misattributed(headers: &HeaderMap) -> bool {
+    let Some(expected) = headers.get(payload::EXPECTED_CUSTOMER_HEADER) else {
+        return false;
+    };
+    let told: Vec<_> = headers.get_all(CUSTOMER_HEADER).iter().collect();
+    told != [expected] || headers.contains_key(http::header::AUTHORIZATION)
+}
+
 async fn execute(worker: Arc<Worker>, request: Request<Incoming>) -> Response<Body> {
     let parameters = Parameters::from_request(&request);
     let path = request.uri().path().to_owned();
