Answer permits at once, and wait for borrowed tokens apart

Cause: an accountant that waited for tokens of one customer delayed the permits of others in the same message.

Change: the first answer says whether more tokens may come; the requests left without a permit then ask again in a message of their own, which waits.

--- a/crates/entry/src/gateway/quota.rs
+++ b/crates/entry/src/gateway/quota.rs
@@ -155,7 +155,10 @@
         accountants: &Arc<Accountants>,
         customer: &Customer,
     ) -> Option<Answer> {
-        let grant = self.accountant.take(accountants, customer, 1).await;
+        let grant = match self.accountant.take(accountants, customer, 1) {
+            Some(grant) if grant.more => self.accountant.wait(accountants, customer, 1).await,
+            taken => taken,
+        };
         Some(match grant {
             Some(grant) if grant.granted > 0 => Answer::Granted,
             Some(grant) => {
--- a/crates/entry/src/gateway/quota/accountant.rs
+++ b/crates/entry/src/gateway/quota/accountant.rs
@@ -137,7 +137,11 @@
 
     /// Answers the request of an entry for permits.
     pub async fn serve(self: &Arc<Self>, accountants: &Arc<Accountants>, message: Take) -> Taken {
-        let unused = message.unused;
+        let Take {
+            wanted,
+            unused,
+            patient,
+        } = message;
         let returned = self.open(accountants, |desk| {
             for (customer, count) in &unused {
                 desk.give_back(customer, *count);
@@ -148,8 +152,13 @@
         }
         let count = unused.iter().map(|(_, count)| u64::from(*count)).sum();
         self.instance.meters.count_permits("returned", count);
-        let wanted = message.wanted.iter();
-        let grants = wanted.map(|(customer, count)| self.take(accountants, customer, *count));
+        let grants = wanted.iter().map(async |(customer, count)| {
+            if patient {
+                self.wait(accountants, customer, *count).await
+            } else {
+                self.take(accountants, customer, *count)
+            }
+        });
         let grants: Option<Vec<Grant>> = join_all(grants).await.into_iter().collect();
         grants.map_or(Taken::Inactive, Taken::Permits)
     }
@@ -160,39 +169,84 @@
         self.instance.meters.count_permits("returned", 1);
     }
 
-    /// Takes `count` permits of a customer. Returns `None` if this entry grants none at present.
-    pub async fn take(
+    /// Takes `count` permits of a customer at once. Returns `None` if this entry grants none at present.
+    pub fn take(
         self: &Arc<Self>,
         accountants: &Arc<Accountants>,
         customer: &Customer,
         count: u32,
     ) -> Option<Grant> {
-        let taken = self.open(accountants, |desk| match desk.limit(customer) {
-            Some(limit) => desk.book.take(desk.now, customer, &limit, count),
+        let (granted, more, ahead) = self.open(accountants, |desk| {
+            let now = desk.now;
             // Its limit was lifted, or is not known here yet.
+            let Some(limit) = desk.limit(customer) else {
+                return (count, false, Need::None);
+            };
+            let granted = desk.book.take(now, customer, &limit, count);
+            if granted < count {
+                let more = desk.book.may_borrow(now, customer, &limit);
+                return (granted, more, Need::None);
+            }
+            (granted, false, desk.book.need(now, customer, &limit, 0))
+        })?;
+        if let Need::Tokens(need) = ahead {
+            let accountants = Arc::clone(accountants);
+            tokio::spawn(Arc::clone(self).borrow(accountants, customer.clone(), need, 0));
+        }
+        self.grant(accountants, customer, granted, count - granted, more)
+    }
+
+    /// Takes `count` permits of a customer for requests that [`Accountant::take`] left without one, and waits for tokens
+    /// of other accountants.
+    pub async fn wait(
+        self: &Arc<Self>,
+        accountants: &Arc<Accountants>,
+        customer: &Customer,
+        count: u32,
+    ) -> Option<Grant> {
+        let granted = self.open(accountants, |desk| match desk.limit(customer) {
+            Some(limit) => desk.book.take_again(desk.now, customer, &limit, count),
             None => count,
         })?;
         let unmet = self
-            .wait_for_tokens(accountants, customer, count - taken)
+            .wait_for_tokens(accountants, customer, count - granted)
             .await?;
-        let wait = self.open(accountants, |desk| match desk.limit(customer) {
-            Some(limit) if unmet > 0 => Some(desk.book.refuse(desk.now, customer, &limit, unmet)),
-            _ => None,
-        })?;
-        let granted = count - unmet;
+        self.grant(accountants, customer, count - unmet, unmet, false)
+    }
+
+    /// Builds the answer for `granted` requests with a permit and `unmet` without one.
+    fn grant(
+        &self,
+        accountants: &Accountants,
+        customer: &Customer,
+        granted: u32,
+        unmet: u32,
+        more: bool,
+    ) -> Option<Grant> {
         let meters = &self.instance.meters;
         meters.count_permits("granted", granted.into());
-        meters.count_permits("refused", unmet.into());
-        let millis = |time: Duration| u32::try_from(time.as_millis()).unwrap_or(u32::MAX);
-        Some(Grant {
+        let mut grant = Grant {
             granted,
-            first_ms: wait.map_or(0, |wait| millis(wait.first)),
-            step_ms: wait.map_or(0, |wait| millis(wait.step)),
-        })
+            more,
+            ..Grant::default()
+        };
+        if unmet == 0 || more {
+            return Some(grant);
+        }
+        let wait = self.open(accountants, |desk| {
+            let limit = desk.limit(customer)?;
+            Some(desk.book.refuse(desk.now, customer, &limit, unmet))
+        })?;
+        meters.count_permits("refused", unmet.into());
+        if let Some(wait) = wait {
+            let millis = |time: Duration| u32::try_from(time.as_millis()).unwrap_or(u32::MAX);
+            (grant.first_ms, grant.step_ms) = (millis(wait.first), millis(wait.step));
+        }
+        Some(grant)
     }
 
-    /// Asks the other accountants for tokens, if they are needed, and waits while requests have no permit. Returns the
-    /// number that are left without one.
+    /// Asks the other accountants for tokens and waits for them while requests have no permit. Returns the number that are
+    /// left without one.
     async fn wait_for_tokens(
         self: &Arc<Self>,
         accountants: &Arc<Accountants>,
@@ -201,7 +255,7 @@
     ) -> Option<u32> {
         let until = tokio::time::Instant::now() + MAX_TOKEN_WAIT;
         let mut rounds = 0;
-        while rounds < MAX_ROUNDS && tokio::time::Instant::now() < until {
+        while unmet > 0 && rounds < MAX_ROUNDS && tokio::time::Instant::now() < until {
             let mut arrived = std::pin::pin!(self.arrived.notified());
             // Tokens that arrive after the question below must not be missed.
             arrived.as_mut().enable();
@@ -219,22 +273,16 @@
                         need,
                         unmet,
                     ));
-                    if unmet == 0 {
-                        break;
-                    }
                     unmet -= borrowed.await.unwrap_or(0);
                 }
-                Need::Asked if unmet > 0 => {
+                Need::Asked => {
                     let _ = timeout_at(until, arrived).await;
                     unmet -= self.open(accountants, |desk| match desk.limit(customer) {
                         Some(limit) => desk.book.take_again(desk.now, customer, &limit, unmet),
                         None => unmet,
                     })?;
                 }
-                Need::Asked | Need::None => break,
-            }
-            if unmet == 0 {
-                break;
+                Need::None => break,
             }
         }
         Some(unmet)
--- a/crates/entry/src/gateway/quota/line.rs
+++ b/crates/entry/src/gateway/quota/line.rs
@@ -36,6 +36,9 @@
     Inactive,
 }
 
+/// Requests that wait for an answer.
+type Senders = Vec<oneshot::Sender<Answer>>;
+
 /// Requests to one accountant.
 #[derive(Debug)]
 pub struct Line {
@@ -45,7 +48,7 @@
 
 #[derive(Debug, Default)]
 struct Queue {
-    waiting: BTreeMap<Customer, Vec<oneshot::Sender<Answer>>>,
+    waiting: BTreeMap<Customer, Senders>,
     unused: Vec<(Customer, Instant)>,
     in_flight: usize,
 }
@@ -90,34 +93,38 @@
     }
 
     /// Sends messages until no request waits.
-    async fn drain(&self) {
+    async fn drain(self: &Arc<Self>) {
         while let Some((message, senders)) = self.next_message() {
-            let sent_at = clock::now_with_suspension();
-            let call = self.client.call(TAKE_PATH, &message, MAX_ANSWER_AGE);
-            let answer: Result<Taken, Error> = call.await;
-            let now = clock::now_with_suspension();
-            if now.saturating_duration_since(sent_at) > MAX_ANSWER_AGE {
-                continue;
-            }
-            match answer {
-                Ok(Taken::Permits(grants)) => {
-                    let customers = message.wanted.into_iter().map(|(customer, _)| customer);
-                    for ((customer, senders), grant) in customers.zip(senders).zip(grants) {
-                        self.distribute(&customer, senders, grant, sent_at);
-                    }
+            self.send(message, senders).await;
+        }
+    }
+
+    async fn send(self: &Arc<Self>, message: Take, senders: Vec<Senders>) {
+        let sent_at = clock::now_with_suspension();
+        let call = self.client.call(TAKE_PATH, &message, MAX_ANSWER_AGE);
+        let answer: Result<Taken, Error> = call.await;
+        let now = clock::now_with_suspension();
+        if now.saturating_duration_since(sent_at) > MAX_ANSWER_AGE {
+            return;
+        }
+        match answer {
+            Ok(Taken::Permits(grants)) => {
+                let customers = message.wanted.into_iter().map(|(customer, _)| customer);
+                for ((customer, senders), grant) in customers.zip(senders).zip(grants) {
+                    self.distribute(customer, senders, grant, sent_at);
                 }
-                Ok(Taken::Inactive) => {
-                    for sender in senders.into_iter().flatten() {
-                        let _ = sender.send(Answer::Inactive);
-                    }
+            }
+            Ok(Taken::Inactive) => {
+                for sender in senders.into_iter().flatten() {
+                    let _ = sender.send(Answer::Inactive);
                 }
-                Err(error) => spdlog::debug!("asking accountant {}: {error}", self.peer()),
             }
+            Err(error) => spdlog::debug!("asking accountant {}: {error}", self.peer()),
         }
     }
 
     /// Returns the next message, and whom its answer is for. Without one, this task counts as ended.
-    fn next_message(&self) -> Option<(Take, Vec<Vec<oneshot::Sender<Answer>>>)> {
+    fn next_message(&self) -> Option<(Take, Vec<Senders>)> {
         let now = clock::now_with_suspension();
         let mut queue = self.queue();
         let mut message = Take::default();
@@ -145,22 +152,35 @@
     }
 
     fn distribute(
-        &self,
-        customer: &Customer,
-        senders: Vec<oneshot::Sender<Answer>>,
+        self: &Arc<Self>,
+        customer: Customer,
+        mut senders: Senders,
         grant: Grant,
         sent_at: Instant,
     ) {
+        let granted = usize::try_from(grant.granted).unwrap_or(usize::MAX);
+        let rest = senders.split_off(granted.min(senders.len()));
+        for sender in senders {
+            if sender.send(Answer::Granted).is_err() {
+                self.give_back(&customer, sent_at);
+            }
+        }
+        if grant.more && !rest.is_empty() {
+            let message = Take {
+                wanted: vec![(customer, u32::try_from(rest.len()).unwrap_or(u32::MAX))],
+                patient: true,
+                ..Take::default()
+            };
+            let line = Arc::clone(self);
+            tokio::spawn(async move { line.send(message, vec![rest]).await });
+            return;
+        }
         let wait = Wait {
             first: Duration::from_millis(grant.first_ms.into()),
             step: Duration::from_millis(grant.step_ms.into()),
         };
-        for (index, sender) in (0..).zip(senders) {
-            if index >= grant.granted {
-                let _ = sender.send(Answer::Refused(wait.of(index - grant.granted)));
-            } else if sender.send(Answer::Granted).is_err() {
-                self.give_back(customer, sent_at);
-            }
+        for (index, sender) in (0..).zip(rest) {
+            let _ = sender.send(Answer::Refused(wait.of(index)));
         }
     }
 
--- a/crates/entry/src/gateway/quota/message.rs
+++ b/crates/entry/src/gateway/quota/message.rs
@@ -15,6 +15,9 @@
     pub wanted: Vec<(Customer, u32)>,
     /// Permits that were granted a moment ago and not used.
     pub unused: Vec<(Customer, u32)>,
+    /// Whether the requests were told that more tokens may come, and wait for them. Others are answered at once, so that
+    /// a customer at its limit doesn't delay those that share the message.
+    pub patient: bool,
 }
 
 /// Answer to [`Take`].
@@ -31,6 +34,8 @@
 pub struct Grant {
     /// Number of permits granted.
     pub granted: u32,
+    /// Whether the others may get permits if they ask again and wait.
+    pub more: bool,
     /// How long the first request without a permit waits, in milliseconds.
     pub first_ms: u32,
     /// How much longer each further one waits, in milliseconds.
--- a/crates/routing/src/quota.rs
+++ b/crates/routing/src/quota.rs
@@ -152,6 +152,11 @@
         self.bucket(now, customer, limit).need(now, unmet)
     }
 
+    /// Returns whether requests without a permit may get one from tokens of other accountants.
+    pub fn may_borrow(&mut self, now: Instant, customer: &Customer, limit: &Limit) -> bool {
+        self.bucket(now, customer, limit).may_borrow(now)
+    }
+
     /// Hands over up to `asked` tokens of a customer to another accountant, and more of what is there if they are `urgent`
     /// because a request waits for them. Returns the number handed over, and the number that an urgent request could get
     /// in addition.
--- a/crates/routing/src/quota/bucket.rs
+++ b/crates/routing/src/quota/bucket.rs
@@ -106,6 +106,11 @@
         taken
     }
 
+    /// Returns whether tokens are on the way, or the others may be asked for some.
+    pub fn may_borrow(&self, now: Instant) -> bool {
+        now >= self.next_ask || self.asked_until.is_some_and(|until| now < until)
+    }
+
     pub fn need(&mut self, now: Instant, unmet: u32) -> Need {
         if self.asked_until.is_some_and(|until| now < until) {
             return Need::Asked;
