--- a/crates/entry/src/gateway/proxy.rs
+++ b/crates/entry/src/gateway/proxy.rs
@@ -182,7 +182,12 @@
 
     /// Takes a permit if the customer has a limit. It is given back if the request is refused before an attempt.
     async fn take_permit(&self) -> Result<Option<Permit>, Refusal> {
-        self.gateway.quota.take(None).await
+        let deadline = self.inbound.deadline - ANSWER_MARGIN;
+        let taken = timeout_at(deadline, self.gateway.quota.take(None)).await;
+        taken.unwrap_or_else(|_| {
+            let cause = "no accountant of the customer's limit answered before the deadline";
+            Err(self.refusal(Kind::NoEligibleWorker, cause, None))
+        })
     }
 
     /// Reserves a slot for the next attempt after a failed one.
--- a/crates/entry/src/gateway/quota/accountants.rs
+++ b/crates/entry/src/gateway/quota/accountants.rs
@@ -16,7 +16,7 @@
 const SUBJECT: &str = "quota-accountants";
 
 /// What the state says about the accountants and the limits, to one entry.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct Accountants {
     /// Peer addresses of all accountants, in the order in which the entry asks them: those of its zone first.
     pub preferred: Vec<SocketAddr>,
@@ -29,9 +29,13 @@
 }
 
 impl Accountants {
-    /// Derives the accountants from a state, for the entry that `own` describes.
+    /// Derives the accountants from a state, for the entry that `own` describes. There are none if no customer has a limit.
     #[must_use]
     pub fn new(state: &State, own: &Member) -> Self {
+        let mut accounts = state.routes.accounts.iter();
+        if !accounts.any(|account| account.limit.is_some()) {
+            return Self::default();
+        }
         let chosen = choose(&state.directory);
         let (near, far): (Vec<&Member>, Vec<&Member>) = chosen
             .members
@@ -42,20 +46,19 @@
         if let Some(at) = preferred.iter().position(|a| *a == own.peers) {
             preferred[..=at].rotate_right(1);
         }
-        let mut accounts = state.routes.accounts.iter();
         let known = state.directory.members.get(&own.entry);
         Self {
             listed: chosen.members.contains_key(&own.entry),
             restarted: known.is_some_and(|m| m.incarnation < own.incarnation),
-            limits: accounts.any(|account| account.limit.is_some()),
+            limits: true,
             preferred,
         }
     }
 }
 
-/// Returns the accountants of all zones: entries with a wide link, or any if none has one.
+/// Returns the accountants of all zones: gateways with a wide link, or any if none has one.
 fn choose(directory: &Directory) -> Directory {
-    let is_wide = |m: &Member| m.link_mbps >= assignment::NARROW_LINK_MBPS;
+    let is_wide = |m: &Member| m.link_mbps >= assignment::NARROW_LINK_MBPS && m.gateway.is_some();
     let any_wide = directory.members.values().any(is_wide);
     let zones: BTreeSet<&Zone> = directory.members.values().map(|m| &m.zone).collect();
     let mut chosen = Directory::default();
@@ -64,7 +67,9 @@
     };
     for zone in zones {
         let mut candidates = assignment::in_zone(directory, zone);
-        candidates.members.retain(|_, m| !any_wide || is_wide(m));
+        candidates
+            .members
+            .retain(|_, m| m.gateway.is_some() && (!any_wide || is_wide(m)));
         for entry in placement::owners(&subject, PER_ZONE, &candidates) {
             if let Some(member) = candidates.members.remove(&entry) {
                 chosen.members.insert(entry, member);
--- a/crates/entry/tests/all/quota.rs
+++ b/crates/entry/tests/all/quota.rs
@@ -5,7 +5,9 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use chestnutvalve_entry::gateway::quota::accountants::Accountants;
 use chestnutvalve_model::account::{Account, Key, Limit, Registry};
+use chestnutvalve_model::control::State;
 use chestnutvalve_model::directory::Member;
 use chestnutvalve_model::error::Kind;
 use chestnutvalve_model::id::{Customer, Entry as Id, Incarnation, Zone};
@@ -267,3 +269,77 @@
     }
     assert!(wide.metric("quota_permits", "returned").await >= 100.0);
 }
+
+fn member(number: u16, zone: &str, link_mbps: u32) -> Member {
+    let address = SocketAddr::from(([127, 0, 0, 1], 1_000 + number));
+    Member {
+        entry: Id::new(&format!("e{number}")).unwrap(),
+        incarnation: Incarnation(2),
+        zone: Zone::new(zone).unwrap(),
+        callers: address,
+        gateway: Some(address),
+        link_mbps,
+        platform: address,
+        peers: address,
+        draining: false,
+    }
+}
+
+/// Guards against entries that disagree on the accountants, ask those of other zones first, or all ask the same one; and
+/// against accountants with narrow links.
+#[test]
+fn entries_ask_different_accountants_of_their_zone_first() {
+    let zones = ["z1", "z2", "z3"];
+    let mut state = State::default();
+    let mut limited = table(1, Vec::new());
+    limited.accounts = Registry::from(vec![account()]);
+    state.routes = limited.into();
+    let members: Vec<Member> = (0..60)
+        .map(|n| {
+            let zone = zones[usize::from(n) % 3];
+            member(n, zone, if n < 12 { WIDE_MBPS } else { NARROW_MBPS })
+        })
+        .collect();
+    for member in &members {
+        state.directory.join(member);
+    }
+    let zone_of = |address: &SocketAddr| zones[usize::from(address.port() - 1_000) % 3];
+    let all = Accountants::new(&state, &members[0]).preferred;
+    assert_eq!(all.len(), 6);
+    assert!(all.iter().all(|a| a.port() < 1_012));
+    let mut asked_first: BTreeMap<SocketAddr, u32> = BTreeMap::new();
+    for member in &members {
+        let accountants = Accountants::new(&state, member);
+        let preferred = accountants.preferred;
+        let same = all.iter().all(|a| preferred.contains(a));
+        assert!(same && preferred.len() == all.len());
+        let near = preferred
+            .iter()
+            .filter(|a| zone_of(a) == member.zone.as_str());
+        assert_eq!(near.count(), 2);
+        assert!(
+            preferred[..2]
+                .iter()
+                .all(|a| zone_of(a) == member.zone.as_str())
+        );
+        assert_eq!(accountants.listed, all.contains(&member.peers));
+        if accountants.listed {
+            assert_eq!(preferred[0], member.peers);
+        }
+        *asked_first.entry(preferred[0]).or_default() += 1;
+    }
+    assert_eq!(asked_first.len(), 6);
+    assert!(
+        asked_first.values().all(|count| *count >= 4),
+        "{asked_first:?}"
+    );
+}
+
+/// Guards against work for each version of the state in deployments without limits.
+#[test]
+fn without_limits_there_are_no_accountants() {
+    let mut state = State::default();
+    state.directory.join(&member(1, "z1", WIDE_MBPS));
+    let accountants = Accountants::new(&state, &member(1, "z1", WIDE_MBPS));
+    assert!(accountants.preferred.is_empty() && !accountants.listed && !accountants.limits);
+}
