--- a/crates/entry/src/gateway/proxy.rs
+++ b/crates/entry/src/gateway/proxy.rs
@@ -211,7 +211,12 @@
     /// Takes a permit if the customer has a limit. It is given back if the request is refused before an attempt.
     async fn take_permit(&self) -> Result<Option<Permit>, Refusal> {
         let account = self.inbound.account.as_deref();
-        self.gateway.quota.take(account).await
+        let deadline = self.inbound.deadline - ANSWER_MARGIN;
+        let taken = timeout_at(deadline, self.gateway.quota.take(account)).await;
+        taken.unwrap_or_else(|_| {
+            let cause = "no accountant of the customer's limit answered before the deadline";
+            Err(self.refusal(Kind::NoEligibleWorker, cause, None))
+        })
     }
 
     /// Reserves a slot for the next attempt after a failed one.
