Keep a complete response when the one behind it fails

A connection on which a response broke off, or passed its deadline, was closed at once. With unread requests of the caller in the socket the operating system then resets it and drops what it has not sent yet, also a complete response to an earlier pipelined request. Both cases of streams::a_failed_response_does_not_take_the_one_before_it_along failed: the caller got `connection reset by peer` in place of a response of 40 kB that had been written.

A connection that is dropped without a shutdown is now shut down by a task, which discards what the caller still sends for up to 3 s, as an orderly shutdown does.

--- a/crates/entry/src/socket.rs
+++ b/crates/entry/src/socket.rs
@@ -9,9 +9,10 @@
 
 use bytes::Bytes;
 use http_body::{Body, Frame, SizeHint};
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::io::{AsyncRead, AsyncWrite, AsyncWriteExt, ReadBuf};
 use tokio::net::TcpStream;
-use tokio::time::{Instant, Sleep, sleep_until};
+use tokio::runtime::Handle;
+use tokio::time::{Instant, Sleep, sleep_until, timeout_at};
 
 use crate::local_reply::{self, BodyError};
 
@@ -24,13 +25,14 @@
 /// The operating system resets a connection that is closed with unread bytes, and the caller loses the part of the
 /// response that it has not received yet. Unread bytes are common: further requests of a caller that pipelines, or the
 /// rest of a body to which the worker has already responded. A shutdown therefore discards what the caller still sends,
-/// until it closes its side too.
+/// until it closes its side too, and so does a drop without a shutdown, which follows a response that broke off.
 ///
 /// The HTTP library aborts a response when the caller closes its sending side. A caller that has sent its requests may do
 /// so while it reads, so that the end of its input is held back while a response is delivered. A caller that has closed
 /// the connection altogether resets it at the next write.
 pub struct Socket {
-    stream: TcpStream,
+    /// `None` only after a drop.
+    stream: Option<TcpStream>,
     last_read: LastRead,
     last_write: Instant,
     delivery: Delivery,
@@ -116,7 +118,7 @@
         }
         let now = Instant::now();
         Self {
-            stream,
+            stream: Some(stream),
             last_read: LastRead(Arc::new(Mutex::new(now))),
             last_write: now,
             delivery: Delivery::default(),
@@ -126,6 +128,11 @@
         }
     }
 
+    fn stream(&mut self) -> io::Result<Pin<&mut TcpStream>> {
+        let stream = self.stream.as_mut().ok_or(io::ErrorKind::NotConnected)?;
+        Ok(Pin::new(stream))
+    }
+
     /// Returns a handle that tells when bytes were last read.
     #[must_use]
     pub fn last_read(&self) -> LastRead {
@@ -145,14 +152,22 @@
 
     /// Discards what the caller sends until it closes the connection or the time is over.
     fn poll_linger(&mut self, cx: &mut Context<'_>) -> Poll<()> {
-        let Self { stream, linger, .. } = self;
         let last_write = self.last_write;
-        let timer =
-            linger.get_or_insert_with(|| Box::pin(sleep_until(last_write + LINGER_TIMEOUT)));
+        let timer = || Box::pin(sleep_until(last_write + LINGER_TIMEOUT));
+        let mut timer = self.linger.take().unwrap_or_else(timer);
+        let polled = self.poll_discard(cx, timer.as_mut());
+        self.linger = Some(timer);
+        polled
+    }
+
+    fn poll_discard(&mut self, cx: &mut Context<'_>, mut timer: Pin<&mut Sleep>) -> Poll<()> {
         let mut discarded = [0; 4 * 1024];
         while timer.as_mut().poll(cx).is_pending() {
             let mut buffer = ReadBuf::new(&mut discarded);
-            let read = ready!(Pin::new(&mut *stream).poll_read(cx, &mut buffer));
+            let Ok(stream) = self.stream() else {
+                break;
+            };
+            let read = ready!(stream.poll_read(cx, &mut buffer));
             if read.is_err() || buffer.filled().is_empty() {
                 break;
             }
@@ -161,6 +176,26 @@
     }
 }
 
+impl Drop for Socket {
+    fn drop(&mut self) {
+        if self.linger.is_some() {
+            return;
+        }
+        if let (Some(stream), Ok(runtime)) = (self.stream.take(), Handle::try_current()) {
+            runtime.spawn(timeout_at(
+                self.last_write + LINGER_TIMEOUT,
+                shut_down(stream),
+            ));
+        }
+    }
+}
+
+/// Shuts down the write side and discards what the caller sends until it closes its side too.
+async fn shut_down(mut stream: TcpStream) -> io::Result<u64> {
+    stream.shutdown().await?;
+    tokio::io::copy(&mut stream, &mut tokio::io::sink()).await
+}
+
 impl AsyncRead for Socket {
     fn poll_read(
         mut self: Pin<&mut Self>,
@@ -171,7 +206,7 @@
         if self.is_end_held && self.is_delivering() {
             return Poll::Pending;
         }
-        let polled = Pin::new(&mut self.stream).poll_read(cx, buffer);
+        let polled = self.stream()?.poll_read(cx, buffer);
         if buffer.filled().len() > before {
             self.last_read.record();
         } else if matches!(polled, Poll::Ready(Ok(()))) && self.is_delivering() {
@@ -191,19 +226,19 @@
     ) -> Poll<io::Result<usize>> {
         self.last_write = Instant::now();
         self.is_unflushed = true;
-        Pin::new(&mut self.stream).poll_write(cx, bytes)
+        self.stream()?.poll_write(cx, bytes)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         if std::mem::take(&mut self.is_unflushed) && self.is_end_held {
             cx.waker().wake_by_ref();
         }
-        Pin::new(&mut self.stream).poll_flush(cx)
+        self.stream()?.poll_flush(cx)
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         if self.linger.is_none() {
-            ready!(Pin::new(&mut self.stream).poll_shutdown(cx))?;
+            ready!(self.stream()?.poll_shutdown(cx))?;
         }
         self.poll_linger(cx).map(Ok)
     }
@@ -215,10 +250,12 @@
     ) -> Poll<io::Result<usize>> {
         self.last_write = Instant::now();
         self.is_unflushed = true;
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bytes)
+        self.stream()?.poll_write_vectored(cx, bytes)
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
+        self.stream
+            .as_ref()
+            .is_some_and(AsyncWrite::is_write_vectored)
     }
 }
--- a/crates/entry/tests/all/streams.rs
+++ b/crates/entry/tests/all/streams.rs
@@ -5,15 +5,15 @@
 use chestnutvalve_model::routes::{Kind, Route};
 use rstest::rstest;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::time::{sleep, timeout};
 
 use crate::fleet::{start_single, wait_until};
 use crate::gateway::{answer, fleet, route, success, table};
 use crate::worker::{Received, Step, Worker};
 
-/// Size of a response that fits in the buffers of both sockets.
-const RESPONSE_BYTES: usize = 400_000;
+/// Size of a response that fits in a send buffer.
+const RESPONSE_BYTES: usize = 40_000;
 const TIMEOUT: Duration = Duration::from_secs(5);
 
 fn path(seen: &Received) -> &str {
@@ -119,33 +119,45 @@
     assert_eq!(worker.seen.lock().unwrap()[0].body, b"body");
 }
 
-/// Guards against a complete response that a caller loses because the response behind it breaks off while further requests
-/// are unread.
+/// Guards against a complete response that a caller loses because the response behind it breaks off, or is not complete at
+/// its deadline, while further requests are unread.
+#[rstest]
+#[case::broken(true)]
+#[case::late(false)]
 #[tokio::test]
-async fn a_broken_response_does_not_take_the_one_before_it_along() {
+async fn a_failed_response_does_not_take_the_one_before_it_along(#[case] breaks: bool) {
     let body = "x".repeat(RESPONSE_BYTES);
     let worker = Worker::start("w1", move |seen| {
         let mut steps = answer(seen, 200, "", &body);
         if path(seen) != "/a"
             && let Step::Write(bytes) = &mut steps[0]
         {
-            bytes.truncate(100_000);
-            steps.extend([Step::Pause(Duration::from_millis(100)), Step::Close]);
+            bytes.truncate(10_000);
+            let end = if breaks {
+                [Step::Pause(Duration::from_millis(700)), Step::Close]
+            } else {
+                [Step::Pause(Duration::from_secs(3)), Step::Close]
+            };
+            steps.extend(end);
         }
         steps
     })
     .await;
     let (_control, entry) = fleet(&[&worker]).await;
-    let mut caller = TcpStream::connect(entry.gateway).await.unwrap();
+    // The first response stays in the entry's send buffer.
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.set_recv_buffer_size(4 * 1024).unwrap();
+    let mut caller = socket.connect(entry.gateway).await.unwrap();
     for path in ["/a", "/b", "/c", "/d", "/e"] {
         caller
             .write_all(request("GET", path, "").as_bytes())
             .await
             .unwrap();
-        sleep(Duration::from_millis(10)).await;
+        // The HTTP library reads one request ahead. Later ones stay in the socket.
+        sleep(Duration::from_millis(100)).await;
     }
-    // By now the entry has written the first response and closed the connection because of the second one.
-    sleep(Duration::from_millis(500)).await;
+    // By now the entry has closed the connection because of the second response.
+    sleep(Duration::from_millis(1_300)).await;
     let first = read_response(&mut caller, true).await;
     assert_eq!(first.unwrap().1.len(), RESPONSE_BYTES);
 }
