Protect a complete response also behind a later one

Whether a connection held a complete response was forgotten when its next pipelined request began, so that it could have given way for its memory, or have been closed at the deadline of the next response, before its caller had the first one. The count now tells by bytes until when complete responses are held (memory::a_complete_response_is_protected_until_it_is_delivered).

--- a/crates/entry/src/gateway/proxy.rs
+++ b/crates/entry/src/gateway/proxy.rs
@@ -48,7 +48,6 @@
     let id = id.to_owned();
     wait_for_first_routes(gateway, &request, arrived).await;
     gateway.sync();
-    holder.set_complete(false);
     let inbound = match Inbound::read(gateway, request, arrived, holder)
         .and_then(|inbound| check_memory(gateway, inbound))
     {
--- a/crates/entry/src/gateway/relay.rs
+++ b/crates/entry/src/gateway/relay.rs
@@ -90,16 +90,16 @@
         let on_end = move |end, _| {
             complete(end, &source, lease, reservation, outcome);
             match end {
-                End::Complete => holder.set_complete(true),
+                End::Complete => holder.record_complete(),
                 // The rest of the response can't follow, so that its start need not be held for the caller.
-                End::Late | End::Unread => holder.close(),
+                End::Late | End::Unread => holder.close_incomplete(),
                 End::Broken => {}
             }
         };
         ReadAhead::open(buffered, rest, limit, &inbound.holder, on_end)
     } else {
         complete(End::Complete, &inbound.source, lease, reservation, outcome);
-        inbound.holder.set_complete(true);
+        inbound.holder.record_complete();
         ReadAhead::received(buffered)
     };
     let body = match link {
--- a/crates/entry/src/holding.rs
+++ b/crates/entry/src/holding.rs
@@ -1,7 +1,7 @@
 //! Count of the bytes that are held for the connections of callers.
 
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll, Waker};
 use std::time::Instant;
 
@@ -69,8 +69,10 @@
     held: AtomicU64,
     held_of_responses: AtomicU64,
     passed: AtomicU64,
+    passed_of_responses: AtomicU64,
+    /// Value of `passed_of_responses` at which all responses that were received whole are delivered.
+    complete_until: AtomicU64,
     times: Mutex<Times>,
-    is_complete: AtomicBool,
     /// Waits for room to read a response ahead.
     writer: Mutex<Option<Waker>>,
     closed: Notify,
@@ -126,12 +128,13 @@
             held: AtomicU64::new(0),
             held_of_responses: AtomicU64::new(0),
             passed: AtomicU64::new(0),
+            passed_of_responses: AtomicU64::new(0),
+            complete_until: AtomicU64::new(0),
             times: Mutex::new(Times {
                 since: now,
                 passed_before: 0,
                 last_passed: now,
             }),
-            is_complete: AtomicBool::new(false),
             writer: Mutex::default(),
             closed: Notify::new(),
         }))
@@ -172,14 +175,23 @@
             .unwrap_or_else(PoisonError::into_inner)
             .last_passed = clock::now();
         if message == Message::Response {
+            let mut writer = self.writer();
             state.held_of_responses.fetch_sub(bytes, Ordering::Relaxed);
-            let mut writer = state.writer.lock().unwrap_or_else(PoisonError::into_inner);
+            state
+                .passed_of_responses
+                .fetch_add(bytes, Ordering::Relaxed);
             if self.has_room() {
                 writer.take().iter().for_each(Waker::wake_by_ref);
             }
         }
     }
 
+    /// Locks the waiting writer, and with it the counts of responses against a release.
+    fn writer(&self) -> MutexGuard<'_, Option<Waker>> {
+        let writer = &self.0.writer;
+        writer.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn has_room(&self) -> bool {
         let held = self.0.held_of_responses.load(Ordering::Relaxed);
         held < self.0.total.budget.read_ahead(self.0.total.held())
@@ -187,7 +199,7 @@
 
     /// Waits until more of a response may be read ahead.
     pub fn poll_room(&self, cx: &mut Context<'_>) -> Poll<()> {
-        let mut writer = self.0.writer.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut writer = self.writer();
         if self.has_room() {
             return Poll::Ready(());
         }
@@ -195,9 +207,26 @@
         Poll::Pending
     }
 
-    /// Records whether the response that is delivered was received whole from its worker.
-    pub fn set_complete(&self, is_complete: bool) {
-        self.0.is_complete.store(is_complete, Ordering::Relaxed);
+    /// Records that the latest response was received whole from its worker.
+    pub fn record_complete(&self) {
+        let (state, _guard) = (&self.0, self.writer());
+        let held = state.held_of_responses.load(Ordering::Relaxed);
+        let passed = state.passed_of_responses.load(Ordering::Relaxed);
+        state.complete_until.store(passed + held, Ordering::Relaxed);
+    }
+
+    /// Returns whether a response that was received whole is still held.
+    fn holds_complete(&self) -> bool {
+        let state = &self.0;
+        let until = state.complete_until.load(Ordering::Relaxed);
+        state.passed_of_responses.load(Ordering::Relaxed) < until
+    }
+
+    /// Asks for the connection to be closed, unless a complete response is still held for it.
+    pub fn close_incomplete(&self) {
+        if !self.holds_complete() {
+            self.close();
+        }
     }
 
     /// Asks for the connection to be closed.
@@ -223,7 +252,7 @@
             age: now.saturating_duration_since(times.since),
             idle: now.saturating_duration_since(times.last_passed),
             is_delivering: state.held_of_responses.load(Ordering::Relaxed) > 0,
-            is_complete: state.is_complete.load(Ordering::Relaxed),
+            is_complete: self.holds_complete(),
         }
     }
 }
--- a/crates/entry/tests/all/memory.rs
+++ b/crates/entry/tests/all/memory.rs
@@ -4,8 +4,10 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
+use chestnutvalve_entry::holding::{Holder, Message, Total};
 use chestnutvalve_model::routes::{Kind, Route};
 use chestnutvalve_model::upstream::Event;
+use chestnutvalve_routing::memory::Budget;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::time::{Instant, sleep, timeout};
@@ -63,6 +65,28 @@
     caller
 }
 
+/// Guards against closing a connection whose caller has not taken a complete response yet, because the response behind it
+/// is not complete, and against bytes that count for ever.
+#[test]
+fn a_complete_response_is_protected_until_it_is_delivered() {
+    let total = Arc::new(Total::new(Budget::new(None)));
+    let holder = Holder::new(&total, 1);
+    let is_complete = || holder.holding(std::time::Instant::now()).is_complete;
+    let hold = |size| holder.hold(Message::Response, vec![0; size].into());
+    let first = hold(1_000);
+    assert!(!is_complete());
+    holder.record_complete();
+    let second = hold(2_000);
+    let part = first.slice(500..);
+    drop(first);
+    assert!(is_complete());
+    drop(part);
+    assert!(!is_complete());
+    assert!(total.held() > 2_000);
+    drop(second);
+    assert_eq!(total.held(), 0);
+}
+
 /// Guards against an entry that holds more than its budget for callers that do not read, or that refuses others for them:
 /// transfers without progress give way, and requests beside them are served.
 #[tokio::test]
--- a/crates/routing/src/memory.rs
+++ b/crates/routing/src/memory.rs
@@ -48,7 +48,7 @@
     pub idle: Duration,
     /// Whether a part of a response is held. Without one, the connection waits for a worker and not for its caller.
     pub is_delivering: bool,
-    /// Whether the response that is delivered was received whole from its worker.
+    /// Whether a response is held that was received whole from its worker.
     pub is_complete: bool,
 }
 
