Bound the bytes of requests that a worker gets at a time

Work sent to one worker was bounded by its slots only, so that a few large bodies could exceed its memory, which crashes it. An entry with a memory limit now sends a worker bodies of at most 8 MB at a time, or one larger body. Further requests go to another worker or are refused as not executed. Without the bound four bodies of 3 MB were in progress at one worker (memory::a_worker_gets_a_bounded_number_of_bytes_at_a_time failed with 200 for each); with it two.

--- a/crates/entry/src/gateway/attempt.rs
+++ b/crates/entry/src/gateway/attempt.rs
@@ -18,6 +18,7 @@
 use super::inbound::Inbound;
 use crate::holding::{Holder, Message};
 use crate::pool::{IDLE_TIMEOUT, Lease, SendError};
+use crate::replay::{MAX_REPLAY_BYTES, Source};
 
 /// Maximum part of a response that is buffered, in bytes, so that another attempt can replace a response that breaks
 /// off within it. Most responses are smaller; the limit keeps downloads from filling the memory.
@@ -37,6 +38,10 @@
 const MAX_IDLE_AFTER_LOSS: Duration = Duration::from_millis(100);
 const LOSS_WINDOW: Duration = Duration::from_secs(10);
 
+/// Maximum size of the request bodies that one worker holds for this entry, in bytes, if the entry's memory is limited: a
+/// worker whose requests exceed its memory crashes. A single body may be larger.
+const MAX_UPLOAD_BYTES: u64 = 8 * 1024 * 1024;
+
 /// A response of which nothing has been relayed yet.
 #[derive(Debug)]
 pub struct Received {
@@ -109,6 +114,13 @@
                 "the deadline passed before the request was sent".into(),
             ));
         }
+        if gateway.memory.is_limited()
+            && !lease.reserve_upload(upload_bytes(&inbound.source), MAX_UPLOAD_BYTES)
+        {
+            reservation.finish(Outcome::Cancelled);
+            let cause = "the worker holds as many bytes of requests as it may";
+            return Err(AttemptError::Unreached(cause.into()));
+        }
         match timeout_at(inbound.deadline, lease.send(request)).await {
             Ok(Ok(reply)) => return receive(gateway, inbound, reservation, lease, reply).await,
             Ok(Err(SendError::NotSent(unsent))) if lease.reused => request = *unsent,
@@ -138,6 +150,12 @@
     ))
 }
 
+/// Returns the size of a request body as far as it is known; a body of unknown size mostly fits in a replay buffer.
+fn upload_bytes(source: &Source) -> u64 {
+    let unknown = MAX_REPLAY_BYTES as u64;
+    source.declared_size().unwrap_or(unknown)
+}
+
 fn hold_cause(hold: Hold) -> &'static str {
     match hold {
         Hold::Left => "the worker left before the request was sent",
--- a/crates/entry/src/gateway/memory.rs
+++ b/crates/entry/src/gateway/memory.rs
@@ -58,6 +58,12 @@
         self.holders.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns whether the process has a memory limit.
+    #[must_use]
+    pub fn is_limited(&self) -> bool {
+        self.total.budget.bytes().is_some()
+    }
+
     /// Registers a connection until the result is dropped.
     #[must_use]
     pub fn open(self: &Arc<Self>) -> Connection {
--- a/crates/entry/src/pool.rs
+++ b/crates/entry/src/pool.rs
@@ -4,7 +4,7 @@
 
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use http::{Request, Response};
@@ -33,6 +33,28 @@
 pub struct Pool {
     max_idle: usize,
     idle: Mutex<HashMap<SocketAddr, Vec<Idle>>>,
+    /// Bytes of request bodies in progress by address.
+    uploads: Mutex<HashMap<SocketAddr, u64>>,
+}
+
+/// Bytes of a request body that a peer holds; released when dropped.
+#[derive(Debug)]
+struct Upload {
+    pool: Arc<Pool>,
+    address: SocketAddr,
+    bytes: u64,
+}
+
+impl Drop for Upload {
+    fn drop(&mut self) {
+        let mut uploads = self.pool.uploads();
+        if let Some(total) = uploads.get_mut(&self.address) {
+            *total -= self.bytes;
+            if *total == 0 {
+                uploads.remove(&self.address);
+            }
+        }
+    }
 }
 
 #[derive(Debug)]
@@ -59,6 +81,7 @@
     address: SocketAddr,
     sender: SendRequest<Replay>,
     task: ConnectionTask,
+    upload: Option<Upload>,
     /// Whether the connection was used for an earlier exchange.
     pub reused: bool,
 }
@@ -79,6 +102,7 @@
         Self {
             max_idle,
             idle: Mutex::default(),
+            uploads: Mutex::default(),
         }
     }
 
@@ -131,6 +155,7 @@
                     address,
                     sender,
                     task,
+                    upload: None,
                     reused: true,
                 });
             }
@@ -139,6 +164,10 @@
         None
     }
 
+    fn uploads(&self) -> MutexGuard<'_, HashMap<SocketAddr, u64>> {
+        self.uploads.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Returns the addresses with a connection that was idle for less than `max_idle_time`.
     #[must_use]
     pub fn reusable_addresses(&self, max_idle_time: Duration) -> HashSet<SocketAddr> {
@@ -188,6 +217,29 @@
         });
     }
 
+    /// Counts a request body of `bytes` as held by the peer until the exchange has ended. Returns `false` if the peer would
+    /// then hold more than `max`; a single body may be larger.
+    #[must_use]
+    pub fn reserve_upload(&mut self, bytes: u64, max: u64) -> bool {
+        self.upload = None;
+        if bytes == 0 {
+            return true;
+        }
+        let mut uploads = self.pool.uploads();
+        let total = uploads.entry(self.address).or_default();
+        if *total > 0 && *total + bytes > max {
+            return false;
+        }
+        *total += bytes;
+        drop(uploads);
+        self.upload = Some(Upload {
+            pool: Arc::clone(&self.pool),
+            address: self.address,
+            bytes,
+        });
+        true
+    }
+
     /// Sends a request and waits for the head of the response.
     ///
     /// # Errors
@@ -223,6 +275,7 @@
         address,
         sender,
         task: ConnectionTask(task.abort_handle()),
+        upload: None,
         reused: false,
     })
 }
--- a/crates/entry/tests/all/memory.rs
+++ b/crates/entry/tests/all/memory.rs
@@ -13,7 +13,7 @@
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::control::Control;
-use crate::fleet::{Entry, wait_until};
+use crate::fleet::{Entry, send, wait_until};
 use crate::gateway::{announcement, answer, ask_as, route, success, table};
 use crate::worker::{Received, Step, Worker};
 
@@ -203,6 +203,50 @@
     assert!(held <= 5.0 * 256_000.0, "{held} bytes held");
 }
 
+/// Guards against a worker that gets more bytes of requests at a time than its memory holds, and against a refusal of a large
+/// request that it has alone.
+#[tokio::test]
+async fn a_worker_gets_a_bounded_number_of_bytes_at_a_time() {
+    let worker = Worker::start_early(
+        "w1",
+        |seen| {
+            let mut steps = vec![Step::Pause(Duration::from_millis(500))];
+            steps.extend(success(seen));
+            steps
+        },
+        |_| Vec::new(),
+    )
+    .await;
+    let (_control, entry) = start(&worker, 160).await;
+    let mut replies = Vec::new();
+    for n in 0..4 {
+        let more = "content-length: 3000000\r\n";
+        let caller = connect(&entry, "POST", &format!("/{n}"), more).await;
+        let (mut read, mut write) = caller.into_split();
+        tokio::spawn(async move {
+            let _ = write.write_all(&vec![0; 3_000_000]).await;
+            // The end of the input would cancel the request.
+            write.forget();
+        });
+        replies.push(tokio::spawn(async move {
+            let mut status = [0; 12];
+            read.read_exact(&mut status).await.unwrap();
+            String::from_utf8(status[9..].to_vec()).unwrap()
+        }));
+        sleep(Duration::from_millis(20)).await;
+    }
+    let mut statuses = Vec::new();
+    for reply in replies {
+        statuses.push(reply.await.unwrap());
+    }
+    assert_eq!(statuses, ["200", "200", "503", "503"]);
+    sleep(Duration::from_millis(100)).await;
+    let large = vec![0; 20_000_000];
+    let headers = [("host", "a.example"), ("chestnutvalve-attempt", "large")];
+    let reply = send(entry.gateway, "POST", "/large", &headers, &large).await;
+    assert_eq!(reply.unwrap().status, 200);
+}
+
 /// Guards against slow callers that use up the memory, the slots of workers or the time of an entry, so that others notice:
 /// 2,000 callers take responses of 300 kB at 1 kB/s each. Some of them may be refused.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
