Leave retries to requests of higher ranks while the budget is short

Cause: all requests of a service share the retry budget alike. While workers turn away half of the attempts, requests of a lower rank use up attempts that requests of a higher one need.

Change: the budget counts requests, retries asked for and attempts by rank. Attempts of a rank leave what the retries of more urgent ranks are expected to need in a window, from the share of their requests of the last 1.5 s that asked for one. If there is budget for all, or only one rank, nothing changes.

--- a/crates/entry/src/gateway/dispatcher.rs
+++ b/crates/entry/src/gateway/dispatcher.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use chestnutvalve_model::id::{Incarnation, Service, Worker, Zone};
+use chestnutvalve_model::rank::Rank;
 use chestnutvalve_routing::retry::{Bounds, Purpose, WindowBudget};
 use chestnutvalve_routing::schedule::{
     Action, Decision, Evidence, Hold, Notice, Outcome, Reason, Refusal, Request, Scheduler, Spec,
@@ -109,14 +110,15 @@
     }
 
     /// Adds the deposit of one caller's request to the retry budget.
-    pub fn deposit(&self) {
-        self.lock().retry_budget.deposit(clock::now());
+    pub fn deposit(&self, rank: Rank) {
+        self.lock().retry_budget.deposit_for(clock::now(), rank);
     }
 
-    /// Withdraws one retry from the budget. Returns whether the budget allowed it.
+    /// Withdraws one extra attempt for a request of a rank from the budget. Returns whether the budget allowed it.
     #[must_use]
-    pub fn try_withdraw(&self, purpose: Purpose) -> bool {
-        self.lock().retry_budget.try_withdraw(clock::now(), purpose)
+    pub fn try_withdraw(&self, purpose: Purpose, rank: Rank) -> bool {
+        let budget = &mut self.lock().retry_budget;
+        budget.try_withdraw_for(clock::now(), purpose, rank)
     }
 
     /// Returns the time after which a response counts as late and the request may be hedged.
--- a/crates/entry/src/gateway/proxy.rs
+++ b/crates/entry/src/gateway/proxy.rs
@@ -134,7 +134,7 @@
 impl<'a> Exchange<'a> {
     fn new(gateway: &'a Arc<Gateway>, inbound: &'a Inbound) -> Self {
         let dispatcher = gateway.dispatcher(&inbound.service);
-        dispatcher.deposit();
+        dispatcher.deposit(inbound.route.rank);
         Self {
             gateway,
             inbound,
@@ -197,7 +197,9 @@
                 self.sent = self.sent.saturating_sub(1);
                 self.unexecuted += 1;
                 let may_retry = self.unexecuted <= MAX_UNEXECUTED_ATTEMPTS
-                    && self.dispatcher.try_withdraw(Purpose::Retry);
+                    && self
+                        .dispatcher
+                        .try_withdraw(Purpose::Retry, self.inbound.route.rank);
                 self.reserve_elsewhere(may_retry, Kind::RefusedByUpstream, cause)
                     .await
             }
@@ -300,12 +302,12 @@
                 coordinator::try_reserve(self.gateway, &self.dispatcher, &self.request()).await;
             let reservation = reservation.ok_or("no other worker has a free slot")?;
             // If the budget is exhausted, the reservation is released and no attempt is made.
-            let allowed = self.dispatcher.try_withdraw(purpose);
+            let allowed = self.dispatcher.try_withdraw(purpose, inbound.route.rank);
             return allowed
                 .then_some(reservation)
                 .ok_or("the retry budget is exhausted");
         }
-        if !self.dispatcher.try_withdraw(purpose) {
+        if !self.dispatcher.try_withdraw(purpose, inbound.route.rank) {
             return Err("the retry budget is exhausted");
         }
         // The request fails without another attempt, so that it is worth waiting for a slot.
--- a/crates/routing/src/retry.rs
+++ b/crates/routing/src/retry.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use chestnutvalve_model::error::Executed;
+use chestnutvalve_model::rank::Rank;
 
 /// Cost of one retry, in hundredths of a token.
 const RETRY_COST: u32 = 100;
@@ -62,6 +63,10 @@
 
 /// Number of slices of the window in which requests and extra attempts are counted.
 const WINDOW_SLICES: u32 = 20;
+/// Number of the last slices from which the share of requests that need an extra attempt is computed.
+const RECENT_SLICES: usize = 3;
+/// Number of recent requests of a rank below which that share isn't known.
+const MIN_RECENT_REQUESTS: u32 = 8;
 
 /// Retry budget of one service over a sliding window: this entry's part of the fleet's budget.
 ///
@@ -79,8 +84,10 @@
 #[derive(Clone, Copy, Debug)]
 struct Slice {
     start: Instant,
-    requests: u32,
-    extra_attempts: u32,
+    /// Requests, retries asked for, and extra attempts by rank.
+    requests: [u32; 3],
+    retries_asked: [u32; 3],
+    extra_attempts: [u32; 3],
 }
 
 /// This entry's part of the fleet's retry budget.
@@ -118,30 +125,68 @@
         self.bounds = bounds;
     }
 
-    /// Records a caller's request.
+    /// Records a caller's request of the top rank, for a service whose requests are all of one rank.
     pub fn deposit(&mut self, now: Instant) {
-        self.current_slice(now).requests += 1;
+        self.deposit_for(now, Rank::Top);
     }
 
-    /// Takes one extra attempt; returns whether the budget allowed it. Hedges leave half of the budget to retries,
-    /// which gain more.
+    /// Records a caller's request of a rank.
+    pub fn deposit_for(&mut self, now: Instant, rank: Rank) {
+        self.current_slice(now).requests[rank.index()] += 1;
+    }
+
+    /// Takes one extra attempt of a service whose requests are all of one rank, as [`Self::try_withdraw_for`] does.
     pub fn try_withdraw(&mut self, now: Instant, purpose: Purpose) -> bool {
-        self.current_slice(now);
-        let requests: u32 = self.slices.iter().map(|s| s.requests).sum();
-        let extra_attempts: u32 = self.slices.iter().map(|s| s.extra_attempts).sum();
+        self.try_withdraw_for(now, purpose, Rank::Top)
+    }
+
+    /// Takes one extra attempt for a request of a rank; returns whether the budget allowed it.
+    ///
+    /// Hedges leave half of the budget to retries, which gain more. The attempts of a rank leave what the retries of
+    /// more urgent ranks are expected to need in a window. Otherwise each rank would get its share of the requests
+    /// while workers turn away more attempts than the budget covers.
+    pub fn try_withdraw_for(&mut self, now: Instant, purpose: Purpose, rank: Rank) -> bool {
+        let slice = self.current_slice(now);
+        if purpose == Purpose::Retry {
+            slice.retries_asked[rank.index()] += 1;
+        }
+        let requests: u32 = self.slices.iter().flat_map(|s| s.requests).sum();
+        let extra_attempts: u32 = self.slices.iter().flat_map(|s| s.extra_attempts).sum();
         // At least one, or an entry of a large fleet could never make an extra attempt.
         let limit = (f64::from(requests) * self.bounds.ratio + self.bounds.slack).max(1.0);
-        let limit = match purpose {
+        let limit_of_purpose = match purpose {
             Purpose::Retry => limit,
             Purpose::Hedge => limit / 2.0,
         };
-        let enough = f64::from(extra_attempts) + 1.0 <= limit;
+        let reserve: f64 = Rank::ALL[..rank.index()]
+            .iter()
+            .map(|r| self.reserve(*r))
+            .sum();
+        let no_more_urgent = Rank::ALL[rank.index()..].iter().map(|r| r.index());
+        let no_more_urgent: u32 = no_more_urgent
+            .map(|r| self.slices.iter().map(|s| s.extra_attempts[r]).sum::<u32>())
+            .sum();
+        let enough = f64::from(extra_attempts) + 1.0 <= limit_of_purpose
+            && (reserve == 0.0 || f64::from(no_more_urgent) + 1.0 <= limit - reserve);
         if enough {
-            self.current_slice(now).extra_attempts += 1;
+            self.current_slice(now).extra_attempts[rank.index()] += 1;
         }
         enough
     }
 
+    /// Returns the number of retries that the requests of a rank need in a window at the recent rate.
+    fn reserve(&self, rank: Rank) -> f64 {
+        let rank = rank.index();
+        let requests: u32 = self.slices.iter().map(|s| s.requests[rank]).sum();
+        let recent = || self.slices.iter().rev().take(RECENT_SLICES);
+        let recent_requests: u32 = recent().map(|s| s.requests[rank]).sum();
+        if recent_requests < MIN_RECENT_REQUESTS {
+            return 0.0;
+        }
+        let asked: u32 = recent().map(|s| s.retries_asked[rank]).sum();
+        f64::from(requests) * f64::from(asked) / f64::from(recent_requests)
+    }
+
     /// Returns the current slice, and drops slices that are entirely older than the window.
     fn current_slice(&mut self, now: Instant) -> &mut Slice {
         let length = self.bounds.window / WINDOW_SLICES;
@@ -153,8 +198,9 @@
         if self.slices.back().is_none_or(|s| age(s) >= length) {
             self.slices.push_back(Slice {
                 start: now,
-                requests: 0,
-                extra_attempts: 0,
+                requests: [0; 3],
+                retries_asked: [0; 3],
+                extra_attempts: [0; 3],
             });
         }
         let last = self.slices.len() - 1;
--- a/crates/routing/tests/rules.rs
+++ b/crates/routing/tests/rules.rs
@@ -7,6 +7,7 @@
 use chestnutvalve_model::directory::{Directory, Member};
 use chestnutvalve_model::error::Executed;
 use chestnutvalve_model::id::{Entry, Incarnation, Service, Worker, Zone};
+use chestnutvalve_model::rank::Rank;
 use chestnutvalve_routing::balance::{Balancer, Upstream};
 use chestnutvalve_routing::execution::{Stage, executed, executed_in_any};
 use chestnutvalve_routing::placement::{home, owners};
@@ -349,3 +350,34 @@
     };
     assert_eq!([take(Purpose::Hedge), take(Purpose::Retry)], [3, 4]);
 }
+
+/// Guards against requests of a lower rank that use the retries which higher ones need while workers turn away half of
+/// the attempts, and against a lower rank without retries when there is budget for all.
+#[rstest]
+#[case::shortage(2)]
+#[case::enough(20)]
+fn retries_leave_room_for_higher_ranks(#[case] turned_away_in: u64) {
+    let start = Instant::now();
+    let mut budget = WindowBudget::new(bounds());
+    let (mut asked, mut taken) = (0, [0; 2]);
+    for n in 0..1_000_u64 {
+        let now = start + Duration::from_millis(16 * n);
+        // Both ranks have the same number of requests; workers are full in the last 8 s. The budget of a window is 251.
+        for (at, rank) in [Rank::Top, Rank::Middle].into_iter().enumerate() {
+            budget.deposit_for(now, rank);
+            if n >= 500 && n.is_multiple_of(turned_away_in) {
+                asked += 1;
+                let allowed = budget.try_withdraw_for(now, Purpose::Retry, rank);
+                taken[at] += u32::from(allowed);
+            }
+        }
+    }
+    if asked <= 251 {
+        assert_eq!(taken, [asked / 2; 2]);
+    } else {
+        assert!(
+            taken[0] >= 3 * taken[1] && taken[0] + taken[1] >= 240,
+            "{taken:?} of {asked}"
+        );
+    }
+}
