Let the accountants of a new fleet start at once

Cause: where a fleet's first state has limits already, each accountant waited for 10 s as one that replaces another, so that no customer with a limit was served in that time.

Change: an accountant that has followed the state for less than 10 s, in a directory whose entries all started within 10 s of it, starts at once with empty buckets and smaller shares.

--- a/crates/entry/src/gateway/quota/accountant.rs
+++ b/crates/entry/src/gateway/quota/accountant.rs
@@ -93,7 +93,7 @@
         let view = View {
             accountants: accountants.preferred.len(),
             listed: accountants.listed,
-            restarted: accountants.restarted,
+            origin: accountants.origin,
             limits: accountants.limits,
             confirmed: self.instance.control_state.confirmed(),
         };
--- a/crates/entry/src/gateway/quota/accountants.rs
+++ b/crates/entry/src/gateway/quota/accountants.rs
@@ -7,11 +7,14 @@
 use chestnutvalve_model::directory::{Directory, Member};
 use chestnutvalve_model::id::{Service, Zone};
 use chestnutvalve_routing::placement;
+use chestnutvalve_routing::quota::membership::Origin;
 
 use crate::gateway::assignment;
 
 /// Accountants of an availability zone. The second one serves while the first doesn't answer.
 const PER_ZONE: usize = 2;
+/// Time between the starts of two entries of a fleet that starts.
+const MAX_START_GAP_MS: u64 = 10_000;
 /// Name under which the accountants are chosen.
 const SUBJECT: &str = "quota-accountants";
 
@@ -22,8 +25,8 @@
     pub preferred: Vec<SocketAddr>,
     /// Whether the entry is an accountant.
     pub listed: bool,
-    /// Whether the directory lists an earlier process of the entry.
-    pub restarted: bool,
+    /// What the directory tells about earlier processes.
+    pub origin: Origin,
     /// Whether any customer has a limit.
     pub limits: bool,
 }
@@ -46,16 +49,29 @@
         if let Some(at) = preferred.iter().position(|a| *a == own.peers) {
             preferred[..=at].rotate_right(1);
         }
-        let known = state.directory.members.get(&own.entry);
+        let members = &state.directory.members;
+        let known = members.get(&own.entry);
+        let origin = if known.is_some_and(|m| m.incarnation < own.incarnation) {
+            Origin::Restarted
+        } else if members.values().all(|m| is_near(m, own)) {
+            Origin::NewFleet
+        } else {
+            Origin::Unknown
+        };
         Self {
             listed: chosen.members.contains_key(&own.entry),
-            restarted: known.is_some_and(|m| m.incarnation < own.incarnation),
+            origin,
             limits: true,
             preferred,
         }
     }
 }
 
+/// Returns whether two processes were started at about the same time. Incarnations are times of start.
+fn is_near(a: &Member, b: &Member) -> bool {
+    a.incarnation.0.abs_diff(b.incarnation.0) <= MAX_START_GAP_MS
+}
+
 /// Returns the accountants of all zones: gateways with a wide link, or any if none has one.
 fn choose(directory: &Directory) -> Directory {
     let is_wide = |m: &Member| m.link_mbps >= assignment::NARROW_LINK_MBPS && m.gateway.is_some();
--- a/crates/entry/tests/all/quota.rs
+++ b/crates/entry/tests/all/quota.rs
@@ -222,6 +222,28 @@
     assert!(granted <= 3 && f64::from(granted) <= allowed, "{granted}");
 }
 
+/// Guards against an outage of limited customers after the start of a fleet whose first state has limits already, and
+/// against a burst at each such start.
+#[tokio::test]
+async fn a_fleet_that_starts_with_limits_grants_soon() {
+    let control = Control::start().await;
+    let mut limited = table(1, Vec::new());
+    limited.accounts = Registry::from(vec![account()]);
+    control.publish(limited);
+    let started = Instant::now();
+    let start = |name| Entry::start_with_link(name, control.address, &[], WIDE_MBPS);
+    let entries = [start("e1").await, start("e2").await];
+    let entries: Vec<&Entry> = entries.iter().collect();
+    let mut granted = 0;
+    while granted < 5 {
+        granted += ask(&entries, 3).await.granted;
+        assert!(started.elapsed() < Duration::from_secs(5), "{granted}");
+        sleep(Duration::from_millis(50)).await;
+    }
+    let allowed = RATE * started.elapsed().as_secs_f64();
+    assert!(f64::from(granted) <= allowed, "{granted} of {allowed}");
+}
+
 /// Guards against permits of an accountant that may have been replaced, and against a wait after the control group was
 /// out of service although nothing has changed.
 #[tokio::test]
--- a/crates/routing/src/quota/membership.rs
+++ b/crates/routing/src/quota/membership.rs
@@ -18,6 +18,18 @@
 /// Number of accountants that may have left just before this one restarted: those of an availability zone.
 const UNSEEN_SHARES: usize = 2;
 
+/// What the directory tells about processes before this one.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Origin {
+    /// Others may have been accountants in place of this entry.
+    #[default]
+    Unknown,
+    /// The directory lists an earlier process of this entry.
+    Restarted,
+    /// All entries of the directory were started at about the same time as this one.
+    NewFleet,
+}
+
 /// What an entry knows at one time. All instants are those of a clock that also counts while the machine sleeps.
 #[derive(Clone, Copy, Debug)]
 pub struct View {
@@ -25,8 +37,8 @@
     pub accountants: usize,
     /// Whether this entry is one of them.
     pub listed: bool,
-    /// Whether the directory lists an earlier process of this entry.
-    pub restarted: bool,
+    /// What the directory tells about earlier processes.
+    pub origin: Origin,
     /// Whether any customer has a limit.
     pub limits: bool,
     /// When the state that a quorum confirmed last was asked for, and its version; `None` before the first one.
@@ -69,6 +81,8 @@
 #[derive(Debug)]
 pub struct Membership {
     status: Status,
+    /// When the first confirmed state was seen.
+    first_at: Option<Instant>,
     /// The confirmation that the last observation had.
     confirmed: Option<(Instant, Version)>,
     /// When the last confirmed state without limits was seen.
@@ -83,6 +97,7 @@
     fn default() -> Self {
         Self {
             status: Status::Outside,
+            first_at: None,
             confirmed: None,
             unlimited_at: None,
             counts: VecDeque::new(),
@@ -125,6 +140,7 @@
             return None;
         };
         let previous = self.confirmed.replace((at, version));
+        let first_at = *self.first_at.get_or_insert(now);
         // A process that was frozen may see the next confirmation before it notices that the last one was too old.
         let had_gap = previous
             .is_some_and(|(before, _)| at.saturating_duration_since(before) > CONFIRMATION_TIMEOUT);
@@ -153,7 +169,12 @@
             .is_some_and(|at| !is_older(now, at, RECENT));
         let (status, start) = match self.status {
             Status::Outside if is_first_table => (Status::Active, Some(Start::Full)),
-            Status::Outside if previous.is_none() && view.restarted => {
+            // Either the directory shows who else may grant, or the whole fleet has just started.
+            Status::Outside
+                if (previous.is_none() && view.origin == Origin::Restarted)
+                    || (view.origin == Origin::NewFleet
+                        && !is_older(now, first_at, START_DELAY)) =>
+            {
                 self.unseen_until = Some(now + START_DELAY);
                 (Status::Active, Some(Start::Empty))
             }
--- a/crates/routing/tests/quota/fleet.rs
+++ b/crates/routing/tests/quota/fleet.rs
@@ -1,12 +1,12 @@
 //! Accountants of a fleet on one given clock, with a directory and state that some of them may not see.
 
-use std::collections::BTreeSet;
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 use chestnutvalve_model::account::Limit;
 use chestnutvalve_model::id::Customer;
 use chestnutvalve_model::version::Version;
-use chestnutvalve_routing::quota::membership::{Change, Start, View};
+use chestnutvalve_routing::quota::membership::{Change, Origin, Start, View};
 use chestnutvalve_routing::quota::{Book, Bounds, Membership, Need, first_ask, second_ask};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
@@ -21,6 +21,8 @@
 const EXPIRY: Duration = Duration::from_secs(5);
 /// Time after which an answer of a lender is dropped.
 const MAX_ANSWER_AGE: Duration = Duration::from_millis(300);
+/// Time between the starts of two entries.
+const START_INTERVAL: Duration = Duration::from_mins(1);
 /// Age up to which a permit is given back.
 const RETURN_TIME: Duration = Duration::from_millis(250);
 /// How often requests wait for tokens.
@@ -43,8 +45,10 @@
     pub book: Book,
     pub membership: Membership,
     known: (Vec<usize>, Option<Limit>),
+    known_starts: Vec<Instant>,
     confirmed: Option<(Instant, Version)>,
     restarted: bool,
+    started_at: Instant,
     /// Whether it reaches no control instance.
     pub cut: bool,
     pub dead: bool,
@@ -53,13 +57,15 @@
 }
 
 impl Node {
-    fn new(restarted: bool) -> Self {
+    fn new(restarted: bool, started_at: Instant) -> Self {
         Self {
             book: Book::new(BOUNDS),
             membership: Membership::default(),
             known: (Vec::new(), None),
+            known_starts: Vec::new(),
             confirmed: None,
             restarted,
+            started_at,
             cut: false,
             dead: false,
             frozen_until: None,
@@ -88,7 +94,8 @@
     pub nodes: Vec<Node>,
     pub limit: Option<Limit>,
     version: Version,
-    listed: BTreeSet<usize>,
+    /// Entries of the directory, and when their processes started.
+    listed: BTreeMap<usize, Instant>,
     transits: Vec<Transit>,
     customer: Customer,
     pub random: SmallRng,
@@ -111,15 +118,21 @@
 impl Fleet {
     /// Starts a fleet without limits, publishes one after 2 s, and returns it at that time.
     pub fn start(limit: Limit, seed: u64) -> Self {
+        let now = Instant::now();
+        // The entries were started one after the other.
+        let started_at = |n| now + START_INTERVAL * n;
         let mut fleet = Self {
-            now: Instant::now(),
-            nodes: (0..NODES).map(|_| Node::new(false)).collect(),
+            now,
+            nodes: (0..)
+                .take(NODES)
+                .map(|n| Node::new(false, started_at(n)))
+                .collect(),
             limit: None,
             version: Version {
                 term: 1,
                 revision: 1,
             },
-            listed: (0..NODES).collect(),
+            listed: (0..NODES).zip((0..).map(started_at)).collect(),
             transits: Vec::new(),
             customer: Customer::new("acme").unwrap(),
             random: SmallRng::seed_from_u64(seed),
@@ -147,7 +160,7 @@
     /// Ends a process and starts it again.
     pub fn restart(&mut self, node: usize) {
         let cut = self.nodes[node].cut;
-        self.nodes[node] = Node::new(self.listed.contains(&node));
+        self.nodes[node] = Node::new(self.listed.contains_key(&node), self.now);
         self.nodes[node].cut = cut;
         self.version.revision += 1;
     }
@@ -155,7 +168,7 @@
     /// Returns the accountants of the directory: the first two entries of each zone.
     pub fn accountants(&self) -> Vec<usize> {
         let of = |zone| {
-            let of_zone = self.listed.iter().filter(move |n| *n % ZONES == zone);
+            let of_zone = self.listed.keys().filter(move |n| *n % ZONES == zone);
             of_zone.take(PER_ZONE).copied()
         };
         (0..ZONES).flat_map(of).collect()
@@ -192,9 +205,9 @@
                 node.silent_since = None;
             }
             let changed = if heard {
-                self.listed.insert(at)
+                self.listed.insert(at, node.started_at) != Some(node.started_at)
             } else {
-                now.duration_since(since) >= EXPIRY && self.listed.remove(&at)
+                now.duration_since(since) >= EXPIRY && self.listed.remove(&at).is_some()
             };
             if changed {
                 self.version.revision += 1;
@@ -211,12 +224,21 @@
             }
             if !node.cut {
                 node.known = (accountants.clone(), self.limit);
+                node.known_starts = self.listed.values().copied().collect();
                 node.confirmed = Some((self.now, self.version));
             }
+            let is_near = |start: &Instant| is_near(*start, node.started_at);
+            let origin = if node.restarted {
+                Origin::Restarted
+            } else if node.known_starts.iter().all(is_near) {
+                Origin::NewFleet
+            } else {
+                Origin::Unknown
+            };
             let view = View {
                 accountants: node.known.0.len(),
                 listed: node.known.0.contains(&at),
-                restarted: node.restarted,
+                origin,
                 limits: node.known.1.is_some(),
                 confirmed: node.confirmed,
             };
@@ -377,3 +399,9 @@
         requests
     }
 }
+
+/// Returns whether two processes started at about the same time.
+fn is_near(a: Instant, b: Instant) -> bool {
+    let apart = a.max(b).duration_since(a.min(b));
+    apart <= Duration::from_secs(10)
+}
--- a/crates/routing/tests/quota/membership.rs
+++ b/crates/routing/tests/quota/membership.rs
@@ -4,13 +4,13 @@
 
 use chestnutvalve_model::version::Version;
 use chestnutvalve_routing::quota::Membership;
-use chestnutvalve_routing::quota::membership::{Change, Start, View};
+use chestnutvalve_routing::quota::membership::{Change, Origin, Start, View};
 
 fn view(confirmed_at: Instant, revision: u64) -> View {
     View {
         accountants: 6,
         listed: true,
-        restarted: false,
+        origin: Origin::Unknown,
         limits: true,
         confirmed: Some((confirmed_at, Version { term: 1, revision })),
     }
@@ -80,7 +80,7 @@
     let start = Instant::now();
     let mut membership = Membership::default();
     let restarted = View {
-        restarted: true,
+        origin: Origin::Restarted,
         ..view(start, 1)
     };
     let change = membership.observe(start, &restarted);
@@ -90,6 +90,28 @@
     assert_eq!(membership.shares(start + seconds(11)), 6);
 }
 
+/// Guards against a fleet that refuses all requests of limited customers for 10 s after its start, because its first state
+/// has limits already; and against an accountant that takes the start of the fleet for its own much later.
+#[test]
+fn the_accountants_of_a_fleet_that_starts_dont_wait() {
+    let start = Instant::now();
+    let fresh = View {
+        origin: Origin::NewFleet,
+        ..view(start, 1)
+    };
+    let outside = View {
+        listed: false,
+        ..fresh
+    };
+    for (joined_after, expected) in [(1, 100), (11, 10_100)] {
+        let mut membership = Membership::default();
+        follow(&mut membership, start, seconds(joined_after), &outside);
+        let joined = start + seconds(joined_after);
+        let changes = follow(&mut membership, joined, seconds(11), &fresh);
+        assert_eq!(changes, [(expected, Change::Started(Start::Empty))]);
+    }
+}
+
 /// Guards against an accountant that grants although it may have been replaced, also if it was frozen meanwhile and sees
 /// the next confirmation first.
 #[test]
