Order queued requests by what is lost, and refuse those that cost least

Cause: the queue is served in order of arrival, with the mean work of the service as the work of each request. While not all can be answered in time, new requests are refused, also where one that waits needs several times the work; a customer with many requests takes the slots of the others; and all refused callers are told to return at the same moment.

Change: the queue is a module of its own (schedule::queue), admission another. The work of a request is learned by class (route), relative to a pace that all classes share, so that a class follows when workers slow down although few of its requests end. Within a rank, customers get equal shares of the slot time; within a customer, the request comes first that may be passed over least, which is half of the time to its target. If not all can meet their target, those with the most work are refused, the latest first. Late requests beyond what is in progress are refused at the next tick. Refused callers return when there is room, spread over the time in which the queue drains. Refusals are counted by the estimate that caused them, and logged once a second. Queries to a coordinator carry class and customer.

--- a/crates/entry/src/gateway/coordinator.rs
+++ b/crates/entry/src/gateway/coordinator.rs
@@ -67,6 +67,9 @@
 pub struct Query {
     service: Service,
     rank: Rank,
+    /// Hashes of the route and of the customer.
+    class: u64,
+    customer: Option<u64>,
     download: bool,
     at_most_once: bool,
     /// Time left until the target and until the deadline, in milliseconds.
@@ -117,6 +120,8 @@
         Request {
             id,
             rank: self.rank,
+            class: self.class,
+            customer: self.customer,
             download: self.download,
             at_most_once: self.at_most_once,
             target: now + Duration::from_millis(self.target_ms),
@@ -386,6 +391,8 @@
     let query = Query {
         service: dispatcher.service.clone(),
         rank: request.rank,
+        class: request.class,
+        customer: request.customer,
         download: request.download,
         at_most_once: request.at_most_once,
         target_ms: millis(request.target.saturating_duration_since(now)),
--- a/crates/entry/src/gateway/dispatcher.rs
+++ b/crates/entry/src/gateway/dispatcher.rs
@@ -9,7 +9,8 @@
 use chestnutvalve_model::rank::Rank;
 use chestnutvalve_routing::retry::{Bounds, Purpose, WindowBudget};
 use chestnutvalve_routing::schedule::{
-    Action, Decision, Evidence, Hold, Notice, Outcome, Reason, Refusal, Request, Scheduler, Spec,
+    Action, Decision, Evidence, Hold, Notice, Outcome, Reason, Refusal, Refusals, Request,
+    Scheduler, Spec,
 };
 use tokio::sync::{mpsc, oneshot};
 
@@ -26,6 +27,9 @@
     pub address: SocketAddr,
 }
 
+/// Minimum time between two log lines about refusals.
+const REFUSAL_LOG_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Worker and dispatch time of a queued request, or its refusal.
 type Admitted = Result<(Worker, Instant), Refusal>;
 
@@ -46,6 +50,8 @@
     retry_budget: WindowBudget,
     /// When a reused connection last broke during an exchange.
     connection_lost_at: Option<Instant>,
+    /// Refusals at the last log line, and its time.
+    logged_refusals: (Refusals, Option<Instant>),
 }
 
 impl Dispatcher {
@@ -64,6 +70,7 @@
             waiters: HashMap::new(),
             retry_budget: WindowBudget::new(budget),
             connection_lost_at: None,
+            logged_refusals: (Refusals::default(), None),
         };
         Self {
             service,
@@ -107,6 +114,23 @@
             let actions = inner.scheduler.tick(now);
             inner.apply(now, actions);
         }
+        self.log_refusals(&mut inner, now);
+    }
+
+    /// Logs at most once each [`REFUSAL_LOG_INTERVAL`] how many requests were refused by which estimate.
+    fn log_refusals(&self, inner: &mut Inner, now: Instant) {
+        let refusals = inner.scheduler.refusals();
+        let (logged, at) = inner.logged_refusals;
+        let is_recent = at.is_some_and(|at| now < at + REFUSAL_LOG_INTERVAL);
+        if refusals == logged || is_recent {
+            return;
+        }
+        let service = &self.service;
+        let (wait, work) = (refusals.wait - logged.wait, refusals.work - logged.work);
+        let time_left = refusals.time_left - logged.time_left;
+        let queued = inner.scheduler.queue_len();
+        spdlog::info!("requests refused by estimate", kv: {service:, wait, work, time_left, queued});
+        inner.logged_refusals = (refusals, Some(now));
     }
 
     /// Adds the deposit of one caller's request to the retry budget.
@@ -275,7 +299,10 @@
         let receiver = {
             let mut inner = self.lock();
             let now = clock::now();
-            match inner.scheduler.offer(now, request) {
+            let decision = inner.scheduler.offer(now, request);
+            let displaced = inner.scheduler.take_displaced();
+            inner.apply(now, displaced);
+            match decision {
                 Decision::Send(worker) => return inner.reserve(self, worker, now),
                 Decision::Refuse(refusal) => return Err(refusal),
                 Decision::Wait => {
--- a/crates/entry/src/gateway/proxy.rs
+++ b/crates/entry/src/gateway/proxy.rs
@@ -333,6 +333,8 @@
         schedule::Request {
             id: self.gateway.next_request_id(),
             rank: inbound.route.rank,
+            class: schedule::name_hash(&inbound.route.name),
+            customer: None,
             download: inbound.route.kind == chestnutvalve_model::routes::Kind::Download,
             at_most_once: !inbound.route.kind.is_idempotent(),
             target: (inbound.arrived + target).into_std(),
--- a/crates/entry/tests/all/dispatcher.rs
+++ b/crates/entry/tests/all/dispatcher.rs
@@ -48,6 +48,8 @@
     let request = Request {
         id: 1,
         rank: Rank::Top,
+        class: 0,
+        customer: None,
         download: false,
         at_most_once: true,
         target: now + Duration::from_secs(1),
--- a/crates/routing/src/schedule.rs
+++ b/crates/routing/src/schedule.rs
@@ -7,32 +7,32 @@
 //! entry until a worker is likely to have a free slot, serves the most urgent rank first, and immediately refuses
 //! requests that can't be answered in time.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 use chestnutvalve_model::id::{Incarnation, Worker, Zone};
 use chestnutvalve_model::rank::Rank;
-use xxhash_rust::xxh3::Xxh3;
+use xxhash_rust::xxh3::{Xxh3, xxh3_64};
 
+mod admission;
 mod failure_rate;
 mod notice;
+mod queue;
 mod service_times;
 mod suspicion;
 mod upstream;
 
+pub use admission::Refusals;
 pub use notice::{Hold, Notice};
 pub use suspicion::Evidence;
 pub use upstream::{Outcome, Spec};
 
 use failure_rate::FailureRate;
 use notice::Notices;
+use queue::Queue;
 use service_times::ServiceTimes;
 use upstream::Upstream;
 
-/// Bounds of the retry delay in a refusal. Callers wait for at most a third of their remaining time, which is below 2 s
-/// on the deployments.
-const RETRY_AFTER_BOUNDS: (Duration, Duration) =
-    (Duration::from_millis(100), Duration::from_secs(2));
 /// Additional load, in slots, that is assumed for a worker in another availability zone. For a small response the cost
 /// is below one queued request; for a download it equals one.
 const CROSS_ZONE_COST: f64 = 0.3;
@@ -46,13 +46,6 @@
 /// a worker that failed counts as healthy again after 2 s; the remainder is reserved for workers that are avoided for
 /// other reasons.
 const WORKERS_PER_LONG_AVOIDANCE: usize = 5;
-/// Maximum number of queued requests that one pass over the queue skips because no worker with room is acceptable to
-/// them.
-const MAX_SKIPPED: usize = 16;
-/// Share of the remaining time that the expected wait may take. The estimate is a mean, so the request needs a safety
-/// margin.
-const MAX_WAIT_SHARE: f64 = 0.7;
-
 /// A request that needs a worker.
 #[derive(Clone, Debug)]
 pub struct Request {
@@ -60,6 +53,10 @@
     pub id: u64,
     /// Priority class.
     pub rank: Rank,
+    /// Hash of the route's name ([`name_hash`]); requests of a route need similar work.
+    pub class: u64,
+    /// Hash of the customer's name, if the request has one. Customers of a rank get equal shares of the slots.
+    pub customer: Option<u64>,
     /// Whether the response is large, so that crossing availability zones is expensive.
     pub download: bool,
     /// Whether the request must not be executed twice.
@@ -144,7 +141,10 @@
     /// Share of the zone's workers that must stay in use; `None` unless all requests of the zone pass through here.
     floor: Option<f64>,
     upstreams: BTreeMap<Worker, Upstream>,
-    queues: [VecDeque<Request>; 3],
+    queues: [Queue; 3],
+    /// Decisions on queued requests that later requests displaced.
+    displaced: Vec<Action>,
+    refusals: Refusals,
     service_times: ServiceTimes,
     failure_rate: FailureRate,
     notices: Notices,
@@ -160,6 +160,8 @@
             floor: None,
             upstreams: BTreeMap::new(),
             queues: Default::default(),
+            displaced: Vec::new(),
+            refusals: Refusals::default(),
             service_times: ServiceTimes::default(),
             failure_rate: FailureRate::default(),
             notices: Notices::default(),
@@ -235,7 +237,7 @@
     /// Returns the number of queued requests.
     #[must_use]
     pub fn queue_len(&self) -> usize {
-        self.queues.iter().map(VecDeque::len).sum()
+        self.queues.iter().map(Queue::len).sum()
     }
 
     /// Returns the number of workers that still serve, including avoided ones.
@@ -256,47 +258,9 @@
         self.service_times.late_threshold()
     }
 
-    /// Decides whether a request is sent, queued or refused.
-    pub fn offer(&mut self, now: Instant, request: Request) -> Decision {
-        if let Some(refusal) = self.refusal_without_workers(now, &request) {
-            return Decision::Refuse(refusal);
-        }
-        let rank = request.rank.index();
-        let first = self.queues[..=rank].iter().all(VecDeque::is_empty);
-        if first && let Some(worker) = self.reserve(now, &request) {
-            return Decision::Send(worker);
-        }
-        let wait = self.expected_wait(now, request.rank);
-        let typical = self.service_times.typical();
-        // Under overload, each request that is answered late delays another one. A queue that is shorter than the
-        // number of requests in progress doesn't indicate overload, and then a late response is better than none.
-        let in_time = now + typical <= request.target;
-        let until = if in_time && self.is_queue_long(now, request.rank) {
-            request.target.min(request.deadline)
-        } else {
-            request.deadline
-        };
-        let left = until.saturating_duration_since(now);
-        let needed = wait.div_f64(MAX_WAIT_SHARE) + typical;
-        if needed > left {
-            // A worker that failed recently may still answer, which is better than a certain refusal.
-            if let Some(worker) = self.reserve_among(now, &request, true) {
-                return Decision::Send(worker);
-            }
-            let excess = needed.saturating_sub(left);
-            return Decision::Refuse(self.refusal(Reason::Overload, excess));
-        }
-        self.queues[rank].push_back(request);
-        Decision::Wait
-    }
-
     /// Removes a queued request whose caller has disconnected; returns whether it was queued.
     pub fn cancel(&mut self, id: u64) -> bool {
-        let before = self.queue_len();
-        for queue in &mut self.queues {
-            queue.retain(|request| request.id != id);
-        }
-        self.queue_len() < before
+        self.queues.iter_mut().any(|queue| queue.cancel(id))
     }
 
     /// Reserves a slot at another worker for a request that was sent before. Returns `None` instead of queueing the
@@ -342,10 +306,8 @@
         outcome: Outcome,
     ) -> Vec<Action> {
         // The typical time is updated first, so that the first response is compared with itself.
-        if outcome == Outcome::Success {
-            self.service_times
-                .record_response(now.saturating_duration_since(started));
-        }
+        let success = outcome == Outcome::Success;
+        self.service_times.record_end(now, worker, started, success);
         if outcome != Outcome::Cancelled {
             self.failure_rate.record(now, outcome != Outcome::Success);
         }
@@ -402,31 +364,6 @@
         }
     }
 
-    /// Refuses queued requests that can no longer be answered in time, and dispatches others if there is room.
-    pub fn tick(&mut self, now: Instant) -> Vec<Action> {
-        let mut actions = self.refuse_without_workers(now);
-        let typical = self.service_times.typical();
-        for rank in Rank::ALL {
-            // A request that misses its target waits behind all requests that don't, so its wait is that of the whole
-            // queue.
-            let wait = self.expected_wait(now, rank);
-            let misses_deadline = |r: &Request| {
-                let late = now + typical > r.target;
-                let needed = if late { wait + typical } else { typical };
-                now + needed > r.deadline
-            };
-            let queue = &mut self.queues[rank.index()];
-            let (expired, kept): (VecDeque<_>, _) = queue.drain(..).partition(misses_deadline);
-            *queue = kept;
-            for request in expired {
-                let refusal = self.refusal(Reason::Overload, Duration::ZERO);
-                actions.push(Action::Refuse(request.id, refusal));
-            }
-        }
-        actions.extend(self.dispatch_waiting(now));
-        actions
-    }
-
     /// Returns the workers that the request may use at some time.
     fn candidates(&self, request: &Request) -> impl Iterator<Item = &Upstream> {
         let upstreams = self.upstreams.iter();
@@ -435,73 +372,10 @@
         candidates.map(|(_, upstream)| upstream)
     }
 
-    /// Returns the refusal of a request for which no worker is left, or whose deadline passes before the workers' pauses
-    /// end.
-    fn refusal_without_workers(&self, now: Instant, request: &Request) -> Option<Refusal> {
-        if self.candidates(request).next().is_none() {
-            return Some(self.refusal(Reason::NoWorker, Duration::ZERO));
-        }
-        // The time is that of the workers and is not bounded: an earlier retry would only be refused again.
-        let retry_after = self.pause_left(now, request)?;
-        let answered_at = now + retry_after + self.service_times.typical();
-        (answered_at > request.deadline).then_some(Refusal {
-            reason: Reason::Paused,
-            retry_after,
-        })
-    }
-
-    fn refuse_without_workers(&mut self, now: Instant) -> Vec<Action> {
-        let mut refused = Vec::new();
-        for request in self.queues.iter().flatten() {
-            if let Some(refusal) = self.refusal_without_workers(now, request) {
-                refused.push(Action::Refuse(request.id, refusal));
-            }
-        }
-        for action in &refused {
-            if let Action::Refuse(id, _) = action {
-                self.cancel(*id);
-            }
-        }
-        refused
-    }
-
-    /// Reserves free slots for queued requests, the most urgent rank first.
-    ///
-    /// Within a rank, requests that can still meet their target come first, in order of arrival. Late requests are
-    /// worth less and only use the remaining slots.
-    fn dispatch_waiting(&mut self, now: Instant) -> Vec<Action> {
-        let mut actions = Vec::new();
-        let typical = self.service_times.typical();
-        for rank in 0..self.queues.len() {
-            // A retry that excludes workers may find no slot where others do; it must not block the requests behind it.
-            let mut skipped = 0;
-            loop {
-                let queue = &self.queues[rank];
-                let in_time = |r: &Request| now + typical <= r.target;
-                let order = queue.iter().enumerate();
-                let first = order.clone().filter(|(_, r)| in_time(r));
-                let mut order = first.chain(order.filter(|(_, r)| !in_time(r)));
-                let Some((next, request)) = order.nth(skipped) else {
-                    break;
-                };
-                let request = request.clone();
-                match self.reserve(now, &request) {
-                    Some(worker) => {
-                        self.queues[rank].remove(next);
-                        actions.push(Action::Send(request.id, worker));
-                    }
-                    None if request.tried.is_empty() || skipped >= MAX_SKIPPED => return actions,
-                    None => skipped += 1,
-                }
-            }
-        }
-        actions
-    }
-
     /// Reserves a slot at the worker that is likely to answer first, if one has room. Avoided workers are used when
     /// there is no other worker left, but not when the others are only full.
     fn reserve(&mut self, now: Instant, request: &Request) -> Option<Worker> {
-        let reserved = self.reserve_among(now, request, false);
+        let reserved = self.reserve_at_one_of(now, request, false);
         let mut others = self.upstreams.iter();
         let no_alternative = others.all(|(worker, upstream)| {
             !upstream.takes(now, request.remote)
@@ -510,11 +384,24 @@
         });
         reserved.or_else(|| {
             no_alternative
-                .then(|| self.reserve_among(now, request, true))
+                .then(|| self.reserve_at_one_of(now, request, true))
                 .flatten()
         })
     }
 
+    /// Reserves a slot like [`Self::reserve_among`], and records which class of requests uses it.
+    fn reserve_at_one_of(
+        &mut self,
+        now: Instant,
+        request: &Request,
+        avoided: bool,
+    ) -> Option<Worker> {
+        let worker = self.reserve_among(now, request, avoided)?;
+        self.service_times
+            .record_attempt(now, &worker, request.class);
+        Some(worker)
+    }
+
     /// Reserves a slot at a worker with room, either among the avoided workers or among the others.
     fn reserve_among(&mut self, now: Instant, request: &Request, avoided: bool) -> Option<Worker> {
         let typical = self.service_times.typical();
@@ -578,35 +465,12 @@
         }
         (used < floor * all).then_some(ProbeMode::LeastSuspect)
     }
+}
 
-    /// Returns whether more requests are queued before one of `rank` than are in progress.
-    fn is_queue_long(&self, now: Instant, rank: Rank) -> bool {
-        let (ahead, running) = self.work_ahead(now, rank);
-        ahead > usize::try_from(running).unwrap_or(usize::MAX)
-    }
-
-    /// Returns the number of queued requests that are served before one of `rank`, and the number of requests that this
-    /// entry has in progress, or its share of the slots if that is larger.
-    fn work_ahead(&self, now: Instant, rank: Rank) -> (usize, u32) {
-        let ahead = self.queues[..=rank.index()].iter().map(VecDeque::len).sum();
-        let running: u32 = self.upstreams.values().map(Upstream::running).sum();
-        let slots: u32 = self.upstreams.values().map(|u| u.slots(now)).sum();
-        (ahead, running.max(slots / self.entries))
-    }
-
-    /// Returns the expected wait of a request that joins the queue of its rank.
-    fn expected_wait(&self, now: Instant, rank: Rank) -> Duration {
-        let (ahead, running) = self.work_ahead(now, rank);
-        self.service_times.expected_wait(rank, ahead, running)
-    }
-
-    fn refusal(&self, reason: Reason, excess: Duration) -> Refusal {
-        let retry_after = excess.max(self.service_times.typical());
-        Refusal {
-            reason,
-            retry_after: retry_after.clamp(RETRY_AFTER_BOUNDS.0, RETRY_AFTER_BOUNDS.1),
-        }
-    }
+/// Returns the hash of the name of a route or customer for a [`Request`].
+#[must_use]
+pub fn name_hash(name: &str) -> u64 {
+    xxh3_64(name.as_bytes())
 }
 
 /// Returns the low 32 bits of a number.
--- a/crates/routing/tests/schedule/main.rs
+++ b/crates/routing/tests/schedule/main.rs
@@ -5,6 +5,8 @@
 //! workers report with each response.
 
 mod notices;
+mod overload;
+mod pattern;
 mod replay;
 
 use std::time::{Duration, Instant};
@@ -44,6 +46,8 @@
     Request {
         id,
         rank,
+        class: 0,
+        customer: None,
         download: false,
         at_most_once: true,
         target: now + TARGET,
