Count the requests in progress once for each offer

Cause: an offer to a full queue went over all workers three times to count what is in progress.

Change: the count is passed on.

--- a/crates/routing/src/schedule/admission.rs
+++ b/crates/routing/src/schedule/admission.rs
@@ -43,13 +43,18 @@
             return Decision::Send(worker);
         }
         let work = self.service_times.work(request.class);
-        let needed = self.expected_wait(now, rank).div_f64(MAX_WAIT_SHARE) + work.time();
+        let running = self.running(now);
+        let needed = self
+            .expected_wait(now, rank, running)
+            .div_f64(MAX_WAIT_SHARE)
+            + work.time();
         // Under overload, each request that is answered late delays another one. A queue that is shorter than the
         // number of requests in progress doesn't indicate overload, and then a late response is better than none.
-        let is_overloaded = self.excess(now, rank) > 0;
+        let is_overloaded = self.excess(rank, running) > 0;
         let in_time = now + Duration::from_secs_f64(work.likely()) <= request.target;
         if in_time && is_overloaded {
-            return self.offer_under_overload(now, request, needed);
+            let service = self.service(now, rank, running, 1.0 / MAX_WAIT_SHARE);
+            return self.offer_under_overload(service, request, needed);
         }
         let left = request.deadline.saturating_duration_since(now);
         if is_overloaded || needed > left {
@@ -71,13 +76,12 @@
     /// Queues a request if it can meet its target, and refuses those whose refusal loses least if not all can.
     fn offer_under_overload(
         &mut self,
-        now: Instant,
+        service: Service,
         request: Request,
         needed: Duration,
     ) -> Decision {
-        let (id, rank) = (request.id, request.rank);
+        let (now, id, rank) = (service.now, request.id, request.rank);
         let work = self.service_times.work(request.class);
-        let service = self.service(now, rank, 1.0 / MAX_WAIT_SHARE);
         let removed = self.queues[rank.index()].push_and_trim(service, request, work);
         let mut decision = Decision::Wait;
         for request in removed {
@@ -121,9 +125,10 @@
             self.queues[rank.index()].refresh(now, &self.service_times);
             // A request that misses its target waits behind all requests that don't, so its wait is that of the whole
             // queue.
-            let wait = self.expected_wait(now, rank);
+            let running = self.running(now);
+            let wait = self.expected_wait(now, rank, running);
             let mut expired = self.queues[rank.index()].remove_expired(now, wait);
-            let excess = self.excess(now, rank);
+            let excess = self.excess(rank, running);
             expired.extend(self.queues[rank.index()].remove_late(excess));
             self.refusals.time_left += count(&expired);
             for request in expired {
@@ -186,10 +191,10 @@
     }
 
     /// Returns by how much the number of requests queued before one of `rank` exceeds that of the requests in progress.
-    fn excess(&self, now: Instant, rank: Rank) -> usize {
+    fn excess(&self, rank: Rank, running: u32) -> usize {
         let queues = &self.queues[..=rank.index()];
         let ahead: usize = queues.iter().map(Queue::len).sum();
-        ahead.saturating_sub(usize::try_from(self.running(now)).unwrap_or(usize::MAX))
+        ahead.saturating_sub(usize::try_from(running).unwrap_or(usize::MAX))
     }
 
     /// Returns the number of requests that this entry has in progress, or its share of the slots if that is larger.
@@ -200,11 +205,11 @@
     }
 
     /// Returns the rate at which the queue of a rank is served, and what is served before it.
-    fn service(&self, now: Instant, rank: Rank, wait_factor: f64) -> Service {
+    fn service(&self, now: Instant, rank: Rank, running: u32, wait_factor: f64) -> Service {
         let more_urgent: f64 = self.queues[..rank.index()].iter().map(Queue::work).sum();
         Service {
             now,
-            slots: self.service_times.slots_left_to(rank, self.running(now)),
+            slots: self.service_times.slots_left_to(rank, running),
             // The next slot becomes free after the mean response time, divided by the slots.
             ahead: more_urgent + self.service_times.typical().as_secs_f64(),
             wait_factor,
@@ -212,8 +217,8 @@
     }
 
     /// Returns the expected wait of a request behind all that are queued in its rank.
-    fn expected_wait(&self, now: Instant, rank: Rank) -> Duration {
-        let service = self.service(now, rank, 1.0);
+    fn expected_wait(&self, now: Instant, rank: Rank, running: u32) -> Duration {
+        let service = self.service(now, rank, running, 1.0);
         let work = service.ahead + self.queues[rank.index()].work();
         Duration::from_secs_f64((work / service.slots).clamp(0.0, 3_600.0))
     }
@@ -224,7 +229,8 @@
     /// same moment would be refused again.
     fn overload(&self, now: Instant, request: &Request, excess: Duration) -> Refusal {
         let share = f64::from(low_half(xxh3_64(&request.id.to_le_bytes()))) / f64::from(u32::MAX);
-        let spread = self.expected_wait(now, request.rank).mul_f64(share);
+        let drain = self.expected_wait(now, request.rank, self.running(now));
+        let spread = drain.mul_f64(share);
         let retry_after = excess.max(self.service_times.typical()) + spread;
         Refusal {
             reason: Reason::Overload,
