Keep a share of the slots for requests that need more work than others

Cause: while not all can be answered in time, the request with the most work is refused. If requests that need less exceed the capacity alone, longer ones of the same rank get no slot.

Change: the work of a request counts less in the choice, the more requests of its class were refused lately.

--- a/crates/routing/src/schedule/admission.rs
+++ b/crates/routing/src/schedule/admission.rs
@@ -227,7 +227,8 @@
     ///
     /// Callers come back when there is room, spread over the time in which the queue drains: those that return at the
     /// same moment would be refused again.
-    fn overload(&self, now: Instant, request: &Request, excess: Duration) -> Refusal {
+    fn overload(&mut self, now: Instant, request: &Request, excess: Duration) -> Refusal {
+        self.service_times.record_served(request.class, false);
         let share = f64::from(low_half(xxh3_64(&request.id.to_le_bytes()))) / f64::from(u32::MAX);
         let drain = self.expected_wait(now, request.rank, self.running(now));
         let spread = drain.mul_f64(share);
--- a/crates/routing/src/schedule/queue.rs
+++ b/crates/routing/src/schedule/queue.rs
@@ -62,8 +62,8 @@
 #[derive(Clone, Copy, Debug)]
 struct Class {
     id: u64,
-    /// Work of one of them, in seconds.
-    work: f64,
+    /// Slot time that is gained by refusing one of them, in seconds.
+    refusal_gain: f64,
     requests: usize,
 }
 
@@ -105,15 +105,17 @@
     }
 
     fn count(&mut self, entry: &Entry) {
-        let (class, work) = (entry.request.class, entry.work.mean);
-        self.work += work;
-        if let Some(known) = self.classes.iter_mut().find(|c| c.id == class) {
-            known.work = work;
+        let (id, refusal_gain) = (entry.request.class, entry.work.refusal_gain());
+        self.work += entry.work.mean;
+        if let Some(known) = self.classes.iter_mut().find(|c| c.id == id) {
+            known.refusal_gain = refusal_gain;
             known.requests += 1;
         } else {
-            let requests = 1;
-            let id = class;
-            self.classes.push(Class { id, work, requests });
+            self.classes.push(Class {
+                id,
+                refusal_gain,
+                requests: 1,
+            });
         }
     }
 
@@ -129,8 +131,8 @@
 
     /// Removes requests from `from` on, whose wait has grown, until those that are left can be answered in time.
     ///
-    /// They are considered in the order in which they are served. For each one that misses its target, the one with the
-    /// most work is removed of those that are served until then; this keeps the most requests.
+    /// They are considered in the order in which they are served. For each one that misses its target, one is removed of
+    /// those that are served until then. Removing the one with the most work would keep the most requests.
     fn trim(&mut self, from: usize, service: Service, others: &Others) -> Vec<Request> {
         let mut removed = Vec::new();
         let following = self.entries.range(from..).map(|e| e.work.mean);
@@ -142,7 +144,7 @@
             own += entry.work.mean;
             at += 1;
             if needed > left.as_secs_f64()
-                && let Some(victim) = self.most_work(service.now, at)
+                && let Some(victim) = self.least_lost(service.now, at)
                 && let Some(entry) = self.remove(victim)
             {
                 own -= entry.work.mean;
@@ -153,11 +155,13 @@
         removed
     }
 
-    /// Returns the position of the request with the most work before `end`, the latest of its class, except those that
-    /// have been passed over for as long as is allowed.
-    fn most_work(&self, now: Instant, end: usize) -> Option<usize> {
+    /// Returns the position of the request before `end` whose refusal gains most, the latest of its class, except those
+    /// that have been passed over for as long as is allowed.
+    fn least_lost(&self, now: Instant, end: usize) -> Option<usize> {
         let classes = self.classes.iter();
-        let most = classes.max_by(|a, b| a.work.total_cmp(&b.work))?.id;
+        let most = classes
+            .max_by(|a, b| a.refusal_gain.total_cmp(&b.refusal_gain))?
+            .id;
         let mut found: Option<(usize, &Entry)> = None;
         for at in (0..end).rev() {
             let entry = &self.entries[at];
@@ -165,8 +169,9 @@
                 break;
             }
             let class = entry.request.class;
-            if found.is_none_or(|(_, f)| f.request.class != class && f.work.mean < entry.work.mean)
-            {
+            if found.is_none_or(|(_, f)| {
+                f.request.class != class && f.work.refusal_gain() < entry.work.refusal_gain()
+            }) {
                 found = Some((at, entry));
             }
             if class == most {
--- a/crates/routing/src/schedule/service_times.rs
+++ b/crates/routing/src/schedule/service_times.rs
@@ -43,6 +43,8 @@
 pub(super) struct Work {
     pub(super) mean: f64,
     pub(super) deviation: f64,
+    /// Share of the requests of the class that got a slot lately.
+    pub(super) served: f64,
 }
 
 impl Work {
@@ -55,10 +57,17 @@
         self.mean + LIKELY_DEVIATIONS * self.deviation
     }
 
+    /// Returns the slot time that is gained by refusing the request, which counts less for a class that is refused
+    /// often: otherwise a class that needs more work than the others would get no slot.
+    pub(super) fn refusal_gain(self) -> f64 {
+        self.mean * self.served
+    }
+
     fn scaled(self, factor: f64) -> Self {
         Self {
             mean: self.mean * factor,
             deviation: self.deviation * factor,
+            ..self
         }
     }
 
@@ -103,6 +112,7 @@
         }
         let attempts = self.attempts.entry(now).or_default();
         attempts.push((worker.clone(), class));
+        self.record_served(class, true);
     }
 
     /// Records the end of an attempt, and its response time if it succeeded.
@@ -119,6 +129,7 @@
             let mut service = self.mean.unwrap_or(Work {
                 mean: time,
                 deviation: time / (2.0 * (1.0 - NEWEST_WEIGHT)),
+                served: 1.0,
             });
             service.update(time, NEWEST_WEIGHT);
             self.mean = Some(service);
@@ -154,6 +165,14 @@
         self.pace = Some(pace);
     }
 
+    /// Records whether a request of a class got a slot or was refused.
+    pub(super) fn record_served(&mut self, class: u64, served: bool) {
+        if let Some(class) = self.classes.get_mut(&class) {
+            let served = f64::from(u8::from(served));
+            class.work.served += CLASS_WEIGHT * (served - class.work.served);
+        }
+    }
+
     fn pace(&self) -> f64 {
         self.pace.unwrap_or(1.0)
     }
@@ -179,6 +198,7 @@
         let service = self.mean.unwrap_or(Work {
             mean: INITIAL_RESPONSE_TIME.as_secs_f64(),
             deviation: INITIAL_RESPONSE_TIME.as_secs_f64() / 2.0,
+            served: 1.0,
         });
         let class = self.classes.get(&class);
         class.map_or(service, |c| c.work.scaled(self.pace()))
--- a/crates/routing/tests/schedule/overload.rs
+++ b/crates/routing/tests/schedule/overload.rs
@@ -69,6 +69,15 @@
     pattern(20, vec![short, long])
 }
 
+/// The short kind alone needs all slots and more.
+fn short_requests_fill_all_slots() -> Pattern {
+    let short = Kind {
+        burst: 2.0,
+        ..kind(Rank::Middle, 400.0, 65, 800, 2_000)
+    };
+    pattern(20, vec![short, kind(Rank::Middle, 30.0, 250, 1_500, 4_000)])
+}
+
 fn workers_shed_half() -> Pattern {
     let urgent = kind(Rank::Top, 60.0, 100, 800, 2_000);
     let other = Kind {
@@ -146,6 +155,7 @@
 #[case::long_low_priority_burst(long_low_priority_burst())]
 #[case::urgent_burst(urgent_burst())]
 #[case::urgent_burst_of_two_kinds(urgent_burst_of_two_kinds())]
+#[case::short_requests_fill_all_slots(short_requests_fill_all_slots())]
 #[case::mixed_deadlines(mixed_deadlines())]
 fn a_burst_earns_most_of_what_is_possible(#[case] pattern: Pattern) {
     let ([scheduler, plain @ ..], planned) = worths(&pattern);
@@ -156,6 +166,23 @@
     }
 }
 
+/// Guards against a kind that needs more work than the others of its rank and is refused always while they alone exceed
+/// the capacity.
+#[test]
+fn the_longest_requests_are_not_all_refused() {
+    let pattern = Pattern {
+        disturbed_s: 0.0..16.0,
+        ..short_requests_fill_all_slots()
+    };
+    for seed in SEEDS {
+        let run = Simulation::run(&pattern, Order::Scheduler, seed);
+        let shares = run.tallies().iter().map(|t| share(t.in_time, t.offered));
+        let shares: Vec<f64> = shares.collect();
+        println!("in time {shares:.3?}");
+        assert!(shares[1] >= 0.1, "{shares:?}");
+    }
+}
+
 /// Guards against urgent requests that are late because workers they share with longer ones are flooded.
 #[test]
 fn a_burst_of_long_requests_leaves_the_urgent_ones_in_time() {
