--- a/crates/entry/src/gateway/proxy.rs
+++ b/crates/entry/src/gateway/proxy.rs
@@ -373,9 +373,12 @@
     fn request(&self) -> schedule::Request {
         let inbound = self.inbound;
         let target = Duration::from_millis(inbound.route.target_ms);
+        let customer = inbound.account.as_ref().map(|a| a.customer.as_str());
         schedule::Request {
             id: self.gateway.next_request_id(),
             rank: inbound.rank,
+            class: schedule::name_hash(&inbound.route.name),
+            customer: customer.map(schedule::name_hash),
             download: inbound.route.kind == chestnutvalve_model::routes::Kind::Download,
             at_most_once: !inbound.route.kind.is_idempotent(),
             target: (inbound.arrived + target).into_std(),
