--- a/crates/entry/src/gateway/proxy.rs
+++ b/crates/entry/src/gateway/proxy.rs
@@ -162,7 +162,7 @@
 impl<'a> Exchange<'a> {
     fn new(gateway: &'a Arc<Gateway>, inbound: &'a Inbound) -> Self {
         let dispatcher = gateway.dispatcher(&inbound.service);
-        dispatcher.deposit(inbound.route.rank);
+        dispatcher.deposit(inbound.rank);
         Self {
             gateway,
             inbound,
@@ -242,7 +242,7 @@
                 let may_retry = self.unexecuted <= MAX_UNEXECUTED_ATTEMPTS
                     && self
                         .dispatcher
-                        .try_withdraw(Purpose::Retry, self.inbound.route.rank);
+                        .try_withdraw(Purpose::Retry, self.inbound.rank);
                 self.reserve_elsewhere(may_retry, Kind::RefusedByUpstream, cause)
                     .await
             }
@@ -345,12 +345,12 @@
                 coordinator::try_reserve(self.gateway, &self.dispatcher, &self.request()).await;
             let reservation = reservation.ok_or("no other worker has a free slot")?;
             // If the budget is exhausted, the reservation is released and no attempt is made.
-            let allowed = self.dispatcher.try_withdraw(purpose, inbound.route.rank);
+            let allowed = self.dispatcher.try_withdraw(purpose, inbound.rank);
             return allowed
                 .then_some(reservation)
                 .ok_or("the retry budget is exhausted");
         }
-        if !self.dispatcher.try_withdraw(purpose, inbound.route.rank) {
+        if !self.dispatcher.try_withdraw(purpose, inbound.rank) {
             return Err("the retry budget is exhausted");
         }
         // The request fails without another attempt, so that it is worth waiting for a slot.
