Send few requests to workers in failing phases

A success of a request that was sent before the first failure cleared the worker, each idle worker was probed by whatever request came next, also by the last attempt of a request or one that must not run twice, and no worker was avoided for longer than 4.7 s.

Change: successes of earlier requests are no evidence. After a failed probe, a worker is avoided for the usual duration of faults, which is learned. Probes go out one at a time, and at-most-once requests and last attempts are probes only while the failure rate is high, or where the service has no others. While it is high, the floor also probes avoided workers. A request that may be repeated probes a worker that failed once when no other has a free slot.

--- a/crates/entry/src/gateway/dispatcher.rs
+++ b/crates/entry/src/gateway/dispatcher.rs
@@ -234,7 +234,13 @@
         let (worker, incarnation) = (&reservation.worker, reservation.incarnation);
         let finding = match outcome {
             Outcome::Failure => Finding::Failure,
-            Outcome::Success if inner.scheduler.is_suspect(now, worker) => Finding::Success,
+            Outcome::Success
+                if inner
+                    .scheduler
+                    .is_recovered_by(now, worker, reservation.started) =>
+            {
+                Finding::Success
+            }
             _ => return,
         };
         let registration = inner.registrations.get(worker);
--- a/crates/entry/src/gateway/proxy.rs
+++ b/crates/entry/src/gateway/proxy.rs
@@ -332,7 +332,9 @@
             id: self.gateway.next_request_id(),
             rank: inbound.route.rank,
             download: inbound.route.kind == chestnutvalve_model::routes::Kind::Download,
-            at_most_once: !inbound.route.kind.is_idempotent(),
+            // The last attempt of the route is lost if it fails, too.
+            at_most_once: !inbound.route.kind.is_idempotent()
+                || self.sent.saturating_add(1) >= inbound.route.attempts,
             target: (inbound.arrived + target).into_std(),
             deadline: (inbound.deadline - ANSWER_MARGIN).into_std(),
             tried: self.tried.clone(),
--- a/crates/routing/src/schedule.rs
+++ b/crates/routing/src/schedule.rs
@@ -15,7 +15,9 @@
 use xxhash_rust::xxh3::Xxh3;
 
 mod failure_rate;
+mod fault_duration;
 mod notice;
+mod probe;
 mod service_times;
 mod suspicion;
 mod upstream;
@@ -25,7 +27,9 @@
 pub use upstream::{Outcome, Spec};
 
 use failure_rate::FailureRate;
+use fault_duration::FaultDuration;
 use notice::Notices;
+use probe::Group;
 use service_times::ServiceTimes;
 use upstream::Upstream;
 
@@ -42,10 +46,6 @@
 const NEW_CONNECTION_COST: f64 = 0.1;
 /// Maximum random cost difference between equally loaded workers, in slots.
 const MAX_JITTER: f64 = 0.25;
-/// One of this many workers may be avoided for longer than 2 s. At least 70% of the healthy workers must stay in use, and
-/// a worker that failed counts as healthy again after 2 s; the remainder is reserved for workers that are avoided for
-/// other reasons.
-const WORKERS_PER_LONG_AVOIDANCE: usize = 5;
 /// Maximum number of queued requests that one pass over the queue skips because no worker with room is acceptable to
 /// them.
 const MAX_SKIPPED: usize = 16;
@@ -116,25 +116,6 @@
     Refuse(u64, Refusal),
 }
 
-/// Selects the idle workers that get probes.
-#[derive(Clone, Copy, Debug)]
-enum ProbeMode {
-    /// All of them, because the failure rate is high.
-    All,
-    /// Those with the lowest suspicion first, because too few workers are in use.
-    LeastSuspect,
-}
-
-impl ProbeMode {
-    /// Returns the cost of an idle worker, which is lower than that of any worker in use.
-    fn cost(self, suspicion: f64) -> f64 {
-        match self {
-            Self::All => 0.0,
-            Self::LeastSuspect => suspicion,
-        }
-    }
-}
-
 /// Scheduler of one service at one entry.
 #[derive(Clone, Debug)]
 pub struct Scheduler {
@@ -147,6 +128,9 @@
     queues: [VecDeque<Request>; 3],
     service_times: ServiceTimes,
     failure_rate: FailureRate,
+    fault_duration: FaultDuration,
+    /// Recent share of the requests that may be repeated.
+    repeatable_share: f64,
     notices: Notices,
 }
 
@@ -162,6 +146,8 @@
             queues: Default::default(),
             service_times: ServiceTimes::default(),
             failure_rate: FailureRate::default(),
+            fault_duration: FaultDuration::default(),
+            repeatable_share: 0.0,
             notices: Notices::default(),
         }
     }
@@ -280,7 +266,7 @@
         let needed = wait.div_f64(MAX_WAIT_SHARE) + typical;
         if needed > left {
             // A worker that failed recently may still answer, which is better than a certain refusal.
-            if let Some(worker) = self.reserve_among(now, &request, true) {
+            if let Some(worker) = self.reserve_among(now, &request, Group::Avoided) {
                 return Decision::Send(worker);
             }
             let excess = needed.saturating_sub(left);
@@ -352,7 +338,8 @@
         let typical = self.service_times.typical();
         let may_avoid_longer = self.may_avoid_longer(now);
         if let Some(upstream) = self.upstreams.get_mut(worker) {
-            upstream.finish(now, started, outcome, typical, may_avoid_longer);
+            let durations = &mut self.fault_duration;
+            upstream.finish(now, started, outcome, typical, durations, may_avoid_longer);
         }
         self.dispatch_waiting(now)
     }
@@ -361,25 +348,16 @@
     pub fn observe(&mut self, now: Instant, worker: &Worker, evidence: Evidence) {
         let may_avoid_longer = self.may_avoid_longer(now);
         if let Some(upstream) = self.upstreams.get_mut(worker) {
-            upstream.observe(now, evidence, may_avoid_longer);
+            upstream.observe(now, evidence, &mut self.fault_duration, may_avoid_longer);
         }
     }
 
-    /// Returns whether one more worker can be avoided for longer while enough workers stay in use.
-    fn may_avoid_longer(&self, now: Instant) -> bool {
-        let avoided_longer = self
-            .upstreams
-            .values()
-            .filter(|u| u.is_avoided_longer(now))
-            .count();
-        (avoided_longer + 1) * WORKERS_PER_LONG_AVOIDANCE <= self.usable_workers()
-    }
-
-    /// Returns whether a worker failed recently, so that a success should be reported to other entries.
+    /// Returns whether a worker failed recently, so that the success of an attempt that was sent at `started` should be
+    /// reported to other entries.
     #[must_use]
-    pub fn is_suspect(&self, now: Instant, worker: &Worker) -> bool {
+    pub fn is_recovered_by(&self, now: Instant, worker: &Worker, started: Instant) -> bool {
         let upstream = self.upstreams.get(worker);
-        upstream.is_some_and(|u| u.is_suspect(now))
+        upstream.is_some_and(|u| u.is_recovered_by(now, started))
     }
 
     /// Returns whether a worker is avoided because it failed recently or is unreachable.
@@ -501,7 +479,16 @@
     /// Reserves a slot at the worker that is likely to answer first, if one has room. Avoided workers are used when
     /// there is no other worker left, but not when the others are only full.
     fn reserve(&mut self, now: Instant, request: &Request) -> Option<Worker> {
-        let reserved = self.reserve_among(now, request, false);
+        let mut reserved = None;
+        if self.needs_avoided(now, request) {
+            reserved = self.reserve_among(now, request, Group::Avoided);
+        }
+        let mut reserved = reserved
+            .or_else(|| self.reserve_among(now, request, Group::Unprobed))
+            .or_else(|| self.reserve_among(now, request, Group::Accepted));
+        if reserved.is_none() && self.may_use_doubtful(request) {
+            reserved = self.reserve_among(now, request, Group::Doubtful);
+        }
         let mut others = self.upstreams.iter();
         let no_alternative = others.all(|(worker, upstream)| {
             !upstream.takes(now, request.remote)
@@ -510,18 +497,20 @@
         });
         reserved.or_else(|| {
             no_alternative
-                .then(|| self.reserve_among(now, request, true))
+                .then(|| self.reserve_among(now, request, Group::Avoided))
                 .flatten()
         })
     }
 
-    /// Reserves a slot at a worker with room, either among the avoided workers or among the others.
-    fn reserve_among(&mut self, now: Instant, request: &Request, avoided: bool) -> Option<Worker> {
+    /// Reserves a slot at a worker of a group that has room.
+    fn reserve_among(&mut self, now: Instant, request: &Request, group: Group) -> Option<Worker> {
         let typical = self.service_times.typical();
         let usable = |(worker, upstream): &(&Worker, &Upstream)| {
             upstream.takes(now, request.remote) && !request.tried.contains(worker)
         };
-        let probe_mode = self.probe_mode(now);
+        let probe_mode = self.probe_mode(now, request);
+        // Among avoided workers, the least suspect is the best one for any request.
+        let certain = request.at_most_once || matches!(group, Group::Avoided);
         let cost = |upstream: &Upstream| {
             let local = upstream.zone() == &self.zone;
             let detour = match (local, request.download) {
@@ -533,7 +522,7 @@
                 Some(probe_mode) if local && upstream.is_idle(now) => {
                     probe_mode.cost(upstream.suspicion(now))
                 }
-                _ => upstream.cost(now, typical, request.at_most_once) + detour,
+                _ => upstream.cost(now, typical, certain) + detour,
             }
         };
         let connection = |worker: &Worker| {
@@ -551,34 +540,18 @@
             f64::from(low_half(hash.digest())) / f64::from(u32::MAX) * MAX_JITTER
         };
         let all = || self.upstreams.iter().filter(usable);
-        let candidates =
-            all().filter(|(_, u)| u.has_room(now, typical) && u.is_avoided(now) == avoided);
+        let candidates = all().filter(|(_, u)| u.has_room(now, typical) && group.contains(now, u));
         let costs =
             candidates.map(|(worker, u)| (cost(u) + connection(worker) + jitter(worker), worker));
         let cheapest = costs.min_by(|a, b| a.0.total_cmp(&b.0));
         let worker = cheapest.map(|(_, worker)| worker.clone())?;
         let upstream = self.upstreams.get_mut(&worker)?;
         upstream.start(now);
+        self.record_repeatable(request);
         self.service_times.record_start(request.rank);
         Some(worker)
     }
 
-    /// Returns which idle workers of the zone need probes.
-    fn probe_mode(&self, now: Instant) -> Option<ProbeMode> {
-        let floor = self.floor?;
-        if self.failure_rate.is_high() {
-            return Some(ProbeMode::All);
-        }
-        let local = self.upstreams.values();
-        let local = local.filter(|u| !u.is_gone() && u.zone() == &self.zone);
-        let (mut used, mut all) = (0.0, 0.0);
-        for upstream in local {
-            all += 1.0;
-            used += f64::from(u8::from(!upstream.is_idle(now)));
-        }
-        (used < floor * all).then_some(ProbeMode::LeastSuspect)
-    }
-
     /// Returns whether more requests are queued before one of `rank` than are in progress.
     fn is_queue_long(&self, now: Instant, rank: Rank) -> bool {
         let (ahead, running) = self.work_ahead(now, rank);
--- a/crates/routing/src/schedule/failure_rate.rs
+++ b/crates/routing/src/schedule/failure_rate.rs
@@ -7,6 +7,10 @@
 /// Share of failures above which more attempts fail than usual. On a day without incidents, 3.9 to 6.4% of the attempts
 /// at a service fail.
 const HIGH_SHARE: f64 = 0.08;
+/// Share of failures above which the failure rate may soon be high.
+const ELEVATED_SHARE: f64 = 0.05;
+/// Share of failures below which almost no worker is faulty.
+const LOW_SHARE: f64 = 0.01;
 
 /// Exponentially decayed counts of attempts.
 #[derive(Clone, Copy, Debug, Default)]
@@ -31,4 +35,14 @@
     pub(super) fn is_high(&self) -> bool {
         self.failed > HIGH_SHARE * self.total
     }
+
+    /// Returns whether the failure rate may soon be high.
+    pub(super) fn is_elevated(&self) -> bool {
+        self.failed > ELEVATED_SHARE * self.total
+    }
+
+    /// Returns whether almost no attempt fails.
+    pub(super) fn is_low(&self) -> bool {
+        self.failed <= LOW_SHARE * self.total
+    }
 }
--- a/crates/routing/src/schedule/suspicion.rs
+++ b/crates/routing/src/schedule/suspicion.rs
@@ -7,20 +7,23 @@
 
 use std::time::{Duration, Instant};
 
+use super::fault_duration::{Fault, FaultDuration};
+
 /// Prior probability that a worker is faulty, equal to the usual share of faulty workers.
 const PRIOR: f64 = 0.1;
 /// Time constant of the decay of evidence. A single failure is as likely chance as the start of a fault.
 const DECAY_TIME: Duration = Duration::from_secs(2);
-/// Time constant after a worker fails again when it is probed after a delay. Such faults last 9 s on the deployments,
-/// and each further probe fails a request.
-const LONG_DECAY_TIME: Duration = Duration::from_secs(6);
+/// Time constants for which a worker is avoided after it fails again when it is probed.
+const DECAYS_PER_AVOIDANCE: f64 = 0.78;
 /// Minimum delay after a failure for another failure to count as that of a new probe. Requests that fail earlier were
 /// sent before the first failure was known.
 const MIN_REPEAT_DELAY: Duration = Duration::from_secs(1);
+/// Time after a failure for which a worker doesn't count as healthy.
+const UNSOUND_TIME: Duration = Duration::from_secs(2);
 /// Bounds of the probability, so that no number of equal results outweighs a later contradicting one.
-const PROBABILITY_BOUNDS: (f64, f64) = (0.003, 0.99);
+const PROBABILITY_BOUNDS: (f64, f64) = (0.01, 0.99);
 /// Probability from which a worker gets requests only if the alternative is a refusal. One failure keeps a worker above
-/// it for 1.3 s, several failures for 1.6 s, and a failed probe for 4.7 s.
+/// it for 1.3 s, several failures for 1.6 s, and a failed probe for the rest of the usual duration of a fault.
 const AVOID_THRESHOLD: f64 = 0.5;
 /// Probability from which a success is reported to other entries.
 const SUSPECT_THRESHOLD: f64 = 0.2;
@@ -56,8 +59,8 @@
 pub(super) struct Suspicion {
     probability: f64,
     updated_at: Instant,
-    /// Last failure since the last success.
-    last_failure: Option<Instant>,
+    /// Failures since the last success.
+    fault: Option<Fault>,
     decay_time: Duration,
 }
 
@@ -66,7 +69,7 @@
         Self {
             probability: PRIOR,
             updated_at: now,
-            last_failure: None,
+            fault: None,
             decay_time: DECAY_TIME,
         }
     }
@@ -90,26 +93,60 @@
         self.decay_time > DECAY_TIME && self.is_avoided(now)
     }
 
+    /// Returns whether an attempt was sent after the last failure. A request that was sent before may succeed although
+    /// the worker fails those that came later.
+    pub(super) fn is_current(&self, started: Instant) -> bool {
+        self.fault.is_none_or(|fault| started >= fault.last_failure)
+    }
+
+    /// Returns whether the worker failed so recently that it doesn't count as healthy for the floor.
+    pub(super) fn has_just_failed(&self, now: Instant) -> bool {
+        let age = |fault: Fault| now.saturating_duration_since(fault.last_failure);
+        self.fault.is_some_and(|fault| age(fault) < UNSOUND_TIME)
+    }
+
+    /// Returns whether the last attempt failed, so that the next one is a probe.
+    pub(super) fn needs_probe(&self) -> bool {
+        self.fault.is_some()
+    }
+
     /// Updates the probability with the evidence of an attempt. `may_avoid_longer` is whether the service has enough
     /// other workers to avoid this one for longer.
-    pub(super) fn observe(&mut self, now: Instant, evidence: Evidence, may_avoid_longer: bool) {
+    pub(super) fn observe(
+        &mut self,
+        now: Instant,
+        evidence: Evidence,
+        durations: &mut FaultDuration,
+        may_avoid_longer: bool,
+    ) {
         let before = self.probability(now);
+        let is_repeated =
+            |fault: Fault| now.saturating_duration_since(fault.last_failure) >= MIN_REPEAT_DELAY;
         match evidence {
             Evidence::Success => {
-                self.last_failure = None;
+                let ended = self.fault.take();
+                if let Some(fault) =
+                    ended.filter(|f| f.last_failure - f.first_failure >= MIN_REPEAT_DELAY)
+                {
+                    durations.record(now, fault);
+                }
                 self.decay_time = DECAY_TIME;
             }
             Evidence::Failure => {
-                let is_repeated =
-                    |at: Instant| now.saturating_duration_since(at) >= MIN_REPEAT_DELAY;
-                if self.last_failure.is_some_and(is_repeated) {
+                let first_failure = self.fault.map_or(now, |fault| fault.first_failure);
+                let fault = Fault {
+                    first_failure,
+                    last_failure: now,
+                };
+                if self.fault.is_some_and(is_repeated) {
                     self.decay_time = if may_avoid_longer {
-                        LONG_DECAY_TIME
+                        let avoidance = durations.remaining(fault);
+                        avoidance.div_f64(DECAYS_PER_AVOIDANCE).max(DECAY_TIME)
                     } else {
                         DECAY_TIME
                     };
                 }
-                self.last_failure = Some(now);
+                self.fault = Some(fault);
             }
             Evidence::Late | Evidence::Shed => {}
         }
--- a/crates/routing/src/schedule/upstream.rs
+++ b/crates/routing/src/schedule/upstream.rs
@@ -4,6 +4,7 @@
 
 use chestnutvalve_model::id::{Incarnation, Zone};
 
+use super::fault_duration::FaultDuration;
 use super::notice::Hold;
 use super::suspicion::{Evidence, Suspicion};
 
@@ -17,7 +18,7 @@
 /// Additional load, in slots, of a worker that is certainly faulty. A failed request that must be executed at most once
 /// is lost; other requests cost one more attempt.
 const FAULTY_COST: f64 = 1.0;
-const FAULTY_COST_AT_MOST_ONCE: f64 = 4.0;
+const FAULTY_COST_AT_MOST_ONCE: f64 = 10.0;
 /// Time for which a worker is avoided after a connection to it failed. It doubles with each further failure, up to
 /// [`MAX_DELAY_DOUBLINGS`] failures. Network paths are interrupted for some seconds.
 const UNREACHABLE_DELAY: Duration = Duration::from_secs(1);
@@ -178,16 +179,34 @@
         self.suspicion.probability(now)
     }
 
-    pub(super) fn is_suspect(&self, now: Instant) -> bool {
-        self.suspicion.is_suspect(now)
+    /// Returns whether a success of an attempt that was sent at `started` shows that the worker has recovered.
+    pub(super) fn is_recovered_by(&self, now: Instant, started: Instant) -> bool {
+        self.suspicion.is_suspect(now) && self.suspicion.is_current(started)
     }
 
     pub(super) fn is_avoided_longer(&self, now: Instant) -> bool {
         self.suspicion.is_avoided_longer(now)
     }
 
-    pub(super) fn observe(&mut self, now: Instant, evidence: Evidence, may_avoid_longer: bool) {
-        self.suspicion.observe(now, evidence, may_avoid_longer);
+    pub(super) fn observe(
+        &mut self,
+        now: Instant,
+        evidence: Evidence,
+        durations: &mut FaultDuration,
+        may_avoid_longer: bool,
+    ) {
+        self.suspicion
+            .observe(now, evidence, durations, may_avoid_longer);
+    }
+
+    pub(super) fn has_just_failed(&self, now: Instant) -> bool {
+        self.suspicion.has_just_failed(now)
+    }
+
+    /// Returns whether the worker's last attempt failed and a probe is in progress, so that another one would only fail
+    /// one more request.
+    pub(super) fn is_probed(&self) -> bool {
+        self.suspicion.needs_probe() && !self.running.is_empty()
     }
 
     /// Returns the estimated number of requests of all entries at the worker.
@@ -260,6 +279,7 @@
         started: Instant,
         outcome: Outcome,
         typical: Duration,
+        durations: &mut FaultDuration,
         may_avoid_longer: bool,
     ) {
         let Some(at) = self.running.iter().position(|at| *at == started) else {
@@ -281,12 +301,14 @@
                     .response_time
                     .map_or(typical.as_secs_f64(), |(time, _)| time);
                 self.response_time = Some((before + RESPONSE_TIME_WEIGHT * (time - before), now));
-                self.observe(now, Evidence::Success, may_avoid_longer);
+                if self.suspicion.is_current(started) {
+                    self.observe(now, Evidence::Success, durations, may_avoid_longer);
+                }
             }
-            Outcome::Failure => self.observe(now, Evidence::Failure, may_avoid_longer),
+            Outcome::Failure => self.observe(now, Evidence::Failure, durations, may_avoid_longer),
             Outcome::Shed => {
                 self.full_until = Some(now + FULL_DURATION);
-                self.observe(now, Evidence::Shed, may_avoid_longer);
+                self.observe(now, Evidence::Shed, durations, may_avoid_longer);
             }
             Outcome::Gone => self.gone = true,
             Outcome::Cancelled => {}
