--- a/crates/routing/src/schedule/admission.rs
+++ b/crates/routing/src/schedule/admission.rs
@@ -5,6 +5,7 @@
 use chestnutvalve_model::rank::Rank;
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::probe::Group;
 use super::queue::{Queue, Service};
 use super::upstream::Upstream;
 use super::{Action, Decision, Reason, Refusal, Request, Scheduler, low_half};
@@ -59,7 +60,7 @@
         let left = request.deadline.saturating_duration_since(now);
         if is_overloaded || needed > left {
             // A worker that failed recently may still answer, which is better than a certain refusal.
-            if let Some(worker) = self.reserve_at_one_of(now, &request, true) {
+            if let Some(worker) = self.reserve_at_one_of(now, &request, Group::Avoided) {
                 return Decision::Send(worker);
             }
             if work.time() > left {
@@ -87,7 +88,7 @@
         for request in removed {
             let due = request.target.min(request.deadline);
             let excess = needed.saturating_sub(due.saturating_duration_since(now));
-            let worker = self.reserve_at_one_of(now, &request, true);
+            let worker = self.reserve_at_one_of(now, &request, Group::Avoided);
             if request.id == id {
                 self.refusals.wait += u64::from(worker.is_none());
                 decision = match worker {
