--- a/crates/routing/src/schedule/admission.rs
+++ b/crates/routing/src/schedule/admission.rs
@@ -128,11 +128,17 @@
             // queue.
             let running = self.running(now);
             let wait = self.expected_wait(now, rank, running);
-            let mut expired = self.queues[rank.index()].remove_expired(now, wait);
+            let mut refused = self.queues[rank.index()].remove_expired(now, wait);
             let excess = self.excess(rank, running);
-            expired.extend(self.queues[rank.index()].remove_late(excess));
-            self.refusals.time_left += count(&expired);
-            for request in expired {
+            for request in self.queues[rank.index()].remove_late(excess) {
+                // A worker that failed recently may still answer, which is better than a certain refusal.
+                match self.reserve_at_one_of(now, &request, Group::Avoided) {
+                    Some(worker) => actions.push(Action::Send(request.id, worker)),
+                    None => refused.push(request),
+                }
+            }
+            self.refusals.time_left += count(&refused);
+            for request in refused {
                 let refusal = self.overload(now, &request, Duration::ZERO);
                 actions.push(Action::Refuse(request.id, refusal));
             }
