--- a/crates/entry/tests/all/dispatcher.rs
+++ b/crates/entry/tests/all/dispatcher.rs
@@ -1,4 +1,4 @@
-//! Reservations that outlive the incarnation or the promise of their worker.
+//! Reservations that outlive the incarnation or the promise of their worker, and requests that are displaced.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -10,9 +10,10 @@
 use chestnutvalve_model::id::{Incarnation, Service, Worker, Zone};
 use chestnutvalve_model::rank::Rank;
 use chestnutvalve_routing::retry::Bounds;
-use chestnutvalve_routing::schedule::{Hold, Notice, Outcome, Request, Spec};
+use chestnutvalve_routing::schedule::{Hold, Notice, Outcome, Reason, Request, Spec};
 use tokio::sync::mpsc;
-use tokio::time::Instant;
+use tokio::task::yield_now;
+use tokio::time::{Instant, sleep};
 
 const BUDGET: Bounds = Bounds {
     ratio: 0.1,
@@ -44,11 +45,16 @@
     let (service, zone) = (Service::new("lookup").unwrap(), Zone::new("z1").unwrap());
     let dispatcher = Arc::new(Dispatcher::new(service, zone, BUDGET, sender));
     sync(&dispatcher, 1);
+    let reservation = dispatcher.admit(request(1, 0)).await.unwrap();
+    (dispatcher, reservation, observations)
+}
+
+fn request(id: u64, class: u64) -> Request {
     let now = Instant::now().into_std();
-    let request = Request {
-        id: 1,
+    Request {
+        id,
         rank: Rank::Top,
-        class: 0,
+        class,
         customer: None,
         download: false,
         at_most_once: true,
@@ -57,9 +63,7 @@
         tried: Vec::new(),
         connected: Vec::new(),
         remote: false,
-    };
-    let reservation = dispatcher.admit(request).await.unwrap();
-    (dispatcher, reservation, observations)
+    }
 }
 
 /// Guards against telling other entries that a worker failed although its incarnation had ended before.
@@ -101,3 +105,30 @@
     sync(&dispatcher, 2);
     assert_eq!(reservation.check().err(), Some(Hold::Left));
 }
+
+/// Guards against a waiting request that is refused because others need less work and hears of it only at the next
+/// tick, and against a slot that is lost by it.
+#[tokio::test(start_paused = true)]
+async fn a_displaced_request_is_refused_at_once() {
+    let (dispatcher, reservation, _observations) = reserved().await;
+    reservation.finish(Outcome::Success);
+    for (class, work_ms) in [(1, 200), (2, 20)].repeat(50) {
+        let reservation = dispatcher.admit(request(class, class)).await.unwrap();
+        sleep(Duration::from_millis(work_ms)).await;
+        reservation.finish(Outcome::Success);
+    }
+    let admit = |id, class| {
+        let (dispatcher, request) = (Arc::clone(&dispatcher), request(id, class));
+        tokio::spawn(async move { dispatcher.admit(request).await })
+    };
+    let _running = [admit(3, 1).await, admit(4, 1).await];
+    let mut long: Vec<_> = (10..16).map(|id| admit(id, 1)).collect();
+    yield_now().await;
+    let short: Vec<_> = (20..60).map(|id| admit(id, 2)).collect();
+    yield_now().await;
+    let displaced = long.pop().unwrap();
+    assert!(displaced.is_finished());
+    let refusal = displaced.await.unwrap().err();
+    assert_eq!(refusal.map(|r| r.reason), Some(Reason::Overload));
+    assert!(!short[0].is_finished());
+}
