Bound how many requests a new one displaces

Cause: when the estimated capacity falls for a moment, one new request with an early target displaced all that wait behind it.

Change: at most 16 are displaced by one request.

--- a/crates/routing/src/schedule/queue.rs
+++ b/crates/routing/src/schedule/queue.rs
@@ -13,6 +13,10 @@
 /// them.
 const MAX_SKIPPED: usize = 16;
 
+/// Maximum number of requests that a new one displaces. A long one may displace several short ones; more would be
+/// displaced when the estimated capacity has just fallen, which may pass.
+const MAX_DISPLACED: usize = 16;
+
 /// Rate at which a queue is served, and the work that is served before it.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Service {
@@ -144,6 +148,7 @@
             own += entry.work.mean;
             at += 1;
             if needed > left.as_secs_f64()
+                && removed.len() < MAX_DISPLACED
                 && let Some(victim) = self.least_lost(service.now, at)
                 && let Some(entry) = self.remove(victim)
             {
--- a/crates/routing/tests/schedule/overload.rs
+++ b/crates/routing/tests/schedule/overload.rs
@@ -371,3 +371,28 @@
         u64::try_from(queued).unwrap()
     );
 }
+
+/// Guards against one request that displaces all that wait, because the workers seem to be lost for a moment.
+#[test]
+fn a_request_displaces_a_bounded_number_of_others() {
+    let now = Instant::now();
+    let mut scheduler = scheduler(now, 40, 1);
+    for id in 0..400 {
+        let request = Request {
+            target: now + Duration::from_millis(1_600),
+            ..of_class(id, now, LONG)
+        };
+        scheduler.offer(now, request);
+    }
+    let queued = scheduler.queue_len();
+    for w in (0..39).chain(0..39) {
+        scheduler.finish(now, &worker(w), now, Outcome::Gone);
+    }
+    // It comes before the others, whose wait grows.
+    let decision = scheduler.offer(now, of_class(1_000, now, SHORT));
+    let displaced = scheduler.take_displaced().len();
+    assert!(
+        displaced <= 16 && queued - displaced >= 100,
+        "{displaced} of {queued}, {decision:?}"
+    );
+}
