Model customers' limits in the bench program

chestnutvalve-bench quota prints, by number of entries, the messages and bytes of an entry and of the busiest accountant, the requests refused below a limit and the most permits in a window beyond it, from the decisions of routing::quota on a modelled clock without delays.

--- a/crates/bench/src/command.rs
+++ b/crates/bench/src/command.rs
@@ -14,6 +14,7 @@
 use crate::fleet::Programs;
 use crate::forward::{Forwarder, Mode, control};
 use crate::load;
+use crate::quota;
 use crate::scenario;
 use crate::soak;
 use crate::worker;
@@ -166,6 +167,14 @@
         .arg(option("entries", "3,12,24,48", "Comma-separated counts"))
         .arg(option("workers", "10,100,400", "Comma-separated counts"))
         .arg(number("seconds", "15", "Duration of each run, in s"));
+    let quota = Command::new("quota")
+        .about("Models limits of customers over many entries, without processes")
+        .arg(option(
+            "entries",
+            "30,113,450,3200",
+            "Comma-separated counts",
+        ))
+        .arg(number("seconds", "60", "Modelled duration, in s"));
     let soak = Command::new("soak")
         .about("Runs a small fleet under random faults and checks the responses to callers and operators")
         .arg(number("seed", "1", "First seed"))
@@ -175,7 +184,7 @@
     Command::new("chestnutvalve-bench")
         .about("Stand-in workers, caller load, fault injection and measurements")
         .subcommand_required(true)
-        .subcommands([worker, load, forward, scenario, capacity, soak])
+        .subcommands([worker, load, forward, scenario, capacity, quota, soak])
 }
 
 async fn run_subcommand(matches: &ArgMatches) -> Result<(), Error> {
@@ -185,6 +194,7 @@
         Some(("forward", arguments)) => run_forward(arguments).await,
         Some(("scenario", arguments)) => run_scenario(arguments).await,
         Some(("capacity", arguments)) => run_capacity(arguments).await,
+        Some(("quota", arguments)) => run_quota(arguments),
         Some(("soak", arguments)) => run_soak(arguments).await,
         _ => Err(Error::Invalid("unknown command".into())),
     }
@@ -197,6 +207,13 @@
         .expect("the option has a default or is required")
 }
 
+fn numbers_argument(arguments: &ArgMatches, name: &str) -> Result<Vec<usize>, Error> {
+    let text = argument::<String>(arguments, name);
+    let numbers = text.split(',').map(|n| n.trim().parse());
+    let numbers: Result<Vec<usize>, _> = numbers.collect();
+    numbers.map_err(|_| Error::Invalid(format!("--{name}: expected numbers separated by commas")))
+}
+
 fn milliseconds_argument(arguments: &ArgMatches, name: &str) -> Duration {
     Duration::from_millis(argument::<u64>(arguments, name))
 }
@@ -294,21 +311,22 @@
 }
 
 async fn run_capacity(arguments: &ArgMatches) -> Result<(), Error> {
-    let parse_numbers = |name: &str| -> Result<Vec<usize>, Error> {
-        let text = argument::<String>(arguments, name);
-        let numbers = text.split(',').map(|n| n.trim().parse());
-        numbers
-            .collect::<Result<_, _>>()
-            .map_err(|_| Error::Invalid(format!("--{name}: expected numbers separated by commas")))
-    };
     let plan = capacity::Plan {
-        entries: parse_numbers("entries")?,
-        workers: parse_numbers("workers")?,
+        entries: numbers_argument(arguments, "entries")?,
+        workers: numbers_argument(arguments, "workers")?,
         duration: Duration::from_secs(argument::<u64>(arguments, "seconds").min(MAX_PHASE_S)),
     };
     capacity::run(&Programs::beside_current_exe()?, &plan).await
 }
 
+fn run_quota(arguments: &ArgMatches) -> Result<(), Error> {
+    let seconds = argument::<u64>(arguments, "seconds").clamp(1, MAX_PHASE_S);
+    quota::run(
+        &numbers_argument(arguments, "entries")?,
+        Duration::from_secs(seconds),
+    )
+}
+
 async fn run_soak(arguments: &ArgMatches) -> Result<(), Error> {
     let programs = Programs::beside_current_exe()?;
     let (first_seed, seeds): (u64, u64) =
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,5 +1,5 @@
-//! Measurement program: stand-in workers, caller load, a fault-injecting forwarder, scenarios, capacity measurements and
-//! the fault soak.
+//! Measurement program: stand-in workers, caller load, a fault-injecting forwarder, scenarios, capacity measurements, a
+//! model of customers' limits and the fault soak.
 
 pub mod capacity;
 pub mod client;
@@ -9,6 +9,7 @@
 pub mod forward;
 pub mod load;
 pub mod payload;
+pub mod quota;
 pub mod scenario;
 pub mod soak;
 pub mod worker;
