Recognise the first limits after a watch without news

Cause: an accountant takes limits for the first ones if it saw a confirmed state without limits less than 3 s ago. Watches last 1.5 s, so that this confirmation may be 3 s and the time of the answer old; the accountant then waited for 10 s.

--- a/crates/routing/src/quota/membership.rs
+++ b/crates/routing/src/quota/membership.rs
@@ -13,8 +13,9 @@
 pub const CONFIRMATION_TIMEOUT: Duration = Duration::from_secs(8);
 /// Time for which a new accountant waits before it grants permits, and for which shares stay as small as they were.
 pub const START_DELAY: Duration = Duration::from_secs(10);
-/// Age of a confirmed state without limits up to which an accountant concludes that nobody has granted permits before.
-const RECENT: Duration = Duration::from_secs(3);
+/// Age of a confirmed state without limits up to which an accountant concludes that nobody has granted permits before. A
+/// watch lasts 1.5 s, and the one that brings the first limits begins after the one that confirmed that there are none.
+const RECENT: Duration = Duration::from_secs(5);
 /// Number of accountants that may have left just before this one restarted: those of an availability zone.
 const UNSEEN_SHARES: usize = 2;
 
--- a/crates/routing/tests/quota/membership.rs
+++ b/crates/routing/tests/quota/membership.rs
@@ -65,6 +65,24 @@
     assert_eq!(started, [(100, Change::Started(Start::Full))]);
 }
 
+/// Guards against an accountant that waits because a whole watch without news came before the first limits, and against one
+/// that takes limits for the first ones after it saw nothing for long.
+#[test]
+fn the_state_before_the_first_limits_is_recent() {
+    let start = Instant::now();
+    for (after_ms, expected) in [(3_200, Some(Change::Started(Start::Full))), (6_000, None)] {
+        let mut membership = Membership::default();
+        let unlimited = View {
+            limits: false,
+            ..view(start, 1)
+        };
+        assert_eq!(membership.observe(start, &unlimited), None);
+        let now = start + Duration::from_millis(after_ms);
+        let asked = start + Duration::from_millis(1_500);
+        assert_eq!(membership.observe(now, &view(asked, 2)), expected);
+    }
+}
+
 /// Guards against an accountant that starts while the one that it replaces may still grant.
 #[test]
 fn a_new_accountant_waits() {
