Ask at most five accountants for tokens at a time

Cause: an accountant without tokens asked all others.

Change: five at random, all only where a share of the limit is below one request. The choice is part of the decision.

--- a/crates/bench/src/quota.rs
+++ b/crates/bench/src/quota.rs
@@ -10,6 +10,7 @@
 use chestnutvalve_routing::quota::{Book, Bounds, Need, first_ask, second_ask};
 use chestnutvalve_wire::Frame;
 use rand::rngs::SmallRng;
+use rand::seq::IndexedRandom;
 use rand::{RngExt, SeedableRng};
 use serde::Serialize;
 
@@ -185,8 +186,10 @@
         let single = self.single.take(now, &customer, &LIMIT, 1);
         self.counts.refused_by_single += u64::from(1 - single);
         let mut granted = self.books[at].take(now, &customer, &LIMIT, 1);
-        if let Need::Tokens(need) = self.books[at].need(now, &customer, &LIMIT, 1 - granted) {
-            let tokens = self.borrow(at, &customer, need, granted == 0);
+        let need = self.books[at].need(now, &customer, &LIMIT, 1 - granted);
+        if let Need::Ask { tokens, lenders } = need {
+            let lenders = self.choose_lenders(at, lenders);
+            let tokens = self.borrow(at, &lenders, &customer, tokens, granted == 0);
             granted += self.books[at].accept(now, &customer, &LIMIT, tokens, 1 - granted);
         }
         self.counts.refused += u64::from(1 - granted);
@@ -206,14 +209,22 @@
         zone * ACCOUNTANTS_PER_ZONE + self.random.random_range(0..ACCOUNTANTS_PER_ZONE)
     }
 
-    fn borrow(&mut self, at: usize, customer: &Customer, need: f64, urgent: bool) -> f64 {
-        let mut others: Vec<usize> = (0..self.books.len()).filter(|o| *o != at).collect();
-        if !urgent {
-            others = vec![others[self.random.random_range(0..others.len())]];
-        }
+    fn choose_lenders(&mut self, at: usize, count: usize) -> Vec<usize> {
+        let others: Vec<usize> = (0..self.books.len()).filter(|o| *o != at).collect();
+        others.sample(&mut self.random, count).copied().collect()
+    }
+
+    fn borrow(
+        &mut self,
+        at: usize,
+        others: &[usize],
+        customer: &Customer,
+        need: f64,
+        urgent: bool,
+    ) -> f64 {
         let ask = first_ask(need, others.len());
         let (mut tokens, mut spare) = (0.0, Vec::new());
-        for other in &others {
+        for other in others {
             let (lent, more) = self.lend(at, *other, customer, ask, false);
             tokens += lent;
             spare.push(more);
--- a/crates/entry/src/gateway/quota/accountant.rs
+++ b/crates/entry/src/gateway/quota/accountant.rs
@@ -189,9 +189,16 @@
             }
             (granted, false, desk.book.need(now, customer, &limit, 0))
         })?;
-        if let Need::Tokens(need) = ahead {
-            let accountants = Arc::clone(accountants);
-            tokio::spawn(Arc::clone(self).borrow(accountants, customer.clone(), need, 0));
+        if let Need::Ask { tokens, lenders } = ahead {
+            let lenders = self.choose_lenders(accountants, lenders);
+            let customer = customer.clone();
+            tokio::spawn(Arc::clone(self).borrow(
+                Arc::clone(accountants),
+                lenders,
+                customer,
+                tokens,
+                0,
+            ));
         }
         self.grant(accountants, customer, granted, count - granted, more)
     }
@@ -264,13 +271,14 @@
                 None => Need::None,
             })?;
             match need {
-                Need::Tokens(need) => {
+                Need::Ask { tokens, lenders } => {
                     rounds += 1;
                     // The task ends also if the caller leaves, so that the tokens are not lost.
                     let borrowed = tokio::spawn(Arc::clone(self).borrow(
                         Arc::clone(accountants),
+                        self.choose_lenders(accountants, lenders),
                         customer.clone(),
-                        need,
+                        tokens,
                         unmet,
                     ));
                     unmet -= borrowed.await.unwrap_or(0);
@@ -288,25 +296,27 @@
         Some(unmet)
     }
 
+    /// Returns the addresses of up to `count` other accountants, chosen at random.
+    fn choose_lenders(&self, accountants: &Accountants, count: usize) -> Vec<SocketAddr> {
+        let own = self.instance.member().peers;
+        let all = accountants.preferred.iter().copied();
+        let others: Vec<SocketAddr> = all
+            .filter(|a| *a != own && !self.silence.is_silent(*a))
+            .collect();
+        others.sample(&mut rand::rng(), count).copied().collect()
+    }
+
     /// Borrows tokens, and returns the number that was taken at once for requests without a permit.
     async fn borrow(
         self: Arc<Self>,
         accountants: Arc<Accountants>,
+        lenders: Vec<SocketAddr>,
         customer: Customer,
         need: f64,
         unmet: u32,
     ) -> u32 {
-        let own = self.instance.member().peers;
-        let all = accountants.preferred.iter().copied();
-        let mut lenders: Vec<SocketAddr> = all
-            .filter(|a| *a != own && !self.silence.is_silent(*a))
-            .collect();
         let sent_at = clock::now_with_suspension();
         let mut tokens = 0.0;
-        if unmet == 0 {
-            let lender = lenders.choose(&mut rand::rng()).copied();
-            lenders = lender.into_iter().collect();
-        }
         let ask = first_ask(need, lenders.len());
         let first = lenders
             .iter()
--- a/crates/routing/src/quota.rs
+++ b/crates/routing/src/quota.rs
@@ -85,8 +85,13 @@
     None,
     /// It has asked already, and the answers are due.
     Asked,
-    /// It should ask for this number of tokens.
-    Tokens(f64),
+    /// It should ask others for tokens.
+    Ask {
+        /// Number of tokens.
+        tokens: f64,
+        /// Number of accountants to ask, chosen at random.
+        lenders: usize,
+    },
 }
 
 /// Token buckets of one accountant, by customer.
@@ -223,8 +228,7 @@
     }
 }
 
-/// Returns how many tokens to ask of each of `lenders` accountants to get `need` in all, if a request waits for them. Tokens
-/// that no request waits for are asked of one accountant at a time.
+/// Returns how many tokens to ask of each of `lenders` accountants to get `need` in all.
 #[must_use]
 pub fn first_ask(need: f64, lenders: usize) -> f64 {
     let lenders = f64::from(u32::try_from(lenders).unwrap_or(u32::MAX)).max(1.0);
--- a/crates/routing/src/quota/bucket.rs
+++ b/crates/routing/src/quota/bucket.rs
@@ -20,6 +20,8 @@
 const LENT_PART: f64 = 0.3;
 /// Smallest number of tokens that is handed over.
 const MIN_LENT: f64 = 0.01;
+/// Accountants that are asked at once for a request without a permit.
+const MAX_LENDERS: usize = 5;
 /// Time after which a request for tokens counts as unanswered.
 const ASK_TIMEOUT: Duration = Duration::from_millis(300);
 /// Bounds of the time between two requests for tokens of which the first was in vain. It doubles with each one.
@@ -131,7 +133,16 @@
         }
         self.asked_until = Some(now + ASK_TIMEOUT);
         self.next_ahead = now + AHEAD_INTERVAL;
-        Need::Tokens(need)
+        let lenders = match unmet {
+            0 => 1,
+            _ if self.capacity >= 1.0 => MAX_LENDERS,
+            // Where the share is below one request, only all together may have one.
+            _ => usize::MAX,
+        };
+        Need::Ask {
+            tokens: need,
+            lenders,
+        }
     }
 
     pub fn lend(&mut self, asked: f64, urgent: bool) -> (f64, f64) {
--- a/crates/routing/tests/quota/fleet.rs
+++ b/crates/routing/tests/quota/fleet.rs
@@ -9,6 +9,7 @@
 use chestnutvalve_routing::quota::membership::{Change, Origin, Start, View};
 use chestnutvalve_routing::quota::{Book, Bounds, Membership, Need, first_ask, second_ask};
 use rand::rngs::SmallRng;
+use rand::seq::IndexedRandom;
 use rand::{RngExt, SeedableRng};
 
 /// Time between two rounds of requests.
@@ -310,7 +311,10 @@
             _ => node.book.need(now, &self.customer, limit, unmet),
         };
         let tokens = match need {
-            Need::Tokens(need) => Some(self.borrow(&others, need, unmet)),
+            Need::Ask { tokens, lenders } => {
+                let others = others.sample(&mut self.lenders, lenders).copied();
+                Some(self.borrow(&others.collect::<Vec<usize>>(), tokens, unmet))
+            }
             Need::Asked if unmet > 0 => None,
             _ => {
                 self.refused += unmet;
@@ -328,10 +332,6 @@
     }
 
     fn borrow(&mut self, others: &[usize], need: f64, unmet: u32) -> f64 {
-        if unmet == 0 {
-            let at = self.lenders.random_range(0..others.len());
-            return self.lend(others[at], need, false).0;
-        }
         let ask = first_ask(need, others.len());
         let (mut tokens, mut spare) = (0.0, Vec::new());
         for other in others {
@@ -340,7 +340,7 @@
             spare.push(more);
         }
         let more = second_ask(f64::from(unmet) - tokens, &spare);
-        for (other, ask) in others.iter().zip(more) {
+        for (other, ask) in others.iter().zip(more).filter(|(_, ask)| *ask > 0.0) {
             tokens += self.lend(*other, ask, true).0;
         }
         tokens
--- a/crates/routing/tests/quota/main.rs
+++ b/crates/routing/tests/quota/main.rs
@@ -4,7 +4,7 @@
 
 use chestnutvalve_model::account::Limit;
 use chestnutvalve_model::id::Customer;
-use chestnutvalve_routing::quota::{Book, Bounds, Wait};
+use chestnutvalve_routing::quota::{Book, Bounds, Need, Wait};
 use proptest::prelude::*;
 use rstest::rstest;
 
@@ -201,6 +201,11 @@
         book.set_shares(3);
     }
     assert_eq!(books[0].take(now, &customer, &small, 1), 0);
+    let need = books[0].need(now, &customer, &small, 1);
+    assert!(
+        matches!(need, Need::Ask { lenders: 100.., .. }),
+        "all must be asked: {need:?}"
+    );
     let lent: f64 = (1..3)
         .map(|n| books[n].lend(now, &customer, &small, 1.0, true).0)
         .sum();
