Hold the latency beside slow callers for every request again

The bound of memory::slow_callers_are_not_noticed_by_others was put to 99 of 100 requests after the test had failed once under load.

--- a/crates/entry/tests/all/memory.rs
+++ b/crates/entry/tests/all/memory.rs
@@ -265,7 +265,7 @@
     .await;
     let (_control, entry) = start(&worker, 160).await;
     let mut callers = Vec::new();
-    let mut times = Vec::new();
+    let mut slowest = Duration::ZERO;
     for n in 0..2_000 {
         let mut caller = connect(&entry, "GET", &format!("/files/{n}"), "").await;
         callers.push(tokio::spawn(async move {
@@ -279,14 +279,12 @@
             let id = format!("s{n}");
             let reply = timeout(Duration::from_secs(2), ask_as(&entry, "/small", &id)).await;
             assert_eq!(reply.unwrap().status, 200);
-            times.push(asked.elapsed());
+            slowest = slowest.max(asked.elapsed());
             sleep(Duration::from_millis(10)).await;
         }
     }
     let held = entry.metric("held_bytes", "held_bytes").await;
     assert!(held <= 160_000_000.0 * HELD_SHARE, "{held} bytes held");
-    // Like the target for added latency, the bound holds for 99 in 100 requests.
-    times.sort();
-    assert!(times[98] < Duration::from_millis(500), "{times:?}");
+    assert!(slowest < Duration::from_millis(500), "{slowest:?}");
     callers.iter().for_each(tokio::task::JoinHandle::abort);
 }
