Choose accountants among entries with narrow links as well

Cause: the accountants were the entries with wide links only.

Change: each zone has two accountants with wide links and two with narrow ones, each with an equal share of the limits. An accountant that restarts reckons with four shares of a zone that it can't know of.

--- a/crates/entry/src/gateway/quota.rs
+++ b/crates/entry/src/gateway/quota.rs
@@ -33,7 +33,7 @@
 use silence::Silence;
 
 /// Accountants that a request asks in vain before it is refused.
-const MAX_UNANSWERED: usize = 4;
+const MAX_UNANSWERED: usize = 2;
 /// Time after which a caller may come back if no accountant answers.
 const UNANSWERED_RETRY_AFTER: Duration = Duration::from_millis(500);
 
@@ -112,7 +112,8 @@
         let accountants = self.accountants();
         let asked = accountants.preferred.iter().copied();
         let asked = asked.filter(|a| *a == own || !self.silence.is_silent(*a));
-        for accountant in asked.take(MAX_UNANSWERED) {
+        let mut unanswered = 0;
+        for accountant in asked {
             let granted_at = clock::now_with_suspension();
             let answer = if accountant == own {
                 self.take_locally(&accountants, customer).await
@@ -141,6 +142,10 @@
                     spdlog::info!("accountant does not answer", kv: {accountant:});
                     self.instance.meters.count_accountant_timeout();
                     self.silence.record(accountant);
+                    unanswered += 1;
+                    if unanswered == MAX_UNANSWERED {
+                        break;
+                    }
                 }
             }
         }
--- a/crates/entry/src/gateway/quota/accountants.rs
+++ b/crates/entry/src/gateway/quota/accountants.rs
@@ -11,8 +11,10 @@
 
 use crate::gateway::assignment;
 
-/// Accountants of an availability zone. The second one serves while the first doesn't answer.
-const PER_ZONE: usize = 2;
+/// Accountants of an availability zone among the entries with a wide link, and among those with a narrow one. The second one
+/// serves while the first doesn't answer. Wide links are those of the machines on which the control group runs, which may
+/// all lose power at once; the others then still grant a half of each limit.
+const PER_KIND_OF_LINK: usize = 2;
 /// Time between the starts of two entries of a fleet that starts.
 const MAX_START_GAP_MS: u64 = 10_000;
 /// Name under which the accountants are chosen.
@@ -72,23 +74,28 @@
     a.incarnation.0.abs_diff(b.incarnation.0) <= MAX_START_GAP_MS
 }
 
-/// Returns the accountants of all zones: gateways with a wide link, or any if none has one.
+fn is_wide(member: &Member) -> bool {
+    member.link_mbps >= assignment::NARROW_LINK_MBPS
+}
+
+/// Returns the accountants of all zones: of the gateways with a wide link and of the others, [`PER_KIND_OF_LINK`] each.
 fn choose(directory: &Directory) -> Directory {
-    let is_wide = |m: &Member| m.link_mbps >= assignment::NARROW_LINK_MBPS && m.gateway.is_some();
-    let any_wide = directory.members.values().any(is_wide);
     let zones: BTreeSet<&Zone> = directory.members.values().map(|m| &m.zone).collect();
     let mut chosen = Directory::default();
     let Ok(subject) = Service::new(SUBJECT) else {
         return chosen;
     };
     for zone in zones {
-        let mut candidates = assignment::in_zone(directory, zone);
-        candidates
-            .members
-            .retain(|_, m| m.gateway.is_some() && (!any_wide || is_wide(m)));
-        for entry in placement::owners(&subject, PER_ZONE, &candidates) {
-            if let Some(member) = candidates.members.remove(&entry) {
-                chosen.members.insert(entry, member);
+        let near = assignment::in_zone(directory, zone);
+        for wide in [true, false] {
+            let mut candidates = near.clone();
+            candidates
+                .members
+                .retain(|_, m| m.gateway.is_some() && is_wide(m) == wide);
+            for entry in placement::owners(&subject, PER_KIND_OF_LINK, &candidates) {
+                if let Some(member) = candidates.members.remove(&entry) {
+                    chosen.members.insert(entry, member);
+                }
             }
         }
     }
@@ -96,7 +103,8 @@
 }
 
 /// Returns the addresses of accountants in the order in which an entry asks them. Entries differ in it, so that each
-/// accountant is asked by a part of them.
+/// accountant is asked by a part of them. The first two differ in their links, because those with the same kind of link may
+/// be lost together.
 fn order(own: &Member, accountants: &[&Member]) -> Vec<SocketAddr> {
     let members = accountants.iter().map(|m| (m.entry.clone(), (*m).clone()));
     let directory = Directory {
@@ -108,5 +116,12 @@
     };
     let ordered = placement::owners(&subject, accountants.len(), &directory);
     let members = ordered.iter().filter_map(|e| directory.members.get(e));
-    members.map(|m| m.peers).collect()
+    let mut members: Vec<&Member> = members.collect();
+    if let Some(at) = members
+        .iter()
+        .position(|m| is_wide(m) != is_wide(members[0]))
+    {
+        members[1..=at].rotate_right(1);
+    }
+    members.iter().map(|m| m.peers).collect()
 }
--- a/crates/routing/src/quota/membership.rs
+++ b/crates/routing/src/quota/membership.rs
@@ -17,7 +17,7 @@
 /// watch lasts 1.5 s, and the one that brings the first limits begins after the one that confirmed that there are none.
 const RECENT: Duration = Duration::from_secs(5);
 /// Number of accountants that may have left just before this one restarted: those of an availability zone.
-const UNSEEN_SHARES: usize = 2;
+const UNSEEN_SHARES: usize = 4;
 
 /// What the directory tells about processes before this one.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
