--- a/crates/entry/src/gateway/dispatcher.rs
+++ b/crates/entry/src/gateway/dispatcher.rs
@@ -6,9 +6,11 @@
 use std::time::{Duration, Instant};
 
 use chestnutvalve_model::id::{Incarnation, Service, Worker, Zone};
+use chestnutvalve_model::rank::Rank;
 use chestnutvalve_routing::retry::{Bounds, Purpose, WindowBudget};
 use chestnutvalve_routing::schedule::{
-    Action, Decision, Evidence, Hold, Notice, Outcome, Reason, Refusal, Request, Scheduler, Spec,
+    Action, Decision, Evidence, Hold, Notice, Outcome, Reason, Refusal, Refusals, Request,
+    Scheduler, Spec,
 };
 use tokio::sync::{mpsc, oneshot};
 
@@ -25,6 +27,9 @@
     pub address: SocketAddr,
 }
 
+/// Minimum time between two log lines about refusals.
+const REFUSAL_LOG_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Worker and dispatch time of a queued request, or its refusal.
 type Admitted = Result<(Worker, Instant), Refusal>;
 
@@ -45,6 +50,8 @@
     retry_budget: WindowBudget,
     /// When a reused connection last broke during an exchange.
     connection_lost_at: Option<Instant>,
+    /// Refusals at the last log line, and its time.
+    logged_refusals: (Refusals, Option<Instant>),
 }
 
 impl Dispatcher {
@@ -63,6 +70,7 @@
             waiters: HashMap::new(),
             retry_budget: WindowBudget::new(budget),
             connection_lost_at: None,
+            logged_refusals: (Refusals::default(), None),
         };
         Self {
             service,
@@ -106,17 +114,35 @@
             let actions = inner.scheduler.tick(now);
             inner.apply(now, actions);
         }
+        self.log_refusals(&mut inner, now);
+    }
+
+    /// Logs at most once each [`REFUSAL_LOG_INTERVAL`] how many requests were refused by which estimate.
+    fn log_refusals(&self, inner: &mut Inner, now: Instant) {
+        let refusals = inner.scheduler.refusals();
+        let (logged, at) = inner.logged_refusals;
+        let is_recent = at.is_some_and(|at| now < at + REFUSAL_LOG_INTERVAL);
+        if refusals == logged || is_recent {
+            return;
+        }
+        let service = &self.service;
+        let (wait, work) = (refusals.wait - logged.wait, refusals.work - logged.work);
+        let time_left = refusals.time_left - logged.time_left;
+        let queued = inner.scheduler.queue_len();
+        spdlog::info!("requests refused by estimate", kv: {service:, wait, work, time_left, queued});
+        inner.logged_refusals = (refusals, Some(now));
     }
 
     /// Adds the deposit of one caller's request to the retry budget.
-    pub fn deposit(&self) {
-        self.lock().retry_budget.deposit(clock::now());
+    pub fn deposit(&self, rank: Rank) {
+        self.lock().retry_budget.deposit_for(clock::now(), rank);
     }
 
-    /// Withdraws one retry from the budget. Returns whether the budget allowed it.
+    /// Withdraws one extra attempt for a request of a rank from the budget. Returns whether the budget allowed it.
     #[must_use]
-    pub fn try_withdraw(&self, purpose: Purpose) -> bool {
-        self.lock().retry_budget.try_withdraw(clock::now(), purpose)
+    pub fn try_withdraw(&self, purpose: Purpose, rank: Rank) -> bool {
+        let budget = &mut self.lock().retry_budget;
+        budget.try_withdraw_for(clock::now(), purpose, rank)
     }
 
     /// Returns the time after which a response counts as late and the request may be hedged.
@@ -234,7 +260,13 @@
         let (worker, incarnation) = (&reservation.worker, reservation.incarnation);
         let finding = match outcome {
             Outcome::Failure => Finding::Failure,
-            Outcome::Success if inner.scheduler.is_suspect(now, worker) => Finding::Success,
+            Outcome::Success
+                if inner
+                    .scheduler
+                    .is_recovered_by(now, worker, reservation.started) =>
+            {
+                Finding::Success
+            }
             _ => return,
         };
         let registration = inner.registrations.get(worker);
@@ -273,7 +305,10 @@
         let receiver = {
             let mut inner = self.lock();
             let now = clock::now();
-            match inner.scheduler.offer(now, request) {
+            let decision = inner.scheduler.offer(now, request);
+            let displaced = inner.scheduler.take_displaced();
+            inner.apply(now, displaced);
+            match decision {
                 Decision::Send(worker) => return inner.reserve(self, worker, now),
                 Decision::Refuse(refusal) => return Err(refusal),
                 Decision::Wait => {
--- a/crates/entry/src/gateway/proxy.rs
+++ b/crates/entry/src/gateway/proxy.rs
@@ -9,13 +9,14 @@
 use chestnutvalve_routing::schedule::{self, Outcome, Reason};
 use http::{HeaderValue, Request, Response, header};
 use hyper::body::Incoming;
-use tokio::time::{Instant, sleep, timeout_at};
+use tokio::time::{Instant, sleep_until, timeout_at};
 
 use super::Gateway;
 use super::attempt::{AttemptError, Received, attempt, max_idle_time};
 use super::coordinator;
 use super::dispatcher::{Dispatcher, Reservation};
 use super::inbound::{self, Inbound};
+use super::quota::Permit;
 use super::relay::relay;
 use crate::holding::Holder;
 use crate::local_reply::{self, Body, Refusal};
@@ -35,6 +36,10 @@
 /// Time before the deadline at which a request without a response is refused, so that the refusal reaches the caller in
 /// time.
 const ANSWER_MARGIN: Duration = Duration::from_millis(10);
+/// Typical response times that a second attempt beside a late one needs.
+const HEDGE_TIME_FACTOR: f64 = 1.5;
+/// Additional time for the query to the coordinator and the way back to the caller.
+const HEDGE_MARGIN: Duration = Duration::from_millis(50);
 
 /// Handles a request that arrived at `arrived` on the connection of `holder`.
 pub async fn handle(
@@ -48,7 +53,6 @@
     let id = id.to_owned();
     wait_for_first_routes(gateway, &request, arrived).await;
     gateway.sync();
-    holder.set_complete(false);
     let inbound = match Inbound::read(gateway, request, arrived, holder)
         .and_then(|inbound| check_memory(gateway, inbound))
     {
@@ -162,7 +166,7 @@
 impl<'a> Exchange<'a> {
     fn new(gateway: &'a Arc<Gateway>, inbound: &'a Inbound) -> Self {
         let dispatcher = gateway.dispatcher(&inbound.service);
-        dispatcher.deposit();
+        dispatcher.deposit(inbound.rank);
         Self {
             gateway,
             inbound,
@@ -176,7 +180,11 @@
     }
 
     async fn run(&mut self) -> Result<Received, Refusal> {
+        let permit = self.take_permit().await?;
         let mut reservation = self.admit().await?;
+        if let Some(permit) = permit {
+            permit.spend();
+        }
         loop {
             let attempted = self.attempt_hedged(reservation).await;
             let failed = match attempted {
@@ -188,7 +196,7 @@
                     let (id, worker) = (&self.inbound.id, &received.reservation.worker);
                     let status = received.parts.status.as_u16();
                     spdlog::info!("worker answered with a server error", kv: {id:, worker:, status});
-                    match self.reserve_retry(Purpose::Retry).await {
+                    match self.reserve_retry().await {
                         Some(next) => {
                             received.reservation.finish(Outcome::Failure);
                             reservation = next;
@@ -203,6 +211,17 @@
         }
     }
 
+    /// Takes a permit if the customer has a limit. It is given back if the request is refused before an attempt.
+    async fn take_permit(&self) -> Result<Option<Permit>, Refusal> {
+        let account = self.inbound.account.as_deref();
+        let deadline = self.inbound.deadline - ANSWER_MARGIN;
+        let taken = timeout_at(deadline, self.gateway.quota.take(account)).await;
+        taken.unwrap_or_else(|_| {
+            let cause = "no accountant of the customer's limit answered before the deadline";
+            Err(self.refusal(Kind::NoEligibleWorker, cause, None))
+        })
+    }
+
     /// Reserves a slot for the next attempt after a failed one.
     async fn reserve_after_failure(
         &mut self,
@@ -225,13 +244,15 @@
                 self.sent = self.sent.saturating_sub(1);
                 self.unexecuted += 1;
                 let may_retry = self.unexecuted <= MAX_UNEXECUTED_ATTEMPTS
-                    && self.dispatcher.try_withdraw(Purpose::Retry);
+                    && self
+                        .dispatcher
+                        .try_withdraw(Purpose::Retry, self.inbound.rank);
                 self.reserve_elsewhere(may_retry, Kind::RefusedByUpstream, cause)
                     .await
             }
             AttemptError::Unknown(cause) => {
                 self.executed = Executed::Unknown;
-                self.reserve_retry(Purpose::Retry)
+                self.reserve_retry()
                     .await
                     .ok_or_else(|| Refusal::new(Kind::UpstreamBroken, cause))
             }
@@ -292,12 +313,12 @@
     }
 
     /// Reserves a slot for a retry of an idempotent request, if the retry budget allows it.
-    async fn reserve_retry(&mut self, purpose: Purpose) -> Option<Reservation> {
+    async fn reserve_retry(&mut self) -> Option<Reservation> {
         if !self.inbound.route.kind.is_idempotent() {
             return None;
         }
         let reserved = match self.inbound.source.check_replay() {
-            Ok(()) => self.try_reserve_retry(purpose).await.map_err(str::to_owned),
+            Ok(()) => self.try_reserve_retry().await.map_err(str::to_owned),
             Err(cause) => Err(cause.to_string()),
         };
         match reserved {
@@ -315,7 +336,7 @@
     }
 
     /// Returns a reservation for a retry, or the reason why there is none.
-    async fn try_reserve_retry(&self, purpose: Purpose) -> Result<Reservation, &'static str> {
+    async fn try_reserve_retry(&self) -> Result<Reservation, &'static str> {
         let inbound = self.inbound;
         if self.sent >= inbound.route.attempts {
             return Err("the route's attempts are used up");
@@ -323,17 +344,7 @@
         if inbound.time_left() <= self.dispatcher.typical_latency() {
             return Err("the time left is shorter than a typical response time");
         }
-        if purpose == Purpose::Hedge {
-            let reservation =
-                coordinator::try_reserve(self.gateway, &self.dispatcher, &self.request()).await;
-            let reservation = reservation.ok_or("no other worker has a free slot")?;
-            // If the budget is exhausted, the reservation is released and no attempt is made.
-            let allowed = self.dispatcher.try_withdraw(purpose);
-            return allowed
-                .then_some(reservation)
-                .ok_or("the retry budget is exhausted");
-        }
-        if !self.dispatcher.try_withdraw(purpose) {
+        if !self.dispatcher.try_withdraw(Purpose::Retry, inbound.rank) {
             return Err("the retry budget is exhausted");
         }
         // The request fails without another attempt, so that it is worth waiting for a slot.
@@ -356,11 +367,16 @@
     fn request(&self) -> schedule::Request {
         let inbound = self.inbound;
         let target = Duration::from_millis(inbound.route.target_ms);
+        let customer = inbound.account.as_ref().map(|a| a.customer.as_str());
         schedule::Request {
             id: self.gateway.next_request_id(),
             rank: inbound.rank,
+            class: schedule::name_hash(&inbound.route.name),
+            customer: customer.map(schedule::name_hash),
             download: inbound.route.kind == chestnutvalve_model::routes::Kind::Download,
-            at_most_once: !inbound.route.kind.is_idempotent(),
+            // The last attempt of the route is lost if it fails, too.
+            at_most_once: !inbound.route.kind.is_idempotent()
+                || self.sent.saturating_add(1) >= inbound.route.attempts,
             target: (inbound.arrived + target).into_std(),
             deadline: (inbound.deadline - ANSWER_MARGIN).into_std(),
             tried: self.tried.clone(),
@@ -378,18 +394,70 @@
         workers
     }
 
+    /// Returns when to hedge an attempt that is late from `late_at`, and from which part of the retry budget: first when a
+    /// second attempt is likely to meet the target, then when the request is about to fail without one.
+    fn hedge_times(&self, late_at: Instant) -> [(Instant, Purpose); 2] {
+        let inbound = self.inbound;
+        let typical = self.dispatcher.typical_latency();
+        let needed = typical.mul_f64(HEDGE_TIME_FACTOR) + HEDGE_MARGIN;
+        let target = inbound.arrived + Duration::from_millis(inbound.route.target_ms);
+        let before = |time: Instant| time.checked_sub(needed).unwrap_or(late_at).max(late_at);
+        let last = before(inbound.deadline - ANSWER_MARGIN);
+        [
+            (before(target).min(last), Purpose::Hedge),
+            (last, Purpose::Retry),
+        ]
+    }
+
+    /// Reserves a slot for a second attempt beside one in progress, if one is free at once and the retry budget allows
+    /// it.
+    async fn reserve_hedge(&mut self, purpose: Purpose) -> Option<Reservation> {
+        let inbound = self.inbound;
+        let repeatable = inbound.route.kind.is_idempotent() && self.sent < inbound.route.attempts;
+        if !repeatable || inbound.source.check_replay().is_err() {
+            return None;
+        }
+        let reservation =
+            coordinator::try_reserve(self.gateway, &self.dispatcher, &self.request()).await;
+        // If the budget is exhausted, the reservation is released and no attempt is made.
+        let reservation =
+            reservation.filter(|_| self.dispatcher.try_withdraw(purpose, self.inbound.rank));
+        if let Some(reservation) = &reservation {
+            self.record_attempt(reservation);
+        } else {
+            let (id, left_ms) = (&inbound.id, inbound.time_left().as_millis());
+            let part = format!("{purpose:?}");
+            spdlog::info!("late request not hedged", kv: {id:, part, left_ms});
+        }
+        reservation
+    }
+
     /// Sends the request to one worker, and hedges it with a second one when the first response is late. The first
     /// success is used and the other exchange is cancelled.
     async fn attempt_hedged(&mut self, reservation: Reservation) -> Result<Received, AttemptError> {
         let (gateway, inbound) = (self.gateway, self.inbound);
-        let hedge_delay = self.dispatcher.hedge_delay();
+        let late_at = Instant::now() + self.dispatcher.hedge_delay();
         let worker = reservation.worker.clone();
         let mut first = std::pin::pin!(attempt(gateway, inbound, reservation));
         tokio::select! {
             outcome = &mut first => return outcome,
-            () = sleep(hedge_delay) => self.dispatcher.record_late(&worker),
+            () = sleep_until(late_at) => self.dispatcher.record_late(&worker),
+        }
+        let mut second = None;
+        for (at, purpose) in self.hedge_times(late_at) {
+            if second.is_none() {
+                tokio::select! {
+                    outcome = &mut first => return outcome,
+                    () = sleep_until(at) => {}
+                }
+                second = tokio::select! {
+                    biased;
+                    outcome = &mut first => return outcome,
+                    second = self.reserve_hedge(purpose) => second,
+                };
+            }
         }
-        let Some(second) = self.reserve_retry(Purpose::Hedge).await else {
+        let Some(second) = second else {
             return first.await;
         };
         let mut second = std::pin::pin!(attempt(gateway, inbound, second));
--- a/crates/entry/tests/all/memory.rs
+++ b/crates/entry/tests/all/memory.rs
@@ -4,14 +4,16 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
+use chestnutvalve_entry::holding::{Holder, Message, Total};
 use chestnutvalve_model::routes::{Kind, Route};
 use chestnutvalve_model::upstream::Event;
+use chestnutvalve_routing::memory::Budget;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::control::Control;
-use crate::fleet::{Entry, wait_until};
+use crate::fleet::{Entry, send, wait_until};
 use crate::gateway::{announcement, answer, ask_as, route, success, table};
 use crate::worker::{Received, Step, Worker};
 
@@ -63,6 +65,28 @@
     caller
 }
 
+/// Guards against closing a connection whose caller has not taken a complete response yet, because the response behind it
+/// is not complete, and against bytes that count for ever.
+#[test]
+fn a_complete_response_is_protected_until_it_is_delivered() {
+    let total = Arc::new(Total::new(Budget::new(None)));
+    let holder = Holder::new(&total, 1);
+    let is_complete = || holder.holding(std::time::Instant::now()).is_complete;
+    let hold = |size| holder.hold(Message::Response, vec![0; size].into());
+    let first = hold(1_000);
+    assert!(!is_complete());
+    holder.record_complete();
+    let second = hold(2_000);
+    let part = first.slice(500..);
+    drop(first);
+    assert!(is_complete());
+    drop(part);
+    assert!(!is_complete());
+    assert!(total.held() > 2_000);
+    drop(second);
+    assert_eq!(total.held(), 0);
+}
+
 /// Guards against an entry that holds more than its budget for callers that do not read, or that refuses others for them:
 /// transfers without progress give way, and requests beside them are served.
 #[tokio::test]
@@ -159,7 +183,7 @@
 async fn a_body_is_taken_in_as_its_worker_reads() {
     let worker = Worker::start_early(
         "w1",
-        |_| vec![Step::Pause(Duration::from_millis(800)), Step::Close],
+        |_| vec![Step::Pause(Duration::from_secs(4)), Step::Close],
         success,
     )
     .await;
@@ -173,12 +197,59 @@
         });
         callers.push(n);
     }
-    sleep(Duration::from_millis(400)).await;
-    let held = entry.metric("held_bytes", "held_bytes").await;
+    let mut held = 0.0_f64;
+    for _ in 0..40 {
+        sleep(Duration::from_millis(20)).await;
+        held = held.max(entry.metric("held_bytes", "held_bytes").await);
+    }
     assert!(held > 0.0);
     assert!(held <= 5.0 * 256_000.0, "{held} bytes held");
 }
 
+/// Guards against a worker that gets more bytes of requests at a time than its memory holds, and against a refusal of a large
+/// request that it has alone.
+#[tokio::test]
+async fn a_worker_gets_a_bounded_number_of_bytes_at_a_time() {
+    let worker = Worker::start_early(
+        "w1",
+        |seen| {
+            let mut steps = vec![Step::Pause(Duration::from_millis(500))];
+            steps.extend(success(seen));
+            steps
+        },
+        |_| Vec::new(),
+    )
+    .await;
+    let (_control, entry) = start(&worker, 160).await;
+    let mut replies = Vec::new();
+    for n in 0..4 {
+        let more = "content-length: 3000000\r\n";
+        let caller = connect(&entry, "POST", &format!("/{n}"), more).await;
+        let (mut read, mut write) = caller.into_split();
+        tokio::spawn(async move {
+            let _ = write.write_all(&vec![0; 3_000_000]).await;
+            // The end of the input would cancel the request.
+            write.forget();
+        });
+        replies.push(tokio::spawn(async move {
+            let mut status = [0; 12];
+            read.read_exact(&mut status).await.unwrap();
+            String::from_utf8(status[9..].to_vec()).unwrap()
+        }));
+        sleep(Duration::from_millis(20)).await;
+    }
+    let mut statuses = Vec::new();
+    for reply in replies {
+        statuses.push(reply.await.unwrap());
+    }
+    assert_eq!(statuses, ["200", "200", "503", "503"]);
+    sleep(Duration::from_millis(100)).await;
+    let large = vec![0; 20_000_000];
+    let headers = [("host", "a.example"), ("chestnutvalve-attempt", "large")];
+    let reply = send(entry.gateway, "POST", "/large", &headers, &large).await;
+    assert_eq!(reply.unwrap().status, 200);
+}
+
 /// Guards against slow callers that use up the memory, the slots of workers or the time of an entry, so that others notice:
 /// 2,000 callers take responses of 300 kB at 1 kB/s each. Some of them may be refused.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
--- a/crates/routing/src/schedule.rs
+++ b/crates/routing/src/schedule.rs
@@ -7,32 +7,36 @@
 //! entry until a worker is likely to have a free slot, serves the most urgent rank first, and immediately refuses
 //! requests that can't be answered in time.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 use chestnutvalve_model::id::{Incarnation, Worker, Zone};
 use chestnutvalve_model::rank::Rank;
-use xxhash_rust::xxh3::Xxh3;
+use xxhash_rust::xxh3::{Xxh3, xxh3_64};
 
+mod admission;
 mod failure_rate;
+mod fault_duration;
 mod notice;
+mod probe;
+mod queue;
 mod service_times;
 mod suspicion;
 mod upstream;
 
+pub use admission::Refusals;
 pub use notice::{Hold, Notice};
 pub use suspicion::Evidence;
 pub use upstream::{Outcome, Spec};
 
 use failure_rate::FailureRate;
+use fault_duration::FaultDuration;
 use notice::Notices;
+use probe::Group;
+use queue::Queue;
 use service_times::ServiceTimes;
 use upstream::Upstream;
 
-/// Bounds of the retry delay in a refusal. Callers wait for at most a third of their remaining time, which is below 2 s
-/// on the deployments.
-const RETRY_AFTER_BOUNDS: (Duration, Duration) =
-    (Duration::from_millis(100), Duration::from_secs(2));
 /// Additional load, in slots, that is assumed for a worker in another availability zone. For a small response the cost
 /// is below one queued request; for a download it equals one.
 const CROSS_ZONE_COST: f64 = 0.3;
@@ -42,16 +46,6 @@
 const NEW_CONNECTION_COST: f64 = 0.1;
 /// Maximum random cost difference between equally loaded workers, in slots.
 const MAX_JITTER: f64 = 0.25;
-/// One of this many workers may be avoided for longer than 2 s. At least 70% of the healthy workers must stay in use, and
-/// a worker that failed counts as healthy again after 2 s; the remainder is reserved for workers that are avoided for
-/// other reasons.
-const WORKERS_PER_LONG_AVOIDANCE: usize = 5;
-/// Maximum number of queued requests that one pass over the queue skips because no worker with room is acceptable to
-/// them.
-const MAX_SKIPPED: usize = 16;
-/// Share of the remaining time that the expected wait may take. The estimate is a mean, so the request needs a safety
-/// margin.
-const MAX_WAIT_SHARE: f64 = 0.7;
 
 /// A request that needs a worker.
 #[derive(Clone, Debug)]
@@ -60,9 +54,14 @@
     pub id: u64,
     /// Priority class.
     pub rank: Rank,
+    /// Hash of the route's name ([`name_hash`]); requests of a route need similar work.
+    pub class: u64,
+    /// Hash of the customer's name, if the request has one. Customers of a rank get equal shares of the slots.
+    pub customer: Option<u64>,
     /// Whether the response is large, so that crossing availability zones is expensive.
     pub download: bool,
-    /// Whether the request must not be executed twice.
+    /// Whether the request must not be executed twice, or has no further attempt for another reason, so that it fails if
+    /// this attempt does.
     pub at_most_once: bool,
     /// Time after which a response loses value.
     pub target: Instant,
@@ -116,25 +115,6 @@
     Refuse(u64, Refusal),
 }
 
-/// Selects the idle workers that get probes.
-#[derive(Clone, Copy, Debug)]
-enum ProbeMode {
-    /// All of them, because the failure rate is high.
-    All,
-    /// Those with the lowest suspicion first, because too few workers are in use.
-    LeastSuspect,
-}
-
-impl ProbeMode {
-    /// Returns the cost of an idle worker, which is lower than that of any worker in use.
-    fn cost(self, suspicion: f64) -> f64 {
-        match self {
-            Self::All => 0.0,
-            Self::LeastSuspect => suspicion,
-        }
-    }
-}
-
 /// Scheduler of one service at one entry.
 #[derive(Clone, Debug)]
 pub struct Scheduler {
@@ -144,9 +124,15 @@
     /// Share of the zone's workers that must stay in use; `None` unless all requests of the zone pass through here.
     floor: Option<f64>,
     upstreams: BTreeMap<Worker, Upstream>,
-    queues: [VecDeque<Request>; 3],
+    queues: [Queue; 3],
+    /// Decisions on queued requests that later requests displaced.
+    displaced: Vec<Action>,
+    refusals: Refusals,
     service_times: ServiceTimes,
     failure_rate: FailureRate,
+    fault_duration: FaultDuration,
+    /// Recent share of the requests that may be repeated.
+    repeatable_share: f64,
     notices: Notices,
 }
 
@@ -160,8 +146,12 @@
             floor: None,
             upstreams: BTreeMap::new(),
             queues: Default::default(),
+            displaced: Vec::new(),
+            refusals: Refusals::default(),
             service_times: ServiceTimes::default(),
             failure_rate: FailureRate::default(),
+            fault_duration: FaultDuration::default(),
+            repeatable_share: 0.0,
             notices: Notices::default(),
         }
     }
@@ -235,7 +225,7 @@
     /// Returns the number of queued requests.
     #[must_use]
     pub fn queue_len(&self) -> usize {
-        self.queues.iter().map(VecDeque::len).sum()
+        self.queues.iter().map(Queue::len).sum()
     }
 
     /// Returns the number of workers that still serve, including avoided ones.
@@ -256,47 +246,9 @@
         self.service_times.late_threshold()
     }
 
-    /// Decides whether a request is sent, queued or refused.
-    pub fn offer(&mut self, now: Instant, request: Request) -> Decision {
-        if let Some(refusal) = self.refusal_without_workers(now, &request) {
-            return Decision::Refuse(refusal);
-        }
-        let rank = request.rank.index();
-        let first = self.queues[..=rank].iter().all(VecDeque::is_empty);
-        if first && let Some(worker) = self.reserve(now, &request) {
-            return Decision::Send(worker);
-        }
-        let wait = self.expected_wait(now, request.rank);
-        let typical = self.service_times.typical();
-        // Under overload, each request that is answered late delays another one. A queue that is shorter than the
-        // number of requests in progress doesn't indicate overload, and then a late response is better than none.
-        let in_time = now + typical <= request.target;
-        let until = if in_time && self.is_queue_long(now, request.rank) {
-            request.target.min(request.deadline)
-        } else {
-            request.deadline
-        };
-        let left = until.saturating_duration_since(now);
-        let needed = wait.div_f64(MAX_WAIT_SHARE) + typical;
-        if needed > left {
-            // A worker that failed recently may still answer, which is better than a certain refusal.
-            if let Some(worker) = self.reserve_among(now, &request, true) {
-                return Decision::Send(worker);
-            }
-            let excess = needed.saturating_sub(left);
-            return Decision::Refuse(self.refusal(Reason::Overload, excess));
-        }
-        self.queues[rank].push_back(request);
-        Decision::Wait
-    }
-
     /// Removes a queued request whose caller has disconnected; returns whether it was queued.
     pub fn cancel(&mut self, id: u64) -> bool {
-        let before = self.queue_len();
-        for queue in &mut self.queues {
-            queue.retain(|request| request.id != id);
-        }
-        self.queue_len() < before
+        self.queues.iter_mut().any(|queue| queue.cancel(id))
     }
 
     /// Reserves a slot at another worker for a request that was sent before. Returns `None` instead of queueing the
@@ -308,7 +260,7 @@
     /// Reserves a slot at a worker that another component selected.
     pub fn reserve_at(&mut self, now: Instant, worker: &Worker) {
         if let Some(upstream) = self.upstreams.get_mut(worker) {
-            upstream.start(now);
+            upstream.start(now, true);
         }
     }
 
@@ -342,17 +294,19 @@
         outcome: Outcome,
     ) -> Vec<Action> {
         // The typical time is updated first, so that the first response is compared with itself.
-        if outcome == Outcome::Success {
-            self.service_times
-                .record_response(now.saturating_duration_since(started));
-        }
+        let success = outcome == Outcome::Success;
+        self.service_times.record_end(now, worker, started, success);
         if outcome != Outcome::Cancelled {
-            self.failure_rate.record(now, outcome != Outcome::Success);
+            let upstream = self.upstreams.get(worker);
+            let is_last = upstream.is_none_or(|u| u.is_last_attempt(started));
+            let failed = outcome != Outcome::Success;
+            self.failure_rate.record(now, failed, is_last);
         }
         let typical = self.service_times.typical();
         let may_avoid_longer = self.may_avoid_longer(now);
         if let Some(upstream) = self.upstreams.get_mut(worker) {
-            upstream.finish(now, started, outcome, typical, may_avoid_longer);
+            let durations = &mut self.fault_duration;
+            upstream.finish(now, started, outcome, typical, durations, may_avoid_longer);
         }
         self.dispatch_waiting(now)
     }
@@ -361,25 +315,16 @@
     pub fn observe(&mut self, now: Instant, worker: &Worker, evidence: Evidence) {
         let may_avoid_longer = self.may_avoid_longer(now);
         if let Some(upstream) = self.upstreams.get_mut(worker) {
-            upstream.observe(now, evidence, may_avoid_longer);
+            upstream.observe(now, evidence, &mut self.fault_duration, may_avoid_longer);
         }
     }
 
-    /// Returns whether one more worker can be avoided for longer while enough workers stay in use.
-    fn may_avoid_longer(&self, now: Instant) -> bool {
-        let avoided_longer = self
-            .upstreams
-            .values()
-            .filter(|u| u.is_avoided_longer(now))
-            .count();
-        (avoided_longer + 1) * WORKERS_PER_LONG_AVOIDANCE <= self.usable_workers()
-    }
-
-    /// Returns whether a worker failed recently, so that a success should be reported to other entries.
+    /// Returns whether a worker failed recently, so that the success of an attempt that was sent at `started` should be
+    /// reported to other entries.
     #[must_use]
-    pub fn is_suspect(&self, now: Instant, worker: &Worker) -> bool {
+    pub fn is_recovered_by(&self, now: Instant, worker: &Worker, started: Instant) -> bool {
         let upstream = self.upstreams.get(worker);
-        upstream.is_some_and(|u| u.is_suspect(now))
+        upstream.is_some_and(|u| u.is_recovered_by(now, started))
     }
 
     /// Returns whether a worker is avoided because it failed recently or is unreachable.
@@ -402,31 +347,6 @@
         }
     }
 
-    /// Refuses queued requests that can no longer be answered in time, and dispatches others if there is room.
-    pub fn tick(&mut self, now: Instant) -> Vec<Action> {
-        let mut actions = self.refuse_without_workers(now);
-        let typical = self.service_times.typical();
-        for rank in Rank::ALL {
-            // A request that misses its target waits behind all requests that don't, so its wait is that of the whole
-            // queue.
-            let wait = self.expected_wait(now, rank);
-            let misses_deadline = |r: &Request| {
-                let late = now + typical > r.target;
-                let needed = if late { wait + typical } else { typical };
-                now + needed > r.deadline
-            };
-            let queue = &mut self.queues[rank.index()];
-            let (expired, kept): (VecDeque<_>, _) = queue.drain(..).partition(misses_deadline);
-            *queue = kept;
-            for request in expired {
-                let refusal = self.refusal(Reason::Overload, Duration::ZERO);
-                actions.push(Action::Refuse(request.id, refusal));
-            }
-        }
-        actions.extend(self.dispatch_waiting(now));
-        actions
-    }
-
     /// Returns the workers that the request may use at some time.
     fn candidates(&self, request: &Request) -> impl Iterator<Item = &Upstream> {
         let upstreams = self.upstreams.iter();
@@ -435,73 +355,19 @@
         candidates.map(|(_, upstream)| upstream)
     }
 
-    /// Returns the refusal of a request for which no worker is left, or whose deadline passes before the workers' pauses
-    /// end.
-    fn refusal_without_workers(&self, now: Instant, request: &Request) -> Option<Refusal> {
-        if self.candidates(request).next().is_none() {
-            return Some(self.refusal(Reason::NoWorker, Duration::ZERO));
-        }
-        // The time is that of the workers and is not bounded: an earlier retry would only be refused again.
-        let retry_after = self.pause_left(now, request)?;
-        let answered_at = now + retry_after + self.service_times.typical();
-        (answered_at > request.deadline).then_some(Refusal {
-            reason: Reason::Paused,
-            retry_after,
-        })
-    }
-
-    fn refuse_without_workers(&mut self, now: Instant) -> Vec<Action> {
-        let mut refused = Vec::new();
-        for request in self.queues.iter().flatten() {
-            if let Some(refusal) = self.refusal_without_workers(now, request) {
-                refused.push(Action::Refuse(request.id, refusal));
-            }
-        }
-        for action in &refused {
-            if let Action::Refuse(id, _) = action {
-                self.cancel(*id);
-            }
-        }
-        refused
-    }
-
-    /// Reserves free slots for queued requests, the most urgent rank first.
-    ///
-    /// Within a rank, requests that can still meet their target come first, in order of arrival. Late requests are
-    /// worth less and only use the remaining slots.
-    fn dispatch_waiting(&mut self, now: Instant) -> Vec<Action> {
-        let mut actions = Vec::new();
-        let typical = self.service_times.typical();
-        for rank in 0..self.queues.len() {
-            // A retry that excludes workers may find no slot where others do; it must not block the requests behind it.
-            let mut skipped = 0;
-            loop {
-                let queue = &self.queues[rank];
-                let in_time = |r: &Request| now + typical <= r.target;
-                let order = queue.iter().enumerate();
-                let first = order.clone().filter(|(_, r)| in_time(r));
-                let mut order = first.chain(order.filter(|(_, r)| !in_time(r)));
-                let Some((next, request)) = order.nth(skipped) else {
-                    break;
-                };
-                let request = request.clone();
-                match self.reserve(now, &request) {
-                    Some(worker) => {
-                        self.queues[rank].remove(next);
-                        actions.push(Action::Send(request.id, worker));
-                    }
-                    None if request.tried.is_empty() || skipped >= MAX_SKIPPED => return actions,
-                    None => skipped += 1,
-                }
-            }
-        }
-        actions
-    }
-
     /// Reserves a slot at the worker that is likely to answer first, if one has room. Avoided workers are used when
     /// there is no other worker left, but not when the others are only full.
     fn reserve(&mut self, now: Instant, request: &Request) -> Option<Worker> {
-        let reserved = self.reserve_among(now, request, false);
+        let mut reserved = None;
+        if self.needs_avoided(now, request) {
+            reserved = self.reserve_at_one_of(now, request, Group::Avoided);
+        }
+        let mut reserved = reserved
+            .or_else(|| self.reserve_at_one_of(now, request, Group::Unprobed))
+            .or_else(|| self.reserve_at_one_of(now, request, Group::Accepted));
+        if reserved.is_none() && self.may_use_doubtful(request) {
+            reserved = self.reserve_at_one_of(now, request, Group::Doubtful);
+        }
         let mut others = self.upstreams.iter();
         let no_alternative = others.all(|(worker, upstream)| {
             !upstream.takes(now, request.remote)
@@ -510,18 +376,33 @@
         });
         reserved.or_else(|| {
             no_alternative
-                .then(|| self.reserve_among(now, request, true))
+                .then(|| self.reserve_at_one_of(now, request, Group::Avoided))
                 .flatten()
         })
     }
 
-    /// Reserves a slot at a worker with room, either among the avoided workers or among the others.
-    fn reserve_among(&mut self, now: Instant, request: &Request, avoided: bool) -> Option<Worker> {
+    /// Reserves a slot like [`Self::reserve_among`], and records which class of requests uses it.
+    fn reserve_at_one_of(
+        &mut self,
+        now: Instant,
+        request: &Request,
+        group: Group,
+    ) -> Option<Worker> {
+        let worker = self.reserve_among(now, request, group)?;
+        self.service_times
+            .record_attempt(now, &worker, request.class);
+        Some(worker)
+    }
+
+    /// Reserves a slot at a worker of a group that has room.
+    fn reserve_among(&mut self, now: Instant, request: &Request, group: Group) -> Option<Worker> {
         let typical = self.service_times.typical();
         let usable = |(worker, upstream): &(&Worker, &Upstream)| {
             upstream.takes(now, request.remote) && !request.tried.contains(worker)
         };
-        let probe_mode = self.probe_mode(now);
+        let probe_mode = self.probe_mode(now, request);
+        // Among avoided workers, the least suspect is the best one for any request.
+        let certain = request.at_most_once || matches!(group, Group::Avoided);
         let cost = |upstream: &Upstream| {
             let local = upstream.zone() == &self.zone;
             let detour = match (local, request.download) {
@@ -533,7 +414,7 @@
                 Some(probe_mode) if local && upstream.is_idle(now) => {
                     probe_mode.cost(upstream.suspicion(now))
                 }
-                _ => upstream.cost(now, typical, request.at_most_once) + detour,
+                _ => upstream.cost(now, typical, certain) + detour,
             }
         };
         let connection = |worker: &Worker| {
@@ -551,62 +432,23 @@
             f64::from(low_half(hash.digest())) / f64::from(u32::MAX) * MAX_JITTER
         };
         let all = || self.upstreams.iter().filter(usable);
-        let candidates =
-            all().filter(|(_, u)| u.has_room(now, typical) && u.is_avoided(now) == avoided);
+        let candidates = all().filter(|(_, u)| u.has_room(now, typical) && group.contains(now, u));
         let costs =
             candidates.map(|(worker, u)| (cost(u) + connection(worker) + jitter(worker), worker));
         let cheapest = costs.min_by(|a, b| a.0.total_cmp(&b.0));
         let worker = cheapest.map(|(_, worker)| worker.clone())?;
         let upstream = self.upstreams.get_mut(&worker)?;
-        upstream.start(now);
+        upstream.start(now, request.at_most_once);
+        self.record_repeatable(request);
         self.service_times.record_start(request.rank);
         Some(worker)
     }
+}
 
-    /// Returns which idle workers of the zone need probes.
-    fn probe_mode(&self, now: Instant) -> Option<ProbeMode> {
-        let floor = self.floor?;
-        if self.failure_rate.is_high() {
-            return Some(ProbeMode::All);
-        }
-        let local = self.upstreams.values();
-        let local = local.filter(|u| !u.is_gone() && u.zone() == &self.zone);
-        let (mut used, mut all) = (0.0, 0.0);
-        for upstream in local {
-            all += 1.0;
-            used += f64::from(u8::from(!upstream.is_idle(now)));
-        }
-        (used < floor * all).then_some(ProbeMode::LeastSuspect)
-    }
-
-    /// Returns whether more requests are queued before one of `rank` than are in progress.
-    fn is_queue_long(&self, now: Instant, rank: Rank) -> bool {
-        let (ahead, running) = self.work_ahead(now, rank);
-        ahead > usize::try_from(running).unwrap_or(usize::MAX)
-    }
-
-    /// Returns the number of queued requests that are served before one of `rank`, and the number of requests that this
-    /// entry has in progress, or its share of the slots if that is larger.
-    fn work_ahead(&self, now: Instant, rank: Rank) -> (usize, u32) {
-        let ahead = self.queues[..=rank.index()].iter().map(VecDeque::len).sum();
-        let running: u32 = self.upstreams.values().map(Upstream::running).sum();
-        let slots: u32 = self.upstreams.values().map(|u| u.slots(now)).sum();
-        (ahead, running.max(slots / self.entries))
-    }
-
-    /// Returns the expected wait of a request that joins the queue of its rank.
-    fn expected_wait(&self, now: Instant, rank: Rank) -> Duration {
-        let (ahead, running) = self.work_ahead(now, rank);
-        self.service_times.expected_wait(rank, ahead, running)
-    }
-
-    fn refusal(&self, reason: Reason, excess: Duration) -> Refusal {
-        let retry_after = excess.max(self.service_times.typical());
-        Refusal {
-            reason,
-            retry_after: retry_after.clamp(RETRY_AFTER_BOUNDS.0, RETRY_AFTER_BOUNDS.1),
-        }
-    }
+/// Returns the hash of the name of a route or customer for a [`Request`].
+#[must_use]
+pub fn name_hash(name: &str) -> u64 {
+    xxh3_64(name.as_bytes())
 }
 
 /// Returns the low 32 bits of a number.
--- a/crates/routing/src/schedule/upstream.rs
+++ b/crates/routing/src/schedule/upstream.rs
@@ -4,6 +4,7 @@
 
 use chestnutvalve_model::id::{Incarnation, Zone};
 
+use super::fault_duration::FaultDuration;
 use super::notice::Hold;
 use super::suspicion::{Evidence, Suspicion};
 
@@ -17,7 +18,7 @@
 /// Additional load, in slots, of a worker that is certainly faulty. A failed request that must be executed at most once
 /// is lost; other requests cost one more attempt.
 const FAULTY_COST: f64 = 1.0;
-const FAULTY_COST_AT_MOST_ONCE: f64 = 4.0;
+const FAULTY_COST_AT_MOST_ONCE: f64 = 10.0;
 /// Time for which a worker is avoided after a connection to it failed. It doubles with each further failure, up to
 /// [`MAX_DELAY_DOUBLINGS`] failures. Network paths are interrupted for some seconds.
 const UNREACHABLE_DELAY: Duration = Duration::from_secs(1);
@@ -68,14 +69,23 @@
     Cancelled,
 }
 
+/// An attempt in progress.
+#[derive(Clone, Copy, Debug)]
+struct Attempt {
+    /// Dispatch time.
+    started: Instant,
+    /// Whether the request fails if this attempt does.
+    is_last: bool,
+}
+
 /// State of one worker.
 #[derive(Clone, Debug)]
 pub(super) struct Upstream {
     spec: Spec,
     warm_from: Instant,
     gone: bool,
-    /// Dispatch times of the requests in progress.
-    running: Vec<Instant>,
+    /// Attempts in progress.
+    running: Vec<Attempt>,
     /// Time of the last load report, and the load of other entries in it.
     other_load: Option<(Instant, f64)>,
     suspicion: Suspicion,
@@ -178,16 +188,34 @@
         self.suspicion.probability(now)
     }
 
-    pub(super) fn is_suspect(&self, now: Instant) -> bool {
-        self.suspicion.is_suspect(now)
+    /// Returns whether a success of an attempt that was sent at `started` shows that the worker has recovered.
+    pub(super) fn is_recovered_by(&self, now: Instant, started: Instant) -> bool {
+        self.suspicion.is_suspect(now) && self.suspicion.is_current(started)
     }
 
     pub(super) fn is_avoided_longer(&self, now: Instant) -> bool {
         self.suspicion.is_avoided_longer(now)
     }
 
-    pub(super) fn observe(&mut self, now: Instant, evidence: Evidence, may_avoid_longer: bool) {
-        self.suspicion.observe(now, evidence, may_avoid_longer);
+    pub(super) fn observe(
+        &mut self,
+        now: Instant,
+        evidence: Evidence,
+        durations: &mut FaultDuration,
+        may_avoid_longer: bool,
+    ) {
+        self.suspicion
+            .observe(now, evidence, durations, may_avoid_longer);
+    }
+
+    pub(super) fn has_just_failed(&self, now: Instant) -> bool {
+        self.suspicion.has_just_failed(now)
+    }
+
+    /// Returns whether the worker's last attempt failed and a probe is in progress, so that another one would only fail
+    /// one more request.
+    pub(super) fn is_probed(&self) -> bool {
+        self.suspicion.needs_probe() && !self.running.is_empty()
     }
 
     /// Returns the estimated number of requests of all entries at the worker.
@@ -224,7 +252,7 @@
         let late = self
             .running
             .iter()
-            .filter(|started| now.saturating_duration_since(**started).as_secs_f64() > overdue);
+            .filter(|a| now.saturating_duration_since(a.started).as_secs_f64() > overdue);
         let late = f64::from(u32::try_from(late.count()).unwrap_or(u32::MAX));
         let slots = f64::from(self.spec.slots.max(1));
         let load = (load + 1.0) / slots;
@@ -243,9 +271,18 @@
         now.saturating_duration_since(self.last_sent) >= IDLE_TIMEOUT
     }
 
-    pub(super) fn start(&mut self, now: Instant) {
+    /// Returns whether the request of an attempt fails if the attempt does.
+    pub(super) fn is_last_attempt(&self, started: Instant) -> bool {
+        let mut running = self.running.iter();
+        running.any(|a| a.started == started && a.is_last)
+    }
+
+    pub(super) fn start(&mut self, now: Instant, is_last: bool) {
         self.last_sent = now;
-        self.running.push(now);
+        self.running.push(Attempt {
+            started: now,
+            is_last,
+        });
     }
 
     pub(super) fn record_load(&mut self, now: Instant, load: u32) {
@@ -260,9 +297,10 @@
         started: Instant,
         outcome: Outcome,
         typical: Duration,
+        durations: &mut FaultDuration,
         may_avoid_longer: bool,
     ) {
-        let Some(at) = self.running.iter().position(|at| *at == started) else {
+        let Some(at) = self.running.iter().position(|a| a.started == started) else {
             // The attempt was made at an earlier incarnation and says nothing about this one.
             return;
         };
@@ -281,12 +319,14 @@
                     .response_time
                     .map_or(typical.as_secs_f64(), |(time, _)| time);
                 self.response_time = Some((before + RESPONSE_TIME_WEIGHT * (time - before), now));
-                self.observe(now, Evidence::Success, may_avoid_longer);
+                if self.suspicion.is_current(started) {
+                    self.observe(now, Evidence::Success, durations, may_avoid_longer);
+                }
             }
-            Outcome::Failure => self.observe(now, Evidence::Failure, may_avoid_longer),
+            Outcome::Failure => self.observe(now, Evidence::Failure, durations, may_avoid_longer),
             Outcome::Shed => {
                 self.full_until = Some(now + FULL_DURATION);
-                self.observe(now, Evidence::Shed, may_avoid_longer);
+                self.observe(now, Evidence::Shed, durations, may_avoid_longer);
             }
             Outcome::Gone => self.gone = true,
             Outcome::Cancelled => {}
