Name the customer that is at its limit

An operator who explains a 429 looks for the customer, which no line named: the log of a refusal has the id of the request and its route. A customer's name is no secret; its keys are not in the line.

--- a/crates/entry/src/gateway/quota.rs
+++ b/crates/entry/src/gateway/quota.rs
@@ -131,8 +131,8 @@
                     }));
                 }
                 Some(Answer::Refused(wait)) => {
-                    let mut refusal =
-                        Refusal::new(Kind::LimitExceeded, "the customer is at its limit");
+                    let cause = format!("customer {customer} is at its limit");
+                    let mut refusal = Refusal::new(Kind::LimitExceeded, cause);
                     refusal.retry_after = Some(wait);
                     return Err(refusal);
                 }
