Count a restarted accountant's tokens from its start

Cause: an accountant whose former process is listed started with empty buckets at the moment when it became active, 1.3 s after its start, and the callers had waited meanwhile.

Change: its buckets are empty as of the start of the process. Its share was granted by the former process only, which had ended by then, so the bound holds.

Found by a review: since each zone has four accountants, the model of the fleet, with three entries a zone, had no entry left that could succeed a lost accountant, and could not show a successor that starts too soon. It has six entries a zone now. An answer of lenders that comes later than the request may wait no longer holds up the accountant's own answer, and a share that rounds to 0 no longer divides by 0.

--- a/crates/entry/src/gateway/quota/accountant.rs
+++ b/crates/entry/src/gateway/quota/accountant.rs
@@ -37,6 +37,8 @@
 pub struct Accountant {
     instance: Arc<Instance>,
     ledger: Mutex<Ledger>,
+    /// When the process started.
+    started_at: Instant,
     /// Notified when tokens of other accountants have arrived.
     arrived: Notify,
     /// Lenders that did not answer.
@@ -69,14 +71,16 @@
     /// Creates the accountant of an entry.
     #[must_use]
     pub fn new(instance: &Arc<Instance>, bounds: Bounds) -> Self {
+        let started_at = clock::now();
         let ledger = Ledger {
             book: Book::new(bounds),
             membership: Membership::default(),
-            forgotten_at: clock::now(),
+            forgotten_at: started_at,
         };
         Self {
             instance: Arc::clone(instance),
             ledger: Mutex::new(ledger),
+            started_at,
             arrived: Notify::new(),
             silence: Silence::default(),
         }
@@ -102,8 +106,10 @@
             book, membership, ..
         } = &mut *ledger;
         let change = membership.observe(at, &view);
-        if change == Some(Change::Started(Start::Empty)) {
-            book.empty(now);
+        match change {
+            Some(Change::Started(Start::Empty)) => book.empty(now),
+            Some(Change::Started(Start::Restarted)) => book.empty(self.started_at),
+            _ => {}
         }
         let shares = membership.shares(at);
         book.set_shares(shares);
@@ -281,7 +287,9 @@
                         tokens,
                         unmet,
                     ));
-                    unmet -= borrowed.await.unwrap_or(0);
+                    // An entry that waits for longer takes the accountant for lost.
+                    let taken = timeout_at(until, borrowed).await;
+                    unmet -= taken.map_or(0, |taken| taken.unwrap_or(0));
                 }
                 Need::Asked => {
                     let _ = timeout_at(until, arrived).await;
--- a/crates/routing/src/quota/bucket.rs
+++ b/crates/routing/src/quota/bucket.rs
@@ -28,7 +28,7 @@
 const MIN_ASK_INTERVAL: Duration = Duration::from_millis(20);
 const MAX_ASK_INTERVAL: Duration = Duration::from_millis(250);
 /// Time between two requests for tokens that no request waits for.
-const AHEAD_INTERVAL: Duration = Duration::from_millis(200);
+const AHEAD_INTERVAL: Duration = Duration::from_millis(400);
 /// Tolerance of a whole token against rounding of the fractions that it was added up from.
 const ROUNDING: f64 = 1e-9;
 
@@ -199,5 +199,7 @@
 /// Returns the time in which `tokens` come at `rate`, at most an hour.
 fn time_of(tokens: f64, rate: f64) -> Duration {
     const MAX_S: f64 = 3_600.0;
-    Duration::from_secs_f64((tokens / rate).clamp(0.0, MAX_S))
+    // A share of a tiny rate may round to 0.
+    let time = tokens / rate.max(f64::MIN_POSITIVE);
+    Duration::from_secs_f64(time.clamp(0.0, MAX_S))
 }
--- a/crates/routing/src/quota/membership.rs
+++ b/crates/routing/src/quota/membership.rs
@@ -53,6 +53,8 @@
     Full,
     /// Others may have granted permits of its share until now, so that its buckets are empty.
     Empty,
+    /// The former process of the entry granted its share, so that its buckets were empty when this process started.
+    Restarted,
     /// Its share was not granted by anyone meanwhile, so that its buckets are as they were.
     Resumed,
 }
@@ -177,7 +179,11 @@
                         && !is_older(now, first_at, START_DELAY)) =>
             {
                 self.unseen_until = Some(now + START_DELAY);
-                (Status::Active, Some(Start::Empty))
+                let start = match view.origin {
+                    Origin::Restarted => Start::Restarted,
+                    _ => Start::Empty,
+                };
+                (Status::Active, Some(start))
             }
             Status::Unconfirmed(before) if before == version => {
                 (Status::Active, Some(Start::Resumed))
--- a/crates/routing/tests/quota/fleet.rs
+++ b/crates/routing/tests/quota/fleet.rs
@@ -14,9 +14,9 @@
 
 /// Time between two rounds of requests.
 pub const STEP: Duration = Duration::from_millis(10);
-/// Availability zones, with three entries each, of which two are accountants.
+/// Availability zones, with six entries each, of which four are accountants.
 pub const ZONES: usize = 3;
-const NODES: usize = 9;
+pub const NODES: usize = 18;
 const PER_ZONE: usize = 4;
 /// Silence after which the directory drops an entry.
 const EXPIRY: Duration = Duration::from_secs(5);
@@ -166,7 +166,7 @@
         self.version.revision += 1;
     }
 
-    /// Returns the accountants of the directory: the first two entries of each zone.
+    /// Returns the accountants of the directory: the first four entries of each zone.
     pub fn accountants(&self) -> Vec<usize> {
         let of = |zone| {
             let of_zone = self.listed.keys().filter(move |n| *n % ZONES == zone);
@@ -244,8 +244,10 @@
                 confirmed: node.confirmed,
             };
             let change = node.membership.observe(self.now, &view);
-            if change == Some(Change::Started(Start::Empty)) {
-                node.book.empty(self.now);
+            match change {
+                Some(Change::Started(Start::Empty)) => node.book.empty(self.now),
+                Some(Change::Started(Start::Restarted)) => node.book.empty(node.started_at),
+                _ => {}
             }
             node.book.set_shares(node.membership.shares(self.now));
             node.book.forget_idle(self.now);
--- a/crates/routing/tests/quota/main.rs
+++ b/crates/routing/tests/quota/main.rs
@@ -11,7 +11,7 @@
 mod fleet;
 mod membership;
 
-use fleet::{BOUNDS, Fleet, STEP, most_in_window};
+use fleet::{BOUNDS, Fleet, NODES, STEP, most_in_window};
 
 const LIMIT: Limit = Limit {
     per_second: 20.0,
@@ -23,13 +23,19 @@
 }
 
 /// Spreads a customer's requests over accountants of all zones, unevenly.
-const UNEVEN: [(usize, f64); 6] = [
-    (0, 0.27),
-    (3, 0.15),
-    (1, 0.2),
-    (4, 0.1),
-    (2, 0.18),
-    (5, 0.1),
+const UNEVEN: [(usize, f64); 12] = [
+    (0, 0.17),
+    (3, 0.1),
+    (6, 0.09),
+    (9, 0.06),
+    (1, 0.12),
+    (4, 0.08),
+    (7, 0.06),
+    (10, 0.04),
+    (2, 0.11),
+    (5, 0.07),
+    (8, 0.06),
+    (11, 0.04),
 ];
 
 /// Guards against a limit that grows with the number of accountants that a customer reaches.
@@ -125,7 +131,7 @@
         burst: 200.0,
     };
     let mut fleet = Fleet::start(high, 1);
-    fleet.run(seconds(10), |_| [0; 9]);
+    fleet.run(seconds(10), |_| [0; NODES]);
     fleet.publish(LIMIT);
     fleet.steps.clear();
     fleet.run(seconds(20), |f| f.poisson(400.0, &UNEVEN));
@@ -139,7 +145,7 @@
     let mut fleet = Fleet::start(LIMIT, 1);
     for _ in 0..4 {
         fleet.run(seconds(3), |f| f.poisson(240.0, &UNEVEN));
-        for node in 0..9 {
+        for node in 0..NODES {
             fleet.restart(node);
         }
     }
@@ -289,7 +295,7 @@
                 Event::Freeze(n, s) => fleet.nodes[n].frozen_until = Some(fleet.now + seconds(s)),
                 Event::Kill(n) => fleet.nodes[n].dead = true,
                 Event::Restart(n) => fleet.restart(n),
-                Event::RestartAll => (0..9).for_each(|n| fleet.restart(n)),
+                Event::RestartAll => (0..NODES).for_each(|n| fleet.restart(n)),
                 Event::Lower => fleet.publish(Limit { per_second: 2.0, burst: 2.0 }),
                 Event::Raise => fleet.publish(LIMIT),
                 Event::Quiet => {}
--- a/crates/routing/tests/quota/membership.rs
+++ b/crates/routing/tests/quota/membership.rs
@@ -102,7 +102,7 @@
         ..view(start, 1)
     };
     let change = membership.observe(start, &restarted);
-    assert_eq!(change, Some(Change::Started(Start::Empty)));
+    assert_eq!(change, Some(Change::Started(Start::Restarted)));
     assert_eq!(membership.shares(start), 10);
     follow(&mut membership, start, seconds(11), &restarted);
     assert_eq!(membership.shares(start + seconds(11)), 6);
