Serve a waiting customer while others keep arriving

Found by a review. Customers of a rank share the slot time, and one that joins starts where the others stand. That point moved only when a customer was served that stood beyond it, so that customers with a single request each, which keep arriving, always went before one with several, and equal ones were served in the order of their hashes.

The point now advances with each request by its part for each customer that waits, and never stands behind all of them; customers that got the same take turns by the time that their requests may still wait.

schedule: customers_that_keep_arriving_do_not_starve_one_that_waits failed before, with 0 of 40 slots for the waiting customer in its first form (3 with stale estimates of its work, then 6 of a fair share of 9.4, because the first ones were charged the initial estimate; the test now starts with a known work). The other 51 tests of the scheduler pass.

--- a/crates/routing/src/schedule/queue.rs
+++ b/crates/routing/src/schedule/queue.rs
@@ -203,7 +203,7 @@
     /// Requests that miss their target, in order of arrival.
     late: Lane,
     len: usize,
-    /// Slot time of the customer that was served last, from which customers that join are counted.
+    /// Slot time that a customer got which was queued all the time, from which customers that join are counted.
     served: f64,
     sequence: u64,
 }
@@ -376,16 +376,22 @@
     /// otherwise among the late ones.
     fn next(&self, now: Instant, skipped: &[u64]) -> Option<(Group, usize)> {
         let is_eligible = |e: &Entry| !skipped.contains(&e.request.id);
-        let mut first: Option<(f64, Option<u64>, usize)> = None;
+        let mut first: Option<(f64, Instant, Option<u64>, usize)> = None;
         for (customer, lane) in &self.lanes {
             let mut entries = lane.entries.iter();
-            if first.is_none_or(|(served, ..)| lane.served < served)
+            if first.is_none_or(|(served, ..)| lane.served <= served)
                 && let Some(at) = entries.position(|e| e.is_in_time(now) && is_eligible(e))
             {
-                first = Some((lane.served, *customer, at));
+                let patience_end = lane.entries[at].patience_end;
+                // Customers that got the same take turns by the time that their requests may still wait.
+                let is_first = first
+                    .is_none_or(|(served, end, ..)| lane.served < served || patience_end < end);
+                if is_first {
+                    first = Some((lane.served, patience_end, *customer, at));
+                }
             }
         }
-        if let Some((_, customer, at)) = first {
+        if let Some((_, _, customer, at)) = first {
             return Some((Group::Customer(customer), at));
         }
         if let Some(at) = self.late.entries.iter().position(is_eligible) {
@@ -404,10 +410,17 @@
             self.len -= 1;
             return;
         };
+        let lanes = f64::from(u32::try_from(self.lanes.len()).unwrap_or(u32::MAX));
         if let Some(lane) = self.lanes.get_mut(&customer) {
-            self.served = self.served.max(lane.served);
-            lane.served += lane.entries[at].work.mean;
+            let work = lane.entries[at].work.mean;
+            lane.served += work;
+            self.served += work / lanes;
         }
+        // Customers that join must not go before one that has waited for its share.
+        let least = self.lanes.values().map(|lane| lane.served);
+        self.served = least
+            .reduce(f64::min)
+            .map_or(self.served, |least| self.served.max(least));
         self.remove(customer, at);
     }
 }
--- a/crates/routing/tests/schedule/main.rs
+++ b/crates/routing/tests/schedule/main.rs
@@ -423,3 +423,57 @@
     assert_eq!(again, expected);
     assert_eq!(tried[failed..], [true; 10][failed..]);
 }
+
+/// Guards against a customer with queued requests that gets no slot as long as requests of other customers, each with a
+/// single one, keep arriving.
+#[test]
+fn customers_that_keep_arriving_do_not_starve_one_that_waits() {
+    let start = Instant::now();
+    let mut scheduler = scheduler(start, 1, 1);
+    let waiting = u64::MAX;
+    let of_customer = |id, now, customer| Request {
+        customer: Some(customer),
+        target: now + Duration::from_mins(1),
+        deadline: now + Duration::from_mins(2),
+        ..request(id, now, Rank::Middle)
+    };
+    // The scheduler learns the work of a request, which is 20 ms.
+    let work = Duration::from_millis(20);
+    let mut start = start;
+    for id in 1_000..1_200 {
+        let decision = scheduler.offer(start, of_customer(id, start, 0));
+        assert_eq!(decision, Decision::Send(worker(0)));
+        scheduler.finish(start + work, &worker(0), start, Outcome::Success);
+        start += work;
+    }
+    for id in 0..2 {
+        let decision = scheduler.offer(start, of_customer(id, start, 0));
+        assert_eq!(decision, Decision::Send(worker(0)));
+    }
+    for id in 100..120 {
+        let decision = scheduler.offer(start, of_customer(id, start, waiting));
+        assert_eq!(decision, Decision::Wait);
+    }
+    let mut running = vec![start; 2];
+    // Slots that the waiting customer gets, and its part of each slot if all customers with queued requests share it.
+    let (mut served, mut fair) = (0, 0.0);
+    let mut others: u32 = 0;
+    for id in 200..240 {
+        let now = start + Duration::from_millis(10 * (id - 199));
+        assert!(scheduler.tick(now).is_empty());
+        let decision = scheduler.offer(now, of_customer(id, now, id));
+        assert_eq!(decision, Decision::Wait);
+        others += 1;
+        fair += 1.0 / f64::from(others + 1);
+        let ended = running.remove(0);
+        for action in scheduler.finish(now, &worker(0), ended, Outcome::Success) {
+            if let Action::Send(id, _) = action {
+                running.push(now);
+                let waited = (100..120).contains(&id);
+                served += u32::from(waited);
+                others -= u32::from(!waited);
+            }
+        }
+    }
+    assert!(f64::from(served) >= fair - 1.0, "{served} of {fair}");
+}
