Keep the pace of a service from drifting

Found by a review: the pace and the usual work of the classes share one scale, and a response changed the usual work by the pace that already contained it, which biases the pace upward. At its bound, a slow-down of all workers no longer raises the estimates of classes that have few responses. The usual work is now measured by the pace before the response, and a small part of the pace becomes usual work with each one.

--- a/crates/routing/src/schedule/service_times.rs
+++ b/crates/routing/src/schedule/service_times.rs
@@ -31,6 +31,9 @@
 const CLASS_WEIGHT: f64 = 0.02;
 /// Number of responses from which the work of a class is known well enough to measure the pace.
 const KNOWN_RESPONSES: f64 = 20.0;
+/// Part of the pace that becomes usual work with each response, as an exponent: after some hundreds of responses, the
+/// usual work is that of workers which stay slow.
+const PACE_ABSORBED: f64 = 0.002;
 /// Bounds of the pace.
 const PACE_BOUNDS: (f64, f64) = (0.05, 20.0);
 /// Time after which an attempt whose end was not reported is dropped.
@@ -152,8 +155,9 @@
 
     /// Updates the estimate of a class and the pace with a response time.
     fn record_class(&mut self, now: Instant, class: u64, service: Work, time: f64) {
-        let mut pace = self.pace();
-        let class = self.class(now, class, service.scaled(1.0 / pace));
+        let before = self.pace();
+        let mut pace = before;
+        let class = self.class(now, class, service.scaled(1.0 / before));
         if class.responses >= KNOWN_RESPONSES {
             let relative = time / class.work.mean.max(f64::MIN_POSITIVE);
             pace += NEWEST_WEIGHT * (relative - pace);
@@ -161,8 +165,14 @@
         }
         class.responses += 1.0;
         let weight = (1.0 / class.responses).max(CLASS_WEIGHT);
-        class.work.update(time / pace, weight);
-        self.pace = Some(pace);
+        // The pace before this response: a pace that contains the sample would bias the usual work.
+        class.work.update(time / before, weight);
+        // The pace and the usual work share one scale, which would drift.
+        let absorbed = pace.powf(PACE_ABSORBED);
+        for class in self.classes.values_mut() {
+            class.work = class.work.scaled(absorbed);
+        }
+        self.pace = Some(pace / absorbed);
     }
 
     /// Records whether a request of a class got a slot or was refused.
