Refuse at once what can't meet its deadline, and look for room once

Found by a review: under overload, a request whose deadline comes before its target was queued by its target and refused at the next tick, and each late request of a tick looked for a suspect worker with room after one had found none, which is a scan over all workers.

--- a/crates/routing/src/schedule/admission.rs
+++ b/crates/routing/src/schedule/admission.rs
@@ -52,7 +52,8 @@
         // Under overload, each request that is answered late delays another one. A queue that is shorter than the
         // number of requests in progress doesn't indicate overload, and then a late response is better than none.
         let is_overloaded = self.excess(rank, running) > 0;
-        let in_time = now + Duration::from_secs_f64(work.likely()) <= request.target;
+        let due = request.target.min(request.deadline);
+        let in_time = now + Duration::from_secs_f64(work.likely()) <= due;
         if in_time && is_overloaded {
             let service = self.service(now, rank, running, 1.0 / MAX_WAIT_SHARE);
             return self.offer_under_overload(service, request, needed);
@@ -130,9 +131,14 @@
             let wait = self.expected_wait(now, rank, running);
             let mut refused = self.queues[rank.index()].remove_expired(now, wait);
             let excess = self.excess(rank, running);
+            let mut has_room = true;
             for request in self.queues[rank.index()].remove_late(excess) {
                 // A worker that failed recently may still answer, which is better than a certain refusal.
-                match self.reserve_at_one_of(now, &request, Group::Avoided) {
+                let worker = has_room
+                    .then(|| self.reserve_at_one_of(now, &request, Group::Avoided))
+                    .flatten();
+                has_room &= worker.is_some() || !request.tried.is_empty();
+                match worker {
                     Some(worker) => actions.push(Action::Send(request.id, worker)),
                     None => refused.push(request),
                 }
