Check a route document before it is published

Control instances report only the first invalid field of a document, and accept entries without effect and limits that contradict each other, so that operators notice them only while requests fail.

Publication::invalid and Registry::invalid return all invalid fields; table and build still refuse with the first one. model::review lists errors, entries without effect, contradictory limits and the differences from the document in force, with numbers of keys in place of keys.

--- a/crates/cli/src/arguments.rs
+++ b/crates/cli/src/arguments.rs
@@ -131,6 +131,7 @@
                 )
                 .arg(file().required(true)),
         )
+        .subcommand(check())
         .subcommand(
             Command::new("workers")
                 .about("Lists the workers registered with the control group")
@@ -143,6 +144,36 @@
         )
 }
 
+fn check() -> Command {
+    Command::new("check")
+        .about("Checks a route document without publishing it, and compares it with the one in force")
+        .after_help(
+            "Exit codes: 0 no errors, 1 failure or, with --strict, warnings, 2 errors or invalid usage",
+        )
+        .arg(file().required(true).help("Route document as JSON; - reads standard input"))
+        .arg(
+            Arg::new("against")
+                .long("against")
+                .value_name("FILE")
+                .value_parser(value_parser!(PathBuf))
+                .conflicts_with("offline")
+                .help("Compare with the document in a file instead of the one in force"),
+        )
+        .arg(
+            Arg::new("offline")
+                .long("offline")
+                .action(ArgAction::SetTrue)
+                .help("Skip the comparison"),
+        )
+        .arg(
+            Arg::new("strict")
+                .long("strict")
+                .action(ArgAction::SetTrue)
+                .help("Fail if there are warnings"),
+        )
+        .arg(json())
+}
+
 fn demo() -> Command {
     Command::new("demo")
         .about("Runs a control instance, an entry instance and an example worker in one process")
--- a/crates/cli/src/http.rs
+++ b/crates/cli/src/http.rs
@@ -111,6 +111,29 @@
         self.get_first(path, token.transpose()?.as_deref()).await
     }
 
+    /// As [`Client::get_any_authorized`], but returns `None` when an instance responds that there is no such resource, and
+    /// leaves the response unparsed, since errors about a document with keys must not quote it.
+    ///
+    /// # Errors
+    ///
+    /// As [`Client::get_any_authorized`].
+    pub async fn find_any_authorized(&self, path: &str) -> Result<Option<Value>, Error> {
+        let token = self.token_file.is_some().then(|| self.read_token());
+        let token = token.transpose()?;
+        let mut errors = Vec::new();
+        for control in &self.controls {
+            match self.get_with(*control, path, token.as_deref()).await {
+                Ok(value) => return Ok(Some(value)),
+                Err(RequestError::Rejected {
+                    kind: Some(Kind::NotFound),
+                    ..
+                }) => return Ok(None),
+                Err(error) => errors.push(format!("{control}: {error}")),
+            }
+        }
+        Err(Error::Failed(errors.join("; ")))
+    }
+
     async fn get_first<T: DeserializeOwned>(
         &self,
         path: &str,
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod arguments;
 pub mod burn;
+pub mod check;
 pub mod config;
 pub mod demo;
 pub mod edits;
@@ -61,6 +62,7 @@
         Some(("routes", routes)) => match routes.subcommand() {
             Some(("show", _)) => routes::show(&client).await,
             Some(("publish", publish)) => routes::publish(&client, publish).await,
+            Some(("check", check)) => check::run(&client, check).await,
             Some(("workers", workers)) => routes::workers(&client, workers).await,
             Some(("customers", customers)) => routes::customers(&client, customers).await,
             _ => Err(Error::Usage("expected a subcommand of routes".to_owned())),
--- a/crates/model/src/account.rs
+++ b/crates/model/src/account.rs
@@ -1,6 +1,6 @@
 //! Accounts of customers: API keys, priority and request limit.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::fmt;
 use std::sync::Arc;
 
@@ -120,31 +120,39 @@
     ///
     /// Returns the first invalid field, named by its customer. The error contains no key.
     pub fn build(accounts: &[Account]) -> Result<Self, Invalid> {
+        if let Some(first) = Self::invalid(accounts).into_iter().next() {
+            return Err(first);
+        }
+        Ok(Self::from(accounts.to_vec()))
+    }
+
+    /// Returns all invalid fields of accounts, named by their customers. They contain no key.
+    #[must_use]
+    pub fn invalid(accounts: &[Account]) -> Vec<Invalid> {
+        let mut invalid = Vec::new();
         if accounts.len() > MAX_ACCOUNTS {
             let expected = format!("at most {MAX_ACCOUNTS} accounts");
-            return Err(Invalid::new("accounts", accounts.len(), expected));
+            invalid.push(Invalid::new("accounts", accounts.len(), expected));
         }
-        let mut registry = Self::default();
+        let mut customers = BTreeSet::new();
+        let mut owners: HashMap<&Key, &Customer> = HashMap::new();
         for account in accounts {
-            account.validate()?;
+            account.validate(&mut invalid);
             let (customer, path) = (&account.customer, format!("accounts[{}]", account.customer));
-            if registry.by_customer.contains_key(customer) {
-                return Err(Invalid::new(
-                    path,
-                    customer,
-                    "a customer that is named once",
-                ));
+            if !customers.insert(customer) {
+                let expected = "a customer that is named once";
+                invalid.push(Invalid::new(path.clone(), customer, expected));
             }
             for (at, key) in account.keys.iter().enumerate() {
-                if let Some(other) = registry.by_key.get(key) {
-                    let found = format!("the key of {}", other.customer);
+                let owner = *owners.entry(key).or_insert(customer);
+                if owner != customer {
+                    let found = format!("the key of {owner}");
                     let expected = "a key that no other customer has";
-                    return Err(Invalid::new(format!("{path}.keys[{at}]"), found, expected));
+                    invalid.push(Invalid::new(format!("{path}.keys[{at}]"), found, expected));
                 }
             }
-            registry.put(account.clone());
         }
-        Ok(registry)
+        invalid
     }
 
     /// Returns whether there is no account, so that requests need no key.
@@ -227,27 +235,26 @@
         }
     }
 
-    fn validate(&self) -> Result<(), Invalid> {
+    fn validate(&self, invalid: &mut Vec<Invalid>) {
         let field = |name: &str| format!("accounts[{}].{name}", self.customer);
         for (at, key) in self.keys.iter().enumerate() {
             let length = key.expose().len();
             if length == 0 || length > MAX_KEY_BYTES {
                 let found = format!("a key of {length} bytes");
                 let expected = format!("1 to {MAX_KEY_BYTES} bytes");
-                return Err(Invalid::new(field(&format!("keys[{at}]")), found, expected));
+                invalid.push(Invalid::new(field(&format!("keys[{at}]")), found, expected));
             }
         }
         let Some(Limit { per_second, burst }) = self.limit else {
-            return Ok(());
+            return;
         };
         if !per_second.is_finite() || per_second <= 0.0 {
             let expected = "a finite rate above 0";
-            return Err(Invalid::new(field("rate"), per_second, expected));
+            invalid.push(Invalid::new(field("rate"), per_second, expected));
         }
         if !burst.is_finite() || burst < 0.0 {
             let expected = "a finite burst of 0 or more";
-            return Err(Invalid::new(field("burst"), burst, expected));
+            invalid.push(Invalid::new(field("burst"), burst, expected));
         }
-        Ok(())
     }
 }
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod id;
 pub mod json;
 pub mod rank;
+pub mod review;
 pub mod routes;
 pub mod upstream;
 pub mod version;
--- a/crates/model/src/routes.rs
+++ b/crates/model/src/routes.rs
@@ -120,7 +120,7 @@
 }
 
 /// Complete table that an operator publishes to replace the current one.
-#[derive(Clone, Deserialize, PartialEq, Serialize)]
+#[derive(Clone, Default, Deserialize, PartialEq, Serialize)]
 pub struct Publication {
     /// Version of the table; it must be higher than the current one.
     pub label: u64,
@@ -189,28 +189,41 @@
     ///
     /// Returns the first invalid field.
     pub fn table(&self) -> Result<Table, Invalid> {
-        if self.routes.len() > MAX_ROUTES {
-            let expected = format!("at most {MAX_ROUTES} routes");
-            return Err(Invalid::new("routes", self.routes.len(), expected));
-        }
-        let mut routes = BTreeMap::new();
-        for (at, route) in self.routes.iter().enumerate() {
-            route.validate(&self.services, &format!("routes[{at}]"))?;
-            let key = route.key();
-            if routes.insert(key, route.clone()).is_some() {
-                let field = format!("routes[{at}].prefix");
-                let expected = "a host and prefix that no other route has";
-                return Err(Invalid::new(field, &route.prefix, expected));
-            }
+        if let Some(first) = self.invalid().into_iter().next() {
+            return Err(first);
         }
+        let routes = self.routes.iter().map(|r| (r.key(), r.clone()));
         Ok(Table {
             label: self.label,
-            routes,
+            routes: routes.collect(),
             services: self.services.clone(),
             limits: self.limits,
             accounts: Registry::build(&self.accounts)?,
         })
     }
+
+    /// Returns all invalid fields among those that do not depend on the table in force. They contain no key.
+    #[must_use]
+    pub fn invalid(&self) -> Vec<Invalid> {
+        let mut invalid = Vec::new();
+        if self.routes.len() > MAX_ROUTES {
+            let expected = format!("at most {MAX_ROUTES} routes");
+            invalid.push(Invalid::new("routes", self.routes.len(), expected));
+        }
+        let mut first: BTreeMap<(&str, &str), usize> = BTreeMap::new();
+        for (at, route) in self.routes.iter().enumerate() {
+            route.validate(&self.services, &format!("routes[{at}]"), &mut invalid);
+            let other = *first.entry((&route.host, &route.prefix)).or_insert(at);
+            if other != at {
+                let field = format!("routes[{at}].prefix");
+                let expected =
+                    format!("a host and prefix that no other route has (routes[{other}])");
+                invalid.push(Invalid::new(field, &route.prefix, expected));
+            }
+        }
+        invalid.extend(Registry::invalid(&self.accounts));
+        invalid
+    }
 }
 
 impl Route {
@@ -220,39 +233,45 @@
         (self.host.clone(), self.prefix.clone())
     }
 
-    fn validate(&self, services: &BTreeMap<Service, Target>, path: &str) -> Result<(), Invalid> {
+    fn validate(
+        &self,
+        services: &BTreeMap<Service, Target>,
+        path: &str,
+        invalid: &mut Vec<Invalid>,
+    ) {
         let field = |name: &str| format!("{path}.{name}");
         if self.host.is_empty() {
-            return Err(Invalid::new(field("host"), &self.host, "a host"));
+            invalid.push(Invalid::new(field("host"), &self.host, "a host"));
         }
         if !self.prefix.starts_with('/') || !self.prefix.ends_with('/') {
             let expected = "a path that begins and ends with a slash";
-            return Err(Invalid::new(field("prefix"), &self.prefix, expected));
+            invalid.push(Invalid::new(field("prefix"), &self.prefix, expected));
         }
         if self.timeout_ms == 0 {
             let expected = "1 or more milliseconds";
-            return Err(Invalid::new(field("timeout"), self.timeout_ms, expected));
+            invalid.push(Invalid::new(field("timeout"), self.timeout_ms, expected));
         }
         if self.target_ms >= self.timeout_ms.saturating_add(MAX_TARGET_EXCESS_MS) {
             let expected = "less than a minute above the timeout";
-            return Err(Invalid::new(field("target"), self.target_ms, expected));
+            invalid.push(Invalid::new(field("target"), self.target_ms, expected));
         }
+        let mut weights_valid = true;
         for share in &self.split {
             if !services.contains_key(&share.service) {
                 let expected = "a service of the same document";
-                return Err(Invalid::new(field("service"), &share.service, expected));
+                invalid.push(Invalid::new(field("service"), &share.service, expected));
             }
             if !share.weight.is_finite() || share.weight < 0.0 {
                 let expected = "a weight of 0 or more";
-                return Err(Invalid::new(field("weight"), share.weight, expected));
+                invalid.push(Invalid::new(field("weight"), share.weight, expected));
+                weights_valid = false;
             }
         }
         let sum: f64 = self.split.iter().map(|s| s.weight).sum();
-        if sum <= 0.0 || !sum.is_finite() {
+        if weights_valid && (sum <= 0.0 || !sum.is_finite()) {
             let expected = "weights with a sum above 0";
-            return Err(Invalid::new(field("split"), sum, expected));
+            invalid.push(Invalid::new(field("split"), sum, expected));
         }
-        Ok(())
     }
 }
 
