Join the groups again also after a failed attempt

Found by a review: a removed control instance that could not start its replicas again, for example because the disk was full, ended its process after all, and opened its data directory on the thread that serves everything else. It tries again every 0.5 s now, stops what was started before, and uses the directory on a thread of its own.

--- a/crates/control/src/daemon/replicas.rs
+++ b/crates/control/src/daemon/replicas.rs
@@ -8,6 +8,7 @@
 use chestnutvalve_model::error::{Fault, Kind};
 use chestnutvalve_storage::Directory;
 use tokio::task::JoinSet;
+use tokio::time::sleep;
 
 use super::{Instance, background_service};
 use crate::replica::options::Peer;
@@ -18,6 +19,9 @@
 /// Name of the group that replicates the configuration and the directory.
 pub const CONFIG: &str = "config";
 
+/// Delay after a failed attempt to join the groups again, for example because the disk is full.
+const REJOIN_DELAY: Duration = Duration::from_millis(500);
+
 /// Returns the name of the ledger group with the given number, counted from 0.
 #[must_use]
 pub fn ledger_name(number: usize) -> String {
@@ -35,20 +39,15 @@
                     () = shutdown.requested() => break,
                     fault = first_failure(&handles) => fault,
                 };
-                let joining = if fault.kind == Kind::MemberRemoved {
-                    spdlog::warn!("removed from the group; joining it again", kv: {fault:});
-                    let joining = rejoin(&instance, &handles).await;
-                    joining.map_err(|cause| Fault::new(Kind::Internal, cause))
-                } else {
-                    Err(fault)
-                };
-                match joining {
-                    Ok(joining) => handles = joining,
-                    Err(fault) => {
-                        instance.report_failure(fault);
-                        shutdown.requested().await;
-                        break;
-                    }
+                if fault.kind != Kind::MemberRemoved {
+                    instance.report_failure(fault);
+                    shutdown.requested().await;
+                    break;
+                }
+                spdlog::warn!("removed from the group; joining it again", kv: {fault:});
+                tokio::select! {
+                    () = shutdown.requested() => break,
+                    joining = rejoin(&instance, &handles) => handles = joining,
                 }
             }
             stop(&handles).await;
@@ -56,14 +55,29 @@
     })
 }
 
-/// Stops the replicas, whose identity was removed, and starts empty ones that join the groups under a new identity.
-async fn rejoin(instance: &Instance, removed: &[Handle]) -> Result<Vec<Handle>, String> {
+/// Stops the replicas, whose identity was removed, and starts empty ones that join the groups under a new identity. Tries
+/// again while the data directory can't be used; the instance counts as stale meanwhile.
+async fn rejoin(instance: &Arc<Instance>, removed: &[Handle]) -> Vec<Handle> {
     stop(removed).await;
-    instance.clear_store();
-    for group in &instance.ledgers {
-        group.clear_state();
+    loop {
+        instance.clear_store();
+        for group in &instance.ledgers {
+            group.clear_state();
+        }
+        // The process goes on serving while the disk is slow.
+        let starting = Arc::clone(instance);
+        let started = tokio::task::spawn_blocking(move || start(&starting)).await;
+        let cause = match started {
+            Ok(Ok(handles)) => return handles,
+            Ok(Err(cause)) => cause,
+            Err(error) => error.to_string(),
+        };
+        spdlog::error!("joining the group again failed", kv: {cause});
+        let ledgers = instance.ledgers.iter().filter_map(|g| g.handle().ok());
+        let started: Vec<Handle> = instance.config().into_iter().chain(ledgers).collect();
+        stop(&started).await;
+        sleep(REJOIN_DELAY).await;
     }
-    start(instance)
 }
 
 async fn stop(handles: &[Handle]) {
