--- a/crates/entry/src/gateway/proxy.rs
+++ b/crates/entry/src/gateway/proxy.rs
@@ -396,14 +396,20 @@
 
     /// Returns when to hedge an attempt that is late from `late_at`, and from which part of the retry budget: first when a
     /// second attempt is likely to meet the target, then when the request is about to fail without one.
-    fn hedge_times(&self, late_at: Instant) -> [(Instant, Purpose); 2] {
+    ///
+    /// Without a coordinator, entries don't see each other's hedges, and a late response mostly means that the workers are
+    /// full: hedges up to the deadline would use the budget that requests need which were turned away.
+    fn hedge_times(&self, late_at: Instant) -> Vec<(Instant, Purpose)> {
         let inbound = self.inbound;
+        if self.gateway.coordinators(&inbound.service).is_empty() {
+            return vec![(late_at, Purpose::Hedge)];
+        }
         let typical = self.dispatcher.typical_latency();
         let needed = typical.mul_f64(HEDGE_TIME_FACTOR) + HEDGE_MARGIN;
         let target = inbound.arrived + Duration::from_millis(inbound.route.target_ms);
         let before = |time: Instant| time.checked_sub(needed).unwrap_or(late_at).max(late_at);
         let last = before(inbound.deadline - ANSWER_MARGIN);
-        [
+        vec![
             (before(target).min(last), Purpose::Hedge),
             (last, Purpose::Retry),
         ]
--- a/crates/entry/tests/all/coordinator.rs
+++ b/crates/entry/tests/all/coordinator.rs
@@ -29,7 +29,7 @@
 }
 
 /// Starts a control instance with the routes `/` and `/once/`, and registers the workers.
-async fn control(workers: &[&Worker]) -> Control {
+pub async fn control(workers: &[&Worker]) -> Control {
     let control = Control::start().await;
     let routes = vec![route("/", Kind::Idempotent), route("/once/", Kind::Once)];
     control.publish(table(1, routes));
@@ -40,7 +40,7 @@
 }
 
 /// Starts one entry with a wide link and two with narrow ones.
-async fn entries(control: &Control, workers: usize) -> [Entry; 3] {
+pub async fn entries(control: &Control, workers: usize) -> [Entry; 3] {
     let start = |name, mbps| Entry::start_with_link(name, control.address, &[], mbps);
     let (wide, first) = (
         start("wide", WIDE_MBPS).await,
