--- a/crates/bench/src/quota.rs
+++ b/crates/bench/src/quota.rs
@@ -28,7 +28,7 @@
     over: 0.1,
     slack: 20.0,
 };
-const ACCOUNTANTS_PER_ZONE: usize = 2;
+const ACCOUNTANTS_PER_ZONE: usize = 4;
 /// Number of entries from which there are nine availability zones.
 const MANY_ENTRIES: usize = 1_000;
 /// Relative demand in the availability zones, by turns.
