Judge failing workers as before where no coordinator dispatches

Cause: an entry without a coordinator sees a part of the requests. With stricter evidence, longer avoidance, probes one at a time and a higher cost of doubtful workers, few workers were left that it took for proven, and these were overloaded.

Change: these rules and the last attempt's treatment as one that must not fail apply to the scheduler of a coordinator, which is told by the floor that it keeps. The others use the former figures.

--- a/crates/entry/src/gateway/proxy.rs
+++ b/crates/entry/src/gateway/proxy.rs
@@ -368,15 +368,16 @@
         let inbound = self.inbound;
         let target = Duration::from_millis(inbound.route.target_ms);
         let customer = inbound.account.as_ref().map(|a| a.customer.as_str());
+        // The last attempt of a route is lost if it fails, too. An entry without a coordinator knows few workers well enough.
+        let is_last = self.sent.saturating_add(1) >= inbound.route.attempts
+            && !self.gateway.coordinators(&inbound.service).is_empty();
         schedule::Request {
             id: self.gateway.next_request_id(),
             rank: inbound.rank,
             class: schedule::name_hash(&inbound.route.name),
             customer: customer.map(schedule::name_hash),
             download: inbound.route.kind == chestnutvalve_model::routes::Kind::Download,
-            // The last attempt of the route is lost if it fails, too.
-            at_most_once: !inbound.route.kind.is_idempotent()
-                || self.sent.saturating_add(1) >= inbound.route.attempts,
+            at_most_once: is_last || !inbound.route.kind.is_idempotent(),
             target: (inbound.arrived + target).into_std(),
             deadline: (inbound.deadline - ANSWER_MARGIN).into_std(),
             tried: self.tried.clone(),
--- a/crates/routing/src/schedule.rs
+++ b/crates/routing/src/schedule.rs
@@ -35,7 +35,7 @@
 use probe::Group;
 use queue::Queue;
 use service_times::ServiceTimes;
-use upstream::Upstream;
+use upstream::{Upstream, faulty_cost};
 
 /// Additional load, in slots, that is assumed for a worker in another availability zone. For a small response the cost
 /// is below one queued request; for a download it equals one.
@@ -220,6 +220,7 @@
     /// rate, more probes would fail more requests than they find healthy workers for.
     pub fn set_floor(&mut self, floor: Option<f64>) {
         self.floor = floor;
+        self.fault_duration.set_coordinated(floor.is_some());
     }
 
     /// Returns the number of queued requests.
@@ -324,6 +325,7 @@
     #[must_use]
     pub fn is_recovered_by(&self, now: Instant, worker: &Worker, started: Instant) -> bool {
         let upstream = self.upstreams.get(worker);
+        let started = if self.floor.is_some() { started } else { now };
         upstream.is_some_and(|u| u.is_recovered_by(now, started))
     }
 
@@ -363,7 +365,12 @@
             reserved = self.reserve_at_one_of(now, request, Group::Avoided);
         }
         let mut reserved = reserved
-            .or_else(|| self.reserve_at_one_of(now, request, Group::Unprobed))
+            .or_else(|| {
+                let is_coordinated = self.floor.is_some();
+                is_coordinated
+                    .then(|| self.reserve_at_one_of(now, request, Group::Unprobed))
+                    .flatten()
+            })
             .or_else(|| self.reserve_at_one_of(now, request, Group::Accepted));
         if reserved.is_none() && self.may_use_doubtful(request) {
             reserved = self.reserve_at_one_of(now, request, Group::Doubtful);
@@ -402,7 +409,9 @@
         };
         let probe_mode = self.probe_mode(now, request);
         // Among avoided workers, the least suspect is the best one for any request.
-        let certain = request.at_most_once || matches!(group, Group::Avoided);
+        let is_coordinated = self.floor.is_some();
+        let is_lost = request.at_most_once || (is_coordinated && matches!(group, Group::Avoided));
+        let faulty = faulty_cost(is_lost, is_coordinated);
         let cost = |upstream: &Upstream| {
             let local = upstream.zone() == &self.zone;
             let detour = match (local, request.download) {
@@ -414,7 +423,7 @@
                 Some(probe_mode) if local && upstream.is_idle(now) => {
                     probe_mode.cost(upstream.suspicion(now))
                 }
-                _ => upstream.cost(now, typical, certain) + detour,
+                _ => upstream.cost(now, typical, faulty) + detour,
             }
         };
         let connection = |worker: &Worker| {
--- a/crates/routing/src/schedule/fault_duration.rs
+++ b/crates/routing/src/schedule/fault_duration.rs
@@ -6,6 +6,9 @@
 const INITIAL_DURATION: Duration = Duration::from_secs(6);
 /// Bounds of the learned duration. The upper one limits how long a worker that has recovered stays without requests.
 const DURATION_BOUNDS: (Duration, Duration) = (Duration::from_secs(2), Duration::from_secs(12));
+/// Time for which a worker is avoided by an entry that decides for itself. It sees a part of the requests only, so that
+/// what it would learn is mostly chance.
+const UNCOORDINATED_AVOIDANCE: Duration = Duration::from_millis(4_680);
 /// Weight of a new duration in the mean.
 const NEWEST_WEIGHT: f64 = 0.1;
 /// Share of the usual duration for which a fault that outlasts it is expected to continue.
@@ -22,17 +25,29 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) struct FaultDuration {
     mean: Duration,
+    is_coordinated: bool,
 }
 
 impl Default for FaultDuration {
     fn default() -> Self {
         Self {
             mean: INITIAL_DURATION,
+            is_coordinated: false,
         }
     }
 }
 
 impl FaultDuration {
+    /// Sets whether all requests of the zone pass through the scheduler.
+    pub(super) fn set_coordinated(&mut self, is_coordinated: bool) {
+        self.is_coordinated = is_coordinated;
+    }
+
+    /// Returns whether all requests of the zone pass through the scheduler.
+    pub(super) fn is_coordinated(&self) -> bool {
+        self.is_coordinated
+    }
+
     /// Records a fault after which the worker answered at `now`. It ended at some time since its last failure.
     pub(super) fn record(&mut self, now: Instant, fault: Fault) {
         let unknown = now.saturating_duration_since(fault.last_failure);
@@ -46,6 +61,9 @@
 
     /// Returns how long a fault is expected to last after its last failure.
     pub(super) fn remaining(&self, fault: Fault) -> Duration {
+        if !self.is_coordinated {
+            return UNCOORDINATED_AVOIDANCE;
+        }
         let elapsed = fault
             .last_failure
             .saturating_duration_since(fault.first_failure);
--- a/crates/routing/src/schedule/upstream.rs
+++ b/crates/routing/src/schedule/upstream.rs
@@ -18,7 +18,10 @@
 /// Additional load, in slots, of a worker that is certainly faulty. A failed request that must be executed at most once
 /// is lost; other requests cost one more attempt.
 const FAULTY_COST: f64 = 1.0;
-const FAULTY_COST_AT_MOST_ONCE: f64 = 10.0;
+const FAULTY_COST_AT_MOST_ONCE: f64 = 4.0;
+/// The same where a coordinator sees all requests of a zone. An entry that sees a part of them knows few workers well, and
+/// would overload these.
+const FAULTY_COST_AT_MOST_ONCE_COORDINATED: f64 = 10.0;
 /// Time for which a worker is avoided after a connection to it failed. It doubles with each further failure, up to
 /// [`MAX_DELAY_DOUBLINGS`] failures. Network paths are interrupted for some seconds.
 const UNREACHABLE_DELAY: Duration = Duration::from_secs(1);
@@ -233,8 +236,8 @@
         !full && self.load(now, typical) + 0.5 <= f64::from(self.spec.slots)
     }
 
-    /// Returns the cost of one more request at this worker, in slots.
-    pub(super) fn cost(&self, now: Instant, typical: Duration, at_most_once: bool) -> f64 {
+    /// Returns the cost of one more request at this worker, in slots. `faulty` is that of a worker that is certainly faulty.
+    pub(super) fn cost(&self, now: Instant, typical: Duration, faulty: f64) -> f64 {
         let load = self.load(now, typical);
         let typical = typical.as_secs_f64();
         let relative_time = self.response_time.map_or(1.0, |(time, at)| {
@@ -256,11 +259,6 @@
         let late = f64::from(u32::try_from(late.count()).unwrap_or(u32::MAX));
         let slots = f64::from(self.spec.slots.max(1));
         let load = (load + 1.0) / slots;
-        let faulty = if at_most_once {
-            FAULTY_COST_AT_MOST_ONCE
-        } else {
-            FAULTY_COST
-        };
         load * relative_time.clamp(RELATIVE_TIME_BOUNDS.0, RELATIVE_TIME_BOUNDS.1) * warm_up
             + faulty * self.suspicion.probability(now)
             + late
@@ -319,7 +317,7 @@
                     .response_time
                     .map_or(typical.as_secs_f64(), |(time, _)| time);
                 self.response_time = Some((before + RESPONSE_TIME_WEIGHT * (time - before), now));
-                if self.suspicion.is_current(started) {
+                if self.suspicion.is_current(started) || !durations.is_coordinated() {
                     self.observe(now, Evidence::Success, durations, may_avoid_longer);
                 }
             }
@@ -333,3 +331,13 @@
         }
     }
 }
+
+/// Returns the additional load, in slots, of a worker that is certainly faulty. `is_lost` is whether a failed attempt fails
+/// the request, and `is_coordinated` whether all requests of the zone pass through the scheduler.
+pub(super) fn faulty_cost(is_lost: bool, is_coordinated: bool) -> f64 {
+    match (is_lost, is_coordinated) {
+        (false, _) => FAULTY_COST,
+        (true, false) => FAULTY_COST_AT_MOST_ONCE,
+        (true, true) => FAULTY_COST_AT_MOST_ONCE_COORDINATED,
+    }
+}
