Decide at the entry if the coordinator knows no worker

The entry asked its coordinator, which had not received the state yet and answered that no worker is eligible, and the entry took that for final.

An entry now decides by what it knows itself, as it did already if its query excluded workers.

The new test failed before: 503 in place of 200 for the first request.

--- a/crates/entry/src/gateway/coordinator.rs
+++ b/crates/entry/src/gateway/coordinator.rs
@@ -355,7 +355,8 @@
     Busy,
     /// The request is queued at the coordinator under this id.
     Waiting(u64),
-    /// The selected worker is unknown to this entry, is leaving or wants a pause, so that it cannot be used.
+    /// The selected worker is unknown to this entry, is leaving or wants a pause, so that it cannot be used, or the
+    /// coordinator knows no worker. The local scheduler decides.
     Unknown,
     /// The request's deadline passed before an answer arrived.
     Expired,
@@ -375,17 +376,12 @@
     let wait = mode.poll_wait() + ROUND_TRIP_TIMEOUT;
     // The coordinator has the full first query of a queued request. Repeating it would use up bandwidth on narrow
     // links.
-    let (tried, connected, excludes_unusable) = match mode {
+    let (tried, connected) = match mode {
         QueueMode::Resume(_) => Default::default(),
         QueueMode::Join | QueueMode::Skip => {
             let unusable = dispatcher.unusable_workers();
-            let excludes_unusable = !unusable.is_empty();
             let tried = request.tried.iter().cloned().chain(unusable);
-            (
-                tried.collect(),
-                request.connected.clone(),
-                excludes_unusable,
-            )
+            (tried.collect(), request.connected.clone())
         }
     };
     let query = Query {
@@ -428,8 +424,6 @@
     let cause = loop {
         let limit = deadline.saturating_duration_since(since).min(wait);
         match timeout(limit, &mut call).await {
-            // The query excluded workers that only this entry can't use, so that the local scheduler decides.
-            Ok(Ok(Ok((Answer::NoWorker, _)))) if excludes_unusable => return Resolved::Unknown,
             Ok(Ok(Ok((answer, remote)))) => return interpret(dispatcher, answer, remote),
             Ok(Ok(Err(error))) => break error.to_string(),
             Ok(Err(error)) => break error.to_string(),
@@ -457,10 +451,9 @@
             Some(reservation) => Resolved::Reservation(reservation),
             None => Resolved::Unknown,
         },
-        (Answer::NoWorker, _) => Resolved::Refused(Refusal {
-            reason: Reason::NoWorker,
-            retry_after: Duration::ZERO,
-        }),
+        // The coordinator may not know the workers yet after a start, and the query excluded workers that only this entry
+        // can't use.
+        (Answer::NoWorker, _) => Resolved::Unknown,
         (Answer::Overload(retry_after_ms), _) => Resolved::Refused(Refusal {
             reason: Reason::Overload,
             retry_after: Duration::from_millis(retry_after_ms),
--- a/crates/entry/tests/all/coordinator.rs
+++ b/crates/entry/tests/all/coordinator.rs
@@ -186,6 +186,34 @@
     assert_eq!((gone.count(), stays.count()), (0, 10));
 }
 
+/// Guards against requests that are refused because the coordinator does not know the workers yet, as after a restart of
+/// all processes.
+#[tokio::test]
+async fn a_coordinator_without_workers_does_not_refuse_for_others() {
+    let worker = Worker::start("w1", success).await;
+    let empty = Control::start().await;
+    let control = control(&[&worker]).await;
+    let wide = Entry::start_with_link("wide", empty.address, &[], WIDE_MBPS).await;
+    // Its address is copied to the other control instance below.
+    wide.wait_for_members(1).await;
+    {
+        let mut state = control.state.lock().unwrap();
+        let members = empty.state.lock().unwrap().directory.members.clone();
+        for member in members.values() {
+            state.directory.join(member);
+        }
+        state.version.revision += 1;
+    }
+    let narrow = Entry::start_with_link("n1", control.address, &[], NARROW_MBPS).await;
+    narrow.wait_for_members(2).await;
+    wait_until("workers", || narrow.state().roster.workers.len() == 1).await;
+    for (n, path) in ["/x", "/once/x"].into_iter().enumerate() {
+        let reply = ask_as(&narrow, path, &format!("id-{n}")).await;
+        assert_eq!(reply.status, 200, "{path}");
+    }
+    assert_eq!(worker.count(), 2);
+}
+
 /// Guards against an idempotent request that fails although another worker has a free slot a moment later.
 #[tokio::test]
 async fn a_failed_request_waits_for_another_worker() {
