Send queued requests to suspect workers before they are late

Under overload, a coordinator now diverts queued requests to suspect workers at each tick, as many as more wait than are in progress, until those left are expected to meet their target at the accepted workers alone. Requests that may be repeated go first, others once they have waited for half of their time to the target. Workers that can't be reached are left out.

avoidance_costs_no_capacity::case_2_outage failed before with 48 late requests where 32 are allowed, and passes with 13.

--- a/crates/routing/src/schedule.rs
+++ b/crates/routing/src/schedule.rs
@@ -410,7 +410,8 @@
         let probe_mode = self.probe_mode(now, request);
         // Among avoided workers, the least suspect is the best one for any request.
         let is_coordinated = self.floor.is_some();
-        let is_lost = request.at_most_once || (is_coordinated && matches!(group, Group::Avoided));
+        let among_avoided = matches!(group, Group::Avoided | Group::Suspect);
+        let is_lost = request.at_most_once || (is_coordinated && among_avoided);
         let faulty = faulty_cost(is_lost, is_coordinated);
         let cost = |upstream: &Upstream| {
             let local = upstream.zone() == &self.zone;
--- a/crates/routing/src/schedule/admission.rs
+++ b/crates/routing/src/schedule/admission.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use chestnutvalve_model::id::Worker;
 use chestnutvalve_model::rank::Rank;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -143,6 +144,8 @@
                     None => refused.push(request),
                 }
             }
+            let diverted = self.divert_to_suspect(now, rank).into_iter();
+            actions.extend(diverted.map(|(id, worker)| Action::Send(id, worker)));
             self.refusals.time_left += count(&refused);
             for request in refused {
                 let refusal = self.overload(now, &request, Duration::ZERO);
@@ -153,6 +156,24 @@
         actions
     }
 
+    /// Sends queued requests to suspect workers under overload, so that fewer miss their target.
+    ///
+    /// The wait that admission expects counts attempts at avoided workers as capacity, which the queue doesn't have.
+    /// Admission can't leave them out: it would refuse requests that these workers have room for.
+    fn divert_to_suspect(&mut self, now: Instant, rank: Rank) -> Vec<(u64, Worker)> {
+        let excess = self.excess(rank, self.running(now));
+        if excess == 0 || self.floor.is_none() {
+            return Vec::new();
+        }
+        let service = self.service(now, rank, self.running_at_accepted(now), 1.0);
+        let mut queue = std::mem::take(&mut self.queues[rank.index()]);
+        let diverted = queue.divert(service, excess, |request| {
+            self.reserve_at_one_of(now, request, Group::Suspect)
+        });
+        self.queues[rank.index()] = queue;
+        diverted
+    }
+
     /// Returns the refusal of a request for which no worker is left, or whose deadline passes before the workers' pauses
     /// end.
     fn refusal_without_workers(&self, now: Instant, request: &Request) -> Option<Refusal> {
@@ -217,6 +238,15 @@
         running.max(slots / self.entries)
     }
 
+    /// Returns the same without the requests in progress at avoided workers.
+    fn running_at_accepted(&self, now: Instant) -> u32 {
+        let accepted = self.upstreams.values().filter(|u| !u.is_avoided(now));
+        let (running, slots) = accepted.fold((0, 0), |(running, slots), u| {
+            (running + u.running(), slots + u.slots(now))
+        });
+        running.max(slots / self.entries)
+    }
+
     /// Returns the rate at which the queue of a rank is served, and what is served before it.
     fn service(&self, now: Instant, rank: Rank, running: u32, wait_factor: f64) -> Service {
         let more_urgent: f64 = self.queues[..rank.index()].iter().map(Queue::work).sum();
--- a/crates/routing/src/schedule/probe.rs
+++ b/crates/routing/src/schedule/probe.rs
@@ -27,6 +27,8 @@
     Accepted,
     /// Workers that are avoided.
     Avoided,
+    /// Workers that are avoided because they failed, not because they can't be reached.
+    Suspect,
     /// Avoided workers that have failed only once and have no request in progress.
     Doubtful,
     /// Accepted workers without those that a probe in progress will show to be faulty or not.
@@ -38,6 +40,7 @@
         match self {
             Self::Accepted => !upstream.is_avoided(now),
             Self::Avoided => upstream.is_avoided(now),
+            Self::Suspect => upstream.is_avoided(now) && !upstream.is_unreachable(now),
             Self::Doubtful => {
                 upstream.is_avoided(now)
                     && !upstream.is_unreachable(now)
--- a/crates/routing/src/schedule/queue.rs
+++ b/crates/routing/src/schedule/queue.rs
@@ -342,6 +342,59 @@
         removed.map(|e| e.request).collect()
     }
 
+    /// Calls `reserve` for up to `most` requests, so that those behind them meet their target, and removes those that get a
+    /// worker. Returns their ids and workers.
+    ///
+    /// For each request that is expected to miss its target, one is chosen of those that are served until then: the last
+    /// one that may be repeated, otherwise the request itself once it has waited for half of its time to the target.
+    pub(super) fn divert<W>(
+        &mut self,
+        service: Service,
+        most: usize,
+        mut reserve: impl FnMut(&Request) -> Option<W>,
+    ) -> Vec<(u64, W)> {
+        let customers = Others::new(self.lanes.values().map(|lane| lane.work).collect());
+        let mut diverted = Vec::new();
+        let mut skipped = 0;
+        'lanes: for lane in self.lanes.values_mut() {
+            let (mut own, mut at) = (0.0, 0);
+            let mut repeatable = Vec::new();
+            while let Some(entry) = lane.entries.get(at) {
+                let left = entry.due().saturating_duration_since(service.now);
+                let needed = service.wait(own, &customers) + entry.work.likely();
+                own += entry.work.mean;
+                if !entry.request.at_most_once {
+                    repeatable.push(at);
+                }
+                at += 1;
+                if needed <= left.as_secs_f64() {
+                    continue;
+                }
+                let has_waited = entry.patience_end <= service.now;
+                let itself = (entry.request.at_most_once && has_waited).then_some(at - 1);
+                let Some(chosen) = repeatable.pop().or(itself) else {
+                    continue;
+                };
+                if diverted.len() >= most || skipped >= MAX_SKIPPED {
+                    break 'lanes;
+                }
+                let request = &lane.entries[chosen].request;
+                match reserve(request) {
+                    Some(worker) => {
+                        diverted.push((request.id, worker));
+                        own -= lane.remove(chosen).map_or(0.0, |entry| entry.work.mean);
+                        at -= 1;
+                    }
+                    None if request.tried.is_empty() => break 'lanes,
+                    None => skipped += 1,
+                }
+            }
+        }
+        self.len -= diverted.len();
+        self.lanes.retain(|_, lane| !lane.entries.is_empty());
+        diverted
+    }
+
     /// Calls `reserve` for the queued requests in the order in which they are served, and removes those that get a
     /// worker. Returns their ids and workers, and whether all of the queue was considered.
     ///
