Count workers that failed in the last 2 s as unsound after a success too

The floor is asked for among the workers that didn't fail in the last 2 s. A success cleared the time of the failure, so that in an outage workers which fail half of their requests counted as healthy and in use, and made up for recovered workers that nobody probed. The time of the last failure is now kept. Two more places counted alike: while the failure rate is elevated but not yet high, workers that have just failed made up for idle ones, and the 2 s began when the scheduler learned of a failure, some milliseconds late, which leaves no time to use the worker once it counts. They last 1.9 s now.

--- a/crates/routing/src/schedule/probe.rs
+++ b/crates/routing/src/schedule/probe.rs
@@ -113,7 +113,9 @@
         if self.failure_rate.is_high() {
             return Some(ProbeMode::All);
         }
-        self.is_floor_missed(now, floor, |_| true)
+        // Where many requests fail soon, workers that have just failed don't make up for others that are idle.
+        let is_elevated = self.failure_rate.is_elevated();
+        self.is_floor_missed(now, floor, |u| !is_elevated || !u.has_just_failed(now))
             .then_some(ProbeMode::LeastSuspect)
     }
 
--- a/crates/routing/src/schedule/suspicion.rs
+++ b/crates/routing/src/schedule/suspicion.rs
@@ -18,8 +18,9 @@
 /// Minimum delay after a failure for another failure to count as that of a new probe. Requests that fail earlier were
 /// sent before the first failure was known.
 const MIN_REPEAT_DELAY: Duration = Duration::from_secs(1);
-/// Time after a failure for which a worker doesn't count as healthy.
-const UNSOUND_TIME: Duration = Duration::from_secs(2);
+/// Time after a failure for which a worker doesn't count as healthy. The floor demands 2 s; the scheduler learns of a
+/// failure some milliseconds late, and needs time to use the worker.
+const UNSOUND_TIME: Duration = Duration::from_millis(1_900);
 /// Bounds of the probability, so that no number of equal results outweighs a later contradicting one.
 const PROBABILITY_BOUNDS: (f64, f64) = (0.01, 0.99);
 /// Probability from which a worker gets requests only if the alternative is a refusal. One failure keeps a worker above
@@ -61,6 +62,8 @@
     updated_at: Instant,
     /// Failures since the last success.
     fault: Option<Fault>,
+    /// Time of the last failure, also if the worker succeeded since.
+    last_failure: Option<Instant>,
     decay_time: Duration,
 }
 
@@ -70,6 +73,7 @@
             probability: PRIOR,
             updated_at: now,
             fault: None,
+            last_failure: None,
             decay_time: DECAY_TIME,
         }
     }
@@ -101,8 +105,8 @@
 
     /// Returns whether the worker failed so recently that it doesn't count as healthy for the floor.
     pub(super) fn has_just_failed(&self, now: Instant) -> bool {
-        let age = |fault: Fault| now.saturating_duration_since(fault.last_failure);
-        self.fault.is_some_and(|fault| age(fault) < UNSOUND_TIME)
+        let age = |at| now.saturating_duration_since(at);
+        self.last_failure.is_some_and(|at| age(at) < UNSOUND_TIME)
     }
 
     /// Returns whether the last attempt failed, so that the next one is a probe.
@@ -147,6 +151,7 @@
                     };
                 }
                 self.fault = Some(fault);
+                self.last_failure = Some(now);
             }
             Evidence::Late | Evidence::Shed => {}
         }
