Move the coordinators' reservations out of the import circle

The dispatcher imported the coordinator for the reservation that another entry made, and the coordinator imported the dispatcher. The reservation, its report and the queue of reports are a module of their own, which both import. No change of behaviour.

--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -131,7 +131,7 @@
         let mut registry = Registry::default();
         let (observations, observations_receiver) =
             mpsc::channel(gateway::observation::MAX_QUEUED_OBSERVATIONS);
-        let (reports, reports_receiver) = mpsc::channel(gateway::coordinator::MAX_QUEUED_REPORTS);
+        let (reports, reports_receiver) = mpsc::channel(gateway::report::MAX_QUEUED_REPORTS);
         let gateway = Arc::new(Gateway::new(&instance, gateway, observations, reports));
         registry.register(Service::background("peers", {
             let router = peers::router(&instance);
@@ -259,7 +259,7 @@
     gateway: &Arc<Gateway>,
     listener: TcpListener,
     observations: mpsc::Receiver<gateway::observation::Observation>,
-    reports: mpsc::Receiver<(SocketAddr, gateway::coordinator::Report)>,
+    reports: mpsc::Receiver<(SocketAddr, gateway::report::Report)>,
 ) -> [Service; 2] {
     let (stop, stopped) = oneshot::channel::<()>();
     let task: Arc<Mutex<Option<JoinHandle<()>>>> = Arc::default();
@@ -296,7 +296,7 @@
     let maintenance = async move {
         let follow = gateway::follow_state(Arc::clone(&gateway));
         let share = gateway::observation::forward(Arc::clone(&gateway), observations);
-        let report = gateway::coordinator::forward_reports(Arc::clone(&gateway), reports);
+        let report = gateway::report::forward(Arc::clone(&gateway.instance), reports);
         let ticks = async {
             let mut ticks = interval(GATEWAY_TICK_INTERVAL);
             ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
--- a/crates/entry/src/gateway.rs
+++ b/crates/entry/src/gateway.rs
@@ -39,14 +39,16 @@
 pub mod proxy;
 pub mod quota;
 pub mod relay;
+pub mod report;
 
-use coordinator::{Contacts, ReportSender, Reservations};
+use coordinator::{Contacts, Reservations};
 pub use dialect::Dialect;
 use dispatcher::Dispatcher;
 use memory::Memory;
 use observation::Observation;
 use quota::Quota;
 use relay::SharedLink;
+use report::ReportSender;
 
 /// Maximum number of idle connections to one worker: two for each of the two slots that workers usually have.
 const MAX_IDLE_PER_WORKER: usize = 4;
--- a/crates/entry/src/gateway/coordinator.rs
+++ b/crates/entry/src/gateway/coordinator.rs
@@ -17,13 +17,13 @@
 use chestnutvalve_model::id::{Service, Worker, Zone};
 use chestnutvalve_model::rank::Rank;
 use chestnutvalve_routing::placement;
-use chestnutvalve_routing::schedule::{Outcome, Reason, Refusal, Request};
+use chestnutvalve_routing::schedule::{Reason, Refusal, Request};
 use chestnutvalve_wire::Router;
 use serde::{Deserialize, Serialize};
-use tokio::sync::mpsc;
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, timeout};
 
 use super::dispatcher::{Dispatcher, Reservation};
+use super::report::{self, RemoteReservation, Report};
 use super::{Gateway, assignment};
 use crate::clock;
 
@@ -50,17 +50,8 @@
 /// How long after a request's deadline its reservation expires if its entry has not reported an outcome. The worker has
 /// stopped processing the request by then.
 const RESERVATION_GRACE: Duration = Duration::from_millis(500);
-/// How long reports are collected before they are sent in one message.
-const BATCH_DELAY: Duration = Duration::from_millis(5);
-/// Maximum number of reports in one message.
-const MAX_BATCH_REPORTS: usize = 64;
-/// Maximum number of reports that wait to be sent: several seconds' worth at the highest rate.
-pub const MAX_QUEUED_REPORTS: usize = 1_024;
-/// Timeout of a call that delivers reports to a coordinator.
-const REPORT_TIMEOUT: Duration = Duration::from_millis(300);
 
 const QUERY_PATH: &str = "gateway/ask";
-const REPORT_PATH: &str = "gateway/report";
 
 /// Query of an entry for a reservation.
 #[derive(Clone, Debug, Deserialize, Serialize)]
@@ -144,82 +135,6 @@
     }
 }
 
-/// Outcome of a reservation, sent to the coordinator.
-#[derive(Clone, Debug, Deserialize, Serialize)]
-pub struct Report {
-    reservation: u64,
-    outcome: ReportedOutcome,
-    /// Number of requests at the worker, if the worker reported it.
-    load: Option<u32>,
-}
-
-/// The part of [`Outcome`] that applies to other entries as well.
-#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
-enum ReportedOutcome {
-    Success,
-    Failure,
-    Shed,
-    Gone,
-    /// The attempt provides no evidence about the worker.
-    NoEvidence,
-}
-
-impl From<Outcome> for ReportedOutcome {
-    fn from(outcome: Outcome) -> Self {
-        match outcome {
-            Outcome::Success => Self::Success,
-            Outcome::Failure => Self::Failure,
-            Outcome::Shed => Self::Shed,
-            Outcome::Gone => Self::Gone,
-            // This entry's network path to the worker says nothing about the paths of others.
-            Outcome::Unreachable | Outcome::Cancelled => Self::NoEvidence,
-        }
-    }
-}
-
-impl From<ReportedOutcome> for Outcome {
-    fn from(outcome: ReportedOutcome) -> Self {
-        match outcome {
-            ReportedOutcome::Success => Self::Success,
-            ReportedOutcome::Failure => Self::Failure,
-            ReportedOutcome::Shed => Self::Shed,
-            ReportedOutcome::Gone => Self::Gone,
-            ReportedOutcome::NoEvidence => Self::Cancelled,
-        }
-    }
-}
-
-/// Queue of reports, each with the address of its coordinator.
-pub type ReportSender = mpsc::Sender<(SocketAddr, Report)>;
-
-/// A reservation that a coordinator made for this entry. Dropping it reports the outcome.
-#[derive(Debug)]
-pub struct RemoteReservation {
-    coordinator: SocketAddr,
-    id: u64,
-    reports: ReportSender,
-    /// Outcome of the attempt.
-    pub outcome: Outcome,
-    /// Number of requests at the worker, if the worker reported it.
-    pub load: Option<u32>,
-}
-
-impl Drop for RemoteReservation {
-    fn drop(&mut self) {
-        let report = Report {
-            reservation: self.id,
-            outcome: self.outcome.into(),
-            load: self.load,
-        };
-        if self.reports.try_send((self.coordinator, report)).is_err() {
-            spdlog::debug!(
-                "dropped the outcome report of reservation {}: the queue is full",
-                self.id
-            );
-        }
-    }
-}
-
 /// When each coordinator last answered, and until when an unresponsive one is not queried.
 #[derive(Debug, Default)]
 pub struct Contacts(Mutex<HashMap<SocketAddr, Contact>>);
@@ -408,13 +323,7 @@
             .await?;
         shared.contacts.record_answer(coordinator);
         let remote = match &answer {
-            Answer::Reserved { id, .. } => Some(RemoteReservation {
-                coordinator,
-                id: *id,
-                reports,
-                outcome: Outcome::Cancelled,
-                load: None,
-            }),
+            Answer::Reserved { id, .. } => Some(RemoteReservation::new(coordinator, *id, reports)),
             _ => None,
         };
         Ok::<_, chestnutvalve_wire::Error>((answer, remote))
@@ -511,37 +420,6 @@
     Answer::Reserved { worker, id }
 }
 
-/// Sends queued reports to their coordinators until dropped.
-pub async fn forward_reports(
-    gateway: Arc<Gateway>,
-    mut reports: mpsc::Receiver<(SocketAddr, Report)>,
-) {
-    let mut batch = Vec::new();
-    while reports.recv_many(&mut batch, MAX_BATCH_REPORTS).await > 0 {
-        sleep(BATCH_DELAY).await;
-        while batch.len() < MAX_BATCH_REPORTS
-            && let Ok(more) = reports.try_recv()
-        {
-            batch.push(more);
-        }
-        let mut messages: HashMap<SocketAddr, Vec<Report>> = HashMap::new();
-        for (coordinator, report) in batch.drain(..) {
-            messages.entry(coordinator).or_default().push(report);
-        }
-        for (coordinator, message) in messages {
-            let client = gateway.instance.peers.client(coordinator);
-            tokio::spawn(async move {
-                let sent = client
-                    .call::<_, ()>(REPORT_PATH, &message, REPORT_TIMEOUT)
-                    .await;
-                if let Err(error) = sent {
-                    spdlog::debug!("sending reports to coordinator {coordinator} failed: {error}");
-                }
-            });
-        }
-    }
-}
-
 /// Adds the handlers of queries and reports from other entries.
 #[must_use]
 pub fn add_routes(router: Router, gateway: &Arc<Gateway>) -> Router {
@@ -552,13 +430,13 @@
             let gateway = Arc::clone(&queried);
             async move { Ok::<_, Fault>(handle_query(&gateway, query).await) }
         })
-        .route(REPORT_PATH, move |reports: Vec<Report>| {
+        .route(report::PATH, move |reports: Vec<Report>| {
             for report in reports {
                 if let Some(reservation) = reported.reservations.remove(report.reservation) {
                     if let Some(load) = report.load {
                         reservation.record_load(load);
                     }
-                    reservation.finish(report.outcome.into());
+                    reservation.finish(report.outcome());
                 }
             }
             async { Ok::<(), Fault>(()) }
--- a/crates/entry/src/gateway/dispatcher.rs
+++ b/crates/entry/src/gateway/dispatcher.rs
@@ -14,8 +14,8 @@
 };
 use tokio::sync::{mpsc, oneshot};
 
-use super::coordinator::RemoteReservation;
 use super::observation::{Finding, Observation};
+use super::report::RemoteReservation;
 use crate::clock;
 
 /// A worker that is registered with the control group.
