--- a/crates/entry/src/gateway.rs
+++ b/crates/entry/src/gateway.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 
 use chestnutvalve_model::control::State;
-use chestnutvalve_model::id::{Service, Worker};
+use chestnutvalve_model::id::{Incarnation, Service, Worker};
 use chestnutvalve_model::routes::{Kind, Route};
 use chestnutvalve_model::version::Version;
 use chestnutvalve_routing::bandwidth::Link;
@@ -21,6 +21,7 @@
 use chestnutvalve_routing::schedule::Spec;
 use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, sleep_until};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::clock;
 use crate::instance::Instance;
@@ -28,6 +29,7 @@
 
 pub mod assignment;
 pub mod attempt;
+pub mod charge;
 pub mod coordinator;
 pub mod credentials;
 pub mod dialect;
@@ -124,12 +126,16 @@
     pub memory: Arc<Memory>,
     /// Link of the entry, if it is so narrow that downloads can fill it.
     link: Option<SharedLink>,
-    /// Entries that dispatch requests to the workers of a service, cached for a version of the state.
-    dispatching_entries: Cache<Addresses>,
+    /// Entries that may coordinate a service in any zone, cached for a version of the state.
+    all_coordinators: Cache<Addresses>,
+    /// Incarnations of the entries by peer address, cached for a version of the state.
+    incarnations: Cache<Arc<HashMap<SocketAddr, Incarnation>>>,
     /// Entries that serve a service, cached for a version of the state.
     serving_entries: Cache<Addresses>,
     /// Time by which a stopping entry must have answered all requests.
     answer_by: watch::Sender<Option<Instant>>,
+    /// When the process started.
+    started: Instant,
 }
 
 impl Gateway {
@@ -151,9 +157,11 @@
             coordinators: Mutex::default(),
             memory: Arc::new(Memory::new(instance.settings.memory_mb, &instance.meters)),
             link: shared_link(instance.settings.link_mbps),
-            dispatching_entries: Mutex::default(),
+            all_coordinators: Mutex::default(),
+            incarnations: Mutex::default(),
             serving_entries: Mutex::default(),
             answer_by: watch::Sender::new(None),
+            started: Instant::now(),
             instance: Arc::clone(instance),
             settings,
             pool: Arc::new(Pool::new(MAX_IDLE_PER_WORKER)),
@@ -210,14 +218,12 @@
         }
         let zone = self.instance.settings.zone.clone();
         let state = self.instance.control_state.current();
-        let budget = self.retry_budget(service);
-        let dispatcher = Dispatcher::new(service.clone(), zone, budget, self.observations.clone());
-        dispatcher.sync(
-            &registrations(&state, service),
-            budget,
-            self.dispatching_entry_count(service),
-            self.floor_share(service),
-        );
+        let mut initial = self.retry_budget(service);
+        if self.joined_running_fleet(&state) {
+            initial.slack = 0.0;
+        }
+        let dispatcher = Dispatcher::new(service.clone(), zone, initial, self.observations.clone());
+        self.sync_dispatcher(&state, &dispatcher);
         let dispatcher = Arc::new(dispatcher);
         dispatchers.insert(service.clone(), Arc::clone(&dispatcher));
         dispatcher
@@ -243,16 +249,37 @@
     /// Returns the peer addresses of the entries that dispatch requests to the workers of a service.
     #[must_use]
     pub fn dispatching_entries(&self, service: &Service) -> Addresses {
-        self.cached(&self.dispatching_entries, service, |state| {
-            let all = coordinator::coordinators_of_all_zones(state, service);
-            if all.is_empty() {
-                self.serving_entries(service)
-            } else {
-                Arc::new(all)
-            }
+        let coordinators = self.all_coordinators(service);
+        if coordinators.is_empty() {
+            self.serving_entries(service)
+        } else {
+            coordinators
+        }
+    }
+
+    /// Returns the peer addresses of the entries that may coordinate a service in any zone.
+    fn all_coordinators(&self, service: &Service) -> Addresses {
+        self.cached(&self.all_coordinators, service, |state| {
+            Arc::new(coordinator::coordinators_of_all_zones(state, service))
         })
     }
 
+    /// Returns the id of the part of a service's retry budget at an entry. A restarted process has a new part.
+    fn budget_part(&self, service: &Service, entry: SocketAddr) -> u64 {
+        let parts = self.cached(&self.incarnations, service, |state| {
+            let members = state.directory.members.values();
+            Arc::new(members.map(|m| (m.peers, m.incarnation)).collect())
+        });
+        let own = self.instance.member();
+        let incarnation = if entry == own.peers {
+            Some(&own.incarnation)
+        } else {
+            parts.get(&entry)
+        };
+        let incarnation = incarnation.map_or(0, |i| i.0);
+        xxh3_64_with_seed(entry.to_string().as_bytes(), incarnation)
+    }
+
     /// Returns a value that is derived from the state for a service, computed once for each version of the state.
     fn cached<T: Clone>(
         &self,
@@ -296,27 +323,30 @@
         u32::try_from(entries).unwrap_or(u32::MAX).max(1)
     }
 
-    /// Returns this entry's part of the retry budget of a service. Only entries that are assigned to its hosts get a
-    /// part of the fixed number of retries; each earns the proportional share with the requests that it receives.
+    /// Returns this entry's part of the retry budget of a service. Whoever counts a request earns its proportional share.
+    /// Of the fixed number, half goes to the entries that may coordinate the service, if there are any, and the rest to
+    /// those that are assigned to its hosts.
     fn retry_budget(&self, service: &Service) -> Bounds {
         let serving_entries = self.serving_entries(service);
-        let Bounds {
-            ratio,
-            slack,
-            window,
-        } = self.settings.retry_budget;
-        let entries = u32::try_from(serving_entries.len())
-            .unwrap_or(u32::MAX)
-            .max(1);
-        let is_assigned = serving_entries.contains(&self.instance.member().peers);
-        Bounds {
-            ratio: ratio * LOCAL_BUDGET_FACTOR,
-            slack: if is_assigned {
-                slack * LOCAL_BUDGET_FACTOR / f64::from(entries)
+        let coordinators = self.all_coordinators(service);
+        let own = self.instance.member().peers;
+        let slack = self.settings.retry_budget.slack * LOCAL_BUDGET_FACTOR;
+        let part = |entries: &BTreeSet<SocketAddr>, slack: f64| {
+            if entries.contains(&own) {
+                slack / f64::from(u32::try_from(entries.len()).unwrap_or(u32::MAX))
             } else {
                 0.0
-            },
-            window,
+            }
+        };
+        let slack = if coordinators.is_empty() {
+            part(&serving_entries, slack)
+        } else {
+            part(&serving_entries, slack / 2.0) + part(&coordinators, slack / 2.0)
+        };
+        Bounds {
+            ratio: self.settings.retry_budget.ratio * LOCAL_BUDGET_FACTOR,
+            slack,
+            window: self.settings.retry_budget.window,
         }
     }
 
@@ -333,17 +363,33 @@
             .dispatchers
             .lock()
             .unwrap_or_else(PoisonError::into_inner);
-        for (service, dispatcher) in dispatchers.iter() {
-            let entries = self.dispatching_entry_count(service);
-            dispatcher.sync(
-                &registrations(&state, service),
-                self.retry_budget(service),
-                entries,
-                self.floor_share(service),
-            );
+        for dispatcher in dispatchers.values() {
+            self.sync_dispatcher(&state, dispatcher);
         }
     }
 
+    fn sync_dispatcher(&self, state: &State, dispatcher: &Dispatcher) {
+        let service = &dispatcher.service;
+        dispatcher.set_pooled(!self.coordinators(service).is_empty());
+        dispatcher.sync(
+            &registrations(state, service),
+            self.retry_budget(service),
+            self.dispatching_entry_count(service),
+            self.floor_share(service),
+        );
+    }
+
+    /// Returns whether this process started within the last window of the retry budget, and others before it: an
+    /// earlier process of this entry may have spent its fixed number of retries in the window.
+    fn joined_running_fleet(&self, state: &State) -> bool {
+        let window = self.settings.retry_budget.window;
+        let window_ms = u64::try_from(window.as_millis()).unwrap_or(u64::MAX);
+        let own = self.instance.incarnation.0;
+        let mut members = state.directory.members.values();
+        self.started.elapsed() < window
+            && members.any(|m| m.incarnation.0.saturating_add(window_ms) < own)
+    }
+
     /// Dispatches or refuses queued requests that are due, for all services.
     pub fn tick(&self) {
         self.quota.tick();
--- a/crates/entry/src/gateway/attempt.rs
+++ b/crates/entry/src/gateway/attempt.rs
@@ -80,6 +80,8 @@
     inbound: &Inbound,
     mut reservation: Reservation,
 ) -> Result<Received, AttemptError> {
+    // An attempt that reaches no worker keeps its budget for the one that replaces it.
+    reservation.mark_used();
     let body = inbound.source.replay();
     let body = body.map_err(|cause| AttemptError::Unreached(cause.to_string()))?;
     let dialect = &gateway.settings.dialect;
--- a/crates/entry/src/gateway/coordinator.rs
+++ b/crates/entry/src/gateway/coordinator.rs
@@ -17,12 +17,14 @@
 use chestnutvalve_model::id::{Service, Worker, Zone};
 use chestnutvalve_model::rank::Rank;
 use chestnutvalve_routing::placement;
+use chestnutvalve_routing::retry::Usage;
 use chestnutvalve_routing::schedule::{Reason, Refusal, Request};
 use chestnutvalve_wire::Router;
 use serde::{Deserialize, Serialize};
 use tokio::time::{Instant, timeout};
 
-use super::dispatcher::{Dispatcher, Reservation};
+use super::charge::Charge;
+use super::dispatcher::{Denied, Dispatcher, Reservation, Unplaced};
 use super::report::{self, RemoteReservation, Report};
 use super::{Gateway, assignment};
 use crate::clock;
@@ -71,6 +73,18 @@
     /// Workers to which the entry has an open connection.
     connected: Vec<Worker>,
     mode: QueueMode,
+    charge: Charge,
+    /// What others counted for the entry in the last window, if anything.
+    elsewhere: Option<Elsewhere>,
+}
+
+/// Requests and extra attempts of an entry in the last window that other parts of the retry budget counted.
+#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
+struct Elsewhere {
+    /// Id of the entry.
+    entry: u64,
+    requests: u32,
+    extra_attempts: u32,
 }
 
 /// What the coordinator does with the request if no worker has a free slot.
@@ -102,6 +116,8 @@
     NoWorker,
     /// The request cannot be answered in time. The caller may retry after this time, in milliseconds.
     Overload(u64),
+    /// The retry budget allows no extra attempt.
+    Denied,
 }
 
 impl Query {
@@ -196,19 +212,21 @@
     zones.into_iter().flat_map(of).collect()
 }
 
-/// Reserves a slot of a worker and waits until one is free. The coordinator decides if there is one that answers.
+/// Reserves a slot of a worker and waits until one is free. The coordinator decides if there is one that answers, also
+/// on the budget of `charge`.
 ///
 /// # Errors
 ///
-/// Returns the refusal of the coordinator or of the local scheduler.
+/// Returns why the coordinator or this entry's dispatcher reserved none.
 pub async fn admit(
     gateway: &Arc<Gateway>,
     dispatcher: &Arc<Dispatcher>,
     request: Request,
-) -> Result<Reservation, Refusal> {
+    mut charge: Charge,
+) -> Result<Reservation, Unplaced> {
     // The coordinator does not know the pauses that workers want from this entry.
     if dispatcher.is_paused(&request) {
-        return dispatcher.admit(request).await;
+        return admit_here(gateway, dispatcher, request, charge).await;
     }
     let mut queued = None;
     while let Some(coordinator) = remote_coordinator(gateway, dispatcher, &request) {
@@ -216,33 +234,101 @@
             Some((at, id)) if at == coordinator => QueueMode::Resume(id),
             _ => QueueMode::Join,
         };
-        match query(gateway, dispatcher, coordinator, &request, mode).await {
+        let asked = query(gateway, dispatcher, coordinator, &request, mode, charge).await;
+        record_usage(gateway, dispatcher, coordinator, charge, &asked);
+        charge = charge.repeated();
+        match asked {
             Resolved::Reservation(reservation) => return Ok(reservation),
-            Resolved::Refused(refusal) => return Err(refusal),
+            Resolved::Refused(refusal) => return Err(Unplaced::Refused(refusal)),
+            Resolved::Denied => return Err(Unplaced::Denied),
             // The coordinator and this entry know different versions of the state. The local scheduler only uses
             // workers that this entry knows.
             Resolved::Unknown => break,
+            Resolved::Unusable => {
+                charge = Charge::Nothing;
+                break;
+            }
             Resolved::Waiting(id) => queued = Some((coordinator, id)),
             Resolved::Busy | Resolved::Expired | Resolved::NoAnswer => queued = None,
         }
     }
-    dispatcher.admit(request).await
+    admit_here(gateway, dispatcher, request, charge).await
+}
+
+/// Waits for a slot that this entry's scheduler reserves.
+async fn admit_here(
+    gateway: &Gateway,
+    dispatcher: &Arc<Dispatcher>,
+    request: Request,
+    charge: Charge,
+) -> Result<Reservation, Unplaced> {
+    let part = charge_here(gateway, dispatcher);
+    let admitted = dispatcher.admit(request, charge).await;
+    if let Some(part) = part {
+        dispatcher.record_usage(part, charge.usage(admitted.is_ok()));
+    }
+    admitted
 }
 
-/// Reserves a slot of another worker without waiting, if one has a free slot.
+/// Tells this entry's part of the retry budget what others counted for the entry, and returns the part's id. Without
+/// coordinators there are no others.
+fn charge_here(gateway: &Gateway, dispatcher: &Dispatcher) -> Option<u64> {
+    if gateway.coordinators(&dispatcher.service).is_empty() {
+        return None;
+    }
+    let own = gateway.budget_part(&dispatcher.service, gateway.instance.member().peers);
+    dispatcher.record_elsewhere(own, dispatcher.usage_elsewhere(own));
+    Some(own)
+}
+
+/// Records what a coordinator counted for a request.
+fn record_usage(
+    gateway: &Gateway,
+    dispatcher: &Dispatcher,
+    coordinator: SocketAddr,
+    charge: Charge,
+    asked: &Resolved,
+) {
+    let is_granted = match asked {
+        Resolved::NoAnswer | Resolved::Expired => return,
+        Resolved::Reservation(_) | Resolved::Unusable => true,
+        _ => false,
+    };
+    let part = gateway.budget_part(&dispatcher.service, coordinator);
+    dispatcher.record_usage(part, charge.usage(is_granted));
+}
+
+/// Reserves a slot of another worker without waiting, if one has a free slot, together with the budget of `charge`.
+///
+/// # Errors
+///
+/// Returns an error if the retry budget allows no extra attempt.
 pub async fn try_reserve(
     gateway: &Arc<Gateway>,
     dispatcher: &Arc<Dispatcher>,
     request: &Request,
-) -> Option<Reservation> {
+    mut charge: Charge,
+) -> Result<Option<Reservation>, Denied> {
     if let Some(coordinator) = remote_coordinator(gateway, dispatcher, request) {
-        match query(gateway, dispatcher, coordinator, request, QueueMode::Skip).await {
-            Resolved::Reservation(reservation) => return Some(reservation),
-            Resolved::Refused(_) | Resolved::Waiting(_) | Resolved::Busy => return None,
+        let mode = QueueMode::Skip;
+        let asked = query(gateway, dispatcher, coordinator, request, mode, charge).await;
+        record_usage(gateway, dispatcher, coordinator, charge, &asked);
+        charge = charge.repeated();
+        match asked {
+            Resolved::Reservation(reservation) => return Ok(Some(reservation)),
+            Resolved::Refused(_) | Resolved::Waiting(_) | Resolved::Busy => return Ok(None),
+            Resolved::Denied => return Err(Denied),
+            Resolved::Unusable => charge = Charge::Nothing,
             Resolved::Unknown | Resolved::Expired | Resolved::NoAnswer => {}
         }
     }
-    dispatcher.try_reserve(request)
+    let part = charge_here(gateway, dispatcher);
+    let reserved = dispatcher.try_reserve(request, charge);
+    if let Some(part) = part {
+        let is_granted = matches!(reserved, Ok(Some(_)));
+        dispatcher.record_usage(part, charge.usage(is_granted));
+    }
+    reserved
 }
 
 /// Returns the coordinator of a service. Returns `None` if this entry is the coordinator, none responds, or the
@@ -270,9 +356,13 @@
     Busy,
     /// The request is queued at the coordinator under this id.
     Waiting(u64),
-    /// The selected worker is unknown to this entry, is leaving or wants a pause, so that it cannot be used, or the
-    /// coordinator knows no worker. The local scheduler decides.
+    /// The retry budget allows no extra attempt.
+    Denied,
+    /// The coordinator knows no worker for the request. The local scheduler decides.
     Unknown,
+    /// The selected worker is unknown to this entry, is leaving or wants a pause, so that it cannot be used. The budget of
+    /// the attempt stays used.
+    Unusable,
     /// The request's deadline passed before an answer arrived.
     Expired,
     /// The coordinator did not answer.
@@ -285,6 +375,7 @@
     coordinator: SocketAddr,
     request: &Request,
     mode: QueueMode,
+    charge: Charge,
 ) -> Resolved {
     let now = clock::now();
     let left = request.deadline.saturating_duration_since(now);
@@ -311,6 +402,8 @@
         tried,
         connected,
         mode,
+        charge,
+        elsewhere: elsewhere(gateway, dispatcher, coordinator),
     };
     let client = gateway.instance.peers.client(coordinator);
     let reports = gateway.reports.clone();
@@ -349,6 +442,24 @@
     Resolved::NoAnswer
 }
 
+/// Returns what others than a coordinator counted for this entry in the last window.
+fn elsewhere(
+    gateway: &Gateway,
+    dispatcher: &Dispatcher,
+    coordinator: SocketAddr,
+) -> Option<Elsewhere> {
+    let part = |entry| gateway.budget_part(&dispatcher.service, entry);
+    let Usage {
+        requests,
+        extra_attempts,
+    } = dispatcher.usage_elsewhere(part(coordinator));
+    (requests + extra_attempts > 0).then(|| Elsewhere {
+        entry: part(gateway.instance.member().peers),
+        requests,
+        extra_attempts,
+    })
+}
+
 fn interpret(
     dispatcher: &Arc<Dispatcher>,
     answer: Answer,
@@ -358,7 +469,7 @@
         (Answer::Reserved { worker, .. }, Some(remote)) => match dispatcher.accept(&worker, remote)
         {
             Some(reservation) => Resolved::Reservation(reservation),
-            None => Resolved::Unknown,
+            None => Resolved::Unusable,
         },
         // The coordinator may not know the workers yet after a start, and the query excluded workers that only this entry
         // can't use.
@@ -368,6 +479,7 @@
             retry_after: Duration::from_millis(retry_after_ms),
         }),
         (Answer::Waiting(id), _) => Resolved::Waiting(id),
+        (Answer::Denied, _) => Resolved::Denied,
         (Answer::Busy | Answer::Reserved { .. }, _) => Resolved::Busy,
     }
 }
@@ -378,7 +490,19 @@
 
 /// Answers a query of another entry in the zone.
 async fn handle_query(gateway: &Arc<Gateway>, query: Query) -> Answer {
-    let (mode, deadline) = (query.mode, Duration::from_millis(query.deadline_ms));
+    let (mode, mut charge) = (query.mode, query.charge);
+    if let Some(elsewhere) = query.elsewhere {
+        let usage = Usage {
+            requests: elsewhere.requests,
+            extra_attempts: elsewhere.extra_attempts,
+        };
+        let dispatcher = gateway.dispatcher(&query.service);
+        dispatcher.record_elsewhere(elsewhere.entry, usage);
+        if charge == Charge::Deposit && preferred_answers(gateway, &query.service) {
+            charge = Charge::Nothing;
+        }
+    }
+    let deadline = Duration::from_millis(query.deadline_ms);
     let (id, mut admission) = match mode {
         // A poll that came too late finds no queued request; the entry then sends a full query.
         QueueMode::Resume(id) => match gateway.reservations.resume(id) {
@@ -392,16 +516,21 @@
             );
             let request = query.request(id);
             if mode == QueueMode::Skip {
-                let reservation = dispatcher.try_reserve(&request);
-                return reservation.map_or(Answer::Busy, |s| grant(gateway, id, s, deadline));
+                return match dispatcher.try_reserve(&request, charge) {
+                    Ok(Some(reservation)) => grant(gateway, id, reservation, deadline),
+                    Ok(None) => Answer::Busy,
+                    Err(Denied) => Answer::Denied,
+                };
             }
-            let admission: Admission = Box::pin(async move { dispatcher.admit(request).await });
+            let admission: Admission =
+                Box::pin(async move { dispatcher.admit(request, charge).await });
             (id, admission)
         }
     };
     match timeout(mode.poll_wait(), admission.as_mut()).await {
         Ok(Ok(reservation)) => grant(gateway, id, reservation, deadline),
-        Ok(Err(refusal)) => match refusal.reason {
+        Ok(Err(Unplaced::Denied)) => Answer::Denied,
+        Ok(Err(Unplaced::Refused(refusal))) => match refusal.reason {
             Reason::NoWorker => Answer::NoWorker,
             Reason::Overload | Reason::Paused => Answer::Overload(millis(refusal.retry_after)),
         },
@@ -412,6 +541,19 @@
     }
 }
 
+/// Returns whether another entry is the preferred coordinator and answers. It may still grant extra attempts for what it
+/// counted, so that the requests of an entry that has just turned here must not permit as many again.
+fn preferred_answers(gateway: &Gateway, service: &Service) -> bool {
+    let own = gateway.instance.member().peers;
+    let candidates = gateway.coordinators(service);
+    let preferred = candidates.first().filter(|first| **first != own);
+    preferred.is_some_and(|first| {
+        let since = Instant::now().checked_sub(UNRESPONSIVE_BACKOFF);
+        let answered = since.is_some_and(|since| gateway.contacts.answered_since(*first, since));
+        answered && !gateway.contacts.is_unresponsive(*first)
+    })
+}
+
 /// Stores a reservation for the entry that sent the query.
 fn grant(gateway: &Gateway, id: u64, reservation: Reservation, deadline: Duration) -> Answer {
     let worker = reservation.worker.clone();
@@ -432,7 +574,10 @@
         })
         .route(report::PATH, move |reports: Vec<Report>| {
             for report in reports {
-                if let Some(reservation) = reported.reservations.remove(report.reservation) {
+                if let Some(mut reservation) = reported.reservations.remove(report.reservation) {
+                    if report.is_used {
+                        reservation.mark_used();
+                    }
                     if let Some(load) = report.load {
                         reservation.record_load(load);
                     }
--- a/crates/entry/src/gateway/coordinator/reservations.rs
+++ b/crates/entry/src/gateway/coordinator/reservations.rs
@@ -7,17 +7,16 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use chestnutvalve_routing::schedule::Refusal;
 use tokio::time::Instant;
 
-use crate::gateway::dispatcher::Reservation;
+use crate::gateway::dispatcher::{Reservation, Unplaced};
 
 /// Time within which an entry must poll again for a queued request: 100 ms each way on a narrow link that carries
 /// downloads, and as much again as a margin.
 const NEXT_POLL_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// Pending admission of a request. Dropping it removes the request from the queue or releases its reservation.
-pub type Admission = Pin<Box<dyn Future<Output = Result<Reservation, Refusal>> + Send>>;
+pub type Admission = Pin<Box<dyn Future<Output = Result<Reservation, Unplaced>> + Send>>;
 
 /// Reservations granted to other entries and their queued requests, each with its expiry time.
 #[derive(Default)]
@@ -52,7 +51,9 @@
     /// Releases reservations whose entries have not reported an outcome, and cancels requests that are no longer
     /// polled.
     pub fn expire(&self) {
-        let reservations = remove_expired(&self.granted);
+        let mut reservations = remove_expired(&self.granted);
+        // The attempts may have been made.
+        reservations.iter_mut().for_each(Reservation::mark_used);
         let waiting = remove_expired(&self.waiting);
         if !reservations.is_empty() || !waiting.is_empty() {
             let (places, waiting) = (reservations.len(), waiting.len());
--- a/crates/entry/src/gateway/dispatcher.rs
+++ b/crates/entry/src/gateway/dispatcher.rs
@@ -7,13 +7,14 @@
 
 use chestnutvalve_model::id::{Incarnation, Service, Worker, Zone};
 use chestnutvalve_model::rank::Rank;
-use chestnutvalve_routing::retry::{Bounds, Purpose, WindowBudget};
+use chestnutvalve_routing::retry::{Bounds, Ledger, Usage, WindowBudget, Withdrawal};
 use chestnutvalve_routing::schedule::{
     Action, Decision, Evidence, Hold, Notice, Outcome, Reason, Refusal, Refusals, Request,
     Scheduler, Spec,
 };
 use tokio::sync::{mpsc, oneshot};
 
+use super::charge::Charge;
 use super::observation::{Finding, Observation};
 use super::report::RemoteReservation;
 use crate::clock;
@@ -33,6 +34,25 @@
 /// Worker and dispatch time of a queued request, or its refusal.
 type Admitted = Result<(Worker, Instant), Refusal>;
 
+/// The retry budget allows no extra attempt.
+#[derive(Clone, Copy, Debug)]
+pub struct Denied;
+
+/// Why an attempt got no slot.
+#[derive(Clone, Copy, Debug)]
+pub enum Unplaced {
+    /// The scheduler refused the request.
+    Refused(Refusal),
+    /// The retry budget allows no extra attempt.
+    Denied,
+}
+
+impl From<Denied> for Unplaced {
+    fn from(Denied: Denied) -> Self {
+        Self::Denied
+    }
+}
+
 /// Dispatches the requests for one service to its workers.
 #[derive(Debug)]
 pub struct Dispatcher {
@@ -48,6 +68,8 @@
     registrations: BTreeMap<Worker, Registration>,
     waiters: HashMap<u64, oneshot::Sender<Admitted>>,
     retry_budget: WindowBudget,
+    /// What this entry's requests used of the parts of the retry budget.
+    ledger: Ledger,
     /// When a reused connection last broke during an exchange.
     connection_lost_at: Option<Instant>,
     /// Refusals at the last log line, and its time.
@@ -69,6 +91,7 @@
             registrations: BTreeMap::new(),
             waiters: HashMap::new(),
             retry_budget: WindowBudget::new(budget),
+            ledger: Ledger::new(budget.window),
             connection_lost_at: None,
             logged_refusals: (Refusals::default(), None),
         };
@@ -83,6 +106,11 @@
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Sets whether the coordinator of this entry's zone grants the extra attempts.
+    pub fn set_pooled(&self, is_pooled: bool) {
+        self.lock().retry_budget.set_pooled(is_pooled);
+    }
+
     /// Updates the workers, this entry's part of the retry budget and the number of entries that dispatch to the
     /// workers. `floor` is the share of the zone's workers that must stay in use, if this entry coordinates the
     /// service.
@@ -102,7 +130,7 @@
         inner.scheduler.sync_workers(now, &specs, entries);
         inner.scheduler.set_floor(floor);
         inner.registrations.clone_from(registrations);
-        inner.retry_budget.configure(budget);
+        inner.retry_budget.configure(now, budget);
         let actions = inner.scheduler.tick(now);
         inner.apply(now, actions);
     }
@@ -138,11 +166,25 @@
         self.lock().retry_budget.deposit_for(clock::now(), rank);
     }
 
-    /// Withdraws one extra attempt for a request of a rank from the budget. Returns whether the budget allowed it.
+    /// Records what the part of the retry budget with the id `part` counted for a request of this entry.
+    pub fn record_usage(&self, part: u64, usage: Usage) {
+        if usage != Usage::default() {
+            self.lock().ledger.record(clock::now(), part, usage);
+        }
+    }
+
+    /// Returns what all parts of the retry budget but `part` counted for this entry in the last window.
     #[must_use]
-    pub fn try_withdraw(&self, purpose: Purpose, rank: Rank) -> bool {
-        let budget = &mut self.lock().retry_budget;
-        budget.try_withdraw_for(clock::now(), purpose, rank)
+    pub fn usage_elsewhere(&self, part: u64) -> Usage {
+        self.lock().ledger.elsewhere(clock::now(), part)
+    }
+
+    /// Records what other parts of the retry budget counted for an entry that asks this one.
+    pub fn record_elsewhere(&self, entry: u64, usage: Usage) {
+        let mut inner = self.lock();
+        inner
+            .retry_budget
+            .record_elsewhere(clock::now(), entry, usage);
     }
 
     /// Returns the time after which a response counts as late and the request may be hedged.
@@ -295,26 +337,38 @@
             .record_load(clock::now(), worker, load);
     }
 
-    /// Waits for a free slot of a worker. Dropping the future removes the request from the queue.
+    /// Waits for a free slot of a worker, and takes it together with the budget of `charge`. Dropping the future removes
+    /// the request from the queue.
     ///
     /// # Errors
     ///
-    /// Returns the refusal of the scheduler.
-    pub async fn admit(self: &Arc<Self>, request: Request) -> Result<Reservation, Refusal> {
+    /// Returns why there is no slot. The attempt then uses no budget.
+    pub async fn admit(
+        self: &Arc<Self>,
+        request: Request,
+        charge: Charge,
+    ) -> Result<Reservation, Unplaced> {
         let id = request.id;
-        let receiver = {
+        let (receiver, withdrawal) = {
             let mut inner = self.lock();
             let now = clock::now();
+            let withdrawal = inner.charge(now, request.rank, charge)?;
             let decision = inner.scheduler.offer(now, request);
             let displaced = inner.scheduler.take_displaced();
             inner.apply(now, displaced);
             match decision {
-                Decision::Send(worker) => return inner.reserve(self, worker, now),
-                Decision::Refuse(refusal) => return Err(refusal),
+                Decision::Send(worker) => {
+                    let reserved = inner.reserve(self, worker, now, withdrawal);
+                    return reserved.map_err(Unplaced::Refused);
+                }
+                Decision::Refuse(refusal) => {
+                    inner.give_back(withdrawal);
+                    return Err(Unplaced::Refused(refusal));
+                }
                 Decision::Wait => {
                     let (sender, receiver) = oneshot::channel();
                     inner.waiters.insert(id, sender);
-                    receiver
+                    (receiver, withdrawal)
                 }
             }
         };
@@ -322,6 +376,7 @@
             dispatcher: Arc::clone(self),
             id,
             receiver,
+            withdrawal,
             resolved: false,
         };
         let answer = (&mut waiting.receiver).await;
@@ -330,8 +385,26 @@
             reason: Reason::NoWorker,
             retry_after: Duration::ZERO,
         };
-        let (worker, started) = answer.unwrap_or(Err(dropped))?;
-        self.lock().reserve(self, worker, started)
+        let mut inner = self.lock();
+        let (worker, started) = match answer.unwrap_or(Err(dropped)) {
+            Ok(admitted) => admitted,
+            Err(refusal) => {
+                inner.give_back(withdrawal);
+                return Err(Unplaced::Refused(refusal));
+            }
+        };
+        let now = clock::now();
+        let renewed = withdrawal.map(|w| inner.retry_budget.renew(now, w).ok_or(Denied));
+        match renewed.transpose() {
+            Ok(renewed) => {
+                let reserved = inner.reserve(self, worker, started, renewed);
+                reserved.map_err(Unplaced::Refused)
+            }
+            Err(denied) => {
+                inner.release(now, &worker, started);
+                Err(denied.into())
+            }
+        }
     }
 
     /// Returns whether all workers that the request may use want a pause from this entry.
@@ -358,7 +431,8 @@
     }
 
     /// Records a reservation that the coordinator made. Returns `None` if this entry does not know the worker, or if
-    /// the worker said that it leaves or wants no requests.
+    /// the worker said that it leaves or wants no requests. The budget of the reservation then stays used, for the
+    /// attempt that this entry places itself.
     #[must_use]
     pub fn accept(
         self: &Arc<Self>,
@@ -367,39 +441,86 @@
     ) -> Option<Reservation> {
         let now = clock::now();
         let mut inner = self.lock();
+        remote.is_used = true;
         let incarnation = inner.registrations.get(worker)?.spec.incarnation;
         if let Some(hold) = inner.scheduler.hold(now, worker, incarnation) {
             remote.outcome = held_outcome(hold);
             return None;
         }
         inner.scheduler.reserve_at(now, worker);
-        let mut reservation = inner.reserve(self, worker.clone(), now).ok()?;
+        let mut reservation = inner.reserve(self, worker.clone(), now, None).ok()?;
+        remote.is_used = false;
         reservation.remote = Some(remote);
         Some(reservation)
     }
 
-    /// Reserves a slot of another worker without waiting, if one has a free slot.
-    #[must_use]
-    pub fn try_reserve(self: &Arc<Self>, request: &Request) -> Option<Reservation> {
+    /// Reserves a slot of another worker without waiting, if one has a free slot, together with the budget of `charge`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the retry budget allows no extra attempt.
+    pub fn try_reserve(
+        self: &Arc<Self>,
+        request: &Request,
+        charge: Charge,
+    ) -> Result<Option<Reservation>, Denied> {
         let now = clock::now();
         let mut inner = self.lock();
-        let worker = inner.scheduler.reserve_retry(now, request)?;
-        inner.reserve(self, worker, now).ok()
+        let withdrawal = inner.charge(now, request.rank, charge)?;
+        let Some(worker) = inner.scheduler.reserve_retry(now, request) else {
+            inner.give_back(withdrawal);
+            return Ok(None);
+        };
+        Ok(inner.reserve(self, worker, now, withdrawal).ok())
     }
 }
 
 impl Inner {
+    /// Records a request in the retry budget, or takes the extra attempt that `charge` asks for.
+    fn charge(
+        &mut self,
+        now: Instant,
+        rank: Rank,
+        charge: Charge,
+    ) -> Result<Option<Withdrawal>, Denied> {
+        if charge == Charge::Deposit {
+            self.retry_budget.deposit_for(now, rank);
+        }
+        let withdrawn = charge.ask(rank).map(|ask| {
+            let withdrawal = self.retry_budget.withdraw(now, ask);
+            withdrawal.ok_or(Denied)
+        });
+        withdrawn.transpose()
+    }
+
+    fn give_back(&mut self, withdrawal: Option<Withdrawal>) {
+        if let Some(withdrawal) = withdrawal {
+            self.retry_budget.give_back(withdrawal);
+        }
+    }
+
+    /// Releases a slot that no attempt uses.
+    fn release(&mut self, now: Instant, worker: &Worker, started: Instant) {
+        let outcome = Outcome::Cancelled;
+        let actions = self.scheduler.finish(now, worker, started, outcome);
+        self.apply(now, actions);
+    }
+
     fn reserve(
-        &self,
+        &mut self,
         dispatcher: &Arc<Dispatcher>,
         worker: Worker,
         started: Instant,
+        withdrawal: Option<Withdrawal>,
     ) -> Result<Reservation, Refusal> {
         let unknown = Refusal {
             reason: Reason::NoWorker,
             retry_after: Duration::ZERO,
         };
-        let registration = self.registrations.get(&worker).ok_or(unknown)?;
+        let Some(registration) = self.registrations.get(&worker) else {
+            self.give_back(withdrawal);
+            return Err(unknown);
+        };
         Ok(Reservation {
             dispatcher: Arc::clone(dispatcher),
             address: registration.address,
@@ -407,6 +528,8 @@
             worker,
             started,
             outcome: Outcome::Cancelled,
+            withdrawal,
+            is_used: false,
             remote: None,
             is_released: false,
         })
@@ -431,6 +554,8 @@
     dispatcher: Arc<Dispatcher>,
     id: u64,
     receiver: oneshot::Receiver<Admitted>,
+    /// Budget that the request holds while it waits.
+    withdrawal: Option<Withdrawal>,
     resolved: bool,
 }
 
@@ -441,13 +566,11 @@
         }
         let mut inner = self.dispatcher.lock();
         inner.waiters.remove(&self.id);
+        inner.give_back(self.withdrawal);
         if !inner.scheduler.cancel(self.id)
             && let Ok(Ok((worker, started))) = self.receiver.try_recv()
         {
-            let now = clock::now();
-            let outcome = Outcome::Cancelled;
-            let actions = inner.scheduler.finish(now, &worker, started, outcome);
-            inner.apply(now, actions);
+            inner.release(clock::now(), &worker, started);
         }
     }
 }
@@ -463,6 +586,10 @@
     incarnation: Incarnation,
     started: Instant,
     outcome: Outcome,
+    /// Budget of the extra attempt, if this entry granted it.
+    withdrawal: Option<Withdrawal>,
+    /// Whether the attempt was started. Otherwise its budget is given back.
+    is_used: bool,
     /// The coordinator's reservation, if the coordinator made it.
     remote: Option<RemoteReservation>,
     /// Whether the slot was released before the end of the response.
@@ -510,6 +637,14 @@
         }
     }
 
+    /// Records that the attempt is started, so that its budget is not given back.
+    pub fn mark_used(&mut self) {
+        self.is_used = true;
+        if let Some(remote) = &mut self.remote {
+            remote.is_used = true;
+        }
+    }
+
     /// Records the load that the worker reports at this entry.
     pub fn record_load(&self, load: u32) {
         self.dispatcher.record_load(&self.worker, load);
@@ -541,6 +676,9 @@
     fn complete(&mut self) {
         let mut inner = self.dispatcher.lock();
         let now = clock::now();
+        if !self.is_used {
+            inner.give_back(self.withdrawal.take());
+        }
         match self.remote.take() {
             // The coordinator passes the outcome on to other entries.
             Some(mut remote) => remote.outcome = self.outcome,
--- a/crates/entry/src/gateway/proxy.rs
+++ b/crates/entry/src/gateway/proxy.rs
@@ -13,8 +13,9 @@
 
 use super::Gateway;
 use super::attempt::{AttemptError, Received, attempt, max_idle_time};
+use super::charge::Charge;
 use super::coordinator;
-use super::dispatcher::{Dispatcher, Reservation};
+use super::dispatcher::{Denied, Dispatcher, Reservation, Unplaced};
 use super::inbound::{self, Inbound};
 use super::quota::Permit;
 use super::relay::relay;
@@ -40,6 +41,8 @@
 const HEDGE_TIME_FACTOR: f64 = 1.5;
 /// Additional time for the query to the coordinator and the way back to the caller.
 const HEDGE_MARGIN: Duration = Duration::from_millis(50);
+/// Cause in the log of a retry or hedge that the retry budget does not allow.
+const BUDGET_EXHAUSTED: &str = "the retry budget is exhausted";
 
 /// Handles a request that arrived at `arrived` on the connection of `holder`.
 pub async fn handle(
@@ -161,12 +164,22 @@
     unexecuted: usize,
     executed: Executed,
     waited: Duration,
+    /// What the retry budget records for the first attempt.
+    first_charge: Charge,
+    /// Number of attempts after which a retry was last asked for.
+    retry_asked_after: Option<usize>,
 }
 
 impl<'a> Exchange<'a> {
     fn new(gateway: &'a Arc<Gateway>, inbound: &'a Inbound) -> Self {
         let dispatcher = gateway.dispatcher(&inbound.service);
-        dispatcher.deposit(inbound.rank);
+        // A coordinator counts the requests that it places.
+        let first_charge = if gateway.coordinators(&inbound.service).is_empty() {
+            dispatcher.deposit(inbound.rank);
+            Charge::Nothing
+        } else {
+            Charge::Deposit
+        };
         Self {
             gateway,
             inbound,
@@ -176,12 +189,15 @@
             unexecuted: 0,
             executed: Executed::No,
             waited: Duration::ZERO,
+            first_charge,
+            retry_asked_after: None,
         }
     }
 
     async fn run(&mut self) -> Result<Received, Refusal> {
         let permit = self.take_permit().await?;
-        let mut reservation = self.admit().await?;
+        let admitted = self.admit(self.first_charge).await;
+        let mut reservation = admitted.map_err(|unplaced| self.unplaced_refusal(unplaced))?;
         if let Some(permit) = permit {
             permit.spend();
         }
@@ -236,18 +252,15 @@
                 self.sent = self.sent.saturating_sub(1);
                 self.unexecuted += 1;
                 // An attempt that reached no worker does not count as a retry and costs no budget.
-                let may_retry = self.unexecuted <= MAX_UNEXECUTED_ATTEMPTS;
-                self.reserve_elsewhere(may_retry, Kind::NoEligibleWorker, cause)
+                let charge = Charge::Nothing;
+                self.reserve_elsewhere(charge, Kind::NoEligibleWorker, cause)
                     .await
             }
             AttemptError::NotExecuted(cause) => {
                 self.sent = self.sent.saturating_sub(1);
                 self.unexecuted += 1;
-                let may_retry = self.unexecuted <= MAX_UNEXECUTED_ATTEMPTS
-                    && self
-                        .dispatcher
-                        .try_withdraw(Purpose::Retry, self.inbound.rank);
-                self.reserve_elsewhere(may_retry, Kind::RefusedByUpstream, cause)
+                let charge = self.retry_charge();
+                self.reserve_elsewhere(charge, Kind::RefusedByUpstream, cause)
                     .await
             }
             AttemptError::Unknown(cause) => {
@@ -267,7 +280,7 @@
     /// Reserves a slot of another worker for a request that the last one did not execute.
     async fn reserve_elsewhere(
         &mut self,
-        may_retry: bool,
+        charge: Charge,
         kind: Kind,
         cause: String,
     ) -> Result<Reservation, Refusal> {
@@ -276,42 +289,79 @@
             return Err(self.refusal(Kind::BadRequest, Unavailable::Broken.to_string(), None));
         }
         let may_repeat = self.inbound.route.kind.is_idempotent() || self.executed == Executed::No;
+        let may_retry = self.unexecuted <= MAX_UNEXECUTED_ATTEMPTS;
         if !may_retry || !may_repeat || replay.is_err() {
             return Err(self.refusal(kind, cause, None));
         }
-        match self.try_reserve().await {
-            Some(reservation) => Ok(reservation),
-            None => self.admit().await,
-        }
+        let reserved = match self.try_reserve(charge).await {
+            Ok(Some(reservation)) => return Ok(reservation),
+            Ok(None) => self.admit(charge.repeated()).await,
+            Err(Denied) => Err(Unplaced::Denied),
+        };
+        reserved.map_err(|unplaced| match unplaced {
+            Unplaced::Refused(_) => self.unplaced_refusal(unplaced),
+            Unplaced::Denied => {
+                self.record_no_retry(BUDGET_EXHAUSTED);
+                self.refusal(kind, cause, None)
+            }
+        })
     }
 
     /// Waits for a reservation.
-    async fn admit(&mut self) -> Result<Reservation, Refusal> {
+    async fn admit(&mut self, charge: Charge) -> Result<Reservation, Unplaced> {
         let asked = Instant::now();
-        let admitted = coordinator::admit(self.gateway, &self.dispatcher, self.request()).await;
+        let (gateway, dispatcher) = (self.gateway, &self.dispatcher);
+        let admitted = coordinator::admit(gateway, dispatcher, self.request(), charge).await;
         self.waited += asked.elapsed();
-        let reservation = admitted.map_err(|refusal| {
-            let schedule::Refusal {
-                reason,
-                retry_after,
-            } = refusal;
-            let (kind, cause) = match reason {
-                Reason::NoWorker => (Kind::NoEligibleWorker, "no eligible worker"),
-                Reason::Overload => (
-                    Kind::Overloaded,
-                    "the request could not be answered before its deadline",
-                ),
-                Reason::Paused => (
-                    Kind::Overloaded,
-                    "all workers want no requests until after the deadline",
-                ),
-            };
-            self.refusal(kind, cause, Some(retry_after))
-        })?;
+        let reservation = admitted?;
         self.record_attempt(&reservation);
         Ok(reservation)
     }
 
+    /// Builds the refusal of a request whose attempt got no slot.
+    fn unplaced_refusal(&self, unplaced: Unplaced) -> Refusal {
+        let (reason, retry_after) = match unplaced {
+            Unplaced::Refused(refusal) => (refusal.reason, refusal.retry_after),
+            Unplaced::Denied => return self.refusal(Kind::Overloaded, BUDGET_EXHAUSTED, None),
+        };
+        let (kind, cause) = match reason {
+            Reason::NoWorker => (Kind::NoEligibleWorker, "no eligible worker"),
+            Reason::Overload => (
+                Kind::Overloaded,
+                "the request could not be answered before its deadline",
+            ),
+            Reason::Paused => (
+                Kind::Overloaded,
+                "all workers want no requests until after the deadline",
+            ),
+        };
+        self.refusal(kind, cause, Some(retry_after))
+    }
+
+    /// Returns the charge of a retry. What a late request was denied as its last chance is the same extra attempt.
+    fn retry_charge(&mut self) -> Charge {
+        let attempts = self.tried.len();
+        let before = self.retry_asked_after.replace(attempts);
+        Charge::Retry {
+            is_repeated: before == Some(attempts),
+        }
+    }
+
+    /// Logs why a failed request is not retried, and counts it if the retry budget is the reason.
+    fn record_no_retry(&self, cause: &str) {
+        let (id, attempts) = (&self.inbound.id, self.sent);
+        let left_ms = self.inbound.time_left().as_millis();
+        spdlog::info!("request not retried", kv: {id:, cause, attempts, left_ms});
+        if cause == BUDGET_EXHAUSTED {
+            self.count_denied(Purpose::Retry);
+        }
+    }
+
+    fn count_denied(&self, purpose: Purpose) {
+        let meters = &self.gateway.instance.meters;
+        meters.count_denied_attempt(&self.inbound.service, purpose);
+    }
+
     /// Reserves a slot for a retry of an idempotent request, if the retry budget allows it.
     async fn reserve_retry(&mut self) -> Option<Reservation> {
         if !self.inbound.route.kind.is_idempotent() {
@@ -327,16 +377,14 @@
                 Some(reservation)
             }
             Err(cause) => {
-                let (id, attempts) = (&self.inbound.id, self.sent);
-                let left_ms = self.inbound.time_left().as_millis();
-                spdlog::info!("request not retried", kv: {id:, cause, attempts, left_ms});
+                self.record_no_retry(&cause);
                 None
             }
         }
     }
 
     /// Returns a reservation for a retry, or the reason why there is none.
-    async fn try_reserve_retry(&self) -> Result<Reservation, &'static str> {
+    async fn try_reserve_retry(&mut self) -> Result<Reservation, &'static str> {
         let inbound = self.inbound;
         if self.sent >= inbound.route.attempts {
             return Err("the route's attempts are used up");
@@ -344,19 +392,23 @@
         if inbound.time_left() <= self.dispatcher.typical_latency() {
             return Err("the time left is shorter than a typical response time");
         }
-        if !self.dispatcher.try_withdraw(Purpose::Retry, inbound.rank) {
-            return Err("the retry budget is exhausted");
-        }
         // The request fails without another attempt, so that it is worth waiting for a slot.
-        let reservation = coordinator::admit(self.gateway, &self.dispatcher, self.request()).await;
-        reservation.map_err(|_| "no other worker could answer before the deadline")
+        let (charge, request) = (self.retry_charge(), self.request());
+        let reservation = coordinator::admit(self.gateway, &self.dispatcher, request, charge).await;
+        reservation.map_err(|unplaced| match unplaced {
+            Unplaced::Denied => BUDGET_EXHAUSTED,
+            Unplaced::Refused(_) => "no other worker could answer before the deadline",
+        })
     }
 
-    async fn try_reserve(&mut self) -> Option<Reservation> {
-        let reservation =
-            coordinator::try_reserve(self.gateway, &self.dispatcher, &self.request()).await?;
-        self.record_attempt(&reservation);
-        Some(reservation)
+    async fn try_reserve(&mut self, charge: Charge) -> Result<Option<Reservation>, Denied> {
+        let request = self.request();
+        let reserved =
+            coordinator::try_reserve(self.gateway, &self.dispatcher, &request, charge).await;
+        if let Ok(Some(reservation)) = &reserved {
+            self.record_attempt(reservation);
+        }
+        reserved
     }
 
     fn record_attempt(&mut self, reservation: &Reservation) {
@@ -424,19 +476,22 @@
         if !repeatable || inbound.source.check_replay().is_err() {
             return None;
         }
-        let reservation =
-            coordinator::try_reserve(self.gateway, &self.dispatcher, &self.request()).await;
-        // If the budget is exhausted, the reservation is released and no attempt is made.
-        let reservation =
-            reservation.filter(|_| self.dispatcher.try_withdraw(purpose, self.inbound.rank));
-        if let Some(reservation) = &reservation {
-            self.record_attempt(reservation);
-        } else {
-            let (id, left_ms) = (&inbound.id, inbound.time_left().as_millis());
-            let part = format!("{purpose:?}");
-            spdlog::info!("late request not hedged", kv: {id:, part, left_ms});
-        }
-        reservation
+        let charge = match purpose {
+            Purpose::Hedge => Charge::Hedge,
+            Purpose::Retry => self.retry_charge(),
+        };
+        let cause = match self.try_reserve(charge).await {
+            Ok(Some(reservation)) => return Some(reservation),
+            Ok(None) => "no other worker has a free slot",
+            Err(Denied) => {
+                self.count_denied(purpose);
+                BUDGET_EXHAUSTED
+            }
+        };
+        let (id, left_ms) = (&inbound.id, inbound.time_left().as_millis());
+        let part = format!("{purpose:?}");
+        spdlog::info!("late request not hedged", kv: {id:, part, cause, left_ms});
+        None
     }
 
     /// Sends the request to one worker, and hedges it with a second one when the first response is late. The first
--- a/crates/entry/src/gateway/report.rs
+++ b/crates/entry/src/gateway/report.rs
@@ -32,6 +32,8 @@
     outcome: ReportedOutcome,
     /// Number of requests at the worker, if the worker reported it.
     pub load: Option<u32>,
+    /// Whether the attempt was started, so that its budget is used.
+    pub is_used: bool,
 }
 
 impl Report {
@@ -91,6 +93,8 @@
     pub outcome: Outcome,
     /// Number of requests at the worker, if the worker reported it.
     pub load: Option<u32>,
+    /// Whether the attempt was started, so that its budget is used.
+    pub is_used: bool,
 }
 
 impl RemoteReservation {
@@ -103,6 +107,7 @@
             reports,
             outcome: Outcome::Cancelled,
             load: None,
+            is_used: false,
         }
     }
 }
@@ -113,6 +118,7 @@
             reservation: self.id,
             outcome: self.outcome.into(),
             load: self.load,
+            is_used: self.is_used,
         };
         if self.reports.try_send((self.coordinator, report)).is_err() {
             spdlog::debug!(
--- a/crates/entry/src/meters.rs
+++ b/crates/entry/src/meters.rs
@@ -6,6 +6,7 @@
 use chestnutvalve_model::error::Kind;
 use chestnutvalve_model::id::Service;
 use chestnutvalve_model::rank::Rank;
+use chestnutvalve_routing::retry::Purpose;
 use chestnutvalve_routing::sample::Verdict;
 use chestnutvalve_telemetry::metrics::{Error, Metrics};
 use chestnutvalve_wire::Traffic;
@@ -31,6 +32,7 @@
     refusals: Counter<u64>,
     rejections: Counter<u64>,
     notices: Counter<u64>,
+    denied_attempts: Counter<u64>,
     memory_refusals: Counter<u64>,
     memory_closes: Counter<u64>,
     permits: Counter<f64>,
@@ -69,6 +71,10 @@
                 "worker_notices",
                 "Responses in which workers said that they leave or want a pause, by kind",
             ),
+            denied_attempts: counter(
+                "denied_attempts",
+                "Extra attempts that the retry budget did not allow, by service and purpose",
+            ),
             memory_refusals: counter(
                 "memory_refusals",
                 "Requests that were refused because too many bytes are held",
@@ -162,6 +168,19 @@
         self.notices.add(1, &[KeyValue::new("kind", kind)]);
     }
 
+    /// Counts an extra attempt that the retry budget did not allow.
+    pub fn count_denied_attempt(&self, service: &Service, purpose: Purpose) {
+        let purpose = match purpose {
+            Purpose::Retry => "retry",
+            Purpose::Hedge => "hedge",
+        };
+        let labels = [
+            KeyValue::new("service", service.as_str().to_owned()),
+            KeyValue::new("purpose", purpose),
+        ];
+        self.denied_attempts.add(1, &labels);
+    }
+
     /// Counts a request that was refused for lack of memory.
     pub fn count_memory_refusal(&self) {
         self.memory_refusals.add(1, &[]);
--- /dev/null
+++ b/crates/entry/tests/all/budget.rs
@@ -0,0 +1,146 @@
+//! Retry budget of a zone, which the coordinator counts and grants.
+
+use std::collections::HashSet;
+use std::io::{self, Write};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use rstest::rstest;
+use spdlog::sink::WriteSink;
+use tokio::sync::watch;
+use tokio::time::sleep;
+
+use crate::coordinator::{NARROW_MBPS, WIDE_MBPS, control, entries, gated_proxy};
+use crate::fleet::{Entry, wait_until};
+use crate::gateway::{answer, ask_as, success};
+use crate::worker::{Step, Worker};
+
+/// Starts workers that wait `delay` and fail the first attempt of requests whose id starts with `fail`, and all attempts
+/// of those whose id starts with `lose`.
+async fn workers(count: usize, delay: Duration) -> Vec<Worker> {
+    let failed: Arc<Mutex<HashSet<String>>> = Arc::default();
+    let mut workers = Vec::new();
+    for n in 0..count {
+        let failed = Arc::clone(&failed);
+        let name = format!("w{n}");
+        let worker = Worker::start(&name, move |seen| {
+            let id = seen.headers["chestnutvalve-attempt"].clone();
+            if id.starts_with("lose") {
+                return answer(seen, 500, "", "lost");
+            }
+            if id.starts_with("fail") && failed.lock().unwrap().insert(id) {
+                return [vec![Step::Wait(delay)], answer(seen, 500, "", "failed")].concat();
+            }
+            success(seen)
+        });
+        workers.push(worker.await);
+    }
+    workers
+}
+
+async fn ask_all(entry: &Entry, kind: &str, count: usize) -> usize {
+    let mut good = 0;
+    for n in 0..count {
+        let reply = ask_as(entry, "/x", &format!("{kind}-{n}")).await;
+        good += usize::from(reply.status == 200);
+    }
+    good
+}
+
+/// Guards against requests that fail because the part of one entry is used up while the zone has budget: the requests of
+/// one entry permit the retries of another one, and those of the coordinator do, too.
+#[rstest]
+#[case::another_entry(2)]
+#[case::the_coordinator(0)]
+#[tokio::test]
+async fn requests_of_another_entry_permit_retries(#[case] other: usize) {
+    let workers = workers(4, Duration::ZERO).await;
+    let control = control(&workers.iter().collect::<Vec<_>>()).await;
+    let entries = entries(&control, 4).await;
+    assert_eq!(ask_all(&entries[other], "good", 60).await, 60);
+    // The fixed number permits 2.8 at each entry, and the requests before permit 5.1.
+    assert_eq!(ask_all(&entries[1], "fail", 7).await, 7);
+}
+
+/// Bytes that a log sink has written.
+#[derive(Clone, Default)]
+struct Log(Arc<Mutex<Vec<u8>>>);
+
+impl Write for Log {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.0.lock().unwrap().extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Guards against more retries than the budget, whichever entry asks, and against a request that is not retried without
+/// its last answer or without a trace of the reason.
+#[tokio::test]
+async fn an_exhausted_budget_is_logged_and_the_last_answer_returned() {
+    let log = Log::default();
+    let sink = WriteSink::builder().target(log.clone()).build().unwrap();
+    let logger = spdlog::default_logger().fork_with(|logger| {
+        logger.sinks_mut().push(Arc::new(sink));
+        Ok(())
+    });
+    spdlog::set_default_logger(logger.unwrap());
+    let workers = workers(4, Duration::ZERO).await;
+    let control = control(&workers.iter().collect::<Vec<_>>()).await;
+    let entries = entries(&control, 4).await;
+    for n in 0..20 {
+        let reply = ask_as(&entries[1 + n % 2], "/x", &format!("lose-{n}")).await;
+        assert_eq!((reply.status, reply.body.as_slice()), (500, &b"lost"[..]));
+    }
+    let attempts: usize = workers.iter().map(Worker::count).sum();
+    // The fleet's budget is ten and a tenth of the requests.
+    assert!((22..=32).contains(&attempts), "{attempts} attempts");
+    let log = String::from_utf8(log.0.lock().unwrap().clone()).unwrap();
+    let mut lines = log.lines().filter(|l| l.contains("request not retried"));
+    let line = lines.find(|l| l.contains("lose-19"));
+    let line = line.expect("a line for the last request");
+    assert!(line.contains("the retry budget is exhausted"), "{line}");
+    let denied = entries[1]
+        .metric("denied_attempts_total", "purpose=\"retry\"")
+        .await;
+    assert!(denied >= 1.0, "{denied}");
+}
+
+/// Guards against a request that fails because its coordinator is lost between the first attempt and the retry, or that
+/// is retried more often than its route allows by then.
+#[tokio::test]
+async fn a_request_is_retried_after_its_coordinator_is_lost() {
+    let workers = workers(2, Duration::from_millis(200)).await;
+    let all: Vec<&Worker> = workers.iter().collect();
+    let (near, far) = (control(&all).await, control(&all).await);
+    let wide = Entry::start_with_link("wide", far.address, &[], WIDE_MBPS).await;
+    wait_until("workers", || wide.state().roster.workers.len() == 2).await;
+    wide.wait_for_members(1).await;
+    let (gate, open) = watch::channel(true);
+    let relay = gated_proxy(wide.peers, open).await;
+    {
+        let mut state = near.state.lock().unwrap();
+        let members = far.state.lock().unwrap().directory.members.clone();
+        for mut member in members.into_values() {
+            member.peers = relay;
+            state.directory.join(&member);
+        }
+        state.version.revision += 1;
+    }
+    let narrow = Entry::start_with_link("n1", near.address, &[], NARROW_MBPS).await;
+    narrow.wait_for_members(2).await;
+    wait_until("workers", || narrow.state().roster.workers.len() == 2).await;
+    assert_eq!(ask_all(&narrow, "good", 4).await, 4);
+    let count = || workers.iter().map(Worker::count).sum::<usize>();
+    let before = count();
+    let asked = ask_as(&narrow, "/x", "fail-1");
+    let lose = async {
+        sleep(Duration::from_millis(100)).await;
+        gate.send(false).unwrap();
+    };
+    let (reply, ()) = tokio::join!(asked, lose);
+    assert_eq!((reply.status, count() - before), (200, 2));
+}
--- a/crates/entry/tests/all/coordinator.rs
+++ b/crates/entry/tests/all/coordinator.rs
@@ -17,8 +17,8 @@
 use crate::worker::{Received, Step, Worker};
 
 /// Bandwidth of narrow links, in megabits per second.
-const NARROW_MBPS: u32 = 3;
-const WIDE_MBPS: u32 = 1_000;
+pub const NARROW_MBPS: u32 = 3;
+pub const WIDE_MBPS: u32 = 1_000;
 /// Processing time of a request.
 const WORK_TIME: Duration = Duration::from_millis(100);
 
@@ -277,7 +277,7 @@
 }
 
 /// Proxies connections to `target`, and blocks the returned bytes while the gate is closed.
-async fn gated_proxy(target: SocketAddr, open: watch::Receiver<bool>) -> SocketAddr {
+pub async fn gated_proxy(target: SocketAddr, open: watch::Receiver<bool>) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     tokio::spawn(async move {
--- a/crates/entry/tests/all/dispatcher.rs
+++ b/crates/entry/tests/all/dispatcher.rs
@@ -5,7 +5,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use chestnutvalve_entry::gateway::dispatcher::{Dispatcher, Registration, Reservation};
+use chestnutvalve_entry::gateway::charge::Charge;
+use chestnutvalve_entry::gateway::dispatcher::{Dispatcher, Registration, Reservation, Unplaced};
 use chestnutvalve_entry::gateway::observation::{Finding, Observation};
 use chestnutvalve_model::id::{Incarnation, Service, Worker, Zone};
 use chestnutvalve_model::rank::Rank;
@@ -45,7 +46,10 @@
     let (service, zone) = (Service::new("lookup").unwrap(), Zone::new("z1").unwrap());
     let dispatcher = Arc::new(Dispatcher::new(service, zone, BUDGET, sender));
     sync(&dispatcher, 1);
-    let reservation = dispatcher.admit(request(1, 0)).await.unwrap();
+    let reservation = dispatcher
+        .admit(request(1, 0), Charge::Nothing)
+        .await
+        .unwrap();
     (dispatcher, reservation, observations)
 }
 
@@ -113,13 +117,16 @@
     let (dispatcher, reservation, _observations) = reserved().await;
     reservation.finish(Outcome::Success);
     for (class, work_ms) in [(1, 200), (2, 20)].repeat(50) {
-        let reservation = dispatcher.admit(request(class, class)).await.unwrap();
+        let reservation = dispatcher
+            .admit(request(class, class), Charge::Nothing)
+            .await
+            .unwrap();
         sleep(Duration::from_millis(work_ms)).await;
         reservation.finish(Outcome::Success);
     }
     let admit = |id, class| {
         let (dispatcher, request) = (Arc::clone(&dispatcher), request(id, class));
-        tokio::spawn(async move { dispatcher.admit(request).await })
+        tokio::spawn(async move { dispatcher.admit(request, Charge::Nothing).await })
     };
     let _running = [admit(3, 1).await, admit(4, 1).await];
     let mut long: Vec<_> = (10..16).map(|id| admit(id, 1)).collect();
@@ -128,7 +135,9 @@
     yield_now().await;
     let displaced = long.pop().unwrap();
     assert!(displaced.is_finished());
-    let refusal = displaced.await.unwrap().err();
-    assert_eq!(refusal.map(|r| r.reason), Some(Reason::Overload));
+    let Err(Unplaced::Refused(refusal)) = displaced.await.unwrap() else {
+        panic!("not refused");
+    };
+    assert_eq!(refusal.reason, Reason::Overload);
     assert!(!short[0].is_finished());
 }
--- a/crates/entry/tests/all/main.rs
+++ b/crates/entry/tests/all/main.rs
@@ -2,6 +2,7 @@
 
 mod assignment;
 mod at_most_once;
+mod budget;
 mod closing;
 mod control;
 mod control_client;
