Count the need of a retry once

The share of a rank's requests that need a retry counted each question for one. A retry that found no slot at once and then waited for one, or that was denied as the last chance of a late request and asked for again when it failed, counted twice, so that lower ranks were denied retries for which there was budget.

A question says whether it repeats an earlier one for the same attempt.

--- a/crates/routing/src/retry.rs
+++ b/crates/routing/src/retry.rs
@@ -94,7 +94,7 @@
 #[derive(Clone, Copy, Debug)]
 struct Slice {
     start: Instant,
-    /// Requests, retries asked for, and extra attempts by rank.
+    /// Requests, retries asked for (each once), and extra attempts by rank.
     requests: [u32; 3],
     retries_asked: [u32; 3],
     extra_attempts: [u32; 3],
@@ -214,7 +214,7 @@
     /// while workers turn away more attempts than the budget covers.
     pub fn withdraw(&mut self, now: Instant, ask: Ask) -> Option<Withdrawal> {
         let slice = self.current_slice(now);
-        if ask.purpose == Purpose::Retry {
+        if ask.purpose == Purpose::Retry && !ask.is_repeated {
             slice.retries_asked[ask.rank.index()] += 1;
         }
         self.take(now, ask.purpose, ask.rank)
--- a/crates/routing/tests/budget.rs
+++ b/crates/routing/tests/budget.rs
@@ -366,3 +366,34 @@
     assert!(budget.withdraw(now, ask).is_some());
     assert_eq!(budget.withdraw(now, ask), None);
 }
+
+/// Guards against a lower rank without retries while there is budget for all, because a retry that found no slot at once,
+/// or that was asked for as the last chance of a late request before, counts twice in the need of a higher rank.
+#[test]
+fn a_retry_that_is_asked_for_again_is_one_need() {
+    let start = Instant::now();
+    let mut budget = WindowBudget::new(part(0.0));
+    let (mut needed, mut taken) = ([0; 2], [0; 2]);
+    for n in 0..2_000_u64 {
+        let now = start + Duration::from_millis(16 * n);
+        // Two ranks with the same number of requests. From the second window on, one of 8 needs a retry; 17% may have one.
+        for (at, rank) in [Rank::Top, Rank::Middle].into_iter().enumerate() {
+            budget.deposit_for(now, rank);
+            if n < 625 || !n.is_multiple_of(8) {
+                continue;
+            }
+            let mut ask = Ask {
+                purpose: Purpose::Retry,
+                rank,
+                is_repeated: false,
+            };
+            needed[at] += 1;
+            if let Some(unplaced) = budget.withdraw(now, ask) {
+                budget.give_back(unplaced);
+            }
+            ask.is_repeated = true;
+            taken[at] += u32::from(budget.withdraw(now, ask).is_some());
+        }
+    }
+    assert_eq!(taken, needed);
+}
