Test retries through the next coordinator and retries that are not made

A retry after the loss of the preferred coordinator is granted by the second one and made once. A retry whose caller leaves while it waits, or whose slot is not used, costs no budget; one that is made does.

--- a/crates/entry/tests/all/budget.rs
+++ b/crates/entry/tests/all/budget.rs
@@ -1,16 +1,23 @@
 //! Retry budget of a zone, which the coordinator counts and grants.
 
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 use std::io::{self, Write};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use chestnutvalve_entry::gateway::charge::Charge;
+use chestnutvalve_entry::gateway::coordinator::coordinators;
+use chestnutvalve_entry::gateway::dispatcher::Unplaced;
+use chestnutvalve_model::id::{Service, Zone};
+use chestnutvalve_routing::retry::Bounds;
+use chestnutvalve_routing::schedule::Outcome;
 use rstest::rstest;
 use spdlog::sink::WriteSink;
 use tokio::sync::watch;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use crate::coordinator::{NARROW_MBPS, WIDE_MBPS, control, entries, gated_proxy};
+use crate::dispatcher;
 use crate::fleet::{Entry, wait_until};
 use crate::gateway::{answer, ask_as, success};
 use crate::worker::{Step, Worker};
@@ -144,3 +151,76 @@
     let (reply, ()) = tokio::join!(asked, lose);
     assert_eq!((reply.status, count() - before), (200, 2));
 }
+
+/// Guards against a retry that is denied by the second coordinator after the first one is lost, and against one that the
+/// entry then makes twice.
+#[tokio::test]
+async fn the_next_coordinator_grants_a_retry() {
+    let workers = workers(2, Duration::from_millis(200)).await;
+    let all: Vec<&Worker> = workers.iter().collect();
+    let (near, far) = (control(&all).await, control(&all).await);
+    let mut gates = HashMap::new();
+    let mut wide = Vec::new();
+    for name in ["wide-1", "wide-2"] {
+        let entry = Entry::start_with_link(name, far.address, &[], WIDE_MBPS).await;
+        wait_until("workers", || entry.state().roster.workers.len() == 2).await;
+        wide.push(entry);
+    }
+    wide[0].wait_for_members(2).await;
+    let members = far.state.lock().unwrap().directory.members.clone();
+    for mut member in members.into_values() {
+        let (gate, open) = watch::channel(true);
+        member.peers = gated_proxy(member.peers, open).await;
+        gates.insert(member.peers, gate);
+        near.state.lock().unwrap().directory.join(&member);
+    }
+    near.state.lock().unwrap().version.revision += 1;
+    let narrow = Entry::start_with_link("n1", near.address, &[], NARROW_MBPS).await;
+    narrow.wait_for_members(3).await;
+    wait_until("workers", || narrow.state().roster.workers.len() == 2).await;
+    assert_eq!(ask_all(&narrow, "good", 4).await, 4);
+    let (service, zone) = (Service::new("lookup").unwrap(), Zone::new("z1").unwrap());
+    let candidates = coordinators(&narrow.state(), &service, &zone);
+    assert_eq!(candidates.len(), 2);
+    let count = || workers.iter().map(Worker::count).sum::<usize>();
+    let before = count();
+    let asked = ask_as(&narrow, "/x", "fail-1");
+    let lose = async {
+        sleep(Duration::from_millis(100)).await;
+        gates[&candidates[0]].send(false).unwrap();
+    };
+    let (reply, ()) = tokio::join!(asked, lose);
+    assert_eq!((reply.status, count() - before), (200, 2));
+}
+
+/// Guards against budget that is lost with a retry whose caller leaves while it waits for a slot, or that gets a slot and
+/// doesn't use it, and against a retry that is made without budget.
+#[tokio::test(start_paused = true)]
+async fn a_retry_that_is_not_made_costs_nothing() {
+    let budget = Bounds {
+        ratio: 0.0,
+        slack: 1.0,
+        window: Duration::from_secs(10),
+    };
+    let retry = Charge::Retry { is_repeated: false };
+    let (dispatcher, _observations) = dispatcher::start(budget);
+    let admit = |id, charge| {
+        let (dispatcher, request) = (Arc::clone(&dispatcher), dispatcher::request(id, 0));
+        async move { dispatcher.admit(request, charge).await }
+    };
+    let first = admit(1, Charge::Nothing).await.unwrap();
+    let _second = admit(2, Charge::Nothing).await.unwrap();
+    for id in [3, 4] {
+        let waits = admit(id, retry);
+        assert!(timeout(Duration::from_millis(10), waits).await.is_err());
+    }
+    let waiting = tokio::spawn(admit(5, retry));
+    sleep(Duration::from_millis(10)).await;
+    assert!(matches!(admit(6, retry).await, Err(Unplaced::Denied)));
+    first.finish(Outcome::Success);
+    drop(waiting.await.unwrap().unwrap());
+    let mut used = admit(7, retry).await.unwrap();
+    used.mark_used();
+    used.finish(Outcome::Success);
+    assert!(matches!(admit(8, retry).await, Err(Unplaced::Denied)));
+}
--- a/crates/entry/tests/all/dispatcher.rs
+++ b/crates/entry/tests/all/dispatcher.rs
@@ -26,7 +26,7 @@
     Worker::new("w1").unwrap()
 }
 
-fn sync(dispatcher: &Dispatcher, incarnation: u64) {
+fn sync(dispatcher: &Dispatcher, incarnation: u64, budget: Bounds) {
     let registration = Registration {
         spec: Spec {
             incarnation: Incarnation(incarnation),
@@ -37,15 +37,21 @@
         address: SocketAddr::from(([127, 0, 0, 1], 1)),
     };
     let registrations = BTreeMap::from([(worker(), registration)]);
-    dispatcher.sync(&registrations, BUDGET, 1, None);
+    dispatcher.sync(&registrations, budget, 1, None);
 }
 
-/// Returns a dispatcher with the first incarnation of a worker, a reservation of it and the shared observations.
-async fn reserved() -> (Arc<Dispatcher>, Reservation, mpsc::Receiver<Observation>) {
+/// Returns a dispatcher with the first incarnation of a worker, and the shared observations.
+pub fn start(budget: Bounds) -> (Arc<Dispatcher>, mpsc::Receiver<Observation>) {
     let (sender, observations) = mpsc::channel(8);
     let (service, zone) = (Service::new("lookup").unwrap(), Zone::new("z1").unwrap());
-    let dispatcher = Arc::new(Dispatcher::new(service, zone, BUDGET, sender));
-    sync(&dispatcher, 1);
+    let dispatcher = Arc::new(Dispatcher::new(service, zone, budget, sender));
+    sync(&dispatcher, 1, budget);
+    (dispatcher, observations)
+}
+
+/// Returns a dispatcher with the first incarnation of a worker, a reservation of it and the shared observations.
+async fn reserved() -> (Arc<Dispatcher>, Reservation, mpsc::Receiver<Observation>) {
+    let (dispatcher, observations) = start(BUDGET);
     let reservation = dispatcher
         .admit(request(1, 0), Charge::Nothing)
         .await
@@ -53,7 +59,7 @@
     (dispatcher, reservation, observations)
 }
 
-fn request(id: u64, class: u64) -> Request {
+pub fn request(id: u64, class: u64) -> Request {
     let now = Instant::now().into_std();
     Request {
         id,
@@ -74,7 +80,7 @@
 #[tokio::test]
 async fn the_failure_of_an_earlier_incarnation_is_not_shared() {
     let (dispatcher, reservation, mut observations) = reserved().await;
-    sync(&dispatcher, 2);
+    sync(&dispatcher, 2, BUDGET);
     reservation.finish(Outcome::Failure);
     assert!(observations.try_recv().is_err());
 }
@@ -106,7 +112,7 @@
 #[tokio::test]
 async fn a_reservation_ends_with_its_incarnation() {
     let (dispatcher, reservation, _observations) = reserved().await;
-    sync(&dispatcher, 2);
+    sync(&dispatcher, 2, BUDGET);
     assert_eq!(reservation.check().err(), Some(Hold::Left));
 }
 
