--- a/crates/entry/tests/all/dispatcher.rs
+++ b/crates/entry/tests/all/dispatcher.rs
@@ -5,7 +5,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use chestnutvalve_entry::gateway::dispatcher::{Dispatcher, Registration, Reservation};
+use chestnutvalve_entry::gateway::charge::Charge;
+use chestnutvalve_entry::gateway::dispatcher::{Dispatcher, Registration, Reservation, Unplaced};
 use chestnutvalve_entry::gateway::observation::{Finding, Observation};
 use chestnutvalve_model::id::{Incarnation, Service, Worker, Zone};
 use chestnutvalve_model::rank::Rank;
@@ -25,7 +26,7 @@
     Worker::new("w1").unwrap()
 }
 
-fn sync(dispatcher: &Dispatcher, incarnation: u64) {
+fn sync(dispatcher: &Dispatcher, incarnation: u64, budget: Bounds) {
     let registration = Registration {
         spec: Spec {
             incarnation: Incarnation(incarnation),
@@ -36,20 +37,29 @@
         address: SocketAddr::from(([127, 0, 0, 1], 1)),
     };
     let registrations = BTreeMap::from([(worker(), registration)]);
-    dispatcher.sync(&registrations, BUDGET, 1, None);
+    dispatcher.sync(&registrations, budget, 1, None);
 }
 
-/// Returns a dispatcher with the first incarnation of a worker, a reservation of it and the shared observations.
-async fn reserved() -> (Arc<Dispatcher>, Reservation, mpsc::Receiver<Observation>) {
+/// Returns a dispatcher with the first incarnation of a worker, and the shared observations.
+pub fn start(budget: Bounds) -> (Arc<Dispatcher>, mpsc::Receiver<Observation>) {
     let (sender, observations) = mpsc::channel(8);
     let (service, zone) = (Service::new("lookup").unwrap(), Zone::new("z1").unwrap());
-    let dispatcher = Arc::new(Dispatcher::new(service, zone, BUDGET, sender));
-    sync(&dispatcher, 1);
-    let reservation = dispatcher.admit(request(1, 0)).await.unwrap();
+    let dispatcher = Arc::new(Dispatcher::new(service, zone, budget, sender));
+    sync(&dispatcher, 1, budget);
+    (dispatcher, observations)
+}
+
+/// Returns a dispatcher with the first incarnation of a worker, a reservation of it and the shared observations.
+async fn reserved() -> (Arc<Dispatcher>, Reservation, mpsc::Receiver<Observation>) {
+    let (dispatcher, observations) = start(BUDGET);
+    let reservation = dispatcher
+        .admit(request(1, 0), Charge::Nothing)
+        .await
+        .unwrap();
     (dispatcher, reservation, observations)
 }
 
-fn request(id: u64, class: u64) -> Request {
+pub fn request(id: u64, class: u64) -> Request {
     let now = Instant::now().into_std();
     Request {
         id,
@@ -70,7 +80,7 @@
 #[tokio::test]
 async fn the_failure_of_an_earlier_incarnation_is_not_shared() {
     let (dispatcher, reservation, mut observations) = reserved().await;
-    sync(&dispatcher, 2);
+    sync(&dispatcher, 2, BUDGET);
     reservation.finish(Outcome::Failure);
     assert!(observations.try_recv().is_err());
 }
@@ -102,7 +112,7 @@
 #[tokio::test]
 async fn a_reservation_ends_with_its_incarnation() {
     let (dispatcher, reservation, _observations) = reserved().await;
-    sync(&dispatcher, 2);
+    sync(&dispatcher, 2, BUDGET);
     assert_eq!(reservation.check().err(), Some(Hold::Left));
 }
 
@@ -113,13 +123,16 @@
     let (dispatcher, reservation, _observations) = reserved().await;
     reservation.finish(Outcome::Success);
     for (class, work_ms) in [(1, 200), (2, 20)].repeat(50) {
-        let reservation = dispatcher.admit(request(class, class)).await.unwrap();
+        let reservation = dispatcher
+            .admit(request(class, class), Charge::Nothing)
+            .await
+            .unwrap();
         sleep(Duration::from_millis(work_ms)).await;
         reservation.finish(Outcome::Success);
     }
     let admit = |id, class| {
         let (dispatcher, request) = (Arc::clone(&dispatcher), request(id, class));
-        tokio::spawn(async move { dispatcher.admit(request).await })
+        tokio::spawn(async move { dispatcher.admit(request, Charge::Nothing).await })
     };
     let _running = [admit(3, 1).await, admit(4, 1).await];
     let mut long: Vec<_> = (10..16).map(|id| admit(id, 1)).collect();
@@ -128,7 +141,9 @@
     yield_now().await;
     let displaced = long.pop().unwrap();
     assert!(displaced.is_finished());
-    let refusal = displaced.await.unwrap().err();
-    assert_eq!(refusal.map(|r| r.reason), Some(Reason::Overload));
+    let Err(Unplaced::Refused(refusal)) = displaced.await.unwrap() else {
+        panic!("not refused");
+    };
+    assert_eq!(refusal.reason, Reason::Overload);
     assert!(!short[0].is_finished());
 }
