Accept any time in a route document without an overflow

Seen by callers: an idle and a head timeout whose sum exceeds 64 bits end the listener's task in a debug build ("attempt to add with overflow"), so that no caller is served any more, and wrap to a short timeout in a release build.

Cause: the gateway's listener added two values of the document unchecked.

Change: the sum saturates. They are not refused when a document is applied: a replica must accept each document of its log again, or it would differ from its group after a restart.

Read without a fault: deadlines of callers are cut at an hour, pauses of workers at five minutes, weights, slots and warm-up times have bounds, and token buckets clamp what they derive from rates. Tests over extreme documents, headers and limits keep it so.

Before: gateway::extreme_documents_and_headers_are_served failed with the overflow. After: it passes, and so do the tests of the refused times. That test and the property test of the buckets found no further fault.

--- a/crates/control/src/daemon/instance.rs
+++ b/crates/control/src/daemon/instance.rs
@@ -332,7 +332,9 @@
     /// Returns [`Kind::InvalidChange`], [`Kind::VersionConflict`], or as [`Instance::propose`] does.
     pub async fn publish(&self, publication: Publication) -> Result<u64, Fault> {
         // An invalid document is invalid in any state, so it does not have to be logged.
-        let checked = publication.table();
+        let checked = publication.table().map(drop);
+        let too_long = publication.too_long().into_iter().next();
+        let checked = checked.and(too_long.map_or(Ok(()), Err));
         checked.map_err(|e| Fault::new(Kind::InvalidChange, e.to_string()))?;
         let command = Command::Publish(publication);
         self.propose::<Result<u64, Fault>>(&command).await?
--- a/crates/control/tests/all/publish.rs
+++ b/crates/control/tests/all/publish.rs
@@ -10,10 +10,14 @@
 use chestnutvalve_model::error::{Fault, Kind};
 use chestnutvalve_model::id::{Incarnation, Service, Worker, Zone};
 use chestnutvalve_model::rank::Rank;
-use chestnutvalve_model::routes::{self, Limits, Publication, Route, Share, Target};
+use chestnutvalve_model::routes::{
+    self, Limits, MAX_DURATION_MS, Publication, Route, Share, Target,
+};
 use chestnutvalve_model::upstream::{Announcement, Event};
 use chestnutvalve_model::version::Version;
 
+use crate::harness::Cluster;
+
 pub fn publication(label: u64, base: u64, timeout_ms: u64) -> Publication {
     let service = Service::new("lookup").unwrap();
     let target = Target {
@@ -121,3 +125,23 @@
     assert_eq!(restored.published(), store.published());
     assert_eq!(publish(&mut restored, &publication(1, 0, 100)), Ok(2));
 }
+
+/// Guards against a time beyond any use that reaches the entries, and against a replica that refuses a document which its group
+/// accepted before such times were refused.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_time_above_a_day_is_refused_before_it_is_proposed() {
+    let cluster = Cluster::start(1).await;
+    let (_, running) = cluster.alive().next().expect("the instance runs");
+    for timeout_ms in [MAX_DURATION_MS + 1, u64::MAX] {
+        let long = publication(1, 0, timeout_ms);
+        let refused = running.instance.publish(long.clone()).await.unwrap_err();
+        assert_eq!(refused.kind, Kind::InvalidChange);
+        assert!(
+            refused.context.starts_with("routes[0].timeout"),
+            "{refused}"
+        );
+        assert_eq!(publish(&mut Store::default(), &long), Ok(1));
+    }
+    let longest = publication(1, 0, MAX_DURATION_MS);
+    assert_eq!(running.instance.publish(longest).await, Ok(1));
+}
--- a/crates/entry/src/gateway/listener.rs
+++ b/crates/entry/src/gateway/listener.rs
@@ -97,7 +97,7 @@
         }
     });
     // The library's timeout covers both the idle time before a request head and the time to read it.
-    let limit = Duration::from_millis(limits.idle_ms + limits.head_ms);
+    let limit = Duration::from_millis(limits.idle_ms.saturating_add(limits.head_ms));
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limit)
--- a/crates/entry/tests/all/gateway.rs
+++ b/crates/entry/tests/all/gateway.rs
@@ -7,8 +7,8 @@
 use std::time::Duration;
 
 use chestnutvalve_entry::gateway::observation::{Finding, Observation};
-use chestnutvalve_model::account::Registry;
-use chestnutvalve_model::id::{Incarnation, Service, Worker as Name, Zone};
+use chestnutvalve_model::account::{Account, Key, Limit, Registry};
+use chestnutvalve_model::id::{Customer, Incarnation, Service, Worker as Name, Zone};
 use chestnutvalve_model::rank::Rank;
 use chestnutvalve_model::routes::{Kind, Limits, Route, Share, Table, Target};
 use chestnutvalve_model::upstream::{Announcement, Event};
@@ -591,3 +591,91 @@
         }
     }
 }
+
+/// Guards against a document with extreme values that ends the listener, and against headers of callers and workers that do: sums
+/// and products of times, rates and weights must neither overflow nor be no number.
+#[tokio::test]
+async fn extreme_documents_and_headers_are_served() {
+    let worker = Worker::start("w1", |seen| {
+        let stated = "retry-after-ms: 18446744073709551615\r\nchestnutvalve-load: 4294967295\r\n";
+        if seen.head.contains("/x") {
+            return answer(seen, 200, stated, "ok");
+        }
+        let more = format!("{stated}chestnutvalve-not-executed: 1\r\n");
+        answer(seen, 503, &more, "")
+    })
+    .await;
+    let (control, entry) = fleet(&[&worker]).await;
+    for label in 2..40_u64 {
+        let extreme = |bit: u64| if label >> bit & 1 == 0 { 1 } else { u64::MAX };
+        let rate = |bit: u64| {
+            if label >> bit & 1 == 0 {
+                f64::MIN_POSITIVE
+            } else {
+                f64::MAX
+            }
+        };
+        let mut only = route(
+            "/",
+            [Kind::Idempotent, Kind::Download, Kind::Once][usize::try_from(label).unwrap() % 3],
+        );
+        (only.timeout_ms, only.target_ms) = (u64::MAX, extreme(0));
+        only.attempts = if extreme(1) == 1 { 0 } else { u8::MAX };
+        let share = only.split[0].clone();
+        only.split = vec![
+            Share {
+                weight: f64::MIN_POSITIVE,
+                ..share.clone()
+            },
+            Share {
+                weight: rate(2) / 2.0,
+                ..share
+            },
+        ];
+        let mut extremes = table(label, vec![only]);
+        extremes.limits = Limits {
+            head_bytes: u32::MAX,
+            body_bytes: extreme(3),
+            head_ms: extreme(4),
+            idle_ms: u64::MAX,
+        };
+        let account = Account {
+            customer: Customer::new("acme").unwrap(),
+            keys: vec![Key::new("k1")],
+            rank: None,
+            limit: Some(Limit {
+                per_second: rate(4),
+                burst: rate(3),
+            }),
+        };
+        extremes.accounts = Registry::build(&[account]).unwrap();
+        control.publish(extremes);
+        wait_until("routes", || entry.state().routes.label == label).await;
+        for deadline in ["0", "1", "18446744073709551615"] {
+            let headers = [
+                ("host", "a.example"),
+                ("chestnutvalve-attempt", "id-1"),
+                ("authorization", "Bearer k1"),
+                ("chestnutvalve-deadline-ms", deadline),
+            ];
+            let reply = timeout(
+                Duration::from_secs(5),
+                exchange(entry.gateway, "/x", &headers),
+            );
+            let reply = reply.await.expect("an answer in time");
+            let reply =
+                reply.unwrap_or_else(|e| panic!("document {label}, deadline {deadline}: {e}"));
+            assert!(
+                [200, 429, 503, 504].contains(&reply.status),
+                "{}",
+                reply.status
+            );
+        }
+    }
+    control.publish(table(40, vec![route("/", Kind::Idempotent)]));
+    wait_until("routes", || entry.state().routes.label == 40).await;
+    assert_eq!(ask(&entry, "/x").await.status, 200);
+    // The worker states an endless pause.
+    assert_eq!(ask(&entry, "/shed").await.status, 503);
+    assert_eq!(ask(&entry, "/x").await.status, 503);
+}
--- a/crates/model/src/review.rs
+++ b/crates/model/src/review.rs
@@ -67,7 +67,7 @@
             differences: current.map(|current| differences(current, next)),
         };
         report.check_version(next, current);
-        for invalid in next.invalid() {
+        for invalid in next.invalid().into_iter().chain(next.too_long()) {
             let text = format!("expected {}, found {}", invalid.expected, invalid.value);
             report.add(Severity::Error, invalid.path, text);
         }
--- a/crates/model/src/routes.rs
+++ b/crates/model/src/routes.rs
@@ -12,6 +12,8 @@
 
 /// Max routes of one table. A table of this size takes about 4 MB.
 pub const MAX_ROUTES: usize = 20_000;
+/// Max time in a published document, in milliseconds: one day.
+pub const MAX_DURATION_MS: u64 = 86_400_000;
 /// The target latency of a route must exceed its timeout by less than this.
 pub const MAX_TARGET_EXCESS_MS: u64 = 60_000;
 
@@ -224,6 +226,27 @@
         invalid.extend(Registry::invalid(&self.accounts));
         invalid
     }
+
+    /// Returns all times above [`MAX_DURATION_MS`]. They are refused before a document is proposed and not when it is
+    /// applied, because a replica must accept each document of its log again.
+    #[must_use]
+    pub fn too_long(&self) -> Vec<Invalid> {
+        let routes = self.routes.iter().enumerate();
+        let routes = routes.flat_map(|(at, route)| {
+            [
+                (format!("routes[{at}].timeout"), route.timeout_ms),
+                (format!("routes[{at}].target"), route.target_ms),
+            ]
+        });
+        let limits = [
+            ("limits.head_ms".to_owned(), self.limits.head_ms),
+            ("limits.idle_ms".to_owned(), self.limits.idle_ms),
+        ];
+        let long = routes.chain(limits).filter(|(_, ms)| *ms > MAX_DURATION_MS);
+        let expected = format!("at most {MAX_DURATION_MS} milliseconds");
+        long.map(|(path, ms)| Invalid::new(path, ms, &expected))
+            .collect()
+    }
 }
 
 impl Route {
--- a/crates/model/tests/routes.rs
+++ b/crates/model/tests/routes.rs
@@ -4,7 +4,9 @@
 
 use chestnutvalve_model::id::Service;
 use chestnutvalve_model::rank::Rank;
-use chestnutvalve_model::routes::{Kind, Limits, Publication, Route, Share, Target};
+use chestnutvalve_model::routes::{
+    Kind, Limits, MAX_DURATION_MS, Publication, Route, Share, Target,
+};
 use rstest::rstest;
 
 fn service(name: &str) -> Service {
@@ -70,6 +72,24 @@
     assert!(refused.path.starts_with("routes[1]"), "{refused}");
 }
 
+/// Guards against times beyond any use, whose sums overflow, and against an error that does not name the field.
+#[rstest]
+#[case::timeout("routes[0].timeout", |p: &mut Publication, ms| p.routes[0].timeout_ms = ms)]
+#[case::target("routes[0].target", |p: &mut Publication, ms| p.routes[0].target_ms = ms)]
+#[case::head("limits.head_ms", |p: &mut Publication, ms| p.limits.head_ms = ms)]
+#[case::idle("limits.idle_ms", |p: &mut Publication, ms| p.limits.idle_ms = ms)]
+fn a_time_above_a_day_is_named(#[case] path: &str, #[case] set: fn(&mut Publication, u64)) {
+    let mut long = publication(vec![route("r1", "a.example", "/")]);
+    set(&mut long, MAX_DURATION_MS);
+    assert_eq!(long.too_long(), []);
+    for ms in [MAX_DURATION_MS + 1, u64::MAX] {
+        set(&mut long, ms);
+        let named = long.too_long();
+        let named: Vec<&str> = named.iter().map(|invalid| invalid.path.as_str()).collect();
+        assert_eq!(named, [path]);
+    }
+}
+
 /// Guards against refusing a valid document.
 #[rstest]
 #[case::target_above_timeout(|r: &mut Route| r.target_ms = 61_999)]
--- a/crates/routing/tests/quota/main.rs
+++ b/crates/routing/tests/quota/main.rs
@@ -306,3 +306,54 @@
         prop_assert!(permits <= most, "{permits} permits in a window of {most}");
     }
 }
+
+/// Returns values of an accepted limit, with the ends of the range.
+fn extreme() -> impl Strategy<Value = f64> {
+    prop_oneof![
+        Just(f64::from_bits(1)),
+        Just(f64::MIN_POSITIVE),
+        Just(f64::MAX),
+        1e-300..1e300_f64,
+    ]
+}
+
+proptest! {
+    /// Guards against a limit of an accepted document that makes a bucket panic, hold no number of tokens, or grant more than
+    /// was asked for.
+    #[test]
+    fn extreme_limits_are_applied(
+        per_second in extreme(),
+        burst in prop_oneof![Just(0.0), extreme()],
+        (over, slack) in (prop_oneof![Just(0.0), 0.0..10.0_f64], prop_oneof![Just(0.0), 0.0..1e6_f64]),
+        shares in 1..100_usize,
+        steps in prop::collection::vec((0..u64::MAX / 1_000_000, 0..4_u32, any::<u32>()), 1..20),
+    ) {
+        let (limit, customer) = (Limit { per_second, burst }, Customer::new("acme").unwrap());
+        let bounds = Bounds { over, slack, ..Bounds::default() };
+        prop_assert!(bounds.capacity(&limit) >= 1.0);
+        let mut book = Book::new(bounds);
+        book.set_shares(shares);
+        let mut now = Instant::now();
+        for (pause_ms, action, count) in steps {
+            now += Duration::from_millis(pause_ms % 100_000_000);
+            match action {
+                0 => prop_assert!(book.take(now, &customer, &limit, count) <= count),
+                1 => {
+                    let wait = book.refuse(now, &customer, &limit, count);
+                    prop_assert!(wait.of(count) <= seconds(2));
+                }
+                2 => {
+                    let (lent, spare) = book.lend(now, &customer, &limit, f64::from(count), true);
+                    prop_assert!(lent >= 0.0 && spare >= 0.0, "{lent} lent, {spare} spare");
+                    let taken = book.accept(now, &customer, &limit, lent, count);
+                    prop_assert!(taken <= count);
+                }
+                _ => {
+                    if let Need::Ask { tokens, .. } = book.need(now, &customer, &limit, count) {
+                        prop_assert!(tokens > 0.0, "{tokens} tokens asked for");
+                    }
+                }
+            }
+        }
+    }
+}
