Let complete responses give way to callers that read a byte now and then

Seen by callers: while others take a byte of their complete responses every few seconds, an entry with a memory limit refuses all requests, for as long as those callers like.

Cause: a complete response was kept unless its caller had taken nothing for 30 s, so that any progress kept it for good.

Change: a complete response may give way, after all others and above three quarters of the budget, also when its caller is expected to need 30 s or more by its progress since the response was received whole. A steady caller reaches that only if it needs two minutes or more. The time before counts for the worker and not for the caller.

Before: memory::complete_responses_give_way_to_a_trickle, case trickle, failed: nothing was chosen. After: all cases pass, of which three guard slow callers that must be kept.

--- a/crates/entry/src/holding.rs
+++ b/crates/entry/src/holding.rs
@@ -3,7 +3,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll, Waker};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use chestnutvalve_routing::memory::{Budget, Holding};
@@ -85,6 +85,10 @@
     /// Bytes that it had passed on by then.
     passed_before: u64,
     last_passed: Instant,
+    /// When the first of the whole responses that are held was received, and the bytes of responses that it had passed on
+    /// by then.
+    complete_since: Instant,
+    passed_before_complete: u64,
 }
 
 /// Bytes that count as held until they are dropped.
@@ -134,6 +138,8 @@
                 since: now,
                 passed_before: 0,
                 last_passed: now,
+                complete_since: now,
+                passed_before_complete: 0,
             }),
             writer: Mutex::default(),
             closed: Notify::new(),
@@ -146,11 +152,10 @@
         let (state, bytes) = (&self.0, size(&data));
         if state.held.fetch_add(bytes, Ordering::Relaxed) == 0 {
             let now = clock::now();
-            *state.times.lock().unwrap_or_else(PoisonError::into_inner) = Times {
-                since: now,
-                passed_before: state.passed.load(Ordering::Relaxed),
-                last_passed: now,
-            };
+            let mut times = state.times.lock().unwrap_or_else(PoisonError::into_inner);
+            times.since = now;
+            times.passed_before = state.passed.load(Ordering::Relaxed);
+            times.last_passed = now;
         }
         if message == Message::Response {
             state.held_of_responses.fetch_add(bytes, Ordering::Relaxed);
@@ -212,6 +217,11 @@
         let (state, _guard) = (&self.0, self.writer());
         let held = state.held_of_responses.load(Ordering::Relaxed);
         let passed = state.passed_of_responses.load(Ordering::Relaxed);
+        if !self.holds_complete() {
+            let mut times = state.times.lock().unwrap_or_else(PoisonError::into_inner);
+            times.complete_since = clock::now();
+            times.passed_before_complete = passed;
+        }
         state.complete_until.store(passed + held, Ordering::Relaxed);
     }
 
@@ -245,6 +255,9 @@
         let state = &self.0;
         let times = state.times.lock().unwrap_or_else(PoisonError::into_inner);
         let passed = state.passed.load(Ordering::Relaxed);
+        let passed_of_responses = state.passed_of_responses.load(Ordering::Relaxed);
+        let is_complete = self.holds_complete();
+        let complete_age = now.saturating_duration_since(times.complete_since);
         Holding {
             id: state.id,
             held: state.held.load(Ordering::Relaxed),
@@ -252,7 +265,13 @@
             age: now.saturating_duration_since(times.since),
             idle: now.saturating_duration_since(times.last_passed),
             is_delivering: state.held_of_responses.load(Ordering::Relaxed) > 0,
-            is_complete: self.holds_complete(),
+            is_complete,
+            complete_age: if is_complete {
+                complete_age
+            } else {
+                Duration::ZERO
+            },
+            complete_progress: passed_of_responses.saturating_sub(times.passed_before_complete),
         }
     }
 }
--- a/crates/routing/src/memory.rs
+++ b/crates/routing/src/memory.rs
@@ -30,7 +30,8 @@
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(300);
 /// Time over which the refused callers of one moment are spread.
 const RETRY_SPREAD: Duration = Duration::from_millis(600);
-/// Time without progress after which a complete response may give way too, as the last resort.
+/// Time without progress after which a complete response may give way too, as the last resort; also the time that its caller
+/// may be expected to need for what is held.
 const MAX_UNREAD_TIME: Duration = Duration::from_secs(30);
 
 /// What one connection holds.
@@ -50,6 +51,10 @@
     pub is_delivering: bool,
     /// Whether a response is held that was received whole from its worker.
     pub is_complete: bool,
+    /// Time since the first of these responses was received whole.
+    pub complete_age: Duration,
+    /// Bytes of responses that were passed on in that time.
+    pub complete_progress: u64,
 }
 
 /// Bytes that may be held for all connections together.
@@ -112,13 +117,17 @@
 
     /// Returns the connections that give way while `held` bytes are held: slow transfers until three quarters of the budget
     /// are used, and any connection until it is kept; those first that hold most and progress least. Complete responses are kept, unless
-    /// their callers have taken nothing for 30 s.
+    /// their callers have taken nothing for 30 s or read so slowly that they are expected to need longer. Otherwise callers that
+    /// read a byte now and then would use up the budget for good.
     #[must_use]
     pub fn choose(self, held: u64, holdings: &[Holding]) -> Vec<u64> {
         let Some(bytes) = self.bytes else {
             return Vec::new();
         };
-        let may_close = |h: &&Holding| h.held > 0 && (!h.is_complete || h.idle >= MAX_UNREAD_TIME);
+        let is_unread = |h: &Holding| {
+            h.idle >= MAX_UNREAD_TIME || h.complete_drain_millis() >= MAX_UNREAD_TIME.as_millis()
+        };
+        let may_close = |h: &&Holding| h.held > 0 && (!h.is_complete || is_unread(h));
         let mut candidates: Vec<&Holding> = holdings.iter().filter(may_close).collect();
         candidates.sort_by_key(|h| (h.is_complete, std::cmp::Reverse(h.cost()), h.id));
         let mut left = held;
@@ -141,8 +150,12 @@
     /// Returns the time that the connection is expected to need for what it holds, in milliseconds. It follows from the
     /// progress so far; without any it is the time so far.
     fn drain_millis(&self) -> u128 {
-        let held = u128::from(self.held);
-        self.age.as_millis() * held / (held + u128::from(self.progress)).max(1)
+        drain_millis(self.held, self.progress, self.age)
+    }
+
+    /// Returns the same for what is held since a response was received whole. The time before counts for the worker.
+    fn complete_drain_millis(&self) -> u128 {
+        drain_millis(self.held, self.complete_progress, self.complete_age)
     }
 
     /// Returns the memory that the connection takes times the time for which it is expected to take it, in byte
@@ -152,6 +165,11 @@
     }
 }
 
+fn drain_millis(held: u64, progress: u64, age: Duration) -> u128 {
+    let held = u128::from(held);
+    age.as_millis() * held / (held + u128::from(progress)).max(1)
+}
+
 #[allow(
     clippy::cast_possible_truncation,
     clippy::cast_precision_loss,
--- a/crates/routing/tests/memory.rs
+++ b/crates/routing/tests/memory.rs
@@ -17,6 +17,8 @@
         idle: Duration::from_secs(1),
         is_delivering: true,
         is_complete,
+        complete_age: Duration::ZERO,
+        complete_progress: 0,
     }
 }
 
@@ -114,6 +116,29 @@
     assert_eq!(budget.choose(1_900_100, &holdings), [3, 1]);
 }
 
+/// Guards against an entry that refuses all requests for ever because callers take a byte of their complete responses now and
+/// then, and against closing a slow caller that gets its response within two minutes.
+#[rstest]
+#[case::trickle(60, 60, true)]
+#[case::trickle_that_has_just_begun(29, 29, false)]
+#[case::slow(40, 300_000, false)]
+#[case::slow_at_first(100, 700_000, false)]
+fn complete_responses_give_way_to_a_trickle(
+    #[case] age_s: u64,
+    #[case] progress: u64,
+    #[case] gives_way: bool,
+) {
+    let budget = Budget::new(Some(4 * MEGABYTE));
+    let trickle = Holding {
+        complete_age: Duration::from_secs(age_s),
+        complete_progress: progress,
+        ..holding(1, 900_000 - progress, progress, age_s, true)
+    };
+    let chosen = budget.choose(980_000, &[trickle]);
+    assert_eq!(chosen, if gives_way { vec![1] } else { Vec::new() });
+    assert_eq!(budget.choose(740_000, &[trickle]), [0; 0]);
+}
+
 /// Guards against a burst of slow callers for which requests are refused, before the callers count as slow for sure.
 #[test]
 fn transfers_give_way_sooner_when_less_is_left() {
