Answer a request that gives way for its memory

Seen by callers: a request whose body is held while its worker works ends with a closed connection and without an answer once the budget for connections is used up. Admission refuses before that, but bodies arrive after the admission of their heads.

Change: a connection whose request has no response yet is not closed. The request is given up and answered, with "connection: close": 502 and an unknown outcome if it may have been sent to a worker, else 503 with a time to come back. 503 would promise for the first that it does not run. A connection whose response is being delivered is closed as before; its caller has the start of an answer.

Before: memory::a_request_that_gives_way_is_answered failed, connections ended without a byte. After: each of 90 callers gets 200 or 502.

--- a/crates/entry/src/gateway/listener.rs
+++ b/crates/entry/src/gateway/listener.rs
@@ -6,7 +6,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use http::{HeaderValue, header};
+use chestnutvalve_model::error::Kind;
+use http::{HeaderValue, Response, header};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -14,6 +15,8 @@
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
 use super::{Gateway, proxy};
+use crate::holding::GivenUp;
+use crate::local_reply::{self, Refusal};
 use crate::socket::Socket;
 
 /// Delay before the next accept after a failed one, for example when no file descriptor is free.
@@ -21,6 +24,8 @@
 /// Minimum read buffer that the HTTP library accepts, in bytes.
 const MIN_BUFFER_BYTES: usize = 8 * 1024;
 
+/// Time after which a caller whose request was given up may come back: the budget has room again after a few responses.
+const GIVEN_UP_RETRY_AFTER: Duration = Duration::from_millis(600);
 /// Backlog of the listener, in connections.
 const BACKLOG: u32 = 1_024;
 /// Part of the process's memory that the send buffer of one connection may take. The operating system's default grows to
@@ -73,6 +78,24 @@
     graceful.shutdown().await;
 }
 
+/// Returns the response to a request that was given up for the memory that it holds.
+fn give_up(gateway: &Gateway, given_up: GivenUp) -> Response<local_reply::Body> {
+    let kind = if given_up.is_sent {
+        Kind::UpstreamBroken
+    } else {
+        Kind::Overloaded
+    };
+    gateway.instance.meters.count_refusal(kind);
+    let cause = "the entry holds too many bytes and gave up the request";
+    let mut response = local_reply::refusal(&Refusal::new(kind, cause));
+    if !given_up.is_sent {
+        let dialect = &gateway.settings.dialect;
+        let value = (dialect.format_retry_after)(GIVEN_UP_RETRY_AFTER);
+        response.headers_mut().insert(&dialect.retry_after, value);
+    }
+    response
+}
+
 fn serve_connection(gateway: &Arc<Gateway>, graceful: &GracefulShutdown, socket: TcpStream) {
     let limits = gateway.instance.control_state.current().routes.limits;
     let buffer = usize::try_from(limits.head_bytes).unwrap_or(usize::MAX);
@@ -87,8 +110,11 @@
         let arrived = last_read.at();
         let (delivery, holder) = (delivery.clone(), holder.clone());
         async move {
-            let mut response = proxy::handle(&gateway, request, arrived, &holder).await;
-            if gateway.instance.is_draining() {
+            let handled = proxy::handle(&gateway, request, arrived, &holder);
+            let handled = holder.until_given_up(handled).await;
+            let is_given_up = handled.is_err();
+            let mut response = handled.unwrap_or_else(|given_up| give_up(&gateway, given_up));
+            if is_given_up || gateway.instance.is_draining() {
                 // The caller's next request then opens a connection to another entry.
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(header::CONNECTION, close);
--- a/crates/entry/src/gateway/memory.rs
+++ b/crates/entry/src/gateway/memory.rs
@@ -104,7 +104,7 @@
         let holdings: Vec<_> = holders.values().map(|h| h.holding(now)).collect();
         let total = self.total.held();
         for id in self.total.budget.choose(total, &holdings) {
-            // A connection that was chosen is not chosen again before it has ended.
+            // A connection that was chosen ends after the answer to its request, and is not chosen again before.
             let Some(holder) = holders.remove(&id) else {
                 continue;
             };
@@ -115,7 +115,7 @@
                 "connection closed for its memory", kv: {held, progress, age_ms, is_complete, total}
             );
             meters.count_memory_close();
-            holder.close();
+            holder.give_way();
         }
     }
 }
--- a/crates/entry/src/holding.rs
+++ b/crates/entry/src/holding.rs
@@ -1,6 +1,6 @@
 //! Count of the bytes that are held for the connections of callers.
 
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll, Waker};
 use std::time::{Duration, Instant};
@@ -76,6 +76,18 @@
     /// Waits for room to read a response ahead.
     writer: Mutex<Option<Waker>>,
     closed: Notify,
+    given_up: Notify,
+    /// Whether the head of the response to the current request has not been returned yet.
+    is_unanswered: AtomicBool,
+    /// Whether a worker may have executed the current request.
+    is_sent: AtomicBool,
+}
+
+/// Why a request gets no response of a worker.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct GivenUp {
+    /// Whether a worker may have executed the request.
+    pub is_sent: bool,
 }
 
 #[derive(Debug)]
@@ -143,6 +155,9 @@
             }),
             writer: Mutex::default(),
             closed: Notify::new(),
+            given_up: Notify::new(),
+            is_unanswered: AtomicBool::new(false),
+            is_sent: AtomicBool::new(false),
         }))
     }
 
@@ -239,6 +254,43 @@
         }
     }
 
+    /// Frees what is held: a request without a response is given up, so that its caller is told, and otherwise the
+    /// connection is closed. A caller that does not read its earlier response could not be told.
+    pub fn give_way(&self) {
+        let state = &self.0;
+        let is_delivering = state.held_of_responses.load(Ordering::Relaxed) > 0;
+        if state.is_unanswered.load(Ordering::Relaxed) && !is_delivering {
+            state.given_up.notify_one();
+        } else {
+            self.close();
+        }
+    }
+
+    /// Waits for the response to a request of the connection.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error once the request is given up; `response` is then dropped.
+    pub async fn until_given_up<T>(&self, response: impl Future<Output = T>) -> Result<T, GivenUp> {
+        let state = &self.0;
+        state.is_sent.store(false, Ordering::Relaxed);
+        state.is_unanswered.store(true, Ordering::Relaxed);
+        let outcome = tokio::select! {
+            biased;
+            response = response => Ok(response),
+            () = state.given_up.notified() => Err(GivenUp {
+                is_sent: state.is_sent.load(Ordering::Relaxed),
+            }),
+        };
+        state.is_unanswered.store(false, Ordering::Relaxed);
+        outcome
+    }
+
+    /// Records that the current request is sent to a worker.
+    pub fn record_sent(&self) {
+        self.0.is_sent.store(true, Ordering::Relaxed);
+    }
+
     /// Asks for the connection to be closed.
     pub fn close(&self) {
         self.0.closed.notify_one();
--- a/crates/entry/src/replay.rs
+++ b/crates/entry/src/replay.rs
@@ -137,6 +137,7 @@
         let mut state = self.lock();
         state.check_replay()?;
         state.reader += 1;
+        state.holder.record_sent();
         Ok(Replay {
             reader: state.reader,
             source: self.clone(),
--- a/crates/entry/tests/all/memory.rs
+++ b/crates/entry/tests/all/memory.rs
@@ -178,6 +178,50 @@
     assert!(held < 1.0, "{held} bytes held");
 }
 
+/// Guards against a connection that is closed without an answer because its request holds memory: a caller that reads gets the
+/// response of the worker or is told that there is none, with a status that does not deny that the worker ran it.
+#[tokio::test]
+async fn a_request_that_gives_way_is_answered() {
+    let worker = Worker::start("w1", |seen| {
+        let mut steps = vec![Step::Wait(Duration::from_secs(2))];
+        steps.extend(success(seen));
+        steps
+    })
+    .await;
+    let (_control, entry) = start(&worker, 16).await;
+    let mut callers = Vec::new();
+    // All are admitted before their bodies arrive.
+    for n in 0..90 {
+        let more = "content-length: 60000\r\n";
+        callers.push(connect(&entry, "POST", &format!("/{n}"), more).await);
+    }
+    sleep(Duration::from_millis(300)).await;
+    let mut answers = Vec::new();
+    for mut caller in callers {
+        answers.push(tokio::spawn(async move {
+            let _ = caller.write_all(&vec![b'x'; 60_000]).await;
+            let mut head = [0; 200];
+            let size = timeout(Duration::from_secs(8), caller.read(&mut head)).await;
+            let head = String::from_utf8_lossy(&head[..size.unwrap().unwrap_or(0)]).into_owned();
+            let status = head.split(' ').nth(1).unwrap_or("none").to_owned();
+            (status, head.contains("chestnutvalve-executed: unknown"))
+        }));
+    }
+    let mut given_up = 0;
+    for answer in answers {
+        match answer.await.unwrap() {
+            (status, _) if status == "200" => {}
+            (status, is_unknown) => {
+                assert_eq!((status.as_str(), is_unknown), ("502", true));
+                given_up += 1;
+            }
+        }
+    }
+    assert!(given_up > 0, "the budget was not used up");
+    let closed = entry.metric("memory_closed_connections", "total").await;
+    assert!(closed >= f64::from(given_up), "{closed} of {given_up}");
+}
+
 /// Guards against an entry that takes in the whole body of a request while its worker reads it slowly.
 #[tokio::test]
 async fn a_body_is_taken_in_as_its_worker_reads() {
