Free a worker's slot when a caller without a deadline stops reading

Seen by workers: at the listener that proxies by service, a caller that states no deadline and reads nothing of a long response keeps the worker's slot and connection for as long as it stays connected.

Cause: without a deadline only stalls of the worker were limited; the wait for the caller had no limit.

Change: the wait for the caller has one too, the service's timeout_ms and at least 30 s. A shorter one would cut off callers that read slowly, since a full send buffer empties in steps. The transfer then ends as unread, which does not count against the worker.

Before: read_ahead::a_caller_without_a_deadline_that_reads_nothing_ends_the_transfer, case unread, failed: the transfer had not ended after 3 s with a limit of 1 s. After: all four cases pass. The 30 s themselves were not waited for in a test.

--- a/crates/entry/src/read_ahead.rs
+++ b/crates/entry/src/read_ahead.rs
@@ -24,8 +24,13 @@
 pub enum Limit {
     /// The worker must have sent the whole body by this time.
     Deadline(Instant),
-    /// Maximum time for which the worker may send nothing.
-    Stall(Duration),
+    /// Maximum times without progress.
+    Stall {
+        /// Time for which the worker may send nothing.
+        worker: Duration,
+        /// Time for which the caller may take nothing while the worker waits for it.
+        caller: Duration,
+    },
 }
 
 /// How the transfer from the worker ended.
@@ -152,23 +157,30 @@
     let (mut waited, mut unread) = (Duration::ZERO, Duration::ZERO);
     let first = match limit {
         Limit::Deadline(at) => at,
-        Limit::Stall(time) => Instant::now() + time,
+        Limit::Stall { caller, .. } => Instant::now() + caller,
     };
     let mut timer = pin!(sleep_until(first));
     let (last, end) = loop {
         let since = Instant::now();
+        if let Limit::Stall { caller, .. } = limit {
+            timer.as_mut().reset(since + caller);
+        }
         let has_room = tokio::select! {
             biased;
             () = std::future::poll_fn(|cx| holder.poll_room(cx)) => true,
-            () = timer.as_mut(), if matches!(limit, Limit::Deadline(_)) => false,
+            () = timer.as_mut() => false,
         };
         unread += since.elapsed();
         if !has_room {
-            break (None, Ok(End::Late));
+            let end = match limit {
+                Limit::Deadline(_) => End::Late,
+                Limit::Stall { .. } => End::Unread,
+            };
+            break (None, Ok(end));
         }
         let since = Instant::now();
-        if let Limit::Stall(time) = limit {
-            timer.as_mut().reset(since + time);
+        if let Limit::Stall { worker, .. } = limit {
+            timer.as_mut().reset(since + worker);
         }
         let frame = tokio::select! {
             biased;
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -21,6 +21,10 @@
 use crate::replay::Source;
 use crate::reservation::{Permit, Reservation};
 
+/// Minimum time for which a caller may take nothing of a response. A caller that reads 20 kB/s empties a full send buffer in
+/// steps that take this long.
+const MIN_UNREAD_LIMIT: Duration = Duration::from_secs(30);
+
 /// Resources that are released when an exchange ends. Dropping it unfinished counts as a cancellation by the caller.
 #[derive(Debug)]
 pub struct Completion {
@@ -144,7 +148,7 @@
     /// Returns the response for the caller, whose body is relayed as it arrives.
     ///
     /// A deadline that the caller set covers the whole body. Without one, the configured timeout limits each stall of
-    /// the worker, so that a long transfer is not cut off.
+    /// the worker, and a stall of the caller that holds the worker's slot, so that a long transfer is not cut off.
     #[must_use]
     pub fn into_response(mut self, call: &Call) -> Response<local_reply::Body> {
         if self.remaining.is_none() {
@@ -153,7 +157,11 @@
         let limit = if call.has_explicit_deadline {
             Limit::Deadline(call.deadline)
         } else {
-            Limit::Stall(Duration::from_millis(call.settings.timeout_ms.into()))
+            let worker = Duration::from_millis(call.settings.timeout_ms.into());
+            Limit::Stall {
+                worker,
+                caller: worker.max(MIN_UNREAD_LIMIT),
+            }
         };
         let body = match self.remaining {
             None => ReadAhead::received(self.buffered),
--- a/crates/entry/tests/all/main.rs
+++ b/crates/entry/tests/all/main.rs
@@ -22,6 +22,7 @@
 mod notices;
 mod proxy;
 mod quota;
+mod read_ahead;
 mod readers;
 mod sharing;
 mod streams;
