Store the removal of a replica beside the serving thread

Seen by entries: the platform's control process has one thread. When its replica was removed from the group and its disk was slow, the thread stood still until the marker in the data directory was durable: no call was answered meanwhile.

Cause: Directory::retire wrote and synced in the driver's task, and not with the disk operations that the other writes use.

Change: the marker is written in a blocking task after the driver has ended, so that no vote follows, and with the disk of the replica. The instance joins again after it, as before. The search for the group moves to a function of its own.

Before: disk::a_removal_is_stored_beside_other_tasks, with the write in the driver's task on the replica's disk, stood still for 2.0 s of a write of 2 s. After: it passes; the bound is 1 s. The storage test passes the disk to retire, nothing else.

--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -92,12 +92,11 @@
     options: Options,
     state_machine: StateMachine,
 ) -> Result<Handle, Error> {
-    let (store, restored) = directory.open_group(&options.group, disk)?;
+    let (store, restored) = directory.open_group(&options.group, disk.clone())?;
     driver::spawn(
         network,
         Arc::clone(directory),
-        store,
-        restored,
+        (store, restored, disk),
         options,
         state_machine,
     )
--- a/crates/control/src/replica/driver.rs
+++ b/crates/control/src/replica/driver.rs
@@ -13,7 +13,7 @@
     self as consensus, Membership, PersistentState, Replica, ReplicaId, Snapshot,
 };
 use chestnutvalve_model::error::{Fault, Kind};
-use chestnutvalve_storage::{Directory, Error, SnapshotWriter, Store};
+use chestnutvalve_storage::{Directory, Disk, Error, SnapshotWriter, Store};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep_until};
@@ -70,13 +70,13 @@
     stop_at: Option<Instant>,
     /// Kept open so that the data directory is released when the driver ends.
     directory: Arc<Directory>,
+    disk: Disk,
 }
 
 pub(super) fn spawn(
     network: &Network,
     directory: Arc<Directory>,
-    store: Store,
-    restored: PersistentState,
+    (store, restored, disk): (Store, PersistentState, Disk),
     options: Options,
     mut state_machine: StateMachine,
 ) -> Result<Handle, Error> {
@@ -121,22 +121,8 @@
         exit: exit.subscribe(),
         suspension: options.suspension.clone(),
     };
-    let join_guard = replica.membership().0.members.is_empty().then(|| {
-        let hello = Hello {
-            group: options.group.clone(),
-            id,
-            name: options.name.clone(),
-            address: options.address,
-            voter: options.voter,
-        };
-        let search = join::Search {
-            network: network.clone(),
-            hello,
-            members: options.members.clone(),
-            rendezvous: options.rendezvous.clone(),
-        };
-        join::start(search, inputs.clone())
-    });
+    let is_new = replica.membership().0.members.is_empty();
+    let join_guard = is_new.then(|| start_search(network, id, &options, inputs.clone()));
     let mut driver = Driver {
         links: Links::new(
             network.clone(),
@@ -164,16 +150,17 @@
         join_guard,
         stop_at: None,
         directory,
+        disk,
     };
     network.register(&handle.group, inputs.clone(), handle.view.clone());
     let (network, group) = (network.clone(), handle.group.clone());
     tokio::spawn(async move {
-        let outcome = driver.run(received, proposed).await;
+        let mut outcome = driver.run(received, proposed).await;
         if let Err(fault) = &outcome {
             spdlog::error!("group {group}: replica {id} stopped: {fault}");
             if fault.kind == Kind::MemberRemoved {
-                // The instance empties the data directory before it joins again.
-                driver.finish().await;
+                let retired = driver.retire().await;
+                outcome = retired.and(outcome);
             }
         }
         drop(driver);
@@ -183,6 +170,29 @@
     Ok(handle)
 }
 
+/// Starts the search for the group of a replica without a membership.
+fn start_search(
+    network: &Network,
+    id: ReplicaId,
+    options: &Options,
+    inputs: mpsc::Sender<Input>,
+) -> join::Guard {
+    let hello = Hello {
+        group: options.group.clone(),
+        id,
+        name: options.name.clone(),
+        address: options.address,
+        voter: options.voter,
+    };
+    let search = join::Search {
+        network: network.clone(),
+        hello,
+        members: options.members.clone(),
+        rendezvous: options.rendezvous.clone(),
+    };
+    join::start(search, inputs)
+}
+
 impl Driver {
     async fn run(
         &mut self,
@@ -263,6 +273,16 @@
         }
     }
 
+    /// Marks the data directory as that of a removed replica. Its identity must never vote again; the instance empties the
+    /// directory before it joins again with a new one.
+    async fn retire(&mut self) -> Result<(), Fault> {
+        let (directory, mut disk) = (Arc::clone(&self.directory), self.disk.clone());
+        let retired = tokio::task::spawn_blocking(move || directory.retire(&mut disk));
+        let retired = retired.await.expect("a write does not panic");
+        self.finish().await;
+        retired.map_err(|e| Fault::new(Kind::Internal, e.to_string()))
+    }
+
     fn process_output(&mut self) -> Result<(), Fault> {
         let now = Instant::now().into_std();
         self.apply()?;
@@ -273,12 +293,7 @@
         }
         if let Some(fault) = self.replica.fatal_error() {
             let kind = match fault {
-                consensus::Error::Removed(_) => {
-                    // A removed identity must never vote again; the next start joins with a new one.
-                    let retired = self.directory.retire();
-                    retired.map_err(|e| Fault::new(Kind::Internal, e.to_string()))?;
-                    Kind::MemberRemoved
-                }
+                consensus::Error::Removed(_) => Kind::MemberRemoved,
                 _ => Kind::Internal,
             };
             return Err(Fault::new(kind, fault.to_string()));
--- a/crates/control/tests/replica/disk.rs
+++ b/crates/control/tests/replica/disk.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
-use chestnutvalve_consensus::Settings;
+use chestnutvalve_consensus::{MembershipChange, Settings};
 use chestnutvalve_control::replica::options::Peer;
 use chestnutvalve_control::replica::{Options, Role};
 use chestnutvalve_model::error::Kind;
@@ -381,6 +381,42 @@
     assert!(fault.unwrap_err().context.contains("rolled back"));
 }
 
+/// Guards against a process whose other tasks stand still while the removal of its replica is stored on a slow disk.
+#[tokio::test]
+async fn a_removal_is_stored_beside_other_tasks() {
+    let mut disk = Disk::default();
+    let write = disk.write;
+    disk.write = Arc::new(move |file, bytes| {
+        if bytes.starts_with(b"removed") {
+            std::thread::sleep(Duration::from_secs(2));
+        }
+        write(file, bytes)
+    });
+    let cluster = Cluster::start_on(&vec![disk; 3], false).await;
+    cluster.handle(0).propose(b"first".to_vec()).await.unwrap();
+    let leader = cluster.wait_leader().await;
+    let removed = (leader + 1) % 3;
+    let name = format!("c{removed}");
+    let members = cluster.handle(leader).members();
+    let member = members.members.iter().find(|m| m.name == name).unwrap();
+    let change = MembershipChange::Remove(member.id);
+    cluster.handle(leader).change(change).await.unwrap();
+    let removed = cluster.handle(removed).clone();
+    let end = tokio::spawn(async move { timeout(2 * STOP_TIMEOUT, removed.stopped()).await });
+    let mut longest = Duration::ZERO;
+    while !end.is_finished() {
+        let since = Instant::now();
+        tokio::time::sleep(Duration::from_millis(10)).await;
+        longest = longest.max(since.elapsed());
+    }
+    let fault = end.await.unwrap().unwrap().unwrap_err();
+    assert_eq!(fault.kind, Kind::MemberRemoved);
+    assert!(
+        longest < Duration::from_secs(1),
+        "stood still for {longest:?}"
+    );
+}
+
 /// Guards against a replica that its group can no longer reach after a restart at another address.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_replica_may_restart_at_another_address() {
--- a/crates/storage/src/directory.rs
+++ b/crates/storage/src/directory.rs
@@ -80,9 +80,9 @@
     /// # Errors
     ///
     /// Returns [`Error::Io`].
-    pub fn retire(&self) -> Result<(), Error> {
+    pub fn retire(&self, disk: &mut Disk) -> Result<(), Error> {
         let marker = self.path.join(RETIRED_MARKER);
-        write_atomically(&marker, b"removed from the group\n", &mut Disk::default()).map(drop)
+        write_atomically(&marker, b"removed from the group\n", disk).map(drop)
     }
 
     /// Opens the stored state of one group.
--- a/crates/storage/tests/store.rs
+++ b/crates/storage/tests/store.rs
@@ -259,7 +259,7 @@
     let first = {
         let directory = open();
         directory.open_group("config", Disk::default()).unwrap();
-        directory.retire().unwrap();
+        directory.retire(&mut Disk::default()).unwrap();
         directory.identity()
     };
     let directory = open();
