Test that a replica which joins again starts from an empty state

The test of a removed member passed without clear_store: the log of its group held no command whose second application changes the state, and the test only waited for the version of the leader.

Change: an entry joins and leaves before the removal, and the whole state is compared with the leader's at the end.

--- a/crates/control/tests/all/cluster.rs
+++ b/crates/control/tests/all/cluster.rs
@@ -345,7 +345,7 @@
 }
 
 /// Guards against the end of a process, and of everything else that it serves, when its replica was removed from the group
-/// while it was cut off.
+/// while it was cut off, and against a state that differs from the group's because the log was applied to the former one.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_removed_member_joins_again_without_ending() {
     let cluster = Cluster::start(4).await;
@@ -355,6 +355,24 @@
         .find(|(n, _)| *n != leader)
         .expect("a follower");
     let removed = &removed.1.instance;
+    let heartbeat = Heartbeat {
+        member: member("e1", 1),
+        in_force: Version::ZERO,
+        in_force_ms: 0,
+        rates: Vec::new(),
+    };
+    let leader_client = &cluster.running[leader].as_ref().expect("it runs").client;
+    let registered =
+        leader_client.call::<_, HeartbeatReply>("directory/heartbeat", &heartbeat, CALL_TIMEOUT);
+    registered.await.expect("heartbeat");
+    let joined = |s: &State| s.directory.members.contains_key(&entry("e1"));
+    follow(leader_client, joined).await;
+    let left = (entry("e1"), Incarnation(1));
+    let answer: Result<(), Error> = leader_client
+        .call("directory/leave", &left, CALL_TIMEOUT)
+        .await;
+    answer.expect("leave");
+    follow(leader_client, |s| s.version.revision > 1 && !joined(s)).await;
     let groups = members::groups(removed);
     let name = removed.settings.control.as_str();
     let config = groups
@@ -393,4 +411,6 @@
         assert!(Instant::now() < deadline, "behind version {state}");
         sleep(Duration::from_millis(20)).await;
     }
+    // Commands that are applied to the state of before the removal give further versions.
+    assert_eq!(removed.store().state(), leader.instance.store().state());
 }
