Refuse a data directory of another format with a clear error

Seen by operators: after a change of version, a control instance whose data directory has an earlier layout skips the commands that don't decode, without a word, and serves without their routes; or it ends with "value does not decode: UnexpectedEnd".

Change: - The format is 2, and must be raised with each change of a stored type; a test fails if the layout changes without it. - A file of a later format is refused. A file of format 1 may have the current layout, as the version before this one writes it, or an earlier one. It is accepted if its whole content decodes, each to the last byte, and refused else. The check comes before anything is written, the truncation of a torn record included, so that the files stay as they are. - The error names the directory, both formats and what does not decode.

Limits: bytes of an earlier layout that decode by chance would be accepted.

--- a/crates/control/examples/commit_rate.rs
+++ b/crates/control/examples/commit_rate.rs
@@ -41,6 +41,7 @@
     let state = Arc::new(AtomicU64::new(0));
     let (apply, save, restore) = (state.clone(), state.clone(), state);
     StateMachine {
+        check: Box::new(|_| Ok(())),
         apply: Box::new(move |_| {
             let count = apply.fetch_add(1, Ordering::Relaxed) + 1;
             count.to_le_bytes().to_vec()
--- a/crates/control/src/daemon/instance.rs
+++ b/crates/control/src/daemon/instance.rs
@@ -152,6 +152,7 @@
             versions.send_if_modified(|v| std::mem::replace(v, version) != version);
         };
         StateMachine {
+            check: Box::new(Store::check),
             apply: Box::new(move |committed: CommittedCommand<'_>| {
                 let mut store = applied.write().unwrap_or_else(PoisonError::into_inner);
                 let result = store.apply(committed);
--- a/crates/control/src/daemon/ledger.rs
+++ b/crates/control/src/daemon/ledger.rs
@@ -14,7 +14,7 @@
 use super::batcher::{Batcher, Limits};
 use super::{Instance, background_service};
 use crate::codec;
-use crate::replica::{CommittedCommand, Handle, Role, StateMachine};
+use crate::replica::{CommittedCommand, Handle, Role, StateMachine, Stored};
 
 /// Service name in the registry.
 pub const NAME: &str = "ledger";
@@ -67,6 +67,14 @@
         snapshot
     }
 
+    /// Checks that stored bytes decode.
+    fn check(stored: Stored<'_>) -> Result<(), Fault> {
+        match stored {
+            Stored::Command(bytes) => codec::decode::<LogCommand>(bytes).map(drop),
+            Stored::Snapshot(bytes) => Self::restore(bytes).map(drop),
+        }
+    }
+
     fn restore(snapshot: &[u8]) -> Result<Self, Fault> {
         let short = || Fault::new(Kind::Internal, "ledger snapshot is too short");
         let (groups, ledger) = snapshot.split_first_chunk().ok_or_else(short)?;
@@ -120,6 +128,7 @@
         let applied = Arc::clone(&self.state);
         let (saved, restored) = (Arc::clone(&self.state), Arc::clone(&self.state));
         StateMachine {
+            check: Box::new(State::check),
             apply: Box::new(move |committed| {
                 let mut state = applied.write().unwrap_or_else(PoisonError::into_inner);
                 state.apply(committed)
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -10,6 +10,7 @@
 
 use std::sync::Arc;
 
+use chestnutvalve_consensus::{Payload, PersistentState, Position};
 use chestnutvalve_model::error::Fault;
 use chestnutvalve_storage::{Directory, Disk, Error};
 
@@ -33,8 +34,21 @@
 type Save = Box<dyn FnMut() -> Vec<u8> + Send>;
 type Restore = Box<dyn FnMut(&[u8]) -> Result<(), Fault> + Send>;
 
+/// Stored bytes that a state machine must be able to read.
+#[derive(Clone, Copy, Debug)]
+pub enum Stored<'a> {
+    /// Encoded command.
+    Command(&'a [u8]),
+    /// Encoded snapshot.
+    Snapshot(&'a [u8]),
+}
+
+type Check = Box<dyn Fn(Stored<'_>) -> Result<(), Fault> + Send>;
+
 /// Application state machine, given as closures over its state.
 pub struct StateMachine {
+    /// Checks that stored bytes decode, without any effect. A command that doesn't would be skipped when it is applied.
+    pub check: Check,
     /// Applies a committed command and returns its result, which must be the same at every replica.
     pub apply: Apply,
     /// Returns an encoded snapshot of the state.
@@ -75,12 +89,36 @@
     pub quorum: bool,
 }
 
+/// Returns why stored state does not have the layout of this version.
+fn check_layout(machine: &StateMachine, restored: &PersistentState) -> Result<(), String> {
+    let check = |what: &str, position: Position, stored: Stored<'_>| {
+        let index = position.index;
+        (machine.check)(stored).map_err(|fault| format!("{what} at index {index}: {fault}"))
+    };
+    let snapshot = &restored.snapshot;
+    if snapshot.position.index > 0 {
+        let stored = Stored::Snapshot(&snapshot.data);
+        check("snapshot", snapshot.position, stored)?;
+    }
+    let applied = snapshot.position.index;
+    for entry in restored
+        .entries
+        .iter()
+        .filter(|e| e.position.index > applied)
+    {
+        if let Payload::Command(command) = &entry.payload {
+            check("command", entry.position, Stored::Command(command))?;
+        }
+    }
+    Ok(())
+}
+
 /// Starts a replica. A new group is bootstrapped once all initial voters run; a replica with an empty data directory joins
 /// an existing group. The replica stops when [`Handle::stop`] is called or all handles are dropped.
 ///
 /// # Errors
 ///
-/// Returns an error when the stored state can't be read or restored.
+/// Returns an error when the stored state can't be read or restored, or has the format of another version.
 ///
 /// # Panics
 ///
@@ -92,7 +130,8 @@
     options: Options,
     state_machine: StateMachine,
 ) -> Result<Handle, Error> {
-    let (store, restored) = directory.open_group(&options.group, disk.clone())?;
+    let check = |restored: &PersistentState| check_layout(&state_machine, restored);
+    let (store, restored) = directory.open_group_checked(&options.group, disk.clone(), check)?;
     driver::spawn(
         network,
         Arc::clone(directory),
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -14,7 +14,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::codec;
-use crate::replica::CommittedCommand;
+use crate::replica::{CommittedCommand, Stored};
 
 pub mod change;
 pub mod history;
@@ -204,6 +204,18 @@
         })
     }
 
+    /// Checks that stored bytes decode.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Kind::Internal`] for bytes that don't.
+    pub fn check(stored: Stored<'_>) -> Result<(), Fault> {
+        match stored {
+            Stored::Command(bytes) => codec::decode::<Command>(bytes).map(drop),
+            Stored::Snapshot(bytes) => codec::decode::<Snapshot<'_>>(bytes).map(drop),
+        }
+    }
+
     /// Replaces the state by a snapshot.
     ///
     /// # Errors
--- a/crates/control/tests/all/harness.rs
+++ b/crates/control/tests/all/harness.rs
@@ -7,7 +7,7 @@
 
 use chestnutvalve_control::daemon::{self, Instance};
 use chestnutvalve_control::settings::{Settings, Voter};
-use chestnutvalve_kernel::Registry;
+use chestnutvalve_kernel::{Registry, registry};
 use chestnutvalve_ledger::{ClaimReply, Command, Key};
 use chestnutvalve_model::control::{Content, State, Update, Watch};
 use chestnutvalve_model::id::{Control, Incarnation, Zone};
@@ -76,6 +76,10 @@
     }
 
     pub async fn launch(&self, n: usize) -> Running {
+        self.try_launch(n).await.expect("start the services")
+    }
+
+    pub async fn try_launch(&self, n: usize) -> Result<Running, registry::Error> {
         Self::run(self.settings(&self.members[n])).await
     }
 
@@ -89,7 +93,7 @@
             voter: false,
             ..self.settings(&own)
         };
-        Self::run(settings).await
+        Self::run(settings).await.expect("start the services")
     }
 
     fn settings(&self, own: &Voter) -> Settings {
@@ -109,19 +113,19 @@
         }
     }
 
-    async fn run(settings: Settings) -> Running {
+    async fn run(settings: Settings) -> Result<Running, registry::Error> {
         let peers = settings.peers;
         let mut registry = Registry::default();
         let instance = daemon::register(&mut registry, settings).expect("register the services");
         let disk_hangs = Arc::new(AtomicBool::new(false));
         instance.set_disk(hanging_disk(&disk_hangs));
-        registry.start().await.expect("start the services");
-        Running {
+        registry.start().await?;
+        Ok(Running {
             disk_hangs,
             registry,
             instance,
             client: Client::new(peers),
-        }
+        })
     }
 
     pub async fn stop(&mut self, n: usize) {
--- a/crates/control/tests/all/main.rs
+++ b/crates/control/tests/all/main.rs
@@ -6,6 +6,7 @@
 mod cluster;
 mod harness;
 mod heartbeats;
+mod layout;
 mod malformed;
 mod publish;
 mod rendezvous;
--- a/crates/control/tests/replica/cluster.rs
+++ b/crates/control/tests/replica/cluster.rs
@@ -33,6 +33,7 @@
     let commands = Commands::default();
     let (apply, save, restore) = (commands.clone(), commands.clone(), commands.clone());
     let machine = StateMachine {
+        check: Box::new(|_| Ok(())),
         apply: Box::new(move |committed| {
             let mut commands = apply.lock().unwrap();
             commands.push(committed.command.to_vec());
--- a/crates/storage/src/directory.rs
+++ b/crates/storage/src/directory.rs
@@ -89,11 +89,21 @@
     ///
     /// # Errors
     ///
-    /// Returns the errors of [`Store::open`], and [`Error::Corrupt`] when the log file of a known group is missing.
-    pub fn open_group(
+    /// As [`Directory::open_group_checked`].
+    pub fn open_group(&self, name: &str, disk: Disk) -> Result<(Store, PersistentState), Error> {
+        self.open_group_checked(name, disk, |_| Ok(()))
+    }
+
+    /// Opens the stored state of one group, with the `check` of [`Store::open_checked`].
+    ///
+    /// # Errors
+    ///
+    /// Returns the errors of [`Store::open_checked`], and [`Error::Corrupt`] when the log file of a known group is missing.
+    pub fn open_group_checked(
         &self,
         name: &str,
         mut disk: Disk,
+        check: impl FnOnce(&PersistentState) -> Result<(), String>,
     ) -> Result<(Store, PersistentState), Error> {
         let mut groups = self.groups.lock().unwrap_or_else(PoisonError::into_inner);
         let path = self.path.join(name);
@@ -107,11 +117,11 @@
                     problem: "the log of a known group is missing; empty the whole data directory",
                 });
             }
-            return Store::open(&path, disk);
+            return Store::open_checked(&path, disk, check);
         }
         std::fs::create_dir_all(&path).map_err(Error::io("creating", &path))?;
         sync_directory(&self.path, &mut disk)?;
-        let (store, restored) = Store::open(&path, disk)?;
+        let (store, restored) = Store::open_checked(&path, disk, check)?;
         groups.insert(name.to_owned());
         let file = self.path.join("identity");
         write_identity(&file, self.identity, &groups, &mut Disk::default())?;
--- a/crates/storage/src/error.rs
+++ b/crates/storage/src/error.rs
@@ -37,6 +37,21 @@
         /// What was expected or found there.
         problem: &'static str,
     },
+    /// The files were written by another version in a format that this one can't read. They are left as they are.
+    #[error(
+        "data directory {} has format {found}, and this version reads format {expected}: {cause}; the files were not changed",
+        directory.display()
+    )]
+    Format {
+        /// Directory of the files.
+        directory: PathBuf,
+        /// Format of the files.
+        found: u8,
+        /// Format that this version writes.
+        expected: u8,
+        /// What can't be read.
+        cause: String,
+    },
     /// The state machine failed to restore the stored snapshot.
     #[error("state machine cannot restore the stored snapshot: {0}")]
     SnapshotRejected(String),
--- a/crates/storage/src/lib.rs
+++ b/crates/storage/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod directory;
 pub mod disk;
 pub mod error;
+pub mod format;
 pub mod frame;
 pub mod snapshot;
 pub mod store;
--- a/crates/storage/src/store.rs
+++ b/crates/storage/src/store.rs
@@ -6,6 +6,7 @@
 
 use crate::disk::Disk;
 use crate::error::Error;
+use crate::format::{self, UNCHECKED};
 use crate::snapshot;
 use crate::wal::{Batch, Wal};
 
@@ -44,9 +45,24 @@
     ///
     /// # Errors
     ///
-    /// Returns [`Error::Corrupt`] for a damaged or missing file, and [`Error::Io`].
-    pub fn open(path: &Path, mut disk: Disk) -> Result<(Self, PersistentState), Error> {
-        let snapshot = snapshot::load(&path.join("snapshot"))?;
+    /// As [`Store::open_checked`].
+    pub fn open(path: &Path, disk: Disk) -> Result<(Self, PersistentState), Error> {
+        Self::open_checked(path, disk, |_| Ok(()))
+    }
+
+    /// Opens the state in the directory `path`, or creates an empty one. `check` returns why the content of files in the
+    /// format [`UNCHECKED`] does not have the current layout; nothing was changed before.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Corrupt`] for a damaged or missing file, [`Error::Format`] for files of another version, and
+    /// [`Error::Io`].
+    pub fn open_checked(
+        path: &Path,
+        mut disk: Disk,
+        check: impl FnOnce(&PersistentState) -> Result<(), String>,
+    ) -> Result<(Self, PersistentState), Error> {
+        let (snapshot, snapshot_format) = snapshot::load(&path.join("snapshot"))?;
         let log = path.join("log");
         let exists = log.try_exists().map_err(Error::io("opening", &log))?;
         if !exists && snapshot.position.index > 0 {
@@ -56,20 +72,13 @@
                 problem: "there is a snapshot but no log",
             });
         }
-        let (wal, batches) = if exists {
-            Wal::open(&log, &mut disk)?
-        } else {
-            (
-                Wal::replace(&log, &Batch::default(), &mut disk)?,
-                Vec::new(),
-            )
-        };
+        let mut content = exists.then(|| Wal::read(&log)).transpose()?;
         let mut restored = PersistentState {
             snapshot,
             ..PersistentState::default()
         };
-        for batch in batches {
-            if let Some(hard_state) = batch.hard_state {
+        for batch in content.iter_mut().flat_map(|c| c.batches.iter_mut()) {
+            if let Some(hard_state) = batch.hard_state.take() {
                 restored.hard_state = hard_state;
             }
             if let Some(first) = batch.entries.first() {
@@ -78,9 +87,17 @@
                     .entries
                     .partition_point(|entry| entry.position.index < index);
                 restored.entries.truncate(kept);
-                restored.entries.extend(batch.entries);
+                restored.entries.append(&mut batch.entries);
             }
         }
+        let formats = content.iter().map(|c| c.format).chain([snapshot_format]);
+        if formats.min() == Some(UNCHECKED) {
+            check(&restored).map_err(|cause| format::refused(&log, UNCHECKED, cause))?;
+        }
+        let wal = match &content {
+            Some(content) => Wal::open(&log, content, &mut disk)?,
+            None => Wal::replace(&log, &Batch::default(), &mut disk)?,
+        };
         let store = Self {
             path: path.to_owned(),
             wal,
--- a/crates/storage/src/wal.rs
+++ b/crates/storage/src/wal.rs
@@ -2,7 +2,7 @@
 //! frame incomplete.
 
 use std::fs::{File, OpenOptions};
-use std::io::{Read, Seek, SeekFrom};
+use std::io::{Seek, SeekFrom};
 use std::path::{Path, PathBuf};
 
 use chestnutvalve_consensus::{Entry, HardState};
@@ -10,10 +10,10 @@
 
 use crate::disk::Disk;
 use crate::error::Error;
+use crate::format::{self, Kind, START_BYTES};
 use crate::frame;
 
-/// First bytes of the file. The last one is the format version.
-const MAGIC: &[u8; 8] = b"cvwal\0\0\x01";
+const KIND: Kind = *b"cvwal\0\0";
 
 /// Payload of one frame.
 #[derive(Debug, Default, Deserialize, Serialize)]
@@ -24,6 +24,19 @@
     pub entries: Vec<Entry>,
 }
 
+/// Content of a log.
+#[derive(Debug)]
+pub struct Content {
+    /// Format of the file.
+    pub format: u8,
+    /// Batches in log order.
+    pub batches: Vec<Batch>,
+    /// Offset after the last batch, in bytes.
+    end: usize,
+    /// Length of the file, in bytes.
+    len: usize,
+}
+
 /// Open write-ahead log, with the file position at its end.
 #[derive(Debug)]
 pub struct Wal {
@@ -41,7 +54,7 @@
     ///
     /// Returns [`Error::Io`].
     pub fn replace(path: &Path, batch: &Batch, disk: &mut Disk) -> Result<Self, Error> {
-        let mut bytes = MAGIC.to_vec();
+        let mut bytes = format::start(KIND);
         bytes.extend_from_slice(&frame::encode(1, &encode(batch)));
         let file = write_atomically(path, &bytes, disk)?;
         Ok(Self {
@@ -52,21 +65,32 @@
         })
     }
 
-    /// Opens a log and returns its batches. An incomplete last frame, as left by a crash during a write, is truncated.
+    /// Reads a log and changes nothing.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Corrupt`] when a damaged frame is followed by an intact one, [`Error::Format`] for a log of another
+    /// version, and [`Error::Io`].
+    pub fn read(path: &Path) -> Result<Content, Error> {
+        let bytes = std::fs::read(path).map_err(Error::io("reading", path))?;
+        scan(path, &bytes)
+    }
+
+    /// Opens a log whose content was read. An incomplete last frame, as left by a crash during a write, is truncated.
     ///
     /// # Errors
     ///
-    /// Returns [`Error::Corrupt`] when a damaged frame is followed by an intact one, and [`Error::Io`].
-    pub fn open(path: &Path, disk: &mut Disk) -> Result<(Self, Vec<Batch>), Error> {
+    /// Returns [`Error::Io`].
+    pub fn open(path: &Path, content: &Content, disk: &mut Disk) -> Result<Self, Error> {
         let mut options = OpenOptions::new();
         let opened = options.read(true).write(true).open(path);
         let mut file = opened.map_err(Error::io("opening", path))?;
-        let mut bytes = Vec::new();
-        let read = file.read_to_end(&mut bytes);
-        read.map_err(Error::io("reading", path))?;
-        let (batches, end) = scan(path, &bytes)?;
-        if end < bytes.len() {
-            let excess = bytes.len() - end;
+        let Content {
+            batches, end, len, ..
+        } = content;
+        let end = *end;
+        if end < *len {
+            let excess = len - end;
             spdlog::warn!(
                 "{}: truncating an incomplete record of {excess} bytes at offset {end}",
                 path.display()
@@ -77,13 +101,12 @@
         }
         let sought = file.seek(SeekFrom::Start(end as u64));
         sought.map_err(Error::io("seeking in", path))?;
-        let wal = Self {
+        Ok(Self {
             file,
             path: path.to_owned(),
             sequence: batches.len() as u64,
             end: end as u64,
-        };
-        Ok((wal, batches))
+        })
     }
 
     /// Appends a batch and makes it durable.
@@ -113,21 +136,20 @@
     }
 }
 
-/// Returns the batches and the offset after the last one.
-fn scan(path: &Path, bytes: &[u8]) -> Result<(Vec<Batch>, usize), Error> {
+fn scan(path: &Path, bytes: &[u8]) -> Result<Content, Error> {
     let corrupt = |offset: usize, problem| Error::Corrupt {
         file: path.to_owned(),
         offset: offset as u64,
         problem,
     };
-    if !bytes.starts_with(MAGIC) {
+    let Some(format) = format::read(KIND, path, bytes)? else {
         return Err(corrupt(
             0,
             "expected the magic number and version of a write-ahead log",
         ));
-    }
+    };
     let mut batches = Vec::new();
-    let mut offset = MAGIC.len();
+    let mut offset = START_BYTES;
     while offset < bytes.len() {
         let expected = batches.len() as u64 + 1;
         let frame = match frame::decode(&bytes[offset..]) {
@@ -142,7 +164,12 @@
         batches.push(batch.ok_or_else(|| corrupt(offset, "record cannot be decoded"))?);
         offset += frame::HEADER_BYTES + frame.payload.len();
     }
-    Ok((batches, offset))
+    Ok(Content {
+        format,
+        batches,
+        end: offset,
+        len: bytes.len(),
+    })
 }
 
 /// Returns whether an intact frame with a sequence number after `sequence` starts anywhere. The bytes before it were complete
--- a/crates/storage/tests/store.rs
+++ b/crates/storage/tests/store.rs
@@ -250,6 +250,77 @@
     assert_ne!(other.identity(), identity);
 }
 
+/// Sets the format that a file states.
+fn set_format(path: &Path, format: u8) {
+    let mut bytes = fs::read(path).unwrap();
+    bytes[7] = format;
+    fs::write(path, bytes).unwrap();
+}
+
+/// Guards against files of another version that are read as if they had the current layout, or that are changed, such as by
+/// the truncation of a torn record, although they are refused; and against an error that leaves open which folder it is.
+#[rstest]
+#[case::later_log("log", 4, None)]
+#[case::later_snapshot("snapshot", 4, None)]
+#[case::earlier_log("log", 1, Some(false))]
+#[case::earlier_snapshot("snapshot", 1, Some(false))]
+#[case::same_layout_in_log("log", 1, Some(true))]
+#[case::same_layout_in_snapshot("snapshot", 1, Some(true))]
+fn a_folder_of_another_format_is_refused_unchanged(
+    #[case] file: &str,
+    #[case] format: u8,
+    #[case] decodes: Option<bool>,
+) {
+    let temp_dir = tempfile::tempdir().unwrap();
+    write_three_batches(&temp_dir);
+    let snapshot = Snapshot {
+        position: Position { term: 1, index: 2 },
+        ..Snapshot::default()
+    };
+    let (mut store, _) = open(temp_dir.path()).unwrap();
+    let compacted = write(1, vec![entry(1, 3)], Some(snapshot));
+    store.write(&compacted).unwrap();
+    store.write(&write(1, vec![entry(1, 4)], None)).unwrap();
+    drop(store);
+    set_format(&temp_dir.path().join(file), format);
+    let log = temp_dir.path().join("log");
+    let torn = fs::read(&log).unwrap();
+    fs::write(&log, &torn[..torn.len() - 5]).unwrap();
+    let content = || {
+        let mut files: Vec<_> = fs::read_dir(temp_dir.path()).unwrap().collect();
+        files.sort_by_key(|f| f.as_ref().unwrap().path());
+        let files = files.into_iter().map(|f| f.unwrap().path());
+        files
+            .map(|path| (fs::read(&path).unwrap(), path))
+            .collect::<Vec<_>>()
+    };
+    let before = content();
+    let check = |restored: &PersistentState| {
+        assert_eq!(indexes(restored), [3]);
+        let decodes = decodes.expect("a later format is not read");
+        if decodes {
+            Ok(())
+        } else {
+            Err("command at index 3".to_owned())
+        }
+    };
+    let opened = Store::open_checked(temp_dir.path(), Disk::default(), check);
+    if decodes == Some(true) {
+        assert_eq!(indexes(&opened.unwrap().1), [3]);
+        return;
+    }
+    let error = opened.unwrap_err().to_string();
+    let folder = temp_dir.path().display().to_string();
+    for part in [&folder, &format!("format {format}"), "format 2"] {
+        assert!(error.contains(part), "{error}");
+    }
+    assert!(
+        decodes.is_none() || error.contains("command at index 3"),
+        "{error}"
+    );
+    assert_eq!(content(), before);
+}
+
 /// Guards against a removed replica that restarts under an identity that its group rejects, and against one that keeps votes of
 /// its former identity.
 #[test]
