Form the control group with the replacement of a lost first seed

The group never forms: in 60 s no configuration is acknowledged and no request is served.

Cause: the first of the initial voters bootstraps once it reaches all of them, and these are the seeds of its start. A reload changed the addresses at which the group is looked for, and not whom the first one waits for.

Change: it also bootstraps with the instances that the settings name now, if they are as many or more, at most the number of voters of a group, all of them respond and none has a membership, and it comes first among them as among the initial ones. No other instance bootstraps then. The safety is that of a start with the new seeds, which did this before.

Not changed: a part of the seeds does not bootstrap. With three seeds and one disk that may be lost, two sets that each may form a group must share two seeds, so that only all three are safe; a seed with an emptied disk could otherwise form a second group with one that has not heard of the first.

Before: failover::a_group_forms_with_the_replacement_of_a_lost_instance failed in both cases with a replacement, and passed in the five cases in which no group may form. After: all pass.

--- a/crates/control/src/replica/join.rs
+++ b/crates/control/src/replica/join.rs
@@ -12,6 +12,7 @@
 use super::network::{Hello, HelloResponse, Input, Network};
 use super::options::Peer;
 use crate::rendezvous::{self, Rendezvous};
+use crate::settings::MAX_VOTERS;
 
 /// Interval between two rounds of calls to the known addresses.
 const ROUND_INTERVAL: Duration = Duration::from_millis(100);
@@ -131,7 +132,9 @@
         }
         // A replica that has voted has a watermark without having stored an entry.
         let mut findings = vec![Finding::Watermark(watermark)];
-        findings.extend(evaluate(&self.hello, &self.members, &responses));
+        let configured = self.rendezvous.configured();
+        let own = &self.hello;
+        findings.extend(evaluate(own, &self.members, &configured, &responses));
         findings
     }
 
@@ -148,8 +151,14 @@
     }
 }
 
-/// Evaluates the responses of one round.
-fn evaluate(hello: &Hello, members: &[Peer], responses: &[Response]) -> Vec<Finding> {
+/// Evaluates the responses of one round. `members` are the initial voters, and `configured` the addresses that the settings
+/// name now.
+fn evaluate(
+    hello: &Hello,
+    members: &[Peer],
+    configured: &[SocketAddr],
+    responses: &[Response],
+) -> Vec<Finding> {
     let own = members.iter().any(|peer| peer.name == hello.name);
     let reached = |peer: &&Peer| responses.iter().any(|r| r.hello.name == peer.name);
     let reached = members.iter().filter(reached).count() + usize::from(own);
@@ -161,17 +170,43 @@
     {
         findings.push(Finding::Fresh);
     }
-    // Only the replica with the lowest name bootstraps, so two different initial memberships can't exist.
+    // Only the replica with the lowest name bootstraps, so two different initial memberships can't exist. It does so once.
     let first = members.iter().map(|peer| &peer.name).min();
     let ready = responses
         .iter()
         .all(|r| r.hello.admitted && !r.hello.formed);
-    if first == Some(&hello.name) && reached == members.len() && ready {
-        findings.push(Finding::Bootstrap(initial_membership(hello, responses)));
+    if first == Some(&hello.name) && ready {
+        let voters: Option<Vec<&Response>> = if reached == members.len() {
+            Some(responses.iter().collect())
+        } else {
+            replacements(hello, members, configured, responses)
+        };
+        findings.extend(voters.map(|v| Finding::Bootstrap(initial_membership(hello, &v))));
     }
     findings
 }
 
+/// Returns the responses of the other instances that the settings name now, if they name some in place of initial voters, for
+/// example lost ones, and all of them respond. The replica must come first among them as it does among the initial voters, so
+/// that no other one bootstraps too. A part of the initial voters does not suffice: one of them may have lost a disk on which
+/// the group was formed with the others.
+fn replacements<'a>(
+    hello: &Hello,
+    members: &[Peer],
+    configured: &[SocketAddr],
+    responses: &'a [Response],
+) -> Option<Vec<&'a Response>> {
+    let initial: BTreeSet<_> = members.iter().map(|peer| peer.address).collect();
+    let mut current: BTreeSet<_> = configured.iter().copied().collect();
+    let size = initial.len()..=MAX_VOTERS;
+    if current == initial || !size.contains(&current.len()) || !current.remove(&hello.address) {
+        return None;
+    }
+    let is_later = |r: &&Response| current.contains(&r.address) && r.hello.name > hello.name;
+    let others: Vec<&Response> = responses.iter().filter(is_later).collect();
+    (others.len() == current.len()).then_some(others)
+}
+
 /// Returns whether the responding replicas and `own`, which must be one of the voters, form a quorum of `voters`. The settings
 /// may name other instances than the voters.
 fn is_quorum_reached(own: ReplicaId, voters: &[ReplicaId], responses: &[Response]) -> bool {
@@ -184,7 +219,7 @@
     voters.contains(&own) && voters.iter().filter(reached).count() > voters.len() / 2
 }
 
-fn initial_membership(hello: &Hello, responses: &[Response]) -> Membership {
+fn initial_membership(hello: &Hello, responses: &[&Response]) -> Membership {
     let others = responses
         .iter()
         .map(|r| (r.hello.id, &r.hello.name, r.address));
--- a/crates/control/tests/replica/cluster.rs
+++ b/crates/control/tests/replica/cluster.rs
@@ -98,6 +98,21 @@
         cluster
     }
 
+    /// Reserves the addresses of `size` instances, of which none runs.
+    pub async fn idle(size: usize) -> Self {
+        let mut cluster = Self::start_on(&[], false).await;
+        let mut servers = Vec::new();
+        for number in 0..size {
+            let server = Server::bind("127.0.0.1:0".parse().unwrap()).await.unwrap();
+            cluster.peers.push(Peer {
+                name: format!("c{number}"),
+                address: server.address().unwrap(),
+            });
+            servers.push(server);
+        }
+        cluster
+    }
+
     pub fn path(&self, number: usize) -> PathBuf {
         self.folder.path().join(format!("c{number}"))
     }
--- a/crates/control/tests/replica/failover.rs
+++ b/crates/control/tests/replica/failover.rs
@@ -5,10 +5,13 @@
 use std::time::Duration;
 
 use chestnutvalve_consensus::Settings;
+use chestnutvalve_control::rendezvous::Rendezvous;
+use chestnutvalve_control::replica::options::Peer;
 use chestnutvalve_control::replica::{Options, Role, Suspension};
 use chestnutvalve_model::error::Kind;
 use chestnutvalve_storage::Disk;
-use tokio::time::Instant;
+use rstest::rstest;
+use tokio::time::{Instant, sleep};
 
 use crate::cluster::{Cluster, wait};
 
@@ -51,6 +54,66 @@
     assert_eq!(result, 6_u64.to_le_bytes());
 }
 
+/// Guards against a group that never forms because one of its first instances is lost before the others have met it, although the
+/// settings name another one in its place; and against a group that forms without a replacement, or at two instances.
+#[rstest]
+#[case::replaced(2, &[0, 1, 3], true)]
+#[case::replaced_and_another(2, &[0, 1, 3, 4], true)]
+#[case::not_replaced(2, &[0, 1, 2], false)]
+#[case::fewer(2, &[0, 1], false)]
+#[case::replacement_is_silent(2, &[0, 1, 5], false)]
+#[case::without_this_one(2, &[1, 3, 4], false)]
+#[case::first_one_is_lost(0, &[1, 2, 3], false)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_group_forms_with_the_replacement_of_a_lost_instance(
+    #[case] lost: usize,
+    #[case] named: &[usize],
+    #[case] forms: bool,
+) {
+    let mut cluster = Cluster::idle(6).await;
+    let peers = cluster.peers.clone();
+    let select = |numbers: &[usize]| {
+        numbers
+            .iter()
+            .map(|n| peers[*n].clone())
+            .collect::<Vec<_>>()
+    };
+    let addresses = |peers: &[Peer]| peers.iter().map(|p| p.address).collect::<Vec<_>>();
+    let first = select(&[0, 1, 2]);
+    let rendezvous = Rendezvous::new(addresses(&first));
+    for number in (0..3).filter(|number| *number != lost) {
+        let (first, rendezvous) = (&first, &rendezvous);
+        let adapt = |options: Options| {
+            let options = options.with_members(first.clone());
+            options.with_rendezvous(rendezvous.clone())
+        };
+        let started = cluster.restart_with(number, Disk::default(), adapt).await;
+        started.unwrap();
+    }
+    for number in [3, 4] {
+        let adapt = |options: Options| {
+            let named = select(&[0, 1, 3]);
+            let rendezvous = Rendezvous::new(addresses(&named));
+            options.with_members(named).with_rendezvous(rendezvous)
+        };
+        let started = cluster.restart_with(number, Disk::default(), adapt).await;
+        started.unwrap();
+    }
+    sleep(Duration::from_secs(1)).await;
+    assert_eq!(cluster.leader(), None, "formed without the lost instance");
+    rendezvous.set_configured(&addresses(&select(named)));
+    if !forms {
+        sleep(Duration::from_secs(2)).await;
+        assert_eq!(cluster.leader(), None);
+        return;
+    }
+    cluster.wait_leader().await;
+    cluster.handle(1).propose(b"first".to_vec()).await.unwrap();
+    for number in [0, 1, 3] {
+        cluster.wait_commands(number, 1).await;
+    }
+}
+
 /// Guards against the loss of committed commands when the leader is lost.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn the_group_survives_the_loss_of_the_leader() {
