Let no response undo that a connection gives way

Seen by callers: when a response arrives at the moment at which its connection is chosen to free memory, the response is delivered, the connection is never chosen again whatever it holds, and its next request is refused with 503 for no reason.

Cause: a ready response had precedence over the request to give way, whose notification stayed for the next request.

Change: giving way has precedence, so that the caller is told. If the response was taken before the notification, which another thread can send in between, the connection is closed.

Before: memory::a_response_does_not_undo_giving_way failed, with Ok in place of the given up request. After: it passes, as do the 37 tests of memory, read_ahead and gateway. The case of two threads has no test.

--- a/crates/entry/src/holding.rs
+++ b/crates/entry/src/holding.rs
@@ -77,6 +77,8 @@
     writer: Mutex<Option<Waker>>,
     closed: Notify,
     given_up: Notify,
+    /// Whether the connection was chosen to free what it holds. It is not chosen again.
+    gives_way: AtomicBool,
     /// Whether the head of the response to the current request has not been returned yet.
     is_unanswered: AtomicBool,
     /// Whether a worker may have executed the current request.
@@ -156,6 +158,7 @@
             writer: Mutex::default(),
             closed: Notify::new(),
             given_up: Notify::new(),
+            gives_way: AtomicBool::new(false),
             is_unanswered: AtomicBool::new(false),
             is_sent: AtomicBool::new(false),
         }))
@@ -259,7 +262,9 @@
     pub fn give_way(&self) {
         let state = &self.0;
         let is_delivering = state.held_of_responses.load(Ordering::Relaxed) > 0;
-        if state.is_unanswered.load(Ordering::Relaxed) && !is_delivering {
+        // Either this sees that the request was answered, or `until_given_up` sees that the connection gives way.
+        state.gives_way.store(true, Ordering::SeqCst);
+        if state.is_unanswered.load(Ordering::SeqCst) && !is_delivering {
             state.given_up.notify_one();
         } else {
             self.close();
@@ -274,15 +279,18 @@
     pub async fn until_given_up<T>(&self, response: impl Future<Output = T>) -> Result<T, GivenUp> {
         let state = &self.0;
         state.is_sent.store(false, Ordering::Relaxed);
-        state.is_unanswered.store(true, Ordering::Relaxed);
+        state.is_unanswered.store(true, Ordering::SeqCst);
         let outcome = tokio::select! {
             biased;
-            response = response => Ok(response),
             () = state.given_up.notified() => Err(GivenUp {
                 is_sent: state.is_sent.load(Ordering::Relaxed),
             }),
+            response = response => Ok(response),
         };
-        state.is_unanswered.store(false, Ordering::Relaxed);
+        state.is_unanswered.store(false, Ordering::SeqCst);
+        if outcome.is_ok() && state.gives_way.load(Ordering::SeqCst) {
+            self.close();
+        }
         outcome
     }
 
--- a/crates/entry/tests/all/memory.rs
+++ b/crates/entry/tests/all/memory.rs
@@ -1,15 +1,17 @@
 //! Memory that the gateway holds for callers and workers that read slowly.
 
+use std::pin::pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use chestnutvalve_entry::holding::{Holder, Message, Total};
+use chestnutvalve_entry::holding::{GivenUp, Holder, Message, Total};
 use chestnutvalve_model::routes::{Kind, Route};
 use chestnutvalve_model::upstream::Event;
 use chestnutvalve_routing::memory::Budget;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpSocket, TcpStream};
+use tokio::sync::oneshot;
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::control::Control;
@@ -222,6 +224,22 @@
     assert!(closed >= f64::from(given_up), "{closed} of {given_up}");
 }
 
+/// Guards against a connection that keeps its memory because its response came at the moment of giving way, after which the
+/// next request of the connection is refused in its place.
+#[tokio::test]
+async fn a_response_does_not_undo_giving_way() {
+    let holder = Holder::default();
+    let (sender, response) = oneshot::channel();
+    let mut waiting = pin!(holder.until_given_up(async { response.await.unwrap() }));
+    let waits = timeout(Duration::ZERO, waiting.as_mut()).await;
+    assert!(waits.is_err());
+    holder.give_way();
+    sender.send(()).unwrap();
+    assert_eq!(waiting.await, Err(GivenUp { is_sent: false }));
+    let next = holder.until_given_up(std::future::ready(()));
+    assert_eq!(next.await, Ok(()));
+}
+
 /// Guards against an entry that takes in the whole body of a request while its worker reads it slowly.
 #[tokio::test]
 async fn a_body_is_taken_in_as_its_worker_reads() {
