Require most first seeds for a group with replacements

Seen by operators: an instance that lost its disk, and whose settings name others in place of all other first seeds, forms a second group with these as soon as the settings change, while the other seeds have the first group and merely do not respond.

Cause: only the instances that the settings name now had to respond. The replica then bootstrapped without having passed the check for lost data, which takes a majority of the first seeds and which the regular bootstrap always passes before.

Change: the replacement also takes a majority of the first seeds that respond, this instance included, so that the silent ones are no quorum. With two first seeds none can be replaced without a restart. A start with the new seeds is as before.

Not covered: a disk lost at the first seed together with a silent one that holds the only other copy, as for such a start.

Before: failover::a_group_forms_with_the_replacement_of_a_lost_instance, case most_are_lost, failed: a group formed. After: the 15 tests of failover pass. The other cases are the same; the lost instances are now a list.

--- a/crates/control/src/replica/join.rs
+++ b/crates/control/src/replica/join.rs
@@ -178,8 +178,10 @@
     if first == Some(&hello.name) && ready {
         let voters: Option<Vec<&Response>> = if reached == members.len() {
             Some(responses.iter().collect())
-        } else {
+        } else if reached > members.len() / 2 {
             replacements(hello, members, configured, responses)
+        } else {
+            None
         };
         findings.extend(voters.map(|v| Finding::Bootstrap(initial_membership(hello, &v))));
     }
@@ -189,7 +191,8 @@
 /// Returns the responses of the other instances that the settings name now, if they name some in place of initial voters, for
 /// example lost ones, and all of them respond. The replica must come first among them as it does among the initial voters, so
 /// that no other one bootstraps too. A part of the initial voters does not suffice: one of them may have lost a disk on which
-/// the group was formed with the others.
+/// the group was formed with the others. Most of the initial voters must respond too, which shows that this replica has lost no
+/// data that they know of, and leaves no quorum of them that does not respond.
 fn replacements<'a>(
     hello: &Hello,
     members: &[Peer],
--- a/crates/control/tests/replica/failover.rs
+++ b/crates/control/tests/replica/failover.rs
@@ -55,18 +55,20 @@
 }
 
 /// Guards against a group that never forms because one of its first instances is lost before the others have met it, although the
-/// settings name another one in its place; and against a group that forms without a replacement, or at two instances.
+/// settings name another one in its place; and against a group that forms without a replacement, at two instances, or where most of
+/// the first instances don't respond and may have a group.
 #[rstest]
-#[case::replaced(2, &[0, 1, 3], true)]
-#[case::replaced_and_another(2, &[0, 1, 3, 4], true)]
-#[case::not_replaced(2, &[0, 1, 2], false)]
-#[case::fewer(2, &[0, 1], false)]
-#[case::replacement_is_silent(2, &[0, 1, 5], false)]
-#[case::without_this_one(2, &[1, 3, 4], false)]
-#[case::first_one_is_lost(0, &[1, 2, 3], false)]
+#[case::replaced(&[2], &[0, 1, 3], true)]
+#[case::replaced_and_another(&[2], &[0, 1, 3, 4], true)]
+#[case::not_replaced(&[2], &[0, 1, 2], false)]
+#[case::fewer(&[2], &[0, 1], false)]
+#[case::replacement_is_silent(&[2], &[0, 1, 5], false)]
+#[case::without_this_one(&[2], &[1, 3, 4], false)]
+#[case::first_one_is_lost(&[0], &[1, 2, 3], false)]
+#[case::most_are_lost(&[1, 2], &[0, 3, 4], false)]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_group_forms_with_the_replacement_of_a_lost_instance(
-    #[case] lost: usize,
+    #[case] lost: &[usize],
     #[case] named: &[usize],
     #[case] forms: bool,
 ) {
@@ -81,7 +83,7 @@
     let addresses = |peers: &[Peer]| peers.iter().map(|p| p.address).collect::<Vec<_>>();
     let first = select(&[0, 1, 2]);
     let rendezvous = Rendezvous::new(addresses(&first));
-    for number in (0..3).filter(|number| *number != lost) {
+    for number in (0..3).filter(|number| !lost.contains(number)) {
         let (first, rendezvous) = (&first, &rendezvous);
         let adapt = |options: Options| {
             let options = options.with_members(first.clone());
