Form no group with replacements beside an announced one

Seen by operators: an instance that lost its disk forms a second group with the replacement of a seed that is only cut off and holds the data of the first one, although its members have announced themselves at the instance.

Cause: only the responses of one round counted.

Change: no group is formed with replacements once members of a group were announced since the start of the process. The regular bootstrap with all first seeds is as before.

Before: failover::no_group_forms_with_replacements_beside_an_announced_one failed: a group formed.

--- a/crates/control/src/replica/join.rs
+++ b/crates/control/src/replica/join.rs
@@ -132,9 +132,11 @@
         }
         // A replica that has voted has a watermark without having stored an entry.
         let mut findings = vec![Finding::Watermark(watermark)];
-        let configured = self.rendezvous.configured();
+        // A group that was announced here exists, whether its members respond or not.
+        let is_announced = !self.rendezvous.members().is_empty();
+        let configured = (!is_announced).then(|| self.rendezvous.configured());
         let own = &self.hello;
-        findings.extend(evaluate(own, &self.members, &configured, &responses));
+        findings.extend(evaluate(own, &self.members, configured, &responses));
         findings
     }
 
@@ -152,11 +154,11 @@
 }
 
 /// Evaluates the responses of one round. `members` are the initial voters, and `configured` the addresses that the settings
-/// name now.
+/// name now, if these may replace initial voters.
 fn evaluate(
     hello: &Hello,
     members: &[Peer],
-    configured: &[SocketAddr],
+    configured: Option<Vec<SocketAddr>>,
     responses: &[Response],
 ) -> Vec<Finding> {
     let own = members.iter().any(|peer| peer.name == hello.name);
@@ -179,7 +181,7 @@
         let voters: Option<Vec<&Response>> = if reached == members.len() {
             Some(responses.iter().collect())
         } else if reached > members.len() / 2 {
-            replacements(hello, members, configured, responses)
+            configured.and_then(|c| replacements(hello, members, &c, responses))
         } else {
             None
         };
--- a/crates/control/tests/replica/failover.rs
+++ b/crates/control/tests/replica/failover.rs
@@ -116,6 +116,27 @@
     }
 }
 
+/// Guards against a second group of an instance that lost its disk, while the member that replacements would take the place of
+/// is only cut off.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn no_group_forms_with_replacements_beside_an_announced_one() {
+    let mut cluster = Cluster::idle(4).await;
+    let peers = cluster.peers.clone();
+    let (first, named) = (&peers[..3], [0, 1, 3].map(|n: usize| peers[n].address));
+    let rendezvous = Rendezvous::new(named.to_vec());
+    rendezvous.record_members(&[peers[2].address]);
+    for number in [0, 1, 3] {
+        let adapt = |options: Options| {
+            let options = options.with_members(first.to_vec());
+            options.with_rendezvous(rendezvous.clone())
+        };
+        let started = cluster.restart_with(number, Disk::default(), adapt).await;
+        started.unwrap();
+    }
+    sleep(Duration::from_secs(2)).await;
+    assert_eq!(cluster.leader(), None);
+}
+
 /// Guards against the loss of committed commands when the leader is lost.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn the_group_survives_the_loss_of_the_leader() {
