--- a/crates/control/tests/replica/cluster.rs
+++ b/crates/control/tests/replica/cluster.rs
@@ -33,6 +33,7 @@
     let commands = Commands::default();
     let (apply, save, restore) = (commands.clone(), commands.clone(), commands.clone());
     let machine = StateMachine {
+        check: Box::new(|_| Ok(())),
         apply: Box::new(move |committed| {
             let mut commands = apply.lock().unwrap();
             commands.push(committed.command.to_vec());
@@ -97,6 +98,21 @@
         cluster
     }
 
+    /// Reserves the addresses of `size` instances, of which none runs.
+    pub async fn idle(size: usize) -> Self {
+        let mut cluster = Self::start_on(&[], false).await;
+        let mut servers = Vec::new();
+        for number in 0..size {
+            let server = Server::bind("127.0.0.1:0".parse().unwrap()).await.unwrap();
+            cluster.peers.push(Peer {
+                name: format!("c{number}"),
+                address: server.address().unwrap(),
+            });
+            servers.push(server);
+        }
+        cluster
+    }
+
     pub fn path(&self, number: usize) -> PathBuf {
         self.folder.path().join(format!("c{number}"))
     }
--- a/crates/entry/src/holding.rs
+++ b/crates/entry/src/holding.rs
@@ -1,9 +1,9 @@
 //! Count of the bytes that are held for the connections of callers.
 
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll, Waker};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use chestnutvalve_routing::memory::{Budget, Holding};
@@ -76,6 +76,20 @@
     /// Waits for room to read a response ahead.
     writer: Mutex<Option<Waker>>,
     closed: Notify,
+    given_up: Notify,
+    /// Whether the connection was chosen to free what it holds. It is not chosen again.
+    gives_way: AtomicBool,
+    /// Whether the head of the response to the current request has not been returned yet.
+    is_unanswered: AtomicBool,
+    /// Whether a worker may have executed the current request.
+    is_sent: AtomicBool,
+}
+
+/// Why a request gets no response of a worker.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct GivenUp {
+    /// Whether a worker may have executed the request.
+    pub is_sent: bool,
 }
 
 #[derive(Debug)]
@@ -85,6 +99,10 @@
     /// Bytes that it had passed on by then.
     passed_before: u64,
     last_passed: Instant,
+    /// When the first of the whole responses that are held was received, and the bytes of responses that it had passed on
+    /// by then.
+    complete_since: Instant,
+    passed_before_complete: u64,
 }
 
 /// Bytes that count as held until they are dropped.
@@ -134,9 +152,15 @@
                 since: now,
                 passed_before: 0,
                 last_passed: now,
+                complete_since: now,
+                passed_before_complete: 0,
             }),
             writer: Mutex::default(),
             closed: Notify::new(),
+            given_up: Notify::new(),
+            gives_way: AtomicBool::new(false),
+            is_unanswered: AtomicBool::new(false),
+            is_sent: AtomicBool::new(false),
         }))
     }
 
@@ -146,11 +170,10 @@
         let (state, bytes) = (&self.0, size(&data));
         if state.held.fetch_add(bytes, Ordering::Relaxed) == 0 {
             let now = clock::now();
-            *state.times.lock().unwrap_or_else(PoisonError::into_inner) = Times {
-                since: now,
-                passed_before: state.passed.load(Ordering::Relaxed),
-                last_passed: now,
-            };
+            let mut times = state.times.lock().unwrap_or_else(PoisonError::into_inner);
+            times.since = now;
+            times.passed_before = state.passed.load(Ordering::Relaxed);
+            times.last_passed = now;
         }
         if message == Message::Response {
             state.held_of_responses.fetch_add(bytes, Ordering::Relaxed);
@@ -212,6 +235,11 @@
         let (state, _guard) = (&self.0, self.writer());
         let held = state.held_of_responses.load(Ordering::Relaxed);
         let passed = state.passed_of_responses.load(Ordering::Relaxed);
+        if !self.holds_complete() {
+            let mut times = state.times.lock().unwrap_or_else(PoisonError::into_inner);
+            times.complete_since = clock::now();
+            times.passed_before_complete = passed;
+        }
         state.complete_until.store(passed + held, Ordering::Relaxed);
     }
 
@@ -229,6 +257,48 @@
         }
     }
 
+    /// Frees what is held: a request without a response is given up, so that its caller is told, and otherwise the
+    /// connection is closed. A caller that does not read its earlier response could not be told.
+    pub fn give_way(&self) {
+        let state = &self.0;
+        let is_delivering = state.held_of_responses.load(Ordering::Relaxed) > 0;
+        // Either this sees that the request was answered, or `until_given_up` sees that the connection gives way.
+        state.gives_way.store(true, Ordering::SeqCst);
+        if state.is_unanswered.load(Ordering::SeqCst) && !is_delivering {
+            state.given_up.notify_one();
+        } else {
+            self.close();
+        }
+    }
+
+    /// Waits for the response to a request of the connection.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error once the request is given up; `response` is then dropped.
+    pub async fn until_given_up<T>(&self, response: impl Future<Output = T>) -> Result<T, GivenUp> {
+        let state = &self.0;
+        state.is_sent.store(false, Ordering::Relaxed);
+        state.is_unanswered.store(true, Ordering::SeqCst);
+        let outcome = tokio::select! {
+            biased;
+            () = state.given_up.notified() => Err(GivenUp {
+                is_sent: state.is_sent.load(Ordering::Relaxed),
+            }),
+            response = response => Ok(response),
+        };
+        state.is_unanswered.store(false, Ordering::SeqCst);
+        if outcome.is_ok() && state.gives_way.load(Ordering::SeqCst) {
+            self.close();
+        }
+        outcome
+    }
+
+    /// Records that the current request is sent to a worker.
+    pub fn record_sent(&self) {
+        self.0.is_sent.store(true, Ordering::Relaxed);
+    }
+
     /// Asks for the connection to be closed.
     pub fn close(&self) {
         self.0.closed.notify_one();
@@ -245,6 +315,9 @@
         let state = &self.0;
         let times = state.times.lock().unwrap_or_else(PoisonError::into_inner);
         let passed = state.passed.load(Ordering::Relaxed);
+        let passed_of_responses = state.passed_of_responses.load(Ordering::Relaxed);
+        let is_complete = self.holds_complete();
+        let complete_age = now.saturating_duration_since(times.complete_since);
         Holding {
             id: state.id,
             held: state.held.load(Ordering::Relaxed),
@@ -252,7 +325,13 @@
             age: now.saturating_duration_since(times.since),
             idle: now.saturating_duration_since(times.last_passed),
             is_delivering: state.held_of_responses.load(Ordering::Relaxed) > 0,
-            is_complete: self.holds_complete(),
+            is_complete,
+            complete_age: if is_complete {
+                complete_age
+            } else {
+                Duration::ZERO
+            },
+            complete_progress: passed_of_responses.saturating_sub(times.passed_before_complete),
         }
     }
 }
--- a/crates/entry/tests/all/main.rs
+++ b/crates/entry/tests/all/main.rs
@@ -23,6 +23,7 @@
 mod notices;
 mod proxy;
 mod quota;
+mod read_ahead;
 mod readers;
 mod sharing;
 mod streams;
