Give the coordinators in charge more of the fixed number of retries

While three in five attempts were turned away, requests failed for lack of budget: half of the fixed number lay with entries that decide alone only if no coordinator answers, and half of the rest with the second coordinators. The preferred coordinators get two fifths of it now, in place of a quarter.

--- a/crates/entry/src/gateway.rs
+++ b/crates/entry/src/gateway.rs
@@ -17,7 +17,7 @@
 use chestnutvalve_model::version::Version;
 use chestnutvalve_routing::bandwidth::Link;
 use chestnutvalve_routing::quota::Bounds as QuotaBounds;
-use chestnutvalve_routing::retry::Bounds;
+use chestnutvalve_routing::retry::{Bounds, Place};
 use chestnutvalve_routing::schedule::Spec;
 use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, sleep_until};
@@ -314,39 +314,47 @@
     /// coordinators.
     fn dispatching_entry_count(&self, service: &Service) -> u32 {
         let entries = if self.is_coordinator(service) {
-            let state = self.instance.control_state.current();
-            let zones: BTreeSet<_> = state.directory.members.values().map(|m| &m.zone).collect();
-            zones.len()
+            self.zone_count()
         } else {
             self.serving_entries(service).len()
         };
         u32::try_from(entries).unwrap_or(u32::MAX).max(1)
     }
 
+    fn zone_count(&self) -> usize {
+        let state = self.instance.control_state.current();
+        let zones: BTreeSet<_> = state.directory.members.values().map(|m| &m.zone).collect();
+        zones.len()
+    }
+
     /// Returns this entry's part of the retry budget of a service. Whoever counts a request earns its proportional share.
-    /// Of the fixed number, half goes to the entries that may coordinate the service, if there are any, and the rest to
-    /// those that are assigned to its hosts.
+    /// The fixed number is divided among the coordinators, if there are any, and the entries that are assigned to its hosts.
     fn retry_budget(&self, service: &Service) -> Bounds {
         let serving_entries = self.serving_entries(service);
-        let coordinators = self.all_coordinators(service);
         let own = self.instance.member().peers;
-        let slack = self.settings.retry_budget.slack * LOCAL_BUDGET_FACTOR;
-        let part = |entries: &BTreeSet<SocketAddr>, slack: f64| {
-            if entries.contains(&own) {
-                slack / f64::from(u32::try_from(entries.len()).unwrap_or(u32::MAX))
-            } else {
-                0.0
-            }
-        };
-        let slack = if coordinators.is_empty() {
-            part(&serving_entries, slack)
+        let serving = serving_entries
+            .contains(&own)
+            .then(|| serving_entries.len());
+        let share = if self.all_coordinators(service).is_empty() {
+            let entries = serving.map(|count| u32::try_from(count).unwrap_or(u32::MAX));
+            entries.map_or(0.0, |count| 1.0 / f64::from(count))
         } else {
-            part(&serving_entries, slack / 2.0) + part(&coordinators, slack / 2.0)
+            let place = Place {
+                zones: self.zone_count(),
+                coordinator: self.coordinators(service).iter().position(|c| *c == own),
+                serving,
+            };
+            place.share()
         };
-        Bounds {
-            ratio: self.settings.retry_budget.ratio * LOCAL_BUDGET_FACTOR,
+        let Bounds {
+            ratio,
             slack,
-            window: self.settings.retry_budget.window,
+            window,
+        } = self.settings.retry_budget;
+        Bounds {
+            ratio: ratio * LOCAL_BUDGET_FACTOR,
+            slack: slack * LOCAL_BUDGET_FACTOR * share,
+            window,
         }
     }
 
--- a/crates/routing/src/retry.rs
+++ b/crates/routing/src/retry.rs
@@ -111,6 +111,40 @@
     pub window: Duration,
 }
 
+/// Shares of the fixed number of extra attempts where coordinators grant them: of the preferred coordinators, of the second
+/// ones, and of all serving entries. The latter two need some while a coordinator is lost.
+const PREFERRED_SHARE: f64 = 0.4;
+const SECOND_SHARE: f64 = 0.1;
+const SERVING_SHARE: f64 = 0.5;
+
+/// Place of an entry among those that share the fixed number of extra attempts where coordinators grant them.
+#[derive(Clone, Copy, Debug)]
+pub struct Place {
+    /// Number of availability zones.
+    pub zones: usize,
+    /// Its position among the coordinators of its zone, in order of preference.
+    pub coordinator: Option<usize>,
+    /// Number of serving entries, if it is one of them.
+    pub serving: Option<usize>,
+}
+
+impl Place {
+    /// Returns the entry's share of the fixed number. All shares together are 1 at most.
+    #[must_use]
+    pub fn share(&self) -> f64 {
+        let part = |share: f64, count: usize| {
+            share / f64::from(u32::try_from(count).unwrap_or(u32::MAX).max(1))
+        };
+        let coordinating = match self.coordinator {
+            Some(0) => part(PREFERRED_SHARE, self.zones),
+            Some(1) => part(SECOND_SHARE, self.zones),
+            _ => 0.0,
+        };
+        let serving = self.serving.map_or(0.0, |count| part(SERVING_SHARE, count));
+        coordinating + serving
+    }
+}
+
 /// Reason for an extra attempt.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Purpose {
--- a/crates/routing/tests/budget.rs
+++ b/crates/routing/tests/budget.rs
@@ -3,7 +3,9 @@
 use std::time::{Duration, Instant};
 
 use chestnutvalve_model::rank::Rank;
-use chestnutvalve_routing::retry::{Ask, Bounds, Ledger, Purpose, Usage, WindowBudget, Withdrawal};
+use chestnutvalve_routing::retry::{
+    Ask, Bounds, Ledger, Place, Purpose, Usage, WindowBudget, Withdrawal,
+};
 use proptest::prelude::*;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -63,7 +65,12 @@
 fn bursts_at_few_entries_are_served_from_the_budget_of_the_zone() {
     for seed in 0..3 {
         let entry_slack = SLACK / FLEET;
-        let zone_slack = SLACK / 2.0 / 6.0 + SLACK / 2.0 / FLEET;
+        let place = Place {
+            zones: 3,
+            coordinator: Some(0),
+            serving: Some(100),
+        };
+        let zone_slack = SLACK * place.share();
         let (needed, before) = replay_bursts(28, entry_slack, seed);
         let (_, now) = replay_bursts(1, zone_slack, seed);
         println!("seed {seed}: {needed:.4} needed, denied {before:.4} by entry, {now:.4} by zone");
@@ -154,7 +161,12 @@
 
     /// Returns the part of an entry: the first two may coordinate the zone.
     fn budget(&self, entry: usize, restarted: bool) -> WindowBudget {
-        let slack = self.slack / 2.0 / 6.0 + if entry < 2 { self.slack / 4.0 } else { 0.0 };
+        let place = Place {
+            zones: 1,
+            coordinator: (entry < 2).then_some(entry),
+            serving: Some(ENTRIES),
+        };
+        let slack = self.slack * place.share();
         let mut budget = WindowBudget::new(part(if restarted { 0.0 } else { slack }));
         budget.set_pooled(true);
         budget.configure(self.now, part(slack));
