Ignore what an accountant knew before a change of the state

The list of accountants was derived from one state, and the time and version of the confirmation read afterwards, up to 160 ms later for a request that waits for tokens. If the state changed in between, an accountant could stop or wait for 10 s by an old list. A restarted one that read its empty state and then the first confirmation took the limits for the first ones and started with full buckets, a burst beyond the limit.

The list now carries the version of its state, and the membership ignores what is older than the last seen or confirmed version, but for the age of the confirmation. Without that, views_of_older_states_are_ignored failed with Started(Full) in place of Started(Restarted). That the two reads were torn in a running entry was not seen; it follows from the code.

--- a/crates/entry/src/gateway/quota/accountant.rs
+++ b/crates/entry/src/gateway/quota/accountant.rs
@@ -97,6 +97,7 @@
         let state = self.instance.control_state.current();
         let (now, at) = (clock::now(), clock::now_with_suspension());
         let view = View {
+            version: accountants.version,
             accountants: accountants.preferred.len(),
             listed: accountants.listed,
             origin: accountants.origin,
--- a/crates/entry/src/gateway/quota/accountants.rs
+++ b/crates/entry/src/gateway/quota/accountants.rs
@@ -6,6 +6,7 @@
 use chestnutvalve_model::control::State;
 use chestnutvalve_model::directory::{Directory, Member};
 use chestnutvalve_model::id::{Service, Zone};
+use chestnutvalve_model::version::Version;
 use chestnutvalve_routing::placement;
 use chestnutvalve_routing::quota::membership::Origin;
 
@@ -23,6 +24,8 @@
 /// What the state says about the accountants and the limits, to one entry.
 #[derive(Debug, Default)]
 pub struct Accountants {
+    /// Version of the state.
+    pub version: Version,
     /// Peer addresses of all accountants, in the order in which the entry asks them: those of its zone first.
     pub preferred: Vec<SocketAddr>,
     /// Whether the entry is an accountant.
@@ -39,7 +42,10 @@
     pub fn new(state: &State, own: &Member) -> Self {
         let mut accounts = state.routes.accounts.iter();
         if !accounts.any(|account| account.limit.is_some()) {
-            return Self::default();
+            return Self {
+                version: state.version,
+                ..Self::default()
+            };
         }
         let chosen = choose(&state.directory);
         let (near, far): (Vec<&Member>, Vec<&Member>) = chosen
@@ -61,6 +67,7 @@
             Origin::Unknown
         };
         Self {
+            version: state.version,
             listed: chosen.members.contains_key(&own.entry),
             origin,
             limits: true,
--- a/crates/routing/src/quota/membership.rs
+++ b/crates/routing/src/quota/membership.rs
@@ -34,6 +34,8 @@
 /// What an entry knows at one time. All instants are those of a clock that also counts while the machine sleeps.
 #[derive(Clone, Copy, Debug)]
 pub struct View {
+    /// Version of the state that the rest, except for the confirmation, is derived from.
+    pub version: Version,
     /// Number of accountants in the directory.
     pub accountants: usize,
     /// Whether this entry is one of them.
@@ -88,6 +90,8 @@
     first_at: Option<Instant>,
     /// The confirmation that the last observation had.
     confirmed: Option<(Instant, Version)>,
+    /// Newest version that was observed.
+    version: Version,
     /// When the last confirmed state without limits was seen.
     unlimited_at: Option<Instant>,
     /// Numbers of accountants, each with the time until which it was seen.
@@ -102,6 +106,7 @@
             status: Status::Outside,
             first_at: None,
             confirmed: None,
+            version: Version::ZERO,
             unlimited_at: None,
             counts: VecDeque::new(),
             unseen_until: None,
@@ -127,9 +132,17 @@
     /// Applies what the entry knows now, and returns whether the accountant starts or stops. Must be called several
     /// times a second and before each grant.
     pub fn observe(&mut self, now: Instant, view: &View) -> Option<Change> {
-        self.record_count(now, view.accountants);
         let was_active = self.is_active();
-        let start = self.advance(now, view);
+        let confirmed = view.confirmed.map_or(Version::ZERO, |(_, version)| version);
+        // A request that waited may still hold a view from before a change, which must not undo what the change led to.
+        let start = if view.version < self.version.max(confirmed) {
+            self.expire(now);
+            None
+        } else {
+            self.version = view.version;
+            self.record_count(now, view.accountants);
+            self.advance(now, view)
+        };
         match (was_active, self.is_active()) {
             (false, true) => Some(Change::Started(start.unwrap_or(Start::Empty))),
             (true, false) => Some(Change::Stopped),
@@ -137,6 +150,24 @@
         }
     }
 
+    /// Stops without a recent confirmation.
+    fn expire(&mut self, now: Instant) {
+        if let Some((at, version)) = self.confirmed
+            && is_older(now, at, CONFIRMATION_TIMEOUT)
+        {
+            self.stop(version);
+        }
+    }
+
+    /// Stops an accountant whose last confirmed version was `version`, or ends its wait.
+    fn stop(&mut self, version: Version) {
+        self.status = match self.status {
+            Status::Active => Status::Unconfirmed(version),
+            Status::Waiting { .. } => Status::Outside,
+            other => other,
+        };
+    }
+
     fn advance(&mut self, now: Instant, view: &View) -> Option<Start> {
         let Some((at, version)) = view.confirmed else {
             self.status = Status::Outside;
@@ -150,11 +181,7 @@
         if let Some((_, before)) = previous
             && (had_gap || is_older(now, at, CONFIRMATION_TIMEOUT))
         {
-            self.status = match self.status {
-                Status::Active => Status::Unconfirmed(before),
-                Status::Waiting { .. } => Status::Outside,
-                other => other,
-            };
+            self.stop(before);
         }
         if !view.limits {
             self.unlimited_at = Some(at);
--- a/crates/routing/tests/quota/fleet.rs
+++ b/crates/routing/tests/quota/fleet.rs
@@ -243,6 +243,7 @@
                 Origin::Unknown
             };
             let view = View {
+                version: node.confirmed.map_or(Version::ZERO, |(_, v)| v),
                 accountants: node.known.0.len(),
                 listed: node.known.0.contains(&at),
                 origin,
--- a/crates/routing/tests/quota/membership.rs
+++ b/crates/routing/tests/quota/membership.rs
@@ -8,6 +8,7 @@
 
 fn view(confirmed_at: Instant, revision: u64) -> View {
     View {
+        version: Version { term: 1, revision },
         accountants: 6,
         listed: true,
         origin: Origin::Unknown,
@@ -174,6 +175,32 @@
     );
 }
 
+/// Guards against an accountant that waits for 10 s, or stops, by the view that a request took before the state changed.
+#[test]
+fn views_of_older_states_are_ignored() {
+    let start = Instant::now();
+    let mut membership = Membership::default();
+    let before = View {
+        version: Version::ZERO,
+        accountants: 0,
+        listed: false,
+        limits: false,
+        ..view(start, 2)
+    };
+    assert_eq!(membership.observe(start, &before), None);
+    let restarted = View {
+        origin: Origin::Restarted,
+        ..view(start, 2)
+    };
+    let change = membership.observe(start, &restarted);
+    assert_eq!(change, Some(Change::Started(Start::Restarted)));
+    assert_eq!(membership.observe(start, &before), None);
+    assert!(membership.is_active());
+    let late = start + Duration::from_millis(8_001);
+    let change = membership.observe(late, &before);
+    assert_eq!(change, Some(Change::Stopped));
+}
+
 /// Guards against larger shares at some accountants while others still hold their part of the former division.
 #[test]
 fn shares_grow_only_after_a_hold() {
