Measure refusals below a limit after a loss of power

After all machines lost power, customers below their limit may get 429, because the accountants' buckets start empty and their shares are smaller for 10 s. The model now loses power: 1.5 s without it and 2 s until the first state.

The decisions are unchanged.

--- a/crates/routing/tests/quota/fleet.rs
+++ b/crates/routing/tests/quota/fleet.rs
@@ -172,6 +172,22 @@
         self.version.revision += 1;
     }
 
+    /// Ends all processes, starts them again after a time in which the directory stands still, and returns when they have
+    /// the state, `start` after that.
+    pub fn lose_power(&mut self, down: Duration, start: Duration) {
+        let most = self.limit.as_ref().map_or(0.0, most_in_window);
+        for (time, starts) in [(down, true), (start, false)] {
+            let until = self.now + time;
+            while self.now < until {
+                self.now += STEP;
+                self.steps.push((0, most));
+            }
+            if starts {
+                (0..NODES).for_each(|node| self.restart(node));
+            }
+        }
+    }
+
     /// Returns the accountants of the directory: the first four entries of each zone.
     pub fn accountants(&self) -> Vec<usize> {
         let of = |zone| {
--- a/crates/routing/tests/quota/main.rs
+++ b/crates/routing/tests/quota/main.rs
@@ -156,6 +156,28 @@
     fleet.assert_within_limit();
 }
 
+/// Guards against refusals below a limit after all machines lost power: the tokens of the time in which the processes start,
+/// and nobody can be granted any, are there when they grant again.
+#[test]
+fn after_a_loss_of_power_a_customer_below_its_limit_is_served() {
+    for (rate, expects_service) in [(12.5, true), (16.0, false), (19.0, false)] {
+        let (mut asked, mut refused) = (0, 0);
+        for seed in 1..=4 {
+            let mut fleet = Fleet::start(LIMIT, seed);
+            fleet.run(seconds(20), |f| f.poisson(rate, &UNEVEN));
+            fleet.lose_power(Duration::from_millis(1_500), seconds(2));
+            (fleet.asked, fleet.refused) = (0, 0);
+            fleet.run(seconds(10), |f| f.poisson(rate, &UNEVEN));
+            asked += fleet.asked;
+            refused += fleet.refused;
+            fleet.assert_within_limit();
+        }
+        println!("{rate} requests a second: {refused} of {asked} refused in 10 s");
+        // As without faults.
+        assert!(!expects_service || refused * 200 < asked);
+    }
+}
+
 /// Guards against memory that grows with the customers that were ever active, and against a burst for each customer that
 /// was forgotten.
 #[test]
