Check limits of customers in the soak

The soak had customers with keys, but none with a limit, so that nothing played the limits against faults in whole processes. One customer now sends four times its limit: workers must not run more than the bound of quota.md in any window, with 5 s for the way from a request to its permit. One sends a third of its limit: it must not get 429 or 503 once 13 s have passed since the last fault.

The entries of test fleets with links now advertise their gateways.

--- a/crates/bench/src/fleet.rs
+++ b/crates/bench/src/fleet.rs
@@ -257,6 +257,7 @@
             reachable_platform = self.add_link(&format!("{name}-platform"), platform).await?;
             settings["advertise"] = json!({
                 "callers": callers, "platform": reachable_platform, "peers": reachable[number],
+                "gateway": settings["gateway"],
             });
         }
         let node = Entry::new(
--- a/crates/bench/src/soak.rs
+++ b/crates/bench/src/soak.rs
@@ -23,6 +23,7 @@
 use crate::worker::Fault as WorkerFault;
 
 mod customers;
+mod limits;
 mod table;
 
 use table::RouteTable;
@@ -242,8 +243,12 @@
     for plan in load_plans(&fleet, seed, duration) {
         loads.spawn(async move { load::run(&plan).await });
     }
+    let gateways = fleet.gateways();
+    let limited = tokio::spawn(async move { limits::load(gateways, "limit", duration).await });
     let accepted_version =
         inject_faults(&mut fleet, &mut table, &mut rng, duration, &mut report).await?;
+    let calm_since = Instant::now();
+    let limited = limited.await.map_err(|e| Error::Invalid(e.to_string()))?;
     let mut not_executed = Vec::new();
     while let Some(load_report) = loads.join_next().await {
         let load_report = load_report.map_err(|e| Error::Invalid(e.to_string()))??;
@@ -266,6 +271,7 @@
     report.not_executed = not_executed.len();
     check_recovery(&fleet, accepted_version, &mut report).await;
     table.check_in_force(&fleet, &mut report).await;
+    limits::check(&fleet, calm_since, limited, &mut report).await?;
     check_worker_that_says_it_leaves(&fleet, &mut report).await?;
     check_leaving_worker(&fleet, &mut report).await?;
     check_executions(&fleet, &not_executed, &mut report).await?;
--- a/crates/bench/src/soak/customers.rs
+++ b/crates/bench/src/soak/customers.rs
@@ -6,7 +6,7 @@
 use chestnutvalve_model::id::Customer;
 use chestnutvalve_model::rank::Rank;
 
-use super::Report;
+use super::{Report, limits};
 use crate::Error;
 use crate::load::Credentials;
 
@@ -28,6 +28,10 @@
         rank,
         limit: None,
     };
+    let limited = |name| Account {
+        limit: Some(limits::limit(name)),
+        ..account(name, &[credentials(name).key], None)
+    };
     let (current, other) = if label.is_multiple_of(2) {
         (PROBERS[0], PROBERS[1])
     } else {
@@ -38,6 +42,8 @@
         account(BUYER, &[credentials(BUYER).key], None),
         account(current, &[probe_key(label)], None),
         account(other, &[], None),
+        limited(limits::BELOW),
+        limited(limits::ABOVE),
     ]
 }
 
