Count the number of a permit in the model's bytes

An answer with a permit carries its number since permits come back with it, which the model left at 0: 48 bytes for a permit in both directions, 39 before. The arithmetic at the target follows; the table keeps what was measured.

--- a/crates/bench/src/quota.rs
+++ b/crates/bench/src/quota.rs
@@ -124,7 +124,13 @@
         wanted: vec![(customer(), 1)],
         ..Take::default()
     };
-    let answer = Taken::Permits(vec![Grant::default()]);
+    let grant = Grant {
+        granted: 1,
+        // As large as that of a process that started in 2026.
+        stamp: 1_780_000_000_000 << 20,
+        ..Grant::default()
+    };
+    let answer = Taken::Permits(vec![grant]);
     Ok(frame_bytes(&message)? + frame_bytes(&answer)?)
 }
 
