Count the work of a customer once when requests are diverted

The expected wait by which queued requests are sent to suspect workers counted the work of the request's own customer twice: once as its own, and once among the customers that are served meanwhile. With one customer the wait was doubled, with many hardly changed, so that requests which had time were sent to suspect workers, or late ones were not, by the number of customers.

requests_go_to_suspect_workers_only_if_their_wait_is_too_long failed before: with one customer two requests with time left were sent to the suspect worker, with ten customers none that had lost their margin was.

--- a/crates/routing/src/schedule/admission.rs
+++ b/crates/routing/src/schedule/admission.rs
@@ -165,7 +165,12 @@
         if excess == 0 || self.floor.is_none() {
             return Vec::new();
         }
-        let service = self.service(now, rank, self.running_at_accepted(now), 1.0);
+        let service = self.service(
+            now,
+            rank,
+            self.running_at_accepted(now),
+            1.0 / MAX_WAIT_SHARE,
+        );
         let mut queue = std::mem::take(&mut self.queues[rank.index()]);
         let diverted = queue.divert(service, excess, |request| {
             self.reserve_at_one_of(now, request, Group::Suspect)
--- a/crates/routing/src/schedule/queue.rs
+++ b/crates/routing/src/schedule/queue.rs
@@ -144,7 +144,7 @@
         let mut at = from;
         while let Some(entry) = self.entries.get(at) {
             let left = entry.due().saturating_duration_since(service.now);
-            let needed = service.wait(own, others) + entry.work.likely();
+            let needed = service.wait(own, others.served_within(own)) + entry.work.likely();
             own += entry.work.mean;
             at += 1;
             if needed > left.as_secs_f64()
@@ -361,7 +361,9 @@
             let mut repeatable = Vec::new();
             while let Some(entry) = lane.entries.get(at) {
                 let left = entry.due().saturating_duration_since(service.now);
-                let needed = service.wait(own, &customers) + entry.work.likely();
+                // What is served within `own` seconds includes the work of this customer.
+                let wait = service.wait(0.0, customers.served_within(own));
+                let needed = wait + entry.work.likely();
                 own += entry.work.mean;
                 if !entry.request.at_most_once {
                     repeatable.push(at);
@@ -479,9 +481,9 @@
 }
 
 impl Service {
-    /// Returns the expected wait, in seconds, behind `own` seconds of work of the same customer.
-    fn wait(&self, own: f64, others: &Others) -> f64 {
-        (self.ahead + own + others.served_within(own)) / self.slots * self.wait_factor
+    /// Returns the expected wait, in seconds, behind `own` seconds of work of the same customer and `others` of others.
+    fn wait(&self, own: f64, others: f64) -> f64 {
+        (self.ahead + own + others) / self.slots * self.wait_factor
     }
 }
 
--- a/crates/routing/tests/schedule/overload.rs
+++ b/crates/routing/tests/schedule/overload.rs
@@ -7,7 +7,7 @@
 use rstest::rstest;
 
 use crate::pattern::{Kind, Order, Pattern, Simulation, Tally};
-use crate::{request, scheduler, worker};
+use crate::{fail, request, scheduler, worker};
 
 const SEEDS: [u64; 3] = [1, 2, 3];
 
@@ -396,3 +396,36 @@
         "{displaced} of {queued}, {decision:?}"
     );
 }
+
+/// Guards against attempts at a suspect worker that fail for nothing, because the wait of a request counts the work of its
+/// own customer twice, and against queued requests that no longer have the margin that admission demands.
+#[rstest]
+#[case::one_customer(1)]
+#[case::many_customers(10)]
+fn requests_go_to_suspect_workers_only_if_their_wait_is_too_long(#[case] customers: u64) {
+    let start = Instant::now();
+    let mut scheduler = scheduler(start, 20, 1);
+    scheduler.set_floor(Some(0.7));
+    fail(&mut scheduler, start, &worker(0));
+    let now = start + Duration::from_millis(1_100);
+    fail(&mut scheduler, now, &worker(0));
+    // The other 19 workers have 38 slots. Requests of 100 ms wait for up to 160 ms, 230 ms with the margin.
+    for id in 0..98 {
+        let request = Request {
+            customer: Some(id % customers),
+            at_most_once: false,
+            target: now + Duration::from_millis(400),
+            ..request(id, now, Rank::Top)
+        };
+        let decision = scheduler.offer(now, request);
+        assert!(!matches!(decision, Decision::Refuse(_)), "{id}");
+    }
+    assert_eq!(scheduler.queue_len(), 60);
+    assert_eq!(scheduler.tick(now), []);
+    let actions = scheduler.tick(now + Duration::from_millis(100));
+    let is_diverted = |action: &Action| matches!(action, Action::Send(_, to) if *to == worker(0));
+    assert!(
+        !actions.is_empty() && actions.iter().all(is_diverted),
+        "{actions:?}"
+    );
+}
