Divert requests only after higher ranks got their slots

At a tick, requests of a lower rank were sent to suspect workers before the waiting ones of a higher rank were offered a slot. A suspect worker that had room again, without a response since, went to the lower rank, although a repeatable request of the higher one may use it too and waited for a slot.

Each tick now dispatches first and diverts what still waits. Nothing changes without a floor, where no request is diverted.

a_suspect_worker_with_room_serves_the_higher_rank_first failed before: two requests of the bottom rank got the slots, and the one of the top rank none.

--- a/crates/routing/src/schedule/admission.rs
+++ b/crates/routing/src/schedule/admission.rs
@@ -144,8 +144,6 @@
                     None => refused.push(request),
                 }
             }
-            let diverted = self.divert_to_suspect(now, rank).into_iter();
-            actions.extend(diverted.map(|(id, worker)| Action::Send(id, worker)));
             self.refusals.time_left += count(&refused);
             for request in refused {
                 let refusal = self.overload(now, &request, Duration::ZERO);
@@ -153,6 +151,11 @@
             }
         }
         actions.extend(self.dispatch_waiting(now));
+        // A higher rank may use some of the suspect workers too, and comes first.
+        for rank in Rank::ALL {
+            let diverted = self.divert_to_suspect(now, rank).into_iter();
+            actions.extend(diverted.map(|(id, worker)| Action::Send(id, worker)));
+        }
         actions
     }
 
--- a/crates/routing/tests/schedule/overload.rs
+++ b/crates/routing/tests/schedule/overload.rs
@@ -429,3 +429,34 @@
         "{actions:?}"
     );
 }
+
+/// Guards against a lower rank whose requests are sent to a suspect worker that has room again before a higher one that waits
+/// for a slot.
+#[test]
+fn a_suspect_worker_with_room_serves_the_higher_rank_first() {
+    let now = Instant::now();
+    let mut scheduler = scheduler(now, 2, 1);
+    scheduler.set_floor(Some(0.7));
+    fail(&mut scheduler, now, &worker(1));
+    scheduler.record_load(now, &worker(1), 6);
+    let repeatable = |id, rank| Request {
+        at_most_once: false,
+        ..request(id, now, rank)
+    };
+    for id in 0..2 {
+        let sent = scheduler.offer(now, repeatable(id, Rank::Bottom));
+        assert_eq!(sent, Decision::Send(worker(0)));
+    }
+    for id in 10..40 {
+        scheduler.offer(now, repeatable(id, Rank::Bottom));
+    }
+    assert_eq!(
+        scheduler.offer(now, repeatable(3, Rank::Top)),
+        Decision::Wait
+    );
+    let actions = scheduler.tick(now + Duration::from_millis(500));
+    let sent = actions
+        .iter()
+        .find(|action| matches!(action, Action::Send(..)));
+    assert_eq!(sent, Some(&Action::Send(3, worker(1))), "{actions:?}");
+}
