--- a/crates/routing/src/schedule/admission.rs
+++ b/crates/routing/src/schedule/admission.rs
@@ -144,8 +144,6 @@
                     None => refused.push(request),
                 }
             }
-            let diverted = self.divert_to_suspect(now, rank).into_iter();
-            actions.extend(diverted.map(|(id, worker)| Action::Send(id, worker)));
             self.refusals.time_left += count(&refused);
             for request in refused {
                 let refusal = self.overload(now, &request, Duration::ZERO);
@@ -153,6 +151,11 @@
             }
         }
         actions.extend(self.dispatch_waiting(now));
+        // A higher rank may use some of the suspect workers too, and comes first.
+        for rank in Rank::ALL {
+            let diverted = self.divert_to_suspect(now, rank).into_iter();
+            actions.extend(diverted.map(|(id, worker)| Action::Send(id, worker)));
+        }
         actions
     }
 
@@ -165,7 +168,12 @@
         if excess == 0 || self.floor.is_none() {
             return Vec::new();
         }
-        let service = self.service(now, rank, self.running_at_accepted(now), 1.0);
+        let service = self.service(
+            now,
+            rank,
+            self.running_at_accepted(now),
+            1.0 / MAX_WAIT_SHARE,
+        );
         let mut queue = std::mem::take(&mut self.queues[rank.index()]);
         let diverted = queue.divert(service, excess, |request| {
             self.reserve_at_one_of(now, request, Group::Suspect)
