Test that the second coordinator grants retries

The entry's own part of the budget permitted the one retry of the test, which therefore passed when the entry didn't ask the second coordinator. With three failing requests, of which the own part permits one retry, it fails then with [200, 500, 500], and passes with the code as it is.

--- a/crates/entry/tests/all/budget.rs
+++ b/crates/entry/tests/all/budget.rs
@@ -152,10 +152,10 @@
     assert_eq!((reply.status, count() - before), (200, 2));
 }
 
-/// Guards against a retry that is denied by the second coordinator after the first one is lost, and against one that the
-/// entry then makes twice.
+/// Guards against retries that are denied although the second coordinator could grant them after the first one is lost,
+/// and against one that the entry then makes twice. The entry's own part permits one.
 #[tokio::test]
-async fn the_next_coordinator_grants_a_retry() {
+async fn the_next_coordinator_grants_retries() {
     let workers = workers(2, Duration::from_millis(200)).await;
     let all: Vec<&Worker> = workers.iter().collect();
     let (near, far) = (control(&all).await, control(&all).await);
@@ -184,13 +184,20 @@
     assert_eq!(candidates.len(), 2);
     let count = || workers.iter().map(Worker::count).sum::<usize>();
     let before = count();
-    let asked = ask_as(&narrow, "/x", "fail-1");
+    let asked = async {
+        tokio::join!(
+            ask_as(&narrow, "/x", "fail-1"),
+            ask_as(&narrow, "/x", "fail-2"),
+            ask_as(&narrow, "/x", "fail-3")
+        )
+    };
     let lose = async {
         sleep(Duration::from_millis(100)).await;
         gates[&candidates[0]].send(false).unwrap();
     };
-    let (reply, ()) = tokio::join!(asked, lose);
-    assert_eq!((reply.status, count() - before), (200, 2));
+    let (replies, ()) = tokio::join!(asked, lose);
+    let statuses = [replies.0.status, replies.1.status, replies.2.status];
+    assert_eq!((statuses, count() - before), ([200; 3], 6));
 }
 
 /// Guards against budget that is lost with a retry whose caller leaves while it waits for a slot, or that gets a slot and
