Test that a retry without a report costs its budget

A reservation that expires at the coordinator counts as used, because the attempt may have been made while its report was lost. No test failed without that. This one does: the next retry is then allowed although the budget is one.

--- a/crates/entry/tests/all/budget.rs
+++ b/crates/entry/tests/all/budget.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use chestnutvalve_entry::gateway::charge::Charge;
-use chestnutvalve_entry::gateway::coordinator::coordinators;
+use chestnutvalve_entry::gateway::coordinator::{Reservations, coordinators};
 use chestnutvalve_entry::gateway::dispatcher::Unplaced;
 use chestnutvalve_model::id::{Service, Zone};
 use chestnutvalve_routing::retry::Bounds;
@@ -14,7 +14,7 @@
 use rstest::rstest;
 use spdlog::sink::WriteSink;
 use tokio::sync::watch;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 use crate::coordinator::{NARROW_MBPS, WIDE_MBPS, control, entries, gated_proxy};
 use crate::dispatcher;
@@ -231,3 +231,24 @@
     used.finish(Outcome::Success);
     assert!(matches!(admit(8, retry).await, Err(Unplaced::Denied)));
 }
+
+/// Guards against more attempts than the budget when reports are lost: a retry whose reservation expires without a report
+/// may have been made.
+#[tokio::test(start_paused = true)]
+async fn a_retry_without_a_report_costs_its_budget() {
+    let budget = Bounds {
+        ratio: 0.0,
+        slack: 1.0,
+        window: Duration::from_secs(10),
+    };
+    let retry = Charge::Retry { is_repeated: false };
+    let (dispatcher, _observations) = dispatcher::start(budget);
+    let admit = |id| dispatcher.admit(dispatcher::request(id, 0), retry);
+    let reservations = Reservations::default();
+    let until = Instant::now() + Duration::from_millis(500);
+    reservations.insert(1, admit(1).await.unwrap(), until);
+    sleep(Duration::from_secs(1)).await;
+    reservations.expire();
+    assert!(reservations.remove(1).is_none());
+    assert!(matches!(admit(2).await, Err(Unplaced::Denied)));
+}
