--- a/crates/entry/tests/all/budget.rs
+++ b/crates/entry/tests/all/budget.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use chestnutvalve_entry::gateway::charge::Charge;
-use chestnutvalve_entry::gateway::coordinator::coordinators;
+use chestnutvalve_entry::gateway::coordinator::{Reservations, coordinators};
 use chestnutvalve_entry::gateway::dispatcher::Unplaced;
 use chestnutvalve_model::id::{Service, Zone};
 use chestnutvalve_routing::retry::Bounds;
@@ -14,7 +14,7 @@
 use rstest::rstest;
 use spdlog::sink::WriteSink;
 use tokio::sync::watch;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 use crate::coordinator::{NARROW_MBPS, WIDE_MBPS, control, entries, gated_proxy};
 use crate::dispatcher;
@@ -152,10 +152,10 @@
     assert_eq!((reply.status, count() - before), (200, 2));
 }
 
-/// Guards against a retry that is denied by the second coordinator after the first one is lost, and against one that the
-/// entry then makes twice.
+/// Guards against retries that are denied although the second coordinator could grant them after the first one is lost,
+/// and against one that the entry then makes twice. The entry's own part permits one.
 #[tokio::test]
-async fn the_next_coordinator_grants_a_retry() {
+async fn the_next_coordinator_grants_retries() {
     let workers = workers(2, Duration::from_millis(200)).await;
     let all: Vec<&Worker> = workers.iter().collect();
     let (near, far) = (control(&all).await, control(&all).await);
@@ -184,13 +184,20 @@
     assert_eq!(candidates.len(), 2);
     let count = || workers.iter().map(Worker::count).sum::<usize>();
     let before = count();
-    let asked = ask_as(&narrow, "/x", "fail-1");
+    let asked = async {
+        tokio::join!(
+            ask_as(&narrow, "/x", "fail-1"),
+            ask_as(&narrow, "/x", "fail-2"),
+            ask_as(&narrow, "/x", "fail-3")
+        )
+    };
     let lose = async {
         sleep(Duration::from_millis(100)).await;
         gates[&candidates[0]].send(false).unwrap();
     };
-    let (reply, ()) = tokio::join!(asked, lose);
-    assert_eq!((reply.status, count() - before), (200, 2));
+    let (replies, ()) = tokio::join!(asked, lose);
+    let statuses = [replies.0.status, replies.1.status, replies.2.status];
+    assert_eq!((statuses, count() - before), ([200; 3], 6));
 }
 
 /// Guards against budget that is lost with a retry whose caller leaves while it waits for a slot, or that gets a slot and
@@ -224,3 +231,24 @@
     used.finish(Outcome::Success);
     assert!(matches!(admit(8, retry).await, Err(Unplaced::Denied)));
 }
+
+/// Guards against more attempts than the budget when reports are lost: a retry whose reservation expires without a report
+/// may have been made.
+#[tokio::test(start_paused = true)]
+async fn a_retry_without_a_report_costs_its_budget() {
+    let budget = Bounds {
+        ratio: 0.0,
+        slack: 1.0,
+        window: Duration::from_secs(10),
+    };
+    let retry = Charge::Retry { is_repeated: false };
+    let (dispatcher, _observations) = dispatcher::start(budget);
+    let admit = |id| dispatcher.admit(dispatcher::request(id, 0), retry);
+    let reservations = Reservations::default();
+    let until = Instant::now() + Duration::from_millis(500);
+    reservations.insert(1, admit(1).await.unwrap(), until);
+    sleep(Duration::from_secs(1)).await;
+    reservations.expire();
+    assert!(reservations.remove(1).is_none());
+    assert!(matches!(admit(2).await, Err(Unplaced::Denied)));
+}
