Choose the zone of a request from summaries of the other zones

Requests left their zone because a worker of another zone was a little less busy, or because the workers of the zone with room were being probed, and several zones filled the same one from loads that were long out of date: a fifth of the requests crossed zones at even demand, two in five at four fifths of the slots.

A coordinator's scheduler now keeps the last summary of each other zone. Requests stay in their zone while a worker there has room and answers at the usual speed, and leave it when the expected wait exceeds a twentieth of the response time. A zone has at most its part of the slots that another zone's own requests leave in use there, less a reserve by rank and age. Without a summary, and where no coordinator dispatches, nothing changes.

--- a/crates/routing/src/schedule.rs
+++ b/crates/routing/src/schedule.rs
@@ -23,11 +23,13 @@
 mod service_times;
 mod suspicion;
 mod upstream;
+mod zones;
 
 pub use admission::Refusals;
 pub use notice::{Hold, Notice};
 pub use suspicion::Evidence;
 pub use upstream::{Outcome, Spec};
+pub use zones::{Spills, Summary};
 
 use failure_rate::FailureRate;
 use fault_duration::FaultDuration;
@@ -36,6 +38,7 @@
 use queue::Queue;
 use service_times::ServiceTimes;
 use upstream::{Upstream, faulty_cost};
+use zones::Zones;
 
 /// Additional load, in slots, that is assumed for a worker in another availability zone. For a small response the cost
 /// is below one queued request; for a download it equals one.
@@ -134,6 +137,7 @@
     /// Recent share of the requests that may be repeated.
     repeatable_share: f64,
     notices: Notices,
+    zones: Zones,
 }
 
 impl Scheduler {
@@ -153,6 +157,7 @@
             fault_duration: FaultDuration::default(),
             repeatable_share: 0.0,
             notices: Notices::default(),
+            zones: Zones::default(),
         }
     }
 
@@ -220,6 +225,9 @@
     /// rate, more probes would fail more requests than they find healthy workers for.
     pub fn set_floor(&mut self, floor: Option<f64>) {
         self.floor = floor;
+        if floor.is_none() {
+            self.zones = Zones::default();
+        }
         self.fault_duration.set_coordinated(floor.is_some());
     }
 
@@ -412,19 +420,29 @@
         let is_coordinated = self.floor.is_some();
         let is_lost = request.at_most_once || (is_coordinated && matches!(group, Group::Avoided));
         let faulty = faulty_cost(is_lost, is_coordinated);
+        let access = self.zone_access(now, request);
+        let stays = access.is_known() && matches!(group, Group::Unprobed | Group::Doubtful);
+        // Returns `None` for a worker in a zone that the request must not use.
         let cost = |upstream: &Upstream| {
             let local = upstream.zone() == &self.zone;
-            let detour = match (local, request.download) {
-                (true, _) => 0.0,
-                (false, true) => CROSS_ZONE_COST_DOWNLOAD,
-                (false, false) => CROSS_ZONE_COST,
+            let cross_zone_cost = if request.download {
+                CROSS_ZONE_COST_DOWNLOAD
+            } else {
+                CROSS_ZONE_COST
+            };
+            let detour = if local {
+                0.0
+            } else {
+                access
+                    .detour(upstream.zone(), request.download, cross_zone_cost)
+                    .filter(|_| !stays)?
             };
-            match probe_mode {
+            Some(match probe_mode {
                 Some(probe_mode) if local && upstream.is_idle(now) => {
                     probe_mode.cost(upstream.suspicion(now))
                 }
                 _ => upstream.cost(now, typical, faulty) + detour,
-            }
+            })
         };
         let connection = |worker: &Worker| {
             if request.connected.contains(worker) {
@@ -442,12 +460,18 @@
         };
         let all = || self.upstreams.iter().filter(usable);
         let candidates = all().filter(|(_, u)| u.has_room(now, typical) && group.contains(now, u));
-        let costs =
-            candidates.map(|(worker, u)| (cost(u) + connection(worker) + jitter(worker), worker));
+        let costs = candidates.filter_map(|(worker, u)| {
+            Some((cost(u)? + connection(worker) + jitter(worker), worker))
+        });
         let cheapest = costs.min_by(|a, b| a.0.total_cmp(&b.0));
+        // Workers of other zones are compared with a poor one of the zone, but not to spare one that is probed.
+        let cheapest = cheapest
+            .filter(|(cost, _)| !matches!(group, Group::Unprobed) || !access.is_poor(*cost));
         let worker = cheapest.map(|(_, worker)| worker.clone())?;
         let upstream = self.upstreams.get_mut(&worker)?;
         upstream.start(now, request.at_most_once);
+        let zone = upstream.zone().clone();
+        self.record_zone(&zone, &access);
         self.record_repeatable(request);
         self.service_times.record_start(request.rank);
         Some(worker)
--- a/crates/routing/src/schedule/admission.rs
+++ b/crates/routing/src/schedule/admission.rs
@@ -37,13 +37,13 @@
             return Decision::Refuse(refusal);
         }
         let rank = request.rank;
+        let work = self.service_times.work(request.class);
         let mut ahead = self.queues[..=rank.index()].iter();
         if ahead.all(Queue::is_empty)
-            && let Some(worker) = self.reserve(now, &request)
+            && let Some(worker) = self.reserve_in_zone_or_leave(now, &request, work.mean)
         {
             return Decision::Send(worker);
         }
-        let work = self.service_times.work(request.class);
         let running = self.running(now);
         let needed = self
             .expected_wait(now, rank, running)
@@ -190,6 +190,7 @@
     /// Reserves free slots for queued requests, the most urgent rank first.
     pub(super) fn dispatch_waiting(&mut self, now: Instant) -> Vec<Action> {
         let mut actions = self.take_displaced();
+        self.record_zone_wait(now, 0.0);
         for rank in 0..self.queues.len() {
             let mut queue = std::mem::take(&mut self.queues[rank]);
             let (sent, all_considered) = queue.dispatch(now, |request| self.reserve(now, request));
