Exchange summaries between the coordinators of a service

The choice of a zone needs the state of the other zones. Each coordinator sends it to those of the same service in other zones (call gateway/zone): after a change of a tenth of the slots or of being short, at most each 100 ms, and each second while any zone has requests. A log line says at most once a second how many requests were sent to each other zone and why.

The test with two zones fails if the summaries are ignored.

--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -140,6 +140,7 @@
                 &gateway,
             );
             let router = gateway::quota::add_routes(router, &gateway.quota);
+            let router = gateway::zones::add_routes(router, &gateway);
             async move { peers.serve(router).await }
         }))?;
         registry.register(platform_service(&instance, platform))?;
@@ -297,6 +298,7 @@
         let follow = gateway::follow_state(Arc::clone(&gateway));
         let share = gateway::observation::forward(Arc::clone(&gateway), observations);
         let report = gateway::coordinator::forward_reports(Arc::clone(&gateway), reports);
+        let summarize = gateway::zones::exchange(Arc::clone(&gateway));
         let ticks = async {
             let mut ticks = interval(GATEWAY_TICK_INTERVAL);
             ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
@@ -308,7 +310,7 @@
             }
         };
         let enforce = gateway.memory.enforce(&gateway.instance.meters);
-        tokio::join!(follow, share, report, ticks, enforce);
+        tokio::join!(follow, share, report, summarize, ticks, enforce);
     };
     [Service::background("gateway upkeep", maintenance), listener]
 }
--- a/crates/entry/src/gateway.rs
+++ b/crates/entry/src/gateway.rs
@@ -39,6 +39,7 @@
 pub mod proxy;
 pub mod quota;
 pub mod relay;
+pub mod zones;
 
 use coordinator::{Contacts, ReportSender, Reservations};
 pub use dialect::Dialect;
@@ -221,6 +222,14 @@
         dispatcher
     }
 
+    /// Returns the dispatchers of all services that have had requests.
+    #[must_use]
+    pub fn dispatchers(&self) -> Vec<Arc<Dispatcher>> {
+        let dispatchers = self.dispatchers.lock();
+        let dispatchers = dispatchers.unwrap_or_else(PoisonError::into_inner);
+        dispatchers.values().cloned().collect()
+    }
+
     /// Returns the peer addresses of the entries that serve a service.
     #[must_use]
     pub fn serving_entries(&self, service: &Service) -> Addresses {
--- a/crates/entry/src/gateway/coordinator.rs
+++ b/crates/entry/src/gateway/coordinator.rs
@@ -281,6 +281,15 @@
     zones.into_iter().flat_map(of).collect()
 }
 
+/// Returns the peer addresses of the entries that coordinate a service in each zone.
+#[must_use]
+pub fn first_coordinators(state: &State, service: &Service) -> BTreeSet<SocketAddr> {
+    let members = state.directory.members.values();
+    let zones: BTreeSet<&Zone> = members.map(|m| &m.zone).collect();
+    let first = |zone| coordinators(state, service, zone).first().copied();
+    zones.into_iter().filter_map(first).collect()
+}
+
 /// Reserves a slot of a worker and waits until one is free. The coordinator decides if there is one that answers.
 ///
 /// # Errors
--- a/crates/entry/src/gateway/dispatcher.rs
+++ b/crates/entry/src/gateway/dispatcher.rs
@@ -10,7 +10,7 @@
 use chestnutvalve_routing::retry::{Bounds, Purpose, WindowBudget};
 use chestnutvalve_routing::schedule::{
     Action, Decision, Evidence, Hold, Notice, Outcome, Reason, Refusal, Refusals, Request,
-    Scheduler, Spec,
+    Scheduler, Spec, Spills, Summary,
 };
 use tokio::sync::{mpsc, oneshot};
 
@@ -133,6 +133,28 @@
         inner.logged_refusals = (refusals, Some(now));
     }
 
+    /// Returns the summary of this zone for others and whether any zone has requests, if this entry coordinates the
+    /// service.
+    #[must_use]
+    pub fn summary(&self) -> Option<(Summary, bool)> {
+        let now = clock::now();
+        let scheduler = &mut self.lock().scheduler;
+        Some((scheduler.summary(now)?, scheduler.is_in_use(now)))
+    }
+
+    /// Records the summary of another zone, which was made `age` ago.
+    pub fn record_summary(&self, now: Instant, zone: &Zone, age: Duration, summary: Summary) {
+        let mut inner = self.lock();
+        let actions = inner.scheduler.record_summary(now, zone, age, summary);
+        inner.apply(now, actions);
+    }
+
+    /// Returns the number of requests that were sent to each other zone.
+    #[must_use]
+    pub fn spills(&self) -> BTreeMap<Zone, Spills> {
+        self.lock().scheduler.spills().clone()
+    }
+
     /// Adds the deposit of one caller's request to the retry budget.
     pub fn deposit(&self, rank: Rank) {
         self.lock().retry_budget.deposit_for(clock::now(), rank);
--- a/crates/entry/tests/all/fleet.rs
+++ b/crates/entry/tests/all/fleet.rs
@@ -55,16 +55,22 @@
         hint: &[SocketAddr],
         mbps: u32,
     ) -> Self {
-        Self::start_with(name, controls, hint, mbps, None).await
+        Self::start_with(name, "z1", controls, hint, mbps, None).await
+    }
+
+    /// Starts an entry in an availability zone.
+    pub async fn start_in_zone(name: &str, zone: &str, control: SocketAddr, mbps: u32) -> Self {
+        Self::start_with(name, zone, &[control], &[], mbps, None).await
     }
 
     /// Starts an entry whose process has a memory limit of `memory_mb` megabytes.
     pub async fn start_with_memory(name: &str, control: SocketAddr, memory_mb: u32) -> Self {
-        Self::start_with(name, &[control], &[], 1_000, Some(memory_mb)).await
+        Self::start_with(name, "z1", &[control], &[], 1_000, Some(memory_mb)).await
     }
 
     async fn start_with(
         name: &str,
+        zone: &str,
         controls: &[SocketAddr],
         hint: &[SocketAddr],
         mbps: u32,
@@ -72,7 +78,7 @@
     ) -> Self {
         let any = "127.0.0.1:0";
         let settings = serde_json::json!({
-            "entry": name, "zone": "z1", "callers": any, "platform": any, "peers": any, "gateway": any,
+            "entry": name, "zone": zone, "callers": any, "platform": any, "peers": any, "gateway": any,
             "control": controls, "peers_hint": hint, "link_mbps": mbps,
             "memory_mb": memory_mb,
             "apply_limit_ms": APPLY_LIMIT_MS,
--- a/crates/entry/tests/all/main.rs
+++ b/crates/entry/tests/all/main.rs
@@ -27,3 +27,4 @@
 mod streams;
 mod upload;
 mod worker;
+mod zones;
