Model requests between zones with the number of entries

chestnutvalve-bench zones runs the schedulers of four zones without processes and prints, for 30, 113 and 450 entries, the share of requests that leave their zone, waits, and the messages and bytes of the summaries.

--- a/crates/bench/src/command.rs
+++ b/crates/bench/src/command.rs
@@ -18,6 +18,7 @@
 use crate::scenario;
 use crate::soak;
 use crate::worker;
+use crate::zones;
 
 /// Exit code for invalid arguments or a failed run.
 const EXIT_FAILED: u8 = 2;
@@ -167,14 +168,6 @@
         .arg(option("entries", "3,12,24,48", "Comma-separated counts"))
         .arg(option("workers", "10,100,400", "Comma-separated counts"))
         .arg(number("seconds", "15", "Duration of each run, in s"));
-    let quota = Command::new("quota")
-        .about("Models limits of customers over many entries, without processes")
-        .arg(option(
-            "entries",
-            "30,113,450,3200",
-            "Comma-separated counts",
-        ))
-        .arg(number("seconds", "60", "Modelled duration, in s"));
     let soak = Command::new("soak")
         .about("Runs a small fleet under random faults and checks the responses to callers and operators")
         .arg(number("seed", "1", "First seed"))
@@ -184,7 +177,25 @@
     Command::new("chestnutvalve-bench")
         .about("Stand-in workers, caller load, fault injection and measurements")
         .subcommand_required(true)
-        .subcommands([worker, load, forward, scenario, capacity, quota, soak])
+        .subcommands([worker, load, forward, scenario, capacity, soak])
+        .subcommands(model_commands())
+}
+
+/// Returns the commands that run decisions without processes.
+fn model_commands() -> [Command; 2] {
+    let quota = Command::new("quota")
+        .about("Models limits of customers over many entries, without processes")
+        .arg(option(
+            "entries",
+            "30,113,450,3200",
+            "Comma-separated counts",
+        ))
+        .arg(number("seconds", "60", "Modelled duration, in s"));
+    let zones = Command::new("zones")
+        .about("Models requests that leave their zone over many entries, without processes")
+        .arg(option("entries", "30,113,450", "Comma-separated counts"))
+        .arg(number("seconds", "18", "Modelled duration, in s"));
+    [quota, zones]
 }
 
 async fn run_subcommand(matches: &ArgMatches) -> Result<(), Error> {
@@ -196,6 +207,7 @@
         Some(("capacity", arguments)) => run_capacity(arguments).await,
         Some(("quota", arguments)) => run_quota(arguments),
         Some(("soak", arguments)) => run_soak(arguments).await,
+        Some(("zones", arguments)) => run_zones(arguments),
         _ => Err(Error::Invalid("unknown command".into())),
     }
 }
@@ -327,6 +339,14 @@
     )
 }
 
+fn run_zones(arguments: &ArgMatches) -> Result<(), Error> {
+    let seconds = argument::<u64>(arguments, "seconds").clamp(1, MAX_PHASE_S);
+    zones::run(
+        &numbers_argument(arguments, "entries")?,
+        Duration::from_secs(seconds),
+    )
+}
+
 async fn run_soak(arguments: &ArgMatches) -> Result<(), Error> {
     let programs = Programs::beside_current_exe()?;
     let (first_seed, seeds): (u64, u64) =
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,5 +1,5 @@
-//! Measurement program: stand-in workers, caller load, a fault-injecting forwarder, scenarios, capacity measurements, a
-//! model of customers' limits and the fault soak.
+//! Measurement program: stand-in workers, caller load, a fault-injecting forwarder, scenarios, capacity measurements,
+//! models of customers' limits and of zones, and the fault soak.
 
 pub mod capacity;
 pub mod client;
@@ -13,5 +13,6 @@
 pub mod scenario;
 pub mod soak;
 pub mod worker;
+pub mod zones;
 
 pub use error::Error;
