--- a/crates/entry/tests/all/main.rs
+++ b/crates/entry/tests/all/main.rs
@@ -29,3 +29,4 @@
 mod streams;
 mod upload;
 mod worker;
+mod zones;
