--- a/crates/routing/src/quota.rs
+++ b/crates/routing/src/quota.rs
@@ -254,6 +254,8 @@
         }
         let bucket = self.buckets.get_mut(customer).expect("inserted above");
         bucket.refill(now);
+        // It may have been full at the former share.
+        bucket.record(self.stamp);
         bucket.set_share(rate, capacity);
         bucket.record(self.stamp);
         bucket
--- a/crates/routing/tests/quota/main.rs
+++ b/crates/routing/tests/quota/main.rs
@@ -286,6 +286,20 @@
     assert_eq!(book.take(full, &customer, &LIMIT, 100), 0);
 }
 
+/// Guards against a customer that gets a second burst with permits that come back after its bucket was full at a smaller share.
+#[test]
+fn a_token_comes_back_only_if_the_smaller_bucket_would_still_have_it() {
+    let mut book = Book::new(Bounds::default());
+    let (start, customer) = (Instant::now(), Customer::new("acme").unwrap());
+    book.set_shares(2);
+    assert_eq!(book.take(start, &customer, &LIMIT, 10), 10);
+    let stamp = book.stamp();
+    let full = start + seconds(2);
+    book.set_shares(1);
+    book.give_back(full, &customer, &LIMIT, 10, stamp);
+    assert_eq!(book.take(full, &customer, &LIMIT, 100), 10);
+}
+
 /// Guards against permits of a former process, or of tokens that were dropped, that add to the limit.
 #[test]
 fn permits_of_dropped_tokens_dont_come_back() {
