Let a retry leave a zone whose workers it has all tried

A request that had tried all accepted workers of its zone was treated like one that waits for a slot: it left the zone only when the expected wait, queued work over the slots of all workers, exceeded the threshold. With more than some slots in the zone that wait is below it for a single request, so that a hedge got no slot and a retry waited in a queue that no worker of the zone could serve, while other zones had free slots.

Such a request may now use other zones at once, within their bounds, as before summaries were exchanged. The test with two workers in the zone, both tried, fails without the change: no slot is reserved. The other tests of the zones pass unchanged.

--- a/crates/routing/src/schedule/zones.rs
+++ b/crates/routing/src/schedule/zones.rs
@@ -59,7 +59,7 @@
 /// Number of requests sent to another zone, by reason.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Spills {
-    /// The own zone had no free slot, and the wait was worth the way.
+    /// The own zone had no free slot, and the wait was worth the way, or none of its workers could serve the request.
     pub full: u64,
     /// The workers of the own zone that had room were slow or likely to fail.
     pub better: u64,
@@ -163,13 +163,13 @@
         (left - reserve * f64::from(summary.slots)) / f64::from(1 + short)
     }
 
-    /// Returns the other zones that a request may use, `None` if there was no summary yet. `used` are the requests in progress
-    /// in each.
+    /// Returns the other zones that a request may use, `None` if there was no summary yet. `can_wait` tells whether a slot of
+    /// the own zone will become free for it. `used` are the requests in progress in each zone.
     fn others(
         &self,
         now: Instant,
         request: &Request,
-        has_local_room: bool,
+        can_wait: bool,
         used: &[(&Zone, u32)],
     ) -> Option<Vec<(Zone, f64)>> {
         if self.remotes.is_empty() {
@@ -180,7 +180,7 @@
         } else {
             self.is_short
         };
-        if !has_local_room && !leaves {
+        if can_wait && !leaves {
             return Some(Vec::new());
         }
         // A zone that has become silent may be cut off, and is used only if all are silent.
@@ -308,15 +308,18 @@
             };
         }
         let typical = self.service_times.typical();
-        let has_local_room = self.upstreams.iter().any(|(worker, u)| {
+        let accepted = |(worker, u): &(&Worker, &Upstream)| {
             *u.zone() == self.zone
                 && u.takes(now, request.remote)
                 && !u.is_avoided(now)
-                && u.has_room(now, typical)
                 && !request.tried.contains(worker)
-        });
+        };
+        let local = || self.upstreams.iter().filter(accepted);
+        let has_local_room = local().any(|(_, u)| u.has_room(now, typical));
+        // A retry may have tried all workers of the zone, so that no slot there serves it, however short the wait is.
+        let can_wait = !has_local_room && local().next().is_some();
         let used = self.running_by_zone();
-        let others = self.zones.others(now, request, has_local_room, &used);
+        let others = self.zones.others(now, request, can_wait, &used);
         Access {
             has_local_room,
             others,
--- a/crates/routing/tests/zones/main.rs
+++ b/crates/routing/tests/zones/main.rs
@@ -322,3 +322,22 @@
     }
     assert!(scheduler.spills().is_empty());
 }
+
+/// Guards against a retry that waits in its zone, although it has tried all workers there and another zone has free slots.
+#[test]
+fn a_request_that_tried_all_workers_of_its_zone_leaves_it() {
+    let now = Instant::now();
+    let mut scheduler = scheduler(now, 8, 0);
+    let _ = scheduler.record_summary(now, &zone(1), Duration::ZERO, summary(12));
+    let tried = ["w0", "w4"].map(|name| chestnutvalve_model::id::Worker::new(name).unwrap());
+    let retry = |id| Request {
+        tried: tried.to_vec(),
+        ..request(id, now, Rank::Middle)
+    };
+    let hedge = scheduler.reserve_retry(now, &retry(1));
+    assert_eq!(hedge.map(|worker| index(&worker) % 4), Some(1));
+    let Decision::Send(worker) = scheduler.offer(now, retry(2)) else {
+        panic!("the request waits");
+    };
+    assert_eq!(index(&worker) % 4, 1);
+}
