Use zones without a coordinator when the others are full

A zone whose entries all have wide links, or that has workers but no entries, has no coordinator and sends no summaries. As soon as a third zone had sent one, requests of a short zone could use only zones with a summary: they waited or were refused while the workers of the zone without a coordinator were free.

A zone that never sent a summary may now be used if no zone with a known summary takes the request. A zone whose summaries stop is still left alone while others are known, as it may be cut off. Both cases of the test fail without the change: no request reaches that zone. The other tests of the zones pass unchanged.

--- a/crates/routing/src/schedule/zones.rs
+++ b/crates/routing/src/schedule/zones.rs
@@ -164,7 +164,7 @@
     }
 
     /// Returns the other zones that a request may use, `None` if there was no summary yet. `can_wait` tells whether a slot of
-    /// the own zone will become free for it. `used` are the requests in progress in each zone.
+    /// the own zone will become free for it. `used` are the requests in progress in each of them.
     fn others(
         &self,
         now: Instant,
@@ -183,14 +183,10 @@
         if can_wait && !leaves {
             return Some(Vec::new());
         }
+        let unbounded = |(zone, _): &(&Zone, u32)| ((*zone).clone(), 1.0);
         // A zone that has become silent may be cut off, and is used only if all are silent.
         if self.known(now).next().is_none() {
-            return Some(
-                self.remotes
-                    .keys()
-                    .map(|zone| (zone.clone(), 1.0))
-                    .collect(),
-            );
+            return Some(used.iter().map(unbounded).collect());
         }
         let zones = self.known(now).filter_map(|(zone, remote)| {
             let cap = self.cap(now, zone, remote, request.rank);
@@ -198,7 +194,13 @@
             let next = f64::from(used.map_or(0, |(_, used)| *used) + 1);
             (next <= cap).then(|| (zone.clone(), next / cap))
         });
-        Some(zones.collect())
+        let mut zones: Vec<_> = zones.collect();
+        // A zone that never sent a summary may have no coordinator. Its load is known from responses only.
+        if zones.is_empty() {
+            let unheard = used.iter().filter(|(z, _)| !self.remotes.contains_key(*z));
+            zones.extend(unheard.map(unbounded));
+        }
+        Some(zones)
     }
 }
 
@@ -318,7 +320,8 @@
         let has_local_room = local().any(|(_, u)| u.has_room(now, typical));
         // A retry may have tried all workers of the zone, so that no slot there serves it, however short the wait is.
         let can_wait = !has_local_room && local().next().is_some();
-        let used = self.running_by_zone();
+        let mut used = self.running_by_zone();
+        used.retain(|(zone, _)| **zone != self.zone);
         let others = self.zones.others(now, request, can_wait, &used);
         Access {
             has_local_room,
--- a/crates/routing/tests/zones/main.rs
+++ b/crates/routing/tests/zones/main.rs
@@ -341,3 +341,22 @@
     };
     assert_eq!(index(&worker) % 4, 1);
 }
+
+/// Guards against requests that wait although a zone without a coordinator, which sends no summaries, has free slots.
+#[rstest]
+#[case::others_have_room(12, 1)]
+#[case::others_are_full(0, 3)]
+fn a_zone_without_a_coordinator_is_used_last(#[case] spare: u32, #[case] first: usize) {
+    let now = Instant::now();
+    let mut scheduler = scheduler(now, 16, 0);
+    for (zone_index, spare) in [(1, spare), (2, 0)] {
+        let _ = scheduler.record_summary(now, &zone(zone_index), Duration::ZERO, summary(spare));
+    }
+    for id in 0..24 {
+        let worker = offer(&mut scheduler, id, now, Rank::Middle);
+        assert_eq!(worker.unwrap() % 4, 0);
+    }
+    let sent = offer_many(&mut scheduler, now, Rank::Middle);
+    assert_eq!(sent.first().map(|worker| worker % 4), Some(first));
+    assert!(sent.iter().any(|worker| worker % 4 == 3));
+}
