Give no stamp to a permit without a token

A customer's limit may be lifted while a request waits for tokens of other accountants. The request then got a permit without a token, but with the stamp of an earlier grant. Unused and given back after the limit was set again, it added a token that nobody had taken.

An answer of which some permits took no token now has stamp 0, which gives nothing back. Tokens of others in the same answer are lost if they come back.

The new test lifts a limit while a request waits. Before: 20 permits with stamp; now stamp 0.

--- a/crates/entry/src/gateway/quota/accountant.rs
+++ b/crates/entry/src/gateway/quota/accountant.rs
@@ -59,6 +59,32 @@
     now: Instant,
 }
 
+/// Permits for requests that waited for tokens.
+#[derive(Clone, Copy, Debug, Default)]
+struct Waited {
+    granted: u32,
+    /// Whether some of them took no token, because the limit was lifted meanwhile.
+    lifted: bool,
+}
+
+impl Waited {
+    /// Returns permits for `granted` requests that took no token.
+    fn without_limit(granted: u32) -> Self {
+        Self {
+            granted,
+            lifted: granted > 0,
+        }
+    }
+
+    /// Returns permits for `granted` requests that took a token each.
+    fn with_tokens(granted: u32) -> Self {
+        Self {
+            granted,
+            lifted: false,
+        }
+    }
+}
+
 impl Desk<'_> {
     /// Returns the limit of a customer, or `None` without one.
     fn limit(&self, customer: &Customer) -> Option<Limit> {
@@ -235,12 +261,13 @@
             }
             None => (count, 0),
         })?;
-        let unmet = self
-            .wait_for_tokens(accountants, customer, count - granted)
-            .await?;
+        let unmet = count - granted;
+        let waited = self.wait_for_tokens(accountants, customer, unmet).await?;
+        let unmet = unmet - waited.granted;
         let grant = Grant {
             granted: count - unmet,
-            stamp,
+            // All share one stamp; none may give back a token that was not taken.
+            stamp: if waited.lifted { 0 } else { stamp },
             ..Grant::default()
         };
         self.finish(accountants, customer, grant, unmet)
@@ -271,17 +298,19 @@
         Some(grant)
     }
 
-    /// Asks the other accountants for tokens and waits for them while requests have no permit. Returns the number that are
-    /// left without one.
+    /// Asks the other accountants for tokens and waits for them while `count` requests have no permit. Returns the permits
+    /// that they got.
     async fn wait_for_tokens(
         self: &Arc<Self>,
         accountants: &Arc<Accountants>,
         customer: &Customer,
-        mut unmet: u32,
-    ) -> Option<u32> {
+        count: u32,
+    ) -> Option<Waited> {
+        let mut waited = Waited::default();
         let until = tokio::time::Instant::now() + MAX_TOKEN_WAIT;
         let mut rounds = 0;
-        while unmet > 0 && rounds < MAX_ROUNDS && tokio::time::Instant::now() < until {
+        while waited.granted < count && rounds < MAX_ROUNDS && tokio::time::Instant::now() < until {
+            let unmet = count - waited.granted;
             let mut arrived = std::pin::pin!(self.arrived.notified());
             // Tokens that arrive after the question below must not be missed.
             arrived.as_mut().enable();
@@ -289,7 +318,7 @@
                 Some(limit) => desk.book.need(desk.now, customer, &limit, unmet),
                 None => Need::None,
             })?;
-            match need {
+            let got = match need {
                 Need::Ask { tokens, lenders } => {
                     rounds += 1;
                     // The task ends also if the caller leaves, so that the tokens are not lost.
@@ -302,19 +331,24 @@
                     ));
                     // An entry that waits for longer takes the accountant for lost.
                     let taken = timeout_at(until, borrowed).await;
-                    unmet -= taken.map_or(0, |taken| taken.unwrap_or(0));
+                    taken.map_or(Waited::default(), Result::unwrap_or_default)
                 }
                 Need::Asked => {
                     let _ = timeout_at(until, arrived).await;
-                    unmet -= self.open(accountants, |desk| match desk.limit(customer) {
-                        Some(limit) => desk.book.take_again(desk.now, customer, &limit, unmet),
-                        None => unmet,
-                    })?;
+                    self.open(accountants, |desk| match desk.limit(customer) {
+                        Some(limit) => {
+                            let taken = desk.book.take_again(desk.now, customer, &limit, unmet);
+                            Waited::with_tokens(taken)
+                        }
+                        None => Waited::without_limit(unmet),
+                    })?
                 }
                 Need::None => break,
-            }
+            };
+            waited.granted += got.granted;
+            waited.lifted |= got.lifted;
         }
-        Some(unmet)
+        Some(waited)
     }
 
     /// Returns the addresses of up to `count` other accountants, chosen at random.
@@ -327,7 +361,7 @@
         others.sample(&mut rand::rng(), count).copied().collect()
     }
 
-    /// Borrows tokens, and returns the number that was taken at once for requests without a permit.
+    /// Borrows tokens, and returns the permits that requests without one got at once.
     async fn borrow(
         self: Arc<Self>,
         accountants: Arc<Accountants>,
@@ -335,7 +369,7 @@
         customer: Customer,
         need: f64,
         unmet: u32,
-    ) -> u32 {
+    ) -> Waited {
         let sent_at = clock::now_with_suspension();
         let mut tokens = 0.0;
         let ask = first_ask(need, lenders.len());
@@ -356,12 +390,15 @@
             tokens = 0.0;
         }
         let taken = self.open(&accountants, |desk| match desk.limit(&customer) {
-            Some(limit) => desk.book.accept(desk.now, &customer, &limit, tokens, unmet),
-            None => unmet,
+            Some(limit) => {
+                let book = &mut *desk.book;
+                Waited::with_tokens(book.accept(desk.now, &customer, &limit, tokens, unmet))
+            }
+            None => Waited::without_limit(unmet),
         });
         self.arrived.notify_waiters();
         self.instance.meters.count_borrowed(tokens);
-        taken.unwrap_or(0)
+        taken.unwrap_or_default()
     }
 
     async fn ask(
--- a/crates/entry/tests/all/quota.rs
+++ b/crates/entry/tests/all/quota.rs
@@ -6,11 +6,13 @@
 use std::time::Duration;
 
 use chestnutvalve_entry::gateway::quota::accountants::Accountants;
+use chestnutvalve_entry::gateway::quota::message::{TAKE_PATH, Take, Taken};
 use chestnutvalve_model::account::{Account, Key, Limit, Registry};
 use chestnutvalve_model::control::State;
 use chestnutvalve_model::directory::Member;
 use chestnutvalve_model::error::Kind;
 use chestnutvalve_model::id::{Customer, Entry as Id, Incarnation, Zone};
+use chestnutvalve_wire::Client;
 use futures_util::future::join_all;
 use tokio::net::TcpListener;
 use tokio::time::{Instant, sleep};
@@ -349,6 +351,58 @@
     }
 }
 
+/// Guards against tokens that nobody has taken: a permit that is granted because the limit was lifted meanwhile must not add
+/// one when it comes back.
+#[tokio::test]
+async fn a_permit_without_a_token_has_nothing_to_give_back() {
+    let control = Control::start().await;
+    let _silent = [
+        add_silent(&control, "s1", WIDE_MBPS).await,
+        add_silent(&control, "s2", NARROW_MBPS).await,
+    ];
+    let entry = Entry::start_with_link("e1", control.address, &[], WIDE_MBPS).await;
+    entry.wait_for_members(3).await;
+    let other = Account {
+        customer: Customer::new("other").unwrap(),
+        keys: vec![Key::new("k-2")],
+        ..account()
+    };
+    let publish = |label, lifted: bool| {
+        let mut acme = account();
+        acme.limit = acme.limit.filter(|_| !lifted);
+        let mut limited = table(label, Vec::new());
+        // Without any limit, the entry would stop granting permits.
+        limited.accounts = Registry::from(vec![acme, other.clone()]);
+        control.publish(limited);
+    };
+    // Accountants start at once only if they have seen a state without limits.
+    sleep(Duration::from_millis(300)).await;
+    publish(1, false);
+    wait_until("limit", || entry.state().routes.label == 1).await;
+    let peer = Client::new(entry.peers);
+    let take = async |count, patient| {
+        let message = Take {
+            wanted: vec![(account().customer, count)],
+            patient,
+            ..Take::default()
+        };
+        let taken: Result<Taken, _> = peer.call(TAKE_PATH, &message, Duration::from_secs(1)).await;
+        match taken.unwrap() {
+            Taken::Permits(grants) => grants[0],
+            Taken::Inactive => panic!("no permits are granted"),
+        }
+    };
+    let all = take(50, false).await;
+    assert!(all.granted < 50 && all.stamp > 0, "{all:?}");
+    let lifted = async {
+        sleep(Duration::from_millis(10)).await;
+        publish(2, true);
+    };
+    // Lenders that don't answer keep the request waiting.
+    let (grant, ()) = tokio::join!(take(20, true), lifted);
+    assert_eq!((grant.granted, grant.stamp), (20, 0), "{grant:?}");
+}
+
 fn member(number: u16, zone: &str, link_mbps: u32) -> Member {
     let address = SocketAddr::from(([127, 0, 0, 1], 1_000 + number));
     Member {
