Share attempts at suspect workers among customers

Under overload, queued requests are diverted to suspect workers customer by customer in the order of their hashes, up to one maximum for all. The customer with the lowest hash got all of these attempts, and as many free slots as the others besides, because diverted work did not count as slot time that it got.

The customer that got least is now diverted first, and diverted work is charged as dispatched work is.

Two new tests with two customers. Before: both attempts went to the first customer ([0, 0], expected [0, 1]), and after two attempts of one customer the next two slots went to [0, 1], expected [1, 1]. Now they pass; 0 of the other tests of the crate failed.

--- a/crates/routing/src/schedule/queue.rs
+++ b/crates/routing/src/schedule/queue.rs
@@ -187,6 +187,44 @@
     }
 }
 
+/// Search of one customer's queue for requests to divert.
+#[derive(Debug, Default)]
+struct Walk {
+    /// Work of the requests before `at` that remain, in seconds.
+    own: f64,
+    /// Position of the next request to consider.
+    at: usize,
+    /// Positions of the considered requests that may be repeated.
+    repeatable: Vec<usize>,
+    /// Position of the request to divert next.
+    chosen: Option<usize>,
+}
+
+impl Walk {
+    /// Goes on to the next request to divert.
+    fn advance(&mut self, lane: &Lane, service: Service, customers: &Others) {
+        self.chosen = None;
+        while self.chosen.is_none()
+            && let Some(entry) = lane.entries.get(self.at)
+        {
+            let left = entry.due().saturating_duration_since(service.now);
+            // What is served within `own` seconds includes the work of this customer.
+            let wait = service.wait(0.0, customers.served_within(self.own));
+            let needed = wait + entry.work.likely();
+            self.own += entry.work.mean;
+            if !entry.request.at_most_once {
+                self.repeatable.push(self.at);
+            }
+            if needed > left.as_secs_f64() {
+                let has_waited = entry.patience_end <= service.now;
+                let itself = (entry.request.at_most_once && has_waited).then_some(self.at);
+                self.chosen = self.repeatable.pop().or(itself);
+            }
+            self.at += 1;
+        }
+    }
+}
+
 /// Part of a queue.
 #[derive(Clone, Copy, Debug)]
 enum Group {
@@ -346,7 +384,8 @@
     /// worker. Returns their ids and workers.
     ///
     /// For each request that is expected to miss its target, one is chosen of those that are served until then: the last
-    /// one that may be repeated, otherwise the request itself once it has waited for half of its time to the target.
+    /// one that may be repeated, otherwise the request itself once it has waited for half of its time to the target. The
+    /// customer that got least comes first, and what is diverted counts as slot time that it got.
     pub(super) fn divert<W>(
         &mut self,
         service: Service,
@@ -354,49 +393,52 @@
         mut reserve: impl FnMut(&Request) -> Option<W>,
     ) -> Vec<(u64, W)> {
         let customers = Others::new(self.lanes.values().map(|lane| lane.work).collect());
+        let mut walks: BTreeMap<Option<u64>, Walk> = BTreeMap::new();
+        for (customer, lane) in &self.lanes {
+            let mut walk = Walk::default();
+            walk.advance(lane, service, &customers);
+            walks.insert(*customer, walk);
+        }
         let mut diverted = Vec::new();
         let mut skipped = 0;
-        'lanes: for lane in self.lanes.values_mut() {
-            let (mut own, mut at) = (0.0, 0);
-            let mut repeatable = Vec::new();
-            while let Some(entry) = lane.entries.get(at) {
-                let left = entry.due().saturating_duration_since(service.now);
-                // What is served within `own` seconds includes the work of this customer.
-                let wait = service.wait(0.0, customers.served_within(own));
-                let needed = wait + entry.work.likely();
-                own += entry.work.mean;
-                if !entry.request.at_most_once {
-                    repeatable.push(at);
-                }
-                at += 1;
-                if needed <= left.as_secs_f64() {
-                    continue;
-                }
-                let has_waited = entry.patience_end <= service.now;
-                let itself = (entry.request.at_most_once && has_waited).then_some(at - 1);
-                let Some(chosen) = repeatable.pop().or(itself) else {
-                    continue;
-                };
-                if diverted.len() >= most || skipped >= MAX_SKIPPED {
-                    break 'lanes;
-                }
-                let request = &lane.entries[chosen].request;
-                match reserve(request) {
-                    Some(worker) => {
-                        diverted.push((request.id, worker));
-                        own -= lane.remove(chosen).map_or(0.0, |entry| entry.work.mean);
-                        at -= 1;
+        while diverted.len() < most
+            && skipped < MAX_SKIPPED
+            && let Some((customer, chosen)) = self.next_diverted(&walks)
+        {
+            let Some(walk) = walks.get_mut(&customer) else {
+                break;
+            };
+            let request = &self.lanes[&customer].entries[chosen].request;
+            match reserve(request) {
+                Some(worker) => {
+                    diverted.push((request.id, worker));
+                    self.charge(customer, chosen);
+                    if let Some(entry) = self.remove(customer, chosen) {
+                        walk.own -= entry.work.mean;
+                        walk.at -= 1;
                     }
-                    None if request.tried.is_empty() => break 'lanes,
-                    None => skipped += 1,
                 }
+                None if request.tried.is_empty() => break,
+                None => skipped += 1,
+            }
+            match self.lanes.get(&customer) {
+                Some(lane) => walk.advance(lane, service, &customers),
+                None => walk.chosen = None,
             }
         }
-        self.len -= diverted.len();
-        self.lanes.retain(|_, lane| !lane.entries.is_empty());
         diverted
     }
 
+    /// Returns the position of the next request to divert, of the customer that got least.
+    fn next_diverted(&self, walks: &BTreeMap<Option<u64>, Walk>) -> Option<(Option<u64>, usize)> {
+        let chosen = walks.iter().filter_map(|(customer, walk)| {
+            let (lane, at) = (self.lanes.get(customer)?, walk.chosen?);
+            Some((lane.served, lane.entries[at].patience_end, *customer, at))
+        });
+        let least = chosen.min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+        least.map(|(.., customer, at)| (customer, at))
+    }
+
     /// Calls `reserve` for the queued requests in the order in which they are served, and removes those that get a
     /// worker. Returns their ids and workers, and whether all of the queue was considered.
     ///
@@ -465,6 +507,12 @@
             self.len -= 1;
             return;
         };
+        self.charge(customer, at);
+        self.remove(customer, at);
+    }
+
+    /// Counts the work of a request that gets a worker as slot time of its customer.
+    fn charge(&mut self, customer: Option<u64>, at: usize) {
         let lanes = f64::from(u32::try_from(self.lanes.len()).unwrap_or(u32::MAX));
         if let Some(lane) = self.lanes.get_mut(&customer) {
             let work = lane.entries[at].work.mean;
@@ -476,7 +524,6 @@
         self.served = least
             .reduce(f64::min)
             .map_or(self.served, |least| self.served.max(least));
-        self.remove(customer, at);
     }
 }
 
--- a/crates/routing/tests/schedule/overload.rs
+++ b/crates/routing/tests/schedule/overload.rs
@@ -430,6 +430,58 @@
     );
 }
 
+/// Returns a scheduler with 38 slots of regular workers in use, two free ones at a suspect worker, and queued requests of
+/// two customers with these times to their targets, and the time at which they came. The customer of a request is the lowest
+/// bit of its id.
+fn full_beside_a_suspect_worker(target_ms: [u64; 2]) -> (Scheduler, Instant) {
+    let start = Instant::now();
+    let mut scheduler = scheduler(start, 20, 1);
+    scheduler.set_floor(Some(0.7));
+    fail(&mut scheduler, start, &worker(0));
+    let now = start + Duration::from_millis(1_100);
+    fail(&mut scheduler, now, &worker(0));
+    for id in 0..98 {
+        let request = Request {
+            customer: Some(id % 2),
+            at_most_once: false,
+            target: now + Duration::from_millis(target_ms[usize::from(id % 2 == 1)]),
+            ..request(id, now, Rank::Top)
+        };
+        let decision = scheduler.offer(now, request);
+        assert!(!matches!(decision, Decision::Refuse(_)), "{id}");
+    }
+    (scheduler, now)
+}
+
+/// Returns the customers whose requests are sent, in ascending order.
+fn customers_of(actions: &[Action]) -> Vec<u64> {
+    let sent = actions.iter().map(|action| match action {
+        Action::Send(id, _) => id % 2,
+        Action::Refuse(..) => panic!("{actions:?}"),
+    });
+    let mut customers: Vec<u64> = sent.collect();
+    customers.sort_unstable();
+    customers
+}
+
+/// Guards against a customer whose requests get all attempts at a suspect worker because its hash is the lowest.
+#[test]
+fn customers_share_the_attempts_at_a_suspect_worker() {
+    let (mut scheduler, start) = full_beside_a_suspect_worker([400, 400]);
+    let now = start + Duration::from_millis(100);
+    assert_eq!(customers_of(&scheduler.tick(now)), [0, 1]);
+}
+
+/// Guards against a customer that gets as many free slots as another one in addition to its attempts at a suspect worker.
+#[test]
+fn attempts_at_a_suspect_worker_count_as_slot_time() {
+    let (mut scheduler, start) = full_beside_a_suspect_worker([400, 1_500]);
+    let now = start + Duration::from_millis(100);
+    assert_eq!(customers_of(&scheduler.tick(now)), [0, 0]);
+    let ended = [1, 2].map(|w| scheduler.finish(now, &worker(w), start, Outcome::Cancelled));
+    assert_eq!(customers_of(&ended.concat()), [1, 1]);
+}
+
 /// Guards against a lower rank whose requests are sent to a suspect worker that has room again before a higher one that waits
 /// for a slot.
 #[test]
