Give back the oldest permits first

Unused permits wait for the next message to their accountant. The newest 256 were sent first, so that the older ones came back late, when the accountant had forgotten their marks; and with 1024 waiting, newer ones were dropped.

The oldest are now sent first, and dropped when too many wait.

The new test returns 1030 permits and reads them in the messages.

--- a/crates/entry/src/gateway/quota/line.rs
+++ b/crates/entry/src/gateway/quota/line.rs
@@ -1,6 +1,6 @@
 //! Requests of an entry to one accountant. Those that arrive together travel in one message.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -24,7 +24,7 @@
 const MAX_CUSTOMERS: usize = 256;
 /// Unused permits in one message.
 const MAX_UNUSED: usize = 256;
-/// Unused permits that wait for a message; more are lost.
+/// Unused permits that wait for a message. Beyond that the oldest are lost, since accountants forget these first.
 const MAX_WAITING_UNUSED: usize = 4 * MAX_UNUSED;
 
 /// Answer to a request for one permit.
@@ -51,7 +51,8 @@
 #[derive(Debug, Default)]
 struct Queue {
     waiting: BTreeMap<Customer, Senders>,
-    unused: Vec<(Customer, u64)>,
+    /// Permits to give back, in the order in which they came.
+    unused: VecDeque<(Customer, u64)>,
     in_flight: usize,
 }
 
@@ -92,9 +93,10 @@
     /// Gives back a permit of a request that was not sent, with the next message.
     pub fn give_back(&self, customer: &Customer, stamp: u64) {
         let mut queue = self.queue();
-        if queue.unused.len() < MAX_WAITING_UNUSED {
-            queue.unused.push((customer.clone(), stamp));
+        if queue.unused.len() == MAX_WAITING_UNUSED {
+            queue.unused.pop_front();
         }
+        queue.unused.push_back((customer.clone(), stamp));
     }
 
     /// Sends messages until no request waits.
@@ -147,8 +149,8 @@
             queue.in_flight -= 1;
             return None;
         }
-        let kept = queue.unused.len().saturating_sub(MAX_UNUSED);
-        message.unused = queue.unused.split_off(kept);
+        let sent = queue.unused.len().min(MAX_UNUSED);
+        message.unused = queue.unused.drain(..sent).collect();
         Some((message, senders))
     }
 
--- a/crates/entry/tests/all/quota.rs
+++ b/crates/entry/tests/all/quota.rs
@@ -3,16 +3,18 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use chestnutvalve_entry::gateway::quota::accountants::Accountants;
-use chestnutvalve_entry::gateway::quota::message::{TAKE_PATH, Take, Taken};
+use chestnutvalve_entry::gateway::quota::line::{Answer, Line};
+use chestnutvalve_entry::gateway::quota::message::{Grant, TAKE_PATH, Take, Taken};
 use chestnutvalve_model::account::{Account, Key, Limit, Registry};
 use chestnutvalve_model::control::State;
 use chestnutvalve_model::directory::Member;
-use chestnutvalve_model::error::Kind;
+use chestnutvalve_model::error::{Fault, Kind};
 use chestnutvalve_model::id::{Customer, Entry as Id, Incarnation, Zone};
-use chestnutvalve_wire::Client;
+use chestnutvalve_wire::{Client, Router, Server};
 use futures_util::future::join_all;
 use tokio::net::TcpListener;
 use tokio::time::{Instant, sleep};
@@ -403,6 +405,38 @@
     assert_eq!((grant.granted, grant.stamp), (20, 0), "{grant:?}");
 }
 
+/// Guards against permits that come back too late because newer ones are always sent first, and against losing the newer
+/// ones, whose tokens are still due.
+#[tokio::test]
+async fn permits_are_given_back_in_order() {
+    let server = Server::bind("127.0.0.1:0".parse().unwrap()).await.unwrap();
+    let client = Client::new(server.address().unwrap());
+    let received: Arc<Mutex<Vec<Vec<u64>>>> = Arc::default();
+    let messages = Arc::clone(&received);
+    let router = Router::default().route(TAKE_PATH, move |message: Take| {
+        let stamps = message.unused.into_iter().map(|(_, stamp)| stamp);
+        messages.lock().unwrap().push(stamps.collect());
+        let grant = Grant {
+            granted: 1,
+            ..Grant::default()
+        };
+        async move { Ok::<_, Fault>(Taken::Permits(vec![grant])) }
+    });
+    let serving = tokio::spawn(server.serve(router));
+    let line = Arc::new(Line::new(client));
+    let customer = account().customer;
+    for stamp in 1..=1_030 {
+        line.give_back(&customer, stamp);
+    }
+    for _ in 0..5 {
+        let answer = line.ask(&customer).await;
+        assert_eq!(answer, Some(Answer::Granted(0)));
+    }
+    serving.abort();
+    let received = received.lock().unwrap().concat();
+    assert_eq!(received, (7..=1_030).collect::<Vec<u64>>());
+}
+
 fn member(number: u16, zone: &str, link_mbps: u32) -> Member {
     let address = SocketAddr::from(([127, 0, 0, 1], 1_000 + number));
     Member {
