--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,6 +3,6 @@
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-for name in slow_heads other_writer wider_heads pipelined_leave; do
-    rustc --edition 2024 -O -A dead_code -o "target/review-2/$name" "review/standins-2/$name.rs"
+for name in farewell first_seed slow_heads other_writer wider_heads pipelined_leave; do
+    rustc --edition 2024 -O -A dead_code -o "target/review-2/$name" "review/$name.rs"
 done
--- a/review/standins-2/support.rs
+++ b/review/support_2.rs
@@ -120,7 +120,8 @@
         self.address(CONTROL_PORT)
     }
 
-    fn start(&self, role: &str, seeds: &[SocketAddr]) -> u32 {
+    /// Writes the settings file of a role.
+    pub fn write_settings(&self, role: &str, seeds: &[SocketAddr]) -> PathBuf {
         let seeds: Vec<String> = seeds.iter().map(|s| format!("\"{s}\"")).collect();
         let listen = |port| self.address(port);
         let mut text = format!(
@@ -159,6 +160,12 @@
         );
         let path = self.folder.join(format!("{role}.toml"));
         fs::write(&path, text).expect("writing the settings");
+        path
+    }
+
+    /// Starts a role and returns the id of its process.
+    pub fn start(&self, role: &str, seeds: &[SocketAddr]) -> u32 {
+        let path = self.write_settings(role, seeds);
         let output = File::create(self.folder.join(format!("{role}.log"))).expect("creating a log");
         let errors = output.try_clone().expect("sharing a log");
         let child = Command::new("target/release/chestnutvalve-platform")
@@ -186,8 +193,8 @@
 }
 
 impl Fleet {
-    /// Starts the machines and waits until the configuration is in force everywhere and the lead time is over.
-    pub fn start(document: &str) -> Self {
+    /// Prepares machines with a disk and starts none.
+    pub fn prepare(count: u8) -> Self {
         let folder =
             std::env::temp_dir().join(format!("chestnutvalve-review-{}", std::process::id()));
         fs::create_dir_all(&folder).expect("creating the temporary folder");
@@ -208,18 +215,32 @@
                 folder,
             }
         };
-        let machines: Vec<Machine> = (1..=3).map(machine).collect();
-        let seeds: Vec<SocketAddr> = machines.iter().map(Machine::control).collect();
-        let controls = machines
+        Self {
+            machines: (1..=count).map(machine).collect(),
+            entries: Vec::new(),
+            controls: Vec::new(),
+        }
+    }
+
+    /// Starts both roles of all machines with the same seeds.
+    pub fn start_all(&mut self) {
+        let seeds: Vec<SocketAddr> = self.machines.iter().map(Machine::control).collect();
+        self.controls = self
+            .machines
             .iter()
             .map(|m| m.start("control", &seeds))
             .collect();
-        let entries = machines.iter().map(|m| m.start("entry", &seeds)).collect();
-        let fleet = Self {
-            machines,
-            entries,
-            controls,
-        };
+        self.entries = self
+            .machines
+            .iter()
+            .map(|m| m.start("entry", &seeds))
+            .collect();
+    }
+
+    /// Starts three machines and waits until the configuration is in force everywhere and the lead time is over.
+    pub fn start(document: &str) -> Self {
+        let mut fleet = Self::prepare(3);
+        fleet.start_all();
         let started = Instant::now();
         fleet.publish(document);
         for machine in &fleet.machines {
@@ -250,6 +271,15 @@
     }
 }
 
+/// Sends a signal to a process that the case started.
+pub fn signal(name: &str, process: u32) {
+    let sent = Command::new("kill")
+        .args([name, &process.to_string()])
+        .status();
+    assert!(sent.is_ok_and(|s| s.success()), "{name} could not be sent");
+    record(&format!("{name} to process {process}"));
+}
+
 /// Repeats `check` until it holds.
 pub fn until(what: &str, mut check: impl FnMut() -> bool) {
     let end = Instant::now() + Duration::from_secs(25);
@@ -404,6 +434,37 @@
         slots: u32,
         work: impl Fn(&str) -> Duration + Copy + Send + 'static,
         arrivals: &Arrivals,
+    ) -> Arc<Self> {
+        let worker = Self::listen(id, service, slots, work, arrivals);
+        worker.start_heartbeats(fleet);
+        worker
+    }
+
+    /// Sends a heartbeat every 1.5 s from now on.
+    fn start_heartbeats(self: &Arc<Self>, fleet: &Fleet) {
+        let (beating, controls) = (
+            Arc::clone(self),
+            fleet
+                .machines
+                .iter()
+                .map(Machine::control)
+                .collect::<Vec<_>>(),
+        );
+        thread::spawn(move || {
+            loop {
+                beating.beat(&controls);
+                sleep(Duration::from_millis(1_500));
+            }
+        });
+    }
+
+    /// Starts a worker that sends no heartbeats by itself.
+    pub fn listen(
+        id: &str,
+        service: &str,
+        slots: u32,
+        work: impl Fn(&str) -> Duration + Copy + Send + 'static,
+        arrivals: &Arrivals,
     ) -> Arc<Self> {
         let listener = TcpListener::bind("127.0.0.1:0").expect("binding a worker");
         let born = SystemTime::now()
@@ -432,20 +493,6 @@
                 });
             }
         });
-        let (beating, controls) = (
-            Arc::clone(&worker),
-            fleet
-                .machines
-                .iter()
-                .map(Machine::control)
-                .collect::<Vec<_>>(),
-        );
-        thread::spawn(move || {
-            loop {
-                beating.beat(&controls);
-                sleep(Duration::from_millis(1_500));
-            }
-        });
         worker
     }
 
