--- a/crates/control/src/daemon/instance.rs
+++ b/crates/control/src/daemon/instance.rs
@@ -390,7 +390,7 @@
             Event::Departed {
                 incarnation: None,
                 ..
-            }
+            } | Event::Ended { .. }
         );
         if !ends_any_incarnation
             && !self.is_stale()
--- a/crates/control/tests/all/cluster.rs
+++ b/crates/control/tests/all/cluster.rs
@@ -250,10 +250,11 @@
 /// Guards against a departure that a follower acknowledges without a record, because it has not applied the registration
 /// yet.
 #[rstest]
-#[case::of_an_incarnation(Some(Incarnation(1)))]
-#[case::of_any_incarnation(None)]
+#[case::of_an_incarnation(Event::Departed { worker: announcement().worker, incarnation: Some(Incarnation(1)) })]
+#[case::of_any_incarnation(Event::Departed { worker: announcement().worker, incarnation: None })]
+#[case::of_all_starts_so_far(Event::Ended { worker: announcement().worker, latest: Incarnation(0) })]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn a_follower_that_lags_records_a_departure(#[case] incarnation: Option<Incarnation>) {
+async fn a_follower_that_lags_records_a_departure(#[case] departed: Event) {
     let cluster = Cluster::start(3).await;
     let leader = cluster.leader().await;
     let leader = &cluster.running[leader].as_ref().expect("runs").instance;
@@ -263,10 +264,6 @@
     let announced = leader.record_worker_event(Event::Announced(announcement()));
     announced.await.expect("registered");
     assert!(registered(leader) && !registered(&follower.instance));
-    let departed = Event::Departed {
-        worker: announcement().worker,
-        incarnation,
-    };
     let recorded = follower.instance.record_worker_event(departed);
     let recorded = recorded.await;
     follower.disk_hangs.store(false, Ordering::Relaxed);
--- a/crates/model/src/upstream.rs
+++ b/crates/model/src/upstream.rs
@@ -95,6 +95,14 @@
         /// Highest incarnation that has ended.
         incarnation: Option<Incarnation>,
     },
+    /// A worker left without stating its incarnation, which is a start time: the registered one, and each that started by
+    /// `latest`, because its announcement may still arrive.
+    Ended {
+        /// Name of the worker.
+        worker: Worker,
+        /// Incarnation that a worker would have which started when the departure was received.
+        latest: Incarnation,
+    },
 }
 
 /// Workers that are registered, and those that departed recently.
@@ -115,6 +123,7 @@
         match self {
             Self::Announced(announcement) => announcement.check(),
             Self::Departed { incarnation, .. } => incarnation.map_or(Ok(()), check_incarnation),
+            Self::Ended { latest, .. } => check_incarnation(*latest),
         }
     }
 }
@@ -135,6 +144,9 @@
                 (None, Some(incarnation)) => !self.has_departed(worker, *incarnation),
                 (registered, None) => registered.is_some(),
             },
+            Event::Ended { worker, latest } => {
+                self.workers.contains_key(worker) || !self.has_departed(worker, *latest)
+            }
         }
     }
 
@@ -185,12 +197,16 @@
             Event::Departed {
                 worker,
                 incarnation,
-            } => {
-                let registered = self.workers.get(worker).map(|w| w.incarnation);
-                if let Some(last) = registered.max(*incarnation) {
-                    self.remove(worker.clone(), last);
-                }
-            }
+            } => self.depart(worker, *incarnation),
+            Event::Ended { worker, latest } => self.depart(worker, Some(*latest)),
+        }
+    }
+
+    /// Removes a worker and records that it has departed: the registered incarnation, `incarnation` and all earlier ones.
+    fn depart(&mut self, worker: &Worker, incarnation: Option<Incarnation>) {
+        let registered = self.workers.get(worker).map(|w| w.incarnation);
+        if let Some(last) = registered.max(incarnation) {
+            self.remove(worker.clone(), last);
         }
     }
 
--- a/crates/model/tests/upstream.rs
+++ b/crates/model/tests/upstream.rs
@@ -4,6 +4,7 @@
 
 use chestnutvalve_model::id::{Incarnation, Service, Worker, Zone};
 use chestnutvalve_model::upstream::{Announcement, Event, MAX_INCARNATION, Roster};
+use rstest::rstest;
 
 fn worker(name: &str) -> Worker {
     Worker::new(name).unwrap()
@@ -98,6 +99,49 @@
     assert!(known.would_change(&Event::Announced(announcement("a", 8, 1))));
 }
 
+fn ended(name: &str, latest: u64) -> Event {
+    let (worker, latest) = (worker(name), Incarnation(latest));
+    Event::Ended { worker, latest }
+}
+
+/// Guards against registering a worker whose announcement arrives after a departure that stated no incarnation: one that was never
+/// registered, and one that was registered only in an earlier incarnation.
+#[rstest]
+#[case::never_registered(None)]
+#[case::earlier_incarnation_registered(Some(3))]
+#[case::registered(Some(5))]
+fn a_departure_without_an_incarnation_is_final(#[case] registered: Option<u64>) {
+    let registered = registered.map(|i| Event::Announced(announcement("a", i, 1)));
+    let left = ended("a", 6);
+    let mut known = roster(registered.as_slice());
+    assert!(known.would_change(&left));
+    known.apply(&left);
+    assert!(known.workers.is_empty());
+    assert!(!known.would_change(&left));
+    assert!(!known.would_change(&Event::Announced(announcement("a", 5, 1))));
+    let mut leaving = announcement("a", 5, 1);
+    leaving.leaving = true;
+    assert!(!known.would_change(&Event::Announced(leaving)));
+}
+
+/// Guards against a departure without an incarnation that keeps out a later start under the same name, other workers, or a worker
+/// whose clock is ahead for good.
+#[test]
+fn a_departure_without_an_incarnation_ends_only_earlier_starts() {
+    let known = roster(&[ended("a", 6)]);
+    assert!(known.would_change(&Event::Announced(announcement("a", 7, 1))));
+    assert!(known.would_change(&Event::Announced(announcement("b", 5, 1))));
+    let mut known = roster(&[
+        Event::Announced(announcement("a", 8, 1)),
+        ended("a", 6),
+        ended("a", 7),
+    ]);
+    assert!(known.workers.is_empty());
+    assert!(!known.would_change(&Event::Announced(announcement("a", 8, 1))));
+    known.apply(&Event::Announced(announcement("a", 9, 1)));
+    assert_eq!(known.workers[&worker("a")].incarnation, Incarnation(9));
+}
+
 /// Guards against one worker whose repeated departures displace the records of all others.
 #[test]
 fn a_worker_has_one_record_of_its_departure() {
@@ -114,6 +158,8 @@
     assert!(departed("a", Some(MAX_INCARNATION.0)).check().is_ok());
     assert!(departed("a", Some(MAX_INCARNATION.0 + 1)).check().is_err());
     assert!(departed("a", None).check().is_ok());
+    assert!(ended("a", MAX_INCARNATION.0).check().is_ok());
+    assert!(ended("a", MAX_INCARNATION.0 + 1).check().is_err());
 }
 
 /// Guards against a delayed departure of an earlier incarnation that removes the registered one.
