--- a/crates/control/src/daemon/instance.rs
+++ b/crates/control/src/daemon/instance.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use chestnutvalve_model::config::Change;
-use chestnutvalve_model::control::{Heartbeat, HeartbeatReply};
+use chestnutvalve_model::control::{Heartbeat, HeartbeatReply, State};
 use chestnutvalve_model::error::{Fault, Kind};
 use chestnutvalve_model::routes::Publication;
 use chestnutvalve_model::upstream::Event;
@@ -384,18 +384,7 @@
     pub async fn record_worker_event(&self, event: Event) -> Result<(), Fault> {
         let checked = event.check();
         checked.map_err(|e| Fault::new(Kind::BadRequest, e.to_string()))?;
-        // A follower may not have applied the registration yet that a departure without an incarnation ends.
-        let ends_any_incarnation = matches!(
-            event,
-            Event::Departed {
-                incarnation: None,
-                ..
-            } | Event::Ended { .. }
-        );
-        if !ends_any_incarnation
-            && !self.is_stale()
-            && !self.store().state().roster.would_change(&event)
-        {
+        if !self.is_stale() && self.is_recorded(&event) {
             return Ok(());
         }
         let version: Version = self.propose(&Command::Workers(vec![event])).await?;
@@ -403,6 +392,18 @@
         Ok(())
     }
 
+    /// Returns whether an event of a worker is known to change nothing. This instance may lag behind, so that it ignores the end of a
+    /// worker only if that is recorded.
+    fn is_recorded(&self, event: &Event) -> bool {
+        let store = self.store();
+        let State { roster, routes, .. } = store.state();
+        if event.ends_worker() {
+            roster.records_end(event)
+        } else {
+            !roster.would_change(event, routes)
+        }
+    }
+
     /// Calls the leader of the config group and waits for its answer.
     ///
     /// # Errors
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -109,8 +109,9 @@
             }
             Ok(Command::Workers(events)) => {
                 for event in events {
-                    if self.state.roster.would_change(&event) {
-                        Arc::make_mut(&mut self.state.roster).apply(&event);
+                    let State { roster, routes, .. } = &mut self.state;
+                    if roster.would_change(&event, routes) {
+                        Arc::make_mut(roster).apply(&event, routes);
                         self.append_record(committed.term, Step::Worker(event), Vec::new());
                     }
                 }
--- a/crates/entry/tests/all/gateway.rs
+++ b/crates/entry/tests/all/gateway.rs
@@ -8,6 +8,7 @@
 
 use chestnutvalve_entry::gateway::observation::{Finding, Observation};
 use chestnutvalve_model::account::{Account, Key, Limit, Registry};
+use chestnutvalve_model::control::State;
 use chestnutvalve_model::id::{Customer, Incarnation, Service, Worker as Name, Zone};
 use chestnutvalve_model::rank::Rank;
 use chestnutvalve_model::routes::{Kind, Limits, Route, Share, Table, Target};
@@ -77,7 +78,8 @@
 
     pub fn register(&self, event: &Event) {
         let mut state = self.state.lock().unwrap();
-        Arc::make_mut(&mut state.roster).apply(event);
+        let State { roster, routes, .. } = &mut *state;
+        Arc::make_mut(roster).apply(event, routes);
         state.version.revision += 1;
     }
 }
@@ -210,9 +212,10 @@
     let published = async {
         sleep(Duration::from_millis(150)).await;
         let mut state = control.state.lock().unwrap();
+        let routes = table(1, vec![route("/", Kind::Idempotent)]);
         let roster = Arc::make_mut(&mut state.roster);
-        roster.apply(&announcement(&worker, 1, false));
-        state.routes = Arc::new(table(1, vec![route("/", Kind::Idempotent)]));
+        roster.apply(&announcement(&worker, 1, false), &routes);
+        state.routes = Arc::new(routes);
         state.version.revision += 1;
     };
     let (replies, ()) = tokio::join!(asked, published);
--- a/crates/model/src/control.rs
+++ b/crates/model/src/control.rs
@@ -123,7 +123,7 @@
             Step::Leave { entry, incarnation } => self.directory.leave(entry, *incarnation),
             Step::Resize { service, owners } => self.resize(service, *owners),
             Step::Routes(delta) => Arc::make_mut(&mut self.routes).apply(delta),
-            Step::Worker(event) => Arc::make_mut(&mut self.roster).apply(event),
+            Step::Worker(event) => Arc::make_mut(&mut self.roster).apply(event, &self.routes),
         }
         self.version = record.version;
         Ok(())
--- a/crates/model/src/routes.rs
+++ b/crates/model/src/routes.rs
@@ -299,6 +299,12 @@
 }
 
 impl Table {
+    /// Returns whether the table names a service.
+    #[must_use]
+    pub fn has_service(&self, service: &Service) -> bool {
+        self.services.contains_key(service)
+    }
+
     /// Returns the difference that turns this table into `next`.
     #[must_use]
     pub fn delta(&self, next: &Self) -> Delta {
--- a/crates/model/src/upstream.rs
+++ b/crates/model/src/upstream.rs
@@ -8,6 +8,7 @@
 
 use crate::config::Invalid;
 use crate::id::{Incarnation, Service, Worker, Zone};
+use crate::routes::Table;
 
 /// Max departed workers that are kept to recognize late announcements. At 13,000 restarts a day they cover about seven
 /// hours.
@@ -106,6 +107,10 @@
 }
 
 /// Workers that are registered, and those that departed recently.
+///
+/// A worker of a service that the routing table does not name is registered too, because the table may name it later. Its
+/// announcement may come from a sender that uses the address or the name of another worker, so that it displaces no worker until its
+/// service is named and it announces itself again, and keeps out no worker of a named service.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct Roster {
     /// Workers by name.
@@ -126,6 +131,15 @@
             Self::Ended { latest, .. } => check_incarnation(*latest),
         }
     }
+
+    /// Returns whether the worker takes no new requests once the event is recorded.
+    #[must_use]
+    pub fn ends_worker(&self) -> bool {
+        match self {
+            Self::Announced(announcement) => announcement.leaving,
+            Self::Departed { .. } | Self::Ended { .. } => true,
+        }
+    }
 }
 
 impl Roster {
@@ -133,19 +147,55 @@
     ///
     /// The departure of an incarnation that is not registered does, because its announcement may still arrive.
     #[must_use]
-    pub fn would_change(&self, event: &Event) -> bool {
+    pub fn would_change(&self, event: &Event, table: &Table) -> bool {
+        if let Event::Announced(new) = event {
+            return self.accepts(new, table);
+        }
+        let Some((worker, last)) = self.departure(event, table) else {
+            return false;
+        };
+        match self.workers.get(worker) {
+            Some(registered) if ends(event, last, registered) => true,
+            Some(registered) if table.has_service(&registered.service) => false,
+            _ => !self.has_departed(worker, last),
+        }
+    }
+
+    /// Returns whether the end of a worker that the event states is recorded. An instance that lags may not know which other events
+    /// change nothing.
+    #[must_use]
+    pub fn records_end(&self, event: &Event) -> bool {
         match event {
-            Event::Announced(new) => self.accepts(new),
+            Event::Announced(new) if new.leaving => {
+                let registered = self.workers.get(&new.worker);
+                let is_leaving = |w: &Announcement| w.incarnation == new.incarnation && w.leaving;
+                registered.is_some_and(is_leaving)
+                    || self.has_departed(&new.worker, new.incarnation)
+            }
+            Event::Departed {
+                worker,
+                incarnation: Some(incarnation),
+            } => self.has_departed(worker, *incarnation),
+            Event::Announced(_) | Event::Departed { .. } | Event::Ended { .. } => false,
+        }
+    }
+
+    /// Returns the worker that an event ends, and the last incarnation that has ended.
+    fn departure<'a>(&self, event: &'a Event, table: &Table) -> Option<(&'a Worker, Incarnation)> {
+        match event {
+            Event::Announced(_) => None,
             Event::Departed {
                 worker,
                 incarnation,
-            } => match (self.workers.get(worker), incarnation) {
-                (Some(registered), Some(incarnation)) => *incarnation >= registered.incarnation,
-                (None, Some(incarnation)) => !self.has_departed(worker, *incarnation),
-                (registered, None) => registered.is_some(),
-            },
+            } => {
+                let registered = self.workers.get(worker).map(|w| w.incarnation);
+                Some((worker, incarnation.or(registered)?))
+            }
             Event::Ended { worker, latest } => {
-                self.workers.contains_key(worker) || !self.has_departed(worker, *latest)
+                let registered = self.workers.get(worker);
+                let configured = registered.filter(|w| table.has_service(&w.service));
+                let last = configured.map_or(*latest, |w| w.incarnation.max(*latest));
+                Some((worker, last))
             }
         }
     }
@@ -156,67 +206,100 @@
         departed.any(|(name, departed)| name == worker && *departed >= incarnation)
     }
 
-    fn accepts(&self, new: &Announcement) -> bool {
+    /// Returns the other workers that are registered at the address of `new`.
+    fn others_at_address(&self, new: &Announcement) -> impl Iterator<Item = &Announcement> {
+        let others = self.workers.values();
+        others.filter(|w| w.address == new.address && w.worker != new.worker)
+    }
+
+    fn accepts(&self, new: &Announcement, table: &Table) -> bool {
         if self.has_departed(&new.worker, new.incarnation) {
             return false;
         }
+        let is_configured = table.has_service(&new.service);
         // A later worker may reuse the address of a departed one, whose own late announcements are ignored.
-        let mut others = self.workers.values().filter(|w| w.worker != new.worker);
-        if others.any(|w| w.address == new.address && w.incarnation > new.incarnation) {
-            return false;
-        }
-        match self.workers.get(&new.worker) {
-            None => true,
-            Some(registered) if registered.incarnation != new.incarnation => {
-                new.incarnation > registered.incarnation
+        let holds_address = |w: &Announcement| {
+            w.incarnation > new.incarnation && (!is_configured || table.has_service(&w.service))
+        };
+        let mut displaces = false;
+        for other in self.others_at_address(new) {
+            if holds_address(other) {
+                return false;
             }
-            // Leaving is final for one incarnation, because announcements may arrive late.
-            Some(registered) if registered.leaving => false,
-            Some(registered) => !registered.is_equivalent(new),
+            displaces |= is_configured && is_earlier(other, new);
+        }
+        let Some(registered) = self.workers.get(&new.worker) else {
+            return true;
+        };
+        match (is_configured, table.has_service(&registered.service)) {
+            (true, false) => return true,
+            (false, true) => return false,
+            _ => {}
         }
+        if registered.incarnation != new.incarnation {
+            return new.incarnation > registered.incarnation;
+        }
+        // Leaving is final for one incarnation, because announcements may arrive late.
+        if registered.leaving {
+            return false;
+        }
+        displaces || !registered.is_equivalent(new)
     }
 
     /// Applies an event; one that would change nothing is ignored.
-    pub fn apply(&mut self, event: &Event) {
-        if !self.would_change(event) {
+    pub fn apply(&mut self, event: &Event, table: &Table) {
+        if !self.would_change(event, table) {
             return;
         }
-        match event {
-            Event::Announced(new) => {
-                let has_address =
-                    |w: &Announcement| w.address == new.address && w.worker != new.worker;
-                let replaced = self.workers.values().filter(|w| has_address(w));
-                let replaced: Vec<_> = replaced
-                    .map(|w| (w.worker.clone(), w.incarnation))
-                    .collect();
-                for (worker, incarnation) in replaced {
-                    self.remove(worker, incarnation);
-                }
-                self.workers.insert(new.worker.clone(), new.clone());
+        if let Event::Announced(new) = event {
+            if table.has_service(&new.service) {
+                self.displace_earlier(new);
             }
-            Event::Departed {
-                worker,
-                incarnation,
-            } => self.depart(worker, *incarnation),
-            Event::Ended { worker, latest } => self.depart(worker, Some(*latest)),
+            self.workers.insert(new.worker.clone(), new.clone());
+        } else if let Some((worker, last)) = self.departure(event, table) {
+            let registered = self.workers.get(worker);
+            if registered.is_some_and(|registered| ends(event, last, registered)) {
+                self.workers.remove(worker);
+            }
+            self.record_departed(worker.clone(), last);
         }
     }
 
-    /// Removes a worker and records that it has departed: the registered incarnation, `incarnation` and all earlier ones.
-    fn depart(&mut self, worker: &Worker, incarnation: Option<Incarnation>) {
-        let registered = self.workers.get(worker).map(|w| w.incarnation);
-        if let Some(last) = registered.max(incarnation) {
-            self.remove(worker.clone(), last);
+    /// Removes the workers that were at the address of `new` before, which have departed.
+    fn displace_earlier(&mut self, new: &Announcement) {
+        let others = self.others_at_address(new);
+        let earlier = others.filter(|w| is_earlier(w, new));
+        let earlier: Vec<_> = earlier.map(|w| (w.worker.clone(), w.incarnation)).collect();
+        for (worker, incarnation) in earlier {
+            self.workers.remove(&worker);
+            self.record_departed(worker, incarnation);
         }
     }
 
-    /// Removes a worker and records that `incarnation` and earlier ones have departed.
-    fn remove(&mut self, worker: Worker, incarnation: Incarnation) {
-        self.workers.remove(&worker);
-        self.departed.retain(|(name, _)| *name != worker);
-        self.departed.push_back((worker, incarnation));
+    /// Records that `incarnation` of a worker and earlier ones have departed.
+    fn record_departed(&mut self, worker: Worker, incarnation: Incarnation) {
+        let mut last = incarnation;
+        self.departed.retain(|(name, departed)| {
+            let is_other = *name != worker;
+            if !is_other {
+                last = last.max(*departed);
+            }
+            is_other
+        });
+        self.departed.push_back((worker, last));
         if self.departed.len() > MAX_DEPARTED {
             self.departed.pop_front();
         }
     }
 }
+
+/// Returns whether a worker was at the address of `new` before it.
+fn is_earlier(worker: &Announcement, new: &Announcement) -> bool {
+    worker.incarnation <= new.incarnation
+}
+
+/// Returns whether a departure that covers incarnations up to `last` ends a registered one. One without an incarnation ends it even
+/// if its clock is ahead.
+fn ends(event: &Event, last: Incarnation, registered: &Announcement) -> bool {
+    registered.incarnation <= last || matches!(event, Event::Ended { .. })
+}
--- a/crates/model/tests/upstream.rs
+++ b/crates/model/tests/upstream.rs
@@ -1,8 +1,10 @@
 //! Registered workers: late, repeated and conflicting announcements.
 
 use std::net::SocketAddr;
+use std::ops::Deref;
 
 use chestnutvalve_model::id::{Incarnation, Service, Worker, Zone};
+use chestnutvalve_model::routes::{Table, Target};
 use chestnutvalve_model::upstream::{Announcement, Event, MAX_INCARNATION, Roster};
 use rstest::rstest;
 
@@ -30,8 +32,45 @@
     }
 }
 
-fn roster(events: &[Event]) -> Roster {
-    let mut roster = Roster::default();
+/// Returns a table that names services.
+fn table(services: &[&str]) -> Table {
+    let target = || Target {
+        health: "/healthz".to_owned(),
+        max_connections: 100,
+    };
+    let services = services
+        .iter()
+        .map(|s| (Service::new(s).unwrap(), target()));
+    Table {
+        services: services.collect(),
+        ..Table::default()
+    }
+}
+
+/// Roster under a table that names the service of [`announcement`].
+#[derive(Default)]
+struct Known(Roster);
+
+impl Known {
+    fn would_change(&self, event: &Event) -> bool {
+        self.0.would_change(event, &table(&["lookup"]))
+    }
+
+    fn apply(&mut self, event: &Event) {
+        self.0.apply(event, &table(&["lookup"]));
+    }
+}
+
+impl Deref for Known {
+    type Target = Roster;
+
+    fn deref(&self) -> &Roster {
+        &self.0
+    }
+}
+
+fn roster(events: &[Event]) -> Known {
+    let mut roster = Known::default();
     for event in events {
         roster.apply(event);
     }
@@ -80,7 +119,7 @@
 fn a_departure_before_the_first_announcement_is_final() {
     let left = departed("a", Some(5));
     let known = roster(std::slice::from_ref(&left));
-    assert!(Roster::default().would_change(&left));
+    assert!(Known::default().would_change(&left));
     assert!(!known.would_change(&left));
     assert!(!known.would_change(&Event::Announced(announcement("a", 5, 1))));
     assert!(!known.would_change(&Event::Announced(announcement("a", 4, 1))));
@@ -187,3 +226,140 @@
     // An older worker that was never registered can't take the address either.
     assert!(!known.would_change(&Event::Announced(announcement("older", 4, 1))));
 }
+
+/// Returns the announcement of a worker of `service`.
+fn of_service(service: &str, name: &str, incarnation: u64, port: u16) -> Announcement {
+    Announcement {
+        service: Service::new(service).unwrap(),
+        ..announcement(name, incarnation, port)
+    }
+}
+
+/// Returns the names and services of the registered workers.
+fn names(roster: &Roster) -> Vec<(&str, &str)> {
+    let workers = roster.workers.values();
+    workers
+        .map(|w| (w.worker.as_str(), w.service.as_str()))
+        .collect()
+}
+
+/// Guards against a worker that is lost to an announcement of a service that the table does not name: one that uses its address, its
+/// name or both, with any incarnation, before or after its own.
+#[rstest]
+fn a_worker_holds_against_a_service_that_is_not_named(
+    #[values("a", "other")] name: &str,
+    #[values(4, 5, 6)] incarnation: u64,
+    #[values(1, 2)] port: u16,
+    #[values(false, true)] leaving: bool,
+    #[values(false, true)] comes_first: bool,
+) {
+    let own = Event::Announced(announcement("a", 5, 1));
+    let foreign = Event::Announced(Announcement {
+        leaving,
+        ..of_service("old-name", name, incarnation, port)
+    });
+    let mut events = [
+        own.clone(),
+        foreign.clone(),
+        own.clone(),
+        foreign,
+        own.clone(),
+    ];
+    if comes_first {
+        events.reverse();
+        events.rotate_left(1);
+    }
+    let mut known = roster(&events);
+    assert_eq!(known.workers[&worker("a")], announcement("a", 5, 1));
+    assert!(!known.would_change(&own));
+    let mut left = announcement("a", 5, 1);
+    left.leaving = true;
+    assert!(known.would_change(&Event::Announced(left)));
+    known.apply(&departed("a", Some(5)));
+    assert!(!known.would_change(&own));
+    assert!(known.would_change(&Event::Announced(announcement("a", 6, 1))));
+}
+
+/// Guards against a departure that leaves no record because a service that is not named has announced a later start.
+#[rstest]
+#[case::with_an_incarnation(departed("a", Some(5)))]
+#[case::without(ended("a", 5))]
+fn a_departure_is_recorded_beside_a_service_that_is_not_named(#[case] left: Event) {
+    let mut known = roster(&[
+        Event::Announced(of_service("old-name", "a", 9, 1)),
+        left.clone(),
+    ]);
+    assert!(!known.would_change(&left));
+    assert!(!known.would_change(&Event::Announced(announcement("a", 5, 1))));
+    known.apply(&Event::Announced(announcement("a", 6, 1)));
+    assert_eq!(names(&known), [("a", "lookup")]);
+}
+
+/// Guards against an instance that lags and acknowledges the end of a worker because its state ignores the event.
+#[test]
+fn the_end_of_a_worker_counts_as_recorded_only_with_its_record() {
+    let mut leaving = announcement("a", 5, 1);
+    leaving.leaving = true;
+    let leaving = Event::Announced(leaving);
+    let later = Event::Announced(announcement("a", 6, 1));
+    let known = roster(&[later]);
+    let ends = [
+        leaving.clone(),
+        departed("a", Some(5)),
+        departed("a", None),
+        ended("a", 5),
+    ];
+    assert!(
+        ends.iter()
+            .all(|event| event.ends_worker() && !known.records_end(event))
+    );
+    assert!(roster(std::slice::from_ref(&leaving)).records_end(&leaving));
+    let known = roster(&[ended("a", 5)]);
+    assert!(known.records_end(&leaving) && known.records_end(&departed("a", Some(5))));
+}
+
+/// Guards against a record of a departure that an earlier time replaces.
+#[test]
+fn a_departure_is_not_forgotten_with_a_later_one_of_an_earlier_time() {
+    let known = roster(&[
+        ended("a", 9),
+        Event::Announced(of_service("old-name", "a", 10, 1)),
+        ended("a", 5),
+    ]);
+    assert!(!known.would_change(&Event::Announced(announcement("a", 9, 1))));
+}
+
+/// Guards against a worker that is ignored because it announced itself before the table named its service, also at an address that a
+/// worker of another service had.
+#[test]
+fn a_worker_may_announce_itself_before_its_service_is_named() {
+    let early = Event::Announced(of_service("new-name", "b", 6, 1));
+    let mut known = roster(&[Event::Announced(announcement("a", 5, 1)), early.clone()]).0;
+    assert_eq!(names(&known), [("a", "lookup"), ("b", "new-name")]);
+    let named = table(&["lookup", "new-name"]);
+    assert!(known.would_change(&early, &named));
+    known.apply(&early, &named);
+    assert_eq!(names(&known), [("b", "new-name")]);
+    assert!(!known.would_change(&early, &named));
+    let late = Event::Announced(announcement("a", 5, 1));
+    assert!(!known.would_change(&late, &named));
+}
+
+/// Guards against workers that displace each other before the first table, and against one that is kept out afterwards.
+#[test]
+fn the_first_table_decides_between_workers_at_one_address() {
+    let none = Table::default();
+    let own = Event::Announced(announcement("a", 5, 1));
+    let foreign = Event::Announced(of_service("old-name", "other", 6, 1));
+    let mut known = Roster::default();
+    for event in [&own, &foreign, &own] {
+        known.apply(event, &none);
+    }
+    assert!(known.workers.contains_key(&worker("a")));
+    let mut known = Roster::default();
+    for event in [&foreign, &own] {
+        known.apply(event, &none);
+    }
+    known.apply(&own, &table(&["lookup"]));
+    assert!(known.workers.contains_key(&worker("a")));
+}
