--- a/crates/entry/src/exchange.rs
+++ b/crates/entry/src/exchange.rs
@@ -119,6 +119,11 @@
                 return Err(failure);
             }
             Ok(Err(SendError::Broken(error))) => return Err(broken(call, Stage::Sent, &error)),
+            Ok(Err(SendError::NoResponse(status))) => {
+                let status = status.as_u16();
+                let context = format!("the peer sent status {status}, expected 200 to 599");
+                return Err(truncation_error(context));
+            }
             Err(_) => return Err(timeout_error(Stage::Sent)),
         };
         return receive(call, lease, response, dispatched).await;
--- a/crates/entry/src/gateway/attempt.rs
+++ b/crates/entry/src/gateway/attempt.rs
@@ -141,6 +141,13 @@
                     "the exchange with the worker failed: {error}"
                 )));
             }
+            Ok(Err(SendError::NoResponse(status))) => {
+                reservation.finish(Outcome::Failure);
+                return Err(AttemptError::Unknown(format!(
+                    "the worker sent status {}, expected 200 to 599",
+                    status.as_u16()
+                )));
+            }
             Err(_) => {
                 reservation.finish(Outcome::Failure);
                 return Err(AttemptError::Timeout);
--- a/crates/entry/src/pool.rs
+++ b/crates/entry/src/pool.rs
@@ -4,10 +4,11 @@
 
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use http::{Request, Response};
+use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
@@ -86,6 +87,10 @@
     pub reused: bool,
 }
 
+/// Statuses of a response. The HTTP library skips interim responses, except for 101, which no request asks for, and accepts
+/// numbers that are no status.
+const RESPONSE_STATUSES: RangeInclusive<u16> = 200..=599;
+
 /// Error of a request that got no response.
 #[derive(Debug)]
 pub enum SendError {
@@ -93,6 +98,8 @@
     NotSent(Box<Request<Replay>>),
     /// The connection failed after the request may have been sent.
     Broken(hyper::Error),
+    /// The peer sent something that is no response to the request: its status is not one of [`RESPONSE_STATUSES`].
+    NoResponse(StatusCode),
 }
 
 impl Pool {
@@ -244,16 +251,23 @@
     ///
     /// # Errors
     ///
-    /// Returns the request if nothing of it was sent, and otherwise the error of the connection.
+    /// Returns the request if nothing of it was sent, and otherwise the error of the connection or the status that is none of a
+    /// response.
     pub async fn send(
         &mut self,
         request: Request<Replay>,
     ) -> Result<Response<Incoming>, SendError> {
         let sent = self.sender.try_send_request(request).await;
-        sent.map_err(|mut error| match error.take_message() {
+        let response = sent.map_err(|mut error| match error.take_message() {
             Some(request) => SendError::NotSent(Box::new(request)),
             None => SendError::Broken(error.into_error()),
-        })
+        })?;
+        let status = response.status();
+        if RESPONSE_STATUSES.contains(&status.as_u16()) {
+            Ok(response)
+        } else {
+            Err(SendError::NoResponse(status))
+        }
     }
 }
 
--- a/crates/entry/tests/all/faulty.rs
+++ b/crates/entry/tests/all/faulty.rs
@@ -122,6 +122,90 @@
     assert_eq!(reply.header("chestnutvalve-executed"), "unknown");
 }
 
+/// Guards against bytes of a worker that reach a caller as the response, with the worker's signature, although their status is none of
+/// a response.
+#[rstest]
+#[tokio::test]
+async fn a_number_that_is_no_status_is_not_a_response(
+    #[values("000", "099", "101", "600", "799", "999")] status: &'static str,
+) {
+    let worker = Worker::start("w1", move |seen| {
+        let head = HEAD.replace("200", status).replace("ID", id(seen));
+        vec![write(&format!("{head}content-length: 2\r\n\r\nok"))]
+    })
+    .await;
+    let (_control, entry) = fleet(&[&worker]).await;
+    let reply = ask_as(&entry, "/once/x", "first").await;
+    assert_eq!(
+        (reply.status, reply.header("chestnutvalve-executed")),
+        (502, "unknown")
+    );
+    assert_eq!(reply.header("chestnutvalve-signature"), "");
+    assert_eq!(worker.count(), 1);
+    // A claim of the same bytes that the request was not executed doesn't count either.
+    let refusing = Worker::start("w1", move |_| {
+        let line = format!("HTTP/1.1 {status} X\r\nchestnutvalve-not-executed: 1\r\n");
+        vec![write(&format!("{line}content-length: 0\r\n\r\n"))]
+    })
+    .await;
+    let (_control, entry) = fleet(&[&refusing]).await;
+    let reply = ask_as(&entry, "/once/x", "first").await;
+    assert_eq!(
+        (reply.status, reply.header("chestnutvalve-executed")),
+        (502, "unknown")
+    );
+}
+
+/// Guards against the same fault at the listener that proxies requests by service.
+#[rstest]
+#[tokio::test]
+async fn the_proxy_passes_on_no_number_that_is_no_status(
+    #[values("000", "101", "600", "999")] status: &'static str,
+) {
+    let (_control, entry) = start_single().await;
+    let mut worker = Worker::start("w1", move |_| {
+        vec![write(&format!(
+            "HTTP/1.1 {status} X\r\ncontent-length: 2\r\n\r\nok"
+        ))]
+    })
+    .await;
+    worker.announce(entry.platform, "rationdesk").await;
+    let reply = send(entry.callers, "POST", "/", &[SERVICE], b"x").await;
+    let reply = reply.unwrap();
+    assert_eq!(
+        (reply.status, reply.header("chestnutvalve-executed")),
+        (502, "unknown")
+    );
+    assert_eq!(worker.count(), 1);
+}
+
+/// Guards against refusing what is a response: one after interim responses, and one with an unusual status.
+#[rstest]
+#[case::after_interim_responses(
+    "HTTP/1.1 100 X\r\n\r\nHTTP/1.1 103 X\r\nlink: x\r\n\r\n",
+    "200",
+    200
+)]
+#[case::redirect("", "399", 399)]
+#[case::last_client_error("", "499", 499)]
+#[case::last_status("", "599", 599)]
+#[tokio::test]
+async fn every_final_status_is_passed_on(
+    #[case] before: &'static str,
+    #[case] status: &'static str,
+    #[case] expected: u16,
+) {
+    let worker = Worker::start("w1", move |seen| {
+        let head = HEAD.replace("200", status).replace("ID", id(seen));
+        vec![write(&format!("{before}{head}content-length: 2\r\n\r\nok"))]
+    })
+    .await;
+    let (_control, entry) = fleet(&[&worker]).await;
+    let reply = ask_as(&entry, "/once/x", "first").await;
+    assert_eq!((reply.status, &reply.body[..]), (expected, &b"ok"[..]));
+    assert_eq!(reply.header("chestnutvalve-signature"), "s");
+}
+
 /// Guards against a success that a caller receives although the worker stopped within the head of its response.
 #[rstest]
 #[case::status("HTTP/1.1 200")]
