Check for abandoned request bodies, and give new connections time

The timer now checks once a second whether such a body is still received, and a new connection has the longer of the idle and the head timeout.

--- a/crates/entry/src/gateway/connection.rs
+++ b/crates/entry/src/gateway/connection.rs
@@ -34,6 +34,9 @@
 /// Time after which a caller whose request was given up may come back: the budget has room again after a few responses.
 const GIVEN_UP_RETRY_AFTER: Duration = Duration::from_millis(600);
 
+/// Interval of the checks whether the body of an answered request is still received.
+const RECEIPT_CHECK_INTERVAL: Duration = Duration::from_secs(1);
+
 /// What concerns all connections of the gateway.
 #[derive(Debug)]
 pub struct Signals {
@@ -240,19 +243,22 @@
     let idle_timeout = Duration::from_millis(limits.idle_ms);
     poll_fn(|cx| {
         loop {
-            if holder.receipt() == Receipt::Partial {
-                // What was read belongs to the body of an answered request.
+            let deadline = if holder.receipt() == Receipt::Partial {
+                // What was read belongs to the body of an answered request. Nothing tells this task when its receipt ends.
                 activity.discard_head();
-                return Poll::Pending;
-            }
-            let Some(deadline) = activity.deadline(head_timeout, idle_timeout) else {
-                return Poll::Pending;
+                None
+            } else {
+                match activity.deadline(head_timeout, idle_timeout) {
+                    None => return Poll::Pending,
+                    deadline => deadline,
+                }
             };
-            if deadline < timer.deadline() || timer.is_elapsed() {
-                timer.as_mut().reset(deadline);
+            let wake_at = deadline.unwrap_or_else(|| Instant::now() + RECEIPT_CHECK_INTERVAL);
+            if wake_at < timer.deadline() || timer.is_elapsed() {
+                timer.as_mut().reset(wake_at);
             }
             ready!(timer.as_mut().poll(cx));
-            if Instant::now() >= deadline {
+            if deadline.is_some_and(|deadline| Instant::now() >= deadline) {
                 return Poll::Ready(());
             }
         }
--- a/crates/entry/src/socket.rs
+++ b/crates/entry/src/socket.rs
@@ -51,14 +51,23 @@
 struct Record {
     last_read: Instant,
     last_write: Instant,
-    /// Whether a request was received and its response has not ended.
-    is_busy: bool,
+    phase: Phase,
     /// Whether the library may hold bytes that it has not written.
     is_unflushed: bool,
     /// When the first bytes after the last response were read.
     head_since: Option<Instant>,
-    /// Whether the write side was shut down.
-    is_shut_down: bool,
+}
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Phase {
+    /// No request was received yet.
+    New,
+    /// A request was received and its response has not ended.
+    Busy,
+    /// The last response has ended.
+    Idle,
+    /// The write side was shut down.
+    ShutDown,
 }
 
 impl Activity {
@@ -67,10 +76,9 @@
         Self(Arc::new(Mutex::new(Record {
             last_read: now,
             last_write: now,
-            is_busy: false,
+            phase: Phase::New,
             is_unflushed: false,
             head_since: None,
-            is_shut_down: false,
         })))
     }
 
@@ -87,13 +95,15 @@
     /// Records that the head of a request was received.
     pub fn begin_request(&self) {
         let mut record = self.lock();
-        record.is_busy = true;
+        record.phase = Phase::Busy;
         record.head_since = None;
     }
 
     fn end_request(&self) {
         let mut record = self.lock();
-        record.is_busy = false;
+        if record.phase == Phase::Busy {
+            record.phase = Phase::Idle;
+        }
         record.last_write = Instant::now();
     }
 
@@ -101,7 +111,7 @@
         let now = Instant::now();
         let mut record = self.lock();
         record.last_read = now;
-        if !record.is_busy {
+        if record.phase != Phase::Busy {
             record.head_since.get_or_insert(now);
         }
     }
@@ -121,22 +131,25 @@
     #[must_use]
     pub fn is_idle(&self) -> bool {
         let record = self.lock();
-        !record.is_busy && !record.is_unflushed && !record.is_shut_down
+        matches!(record.phase, Phase::New | Phase::Idle) && !record.is_unflushed
     }
 
-    /// Returns when the connection has to be closed: the head of a request must be received in `head_timeout`, and begin
-    /// within `idle_timeout` after the last response. Neither applies while a request is in progress or the connection is being closed.
+    /// Returns when the connection has to be closed: the head of a request must be received in `head_timeout`, and begin within
+    /// `idle_timeout` after the last response; on a new connection, within the longer of both. Neither applies while a request is in
+    /// progress or the connection is being closed.
     #[must_use]
     pub fn deadline(&self, head_timeout: Duration, idle_timeout: Duration) -> Option<Instant> {
         let record = self.lock();
-        if record.is_busy || record.is_shut_down {
-            return None;
-        }
+        let timeout = match record.phase {
+            Phase::Busy | Phase::ShutDown => return None,
+            Phase::New => idle_timeout.max(head_timeout),
+            Phase::Idle => idle_timeout,
+        };
         let idle_since = record.last_read.max(record.last_write);
         Some(
             record
                 .head_since
-                .map_or(idle_since + idle_timeout, |since| since + head_timeout),
+                .map_or(idle_since + timeout, |since| since + head_timeout),
         )
     }
 }
@@ -332,7 +345,7 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        self.activity.lock().is_shut_down = true;
+        self.activity.lock().phase = Phase::ShutDown;
         if self.linger.is_none() {
             ready!(self.stream()?.poll_shutdown(cx))?;
         }
--- a/crates/entry/tests/all/limits.rs
+++ b/crates/entry/tests/all/limits.rs
@@ -331,6 +331,38 @@
     assert!(caller.wait_for_end().await < Duration::from_millis(300) + NOTICE_TIME);
 }
 
+/// Guards against a connection that is closed before its first request could arrive.
+#[tokio::test]
+async fn a_new_connection_has_time_for_its_first_request() {
+    let limits = Limits {
+        idle_ms: 0,
+        head_ms: 1_000,
+        ..LIMITS
+    };
+    let (_control, entry, _worker) = start(limits, success).await;
+    let mut caller = Caller::connect(&entry).await;
+    sleep(NOTICE_TIME).await;
+    assert_eq!(caller.ask("id-1", 1, "").await, Some(200));
+    assert!(caller.wait_for_end().await < NOTICE_TIME);
+}
+
+/// Guards against a connection that stays open for good because the rest of the body of an answered request never comes.
+#[tokio::test]
+async fn a_body_that_never_ends_keeps_no_connection_open() {
+    let limits = Limits {
+        idle_ms: 1_000,
+        ..LIMITS
+    };
+    let worker = Worker::start_early("w1", |seen| answer(seen, 200, "", "ok"), success).await;
+    let (control, entry) = fleet(&[&worker]).await;
+    set_limits(&control, &entry, limits).await;
+    let mut caller = Caller::connect(&entry).await;
+    let head = "POST /x HTTP/1.1\r\nhost: a.example\r\nchestnutvalve-attempt: id-1\r\ncontent-length: 9\r\n\r\n";
+    caller.send(head).await;
+    assert_eq!(caller.status().await.unwrap(), Some(200));
+    caller.wait_for_end().await;
+}
+
 /// Guards against cutting off the body of a request to which the worker has responded early.
 #[tokio::test]
 async fn the_rest_of_a_body_is_read_after_an_early_response() {
