--- a/crates/entry/tests/all/limits.rs
+++ b/crates/entry/tests/all/limits.rs
@@ -3,6 +3,7 @@
 use std::io;
 use std::time::Duration;
 
+use chestnutvalve_entry::holding::{Holder, Receipt};
 use chestnutvalve_model::routes::{Kind, Limits};
 use rstest::rstest;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -238,6 +239,23 @@
     assert!(ids.into_iter().all(|id| id == "id-1"), "{seen:?}");
 }
 
+/// Guards against the rest of a body that counts as received: nobody receives it, or an earlier body ends after the next request began.
+#[test]
+fn a_body_is_whole_only_once_it_was_received() {
+    let holder = Holder::default();
+    holder.begin_request(true);
+    assert_eq!(holder.receipt(), Receipt::Abandoned);
+    let earlier = holder.receive();
+    assert_eq!(holder.receipt(), Receipt::Partial);
+    holder.begin_request(true);
+    earlier.complete();
+    assert_eq!(holder.receipt(), Receipt::Abandoned);
+    drop(holder.receive());
+    assert_eq!(holder.receipt(), Receipt::Abandoned);
+    holder.receive().complete();
+    assert_eq!(holder.receipt(), Receipt::Whole);
+}
+
 /// Guards against an idle timeout that open connections keep: they are closed although the timeout in force allows the caller to
 /// reuse them, or stay open beyond it.
 #[rstest]
