--- a/review/support_3.rs
+++ b/review/support_3.rs
@@ -564,8 +564,12 @@
         self.record.note(&format!("{} runs {id} {}", self.id, request.path));
         thread::sleep(work(request));
         *self.running.lock().unwrap() -= 1;
-        self.record.note(&format!("{} ends {id}", self.id));
-        self.respond(stream, 200, id, "", format!("body of {id}").as_bytes())
+        // A path that ends with a number gets a body of that many bytes.
+        let size = request.path.rsplit('/').next().and_then(|last| last.parse().ok());
+        let body = size.map_or_else(|| format!("body of {id}").into_bytes(), |size| vec![b'x'; size]);
+        let sent = self.respond(stream, 200, id, "", &body);
+        self.record.note(&format!("{} ends {id}: {} bytes, {sent:?}", self.id, body.len()));
+        sent
     }
 
     fn respond(
