--- a/review/late_farewell.rs
+++ b/review/late_farewell.rs
@@ -10,7 +10,9 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use support::{FRONT_PORT, Fleet, Record, SMALL_BOUNDS, WORKER_PORT, Worker, call, trouble, unix_ms};
+use support::{
+    FRONT_PORT, Fleet, Record, SMALL_BOUNDS, WORKER_PORT, Worker, call, trouble, unix_ms,
+};
 
 const WORKERS: u8 = 3;
 const SLOTS: u32 = 2;
@@ -87,13 +89,28 @@
     let runs: Arc<Mutex<Vec<Run>>> = Arc::default();
     let mut workers = Vec::new();
     for number in 0..WORKERS {
-        workers.push(start_worker(number, &fleet, unix_ms(), record, since, &runs)?);
+        workers.push(start_worker(
+            number,
+            &fleet,
+            unix_ms(),
+            record,
+            since,
+            &runs,
+        )?);
     }
     let outcomes: Arc<Mutex<Vec<Outcome>>> = Arc::default();
     let ended = Arc::new(AtomicBool::new(false));
-    let fronts: Vec<SocketAddr> = fleet.machines.iter().map(|m| m.address(FRONT_PORT)).collect();
+    let fronts: Vec<SocketAddr> = fleet
+        .machines
+        .iter()
+        .map(|m| m.address(FRONT_PORT))
+        .collect();
     let traffic = {
-        let (outcomes, ended, record) = (Arc::clone(&outcomes), Arc::clone(&ended), Arc::clone(record));
+        let (outcomes, ended, record) = (
+            Arc::clone(&outcomes),
+            Arc::clone(&ended),
+            Arc::clone(record),
+        );
         thread::spawn(move || {
             let start = Instant::now() + Duration::from_secs(1);
             for number in 0.. {
@@ -107,10 +124,17 @@
                 thread::spawn(move || {
                     let sent = since.elapsed();
                     let id = format!("q-{number}");
-                    let headers = [("Host", "a.example"), ("X-Request-Id", id.as_str()), ("X-Deadline-Ms", "2000")];
+                    let headers = [
+                        ("Host", "a.example"),
+                        ("X-Request-Id", id.as_str()),
+                        ("X-Deadline-Ms", "2000"),
+                    ];
                     let answer = call(front, "GET", "/p/x", &headers, b"", Duration::from_secs(2));
                     let status = answer.map_or_else(|e| e, |r| r.status.to_string());
-                    record.note(&format!("client gets {status} for {id}, sent {:.3}", sent.as_secs_f64()));
+                    record.note(&format!(
+                        "client gets {status} for {id}, sent {:.3}",
+                        sent.as_secs_f64()
+                    ));
                     outcomes.lock().unwrap().push((sent, status == "200"));
                 });
             }
@@ -123,7 +147,10 @@
     thread::sleep(FREEZE_AT.saturating_sub(since.elapsed()));
     let is_frozen = trouble();
     if is_frozen {
-        record.note(&format!("machine {} stands still", fleet.machines[FROZEN].name));
+        record.note(&format!(
+            "machine {} stands still",
+            fleet.machines[FROZEN].name
+        ));
         fleet.machines[FROZEN].signal("control", "STOP");
         fleet.machines[FROZEN].signal("entry", "STOP");
     }
--- a/review/stop_downloads.rs
+++ b/review/stop_downloads.rs
@@ -59,7 +59,13 @@
         let address = SocketAddr::new(fleet.ip(101 + number).into(), WORKER_PORT);
         let place = ("barre", 2, unix_ms());
         let id = format!("i-{number}");
-        let worker = Worker::start((&id, "scanvault", address), place, &fleet.controls(), record, |_| WORK);
+        let worker = Worker::start(
+            (&id, "scanvault", address),
+            place,
+            &fleet.controls(),
+            record,
+            |_| WORK,
+        );
         workers.push(worker.map_err(|e| e.to_string())?);
     }
     let stopped = fleet.machines.len() - 1;
@@ -80,17 +86,24 @@
             let (results, record) = (Arc::clone(&results), Arc::clone(record));
             thread::spawn(move || {
                 let id = format!("archive-{number}");
-                record.note(&format!("client sends {id} (GET, {DOWNLOAD_BYTES} bytes, X-Deadline-Ms 12000)"));
+                record.note(&format!(
+                    "client sends {id} (GET, {DOWNLOAD_BYTES} bytes, X-Deadline-Ms 12000)"
+                ));
                 let since = Instant::now();
                 let outcome = download(front, &id, DOWNLOAD_BYTES);
                 let took = since.elapsed().as_secs_f64();
-                record.note(&format!("client has {outcome:?} for {id} after {took:.3} s"));
+                record.note(&format!(
+                    "client has {outcome:?} for {id} after {took:.3} s"
+                ));
                 results.lock().unwrap().push(outcome);
             })
         })
         .collect();
     thread::sleep(HEAD_START);
-    let runs: u64 = workers.iter().map(|worker| worker.runs.load(Ordering::SeqCst)).sum();
+    let runs: u64 = workers
+        .iter()
+        .map(|worker| worker.runs.load(Ordering::SeqCst))
+        .sum();
     if runs < (served + DOWNLOADS) as u64 {
         return Err(format!("only {runs} requests have run"));
     }
@@ -106,7 +119,9 @@
         if !has_ended && let Some(status) = fleet.machines[stopped].ended("entry") {
             has_ended = true;
             let after = since.elapsed().as_secs_f64();
-            record.note(&format!("the entry process has ended {after:.3} s after the SIGTERM: {status}"));
+            record.note(&format!(
+                "the entry process has ended {after:.3} s after the SIGTERM: {status}"
+            ));
         }
         thread::sleep(Duration::from_millis(20));
     }
@@ -119,13 +134,19 @@
     }
     let results = results.lock().unwrap();
     let cut = results.iter().filter(|outcome| outcome.is_err()).count();
-    record.note(&format!("{cut} of {DOWNLOADS} downloads ended without a complete answer"));
+    record.note(&format!(
+        "{cut} of {DOWNLOADS} downloads ended without a complete answer"
+    ));
     Ok(cut > 0)
 }
 
 /// Returns the size of a complete answer of a worker.
 fn download(front: SocketAddr, id: &str, bytes: usize) -> Result<usize, String> {
-    let headers = [("Host", "a.example"), ("X-Request-Id", id), ("X-Deadline-Ms", "12000")];
+    let headers = [
+        ("Host", "a.example"),
+        ("X-Request-Id", id),
+        ("X-Deadline-Ms", "12000"),
+    ];
     let path = format!("/archive/{bytes}");
     let response = call(front, "GET", &path, &headers, b"", Duration::from_secs(12))?;
     if response.status != 200 || response.header("x-server-signature").is_empty() {
--- a/review/support_3.rs
+++ b/review/support_3.rs
@@ -101,7 +101,10 @@
         bytes.extend_from_slice(&buffer[..count]);
         Ok(())
     };
-    if headers.get("transfer-encoding").is_some_and(|v| v.contains("chunked")) {
+    if headers
+        .get("transfer-encoding")
+        .is_some_and(|v| v.contains("chunked"))
+    {
         let mut body = Vec::new();
         loop {
             let end = loop {
@@ -122,7 +125,10 @@
             }
         }
     }
-    let length = headers.get("content-length").and_then(|v| v.parse().ok()).unwrap_or(0);
+    let length = headers
+        .get("content-length")
+        .and_then(|v| v.parse().ok())
+        .unwrap_or(0);
     while bytes.len() < length {
         more(&mut bytes)?;
     }
@@ -144,7 +150,10 @@
     stream.set_nodelay(true).map_err(text)?;
     stream.set_read_timeout(Some(timeout)).map_err(text)?;
     let mut head = format!("{method} {path} HTTP/1.1\r\n");
-    if !headers.iter().any(|(name, _)| name.eq_ignore_ascii_case("host")) {
+    if !headers
+        .iter()
+        .any(|(name, _)| name.eq_ignore_ascii_case("host"))
+    {
         head += &format!("Host: {address}\r\n");
     }
     for (name, value) in headers {
@@ -158,9 +167,17 @@
     stream.write_all(body).map_err(text)?;
     let head = read_head(&mut stream, Vec::new()).map_err(text)?;
     let (first, headers, rest) = head.ok_or("closed without a response")?;
-    let status = first.split(' ').nth(1).and_then(|s| s.parse().ok()).unwrap_or(0);
+    let status = first
+        .split(' ')
+        .nth(1)
+        .and_then(|s| s.parse().ok())
+        .unwrap_or(0);
     let (body, _) = read_body(&mut stream, &headers, rest).map_err(text)?;
-    Ok(Response { status, headers, body })
+    Ok(Response {
+        status,
+        headers,
+        body,
+    })
 }
 
 /// Calls a `control` address as the platform's callers do: follows a 307 twice.
@@ -172,13 +189,25 @@
 ) -> Result<Response, String> {
     let headers = [("Content-Type", "application/json")];
     for _ in 0..3 {
-        let response = call(address, method, path, &headers, body, Duration::from_secs(1))?;
+        let response = call(
+            address,
+            method,
+            path,
+            &headers,
+            body,
+            Duration::from_secs(1),
+        )?;
         if response.status != 307 {
             return Ok(response);
         }
-        let location = response.header("location").trim_start_matches("http://").to_owned();
+        let location = response
+            .header("location")
+            .trim_start_matches("http://")
+            .to_owned();
         let authority = location.split('/').next().unwrap_or_default();
-        address = authority.parse().map_err(|_| format!("location {location:?}"))?;
+        address = authority
+            .parse()
+            .map_err(|_| format!("location {location:?}"))?;
     }
     Err("too many redirects".into())
 }
@@ -203,7 +232,11 @@
     pub fn start(&mut self, role: &str, seeds: &[SocketAddr], bounds: &str) -> io::Result<()> {
         let quoted = |a: &SocketAddr| format!("\"{a}\"");
         let seeds = seeds.iter().map(quoted).collect::<Vec<_>>().join(",");
-        let bounds = bounds.split(' ').map(|b| format!("\"{b}\"")).collect::<Vec<_>>().join(",");
+        let bounds = bounds
+            .split(' ')
+            .map(|b| format!("\"{b}\""))
+            .collect::<Vec<_>>()
+            .join(",");
         let listen = |port| format!("\"{}\"", self.address(port));
         let data = self.folder.join(format!("data-{role}"));
         let data = if self.disk && role == "control" {
@@ -248,14 +281,20 @@
     pub fn signal(&mut self, role: &str, signal: &str) {
         if let Some(child) = self.children.get(role) {
             let pid = child.id().to_string();
-            let _ = Command::new("kill").args([&format!("-{signal}"), &pid]).status();
+            let _ = Command::new("kill")
+                .args([&format!("-{signal}"), &pid])
+                .status();
         }
     }
 
     /// Returns the exit status of a process that has ended.
     pub fn ended(&mut self, role: &str) -> Option<String> {
         let child = self.children.get_mut(role)?;
-        child.try_wait().ok().flatten().map(|status| status.to_string())
+        child
+            .try_wait()
+            .ok()
+            .flatten()
+            .map(|status| status.to_string())
     }
 
     pub fn kill(&mut self, role: &str) {
@@ -283,7 +322,10 @@
 impl Fleet {
     pub fn new(bounds: &str) -> Self {
         let pid = std::process::id();
-        let nanos = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().subsec_nanos();
+        let nanos = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default()
+            .subsec_nanos();
         let mix = pid.wrapping_mul(2_654_435_761) ^ nanos;
         let net = (100 + (mix >> 8 & 63) as u8, 1 + (mix >> 16) as u8 % 250);
         let folder = std::env::temp_dir().join(format!("review-3-{pid}-{nanos}"));
@@ -324,7 +366,12 @@
 
     /// Starts both roles on all machines; the first three name the seeds.
     pub fn start(&mut self) -> io::Result<()> {
-        self.seeds = self.machines.iter().take(3).map(|m| m.address(CONTROL_PORT)).collect();
+        self.seeds = self
+            .machines
+            .iter()
+            .take(3)
+            .map(|m| m.address(CONTROL_PORT))
+            .collect();
         for machine in &mut self.machines {
             machine.start("control", &self.seeds, &self.bounds)?;
             machine.start("entry", &self.seeds, &self.bounds)?;
@@ -333,7 +380,10 @@
     }
 
     pub fn controls(&self) -> Vec<SocketAddr> {
-        self.machines.iter().map(|m| m.address(CONTROL_PORT)).collect()
+        self.machines
+            .iter()
+            .map(|m| m.address(CONTROL_PORT))
+            .collect()
     }
 
     /// Sends an order until it has a clear response, each time to the next machine.
@@ -342,7 +392,9 @@
         let mut last = String::new();
         for address in self.controls().iter().cycle() {
             match call_control(*address, "PUT", "/v1/config", document.as_bytes()) {
-                Ok(r) if matches!(r.status, 200 | 400 | 409 | 412 | 413 | 422) => return Ok(r.status),
+                Ok(r) if matches!(r.status, 200 | 400 | 409 | 412 | 413 | 422) => {
+                    return Ok(r.status);
+                }
                 Ok(r) => last = r.status.to_string(),
                 Err(error) => last = error,
             }
@@ -469,7 +521,11 @@
     /// Sends a heartbeat, to one control address after the other until one acknowledges it.
     pub fn beat(&self) -> bool {
         let sequence = self.sequence.fetch_add(1, Ordering::SeqCst) + 1;
-        let state = if self.draining.load(Ordering::SeqCst) { "draining" } else { "ready" };
+        let state = if self.draining.load(Ordering::SeqCst) {
+            "draining"
+        } else {
+            "ready"
+        };
         let body = format!(
             "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\"slots\":{},\"state\":\"{state}\",\
              \"warmup-left-s\":0,\"sequence\":{sequence},\"born\":{}}}",
@@ -484,9 +540,13 @@
         for turn in 0..self.controls.len() {
             let control = self.controls[(start + turn) % self.controls.len()];
             let answer = call_control(control, method, &path, body);
-            let status = answer.as_ref().map_or_else(Clone::clone, |r| r.status.to_string());
+            let status = answer
+                .as_ref()
+                .map_or_else(Clone::clone, |r| r.status.to_string());
             let (id, born) = (&self.id, self.born);
-            self.record.note(&format!("{id} born {born}: {method} {what} at {control} -> {status}"));
+            self.record.note(&format!(
+                "{id} born {born}: {method} {what} at {control} -> {status}"
+            ));
             if answer.is_ok_and(|r| (200..300).contains(&r.status)) {
                 return true;
             }
@@ -548,8 +608,14 @@
         request: &Request,
         work: &dyn Fn(&Request) -> Duration,
     ) -> io::Result<()> {
-        let id = request.headers.get("x-request-id").map_or("", String::as_str);
-        let expected = request.headers.get("x-expected-instance").map_or("", String::as_str);
+        let id = request
+            .headers
+            .get("x-request-id")
+            .map_or("", String::as_str);
+        let expected = request
+            .headers
+            .get("x-expected-instance")
+            .map_or("", String::as_str);
         if !expected.is_empty() && expected != self.id {
             return self.respond(stream, 421, id, "X-Not-Executed: 1\r\n", b"");
         }
@@ -567,14 +633,26 @@
             thread::sleep(Duration::from_millis(2));
         }
         self.runs.fetch_add(1, Ordering::SeqCst);
-        self.record.note(&format!("{} runs {id} {}", self.id, request.path));
+        self.record
+            .note(&format!("{} runs {id} {}", self.id, request.path));
         thread::sleep(work(request));
         *self.running.lock().unwrap() -= 1;
         // A path that ends with a number gets a body of that many bytes.
-        let size = request.path.rsplit('/').next().and_then(|last| last.parse().ok());
-        let body = size.map_or_else(|| format!("body of {id}").into_bytes(), |size| vec![b'x'; size]);
+        let size = request
+            .path
+            .rsplit('/')
+            .next()
+            .and_then(|last| last.parse().ok());
+        let body = size.map_or_else(
+            || format!("body of {id}").into_bytes(),
+            |size| vec![b'x'; size],
+        );
         let sent = self.respond(stream, 200, id, "", &body);
-        self.record.note(&format!("{} ends {id}: {} bytes, {sent:?}", self.id, body.len()));
+        self.record.note(&format!(
+            "{} ends {id}: {} bytes, {sent:?}",
+            self.id,
+            body.len()
+        ));
         sent
     }
 
@@ -600,6 +678,8 @@
 
 /// Returns the time of day in Unix milliseconds.
 pub fn unix_ms() -> u64 {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let since = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
     since.as_millis() as u64
 }
