--- a/review/late_farewell.rs
+++ b/review/late_farewell.rs
@@ -151,8 +151,8 @@
             "machine {} stands still",
             fleet.machines[FROZEN].name
         ));
-        fleet.machines[FROZEN].signal("control", "STOP");
-        fleet.machines[FROZEN].signal("entry", "STOP");
+        fleet.machines[FROZEN].signal("control", "STOP")?;
+        fleet.machines[FROZEN].signal("entry", "STOP")?;
     }
     thread::sleep(Duration::from_millis(500));
     if !workers[0].depart_at(FROZEN) {
@@ -164,8 +164,8 @@
     workers.push(start_worker(0, &fleet, unix_ms(), record, since, &runs)?);
     thread::sleep((FREEZE_AT + FREEZE).saturating_sub(since.elapsed()));
     if is_frozen {
-        fleet.machines[FROZEN].signal("control", "CONT");
-        fleet.machines[FROZEN].signal("entry", "CONT");
+        fleet.machines[FROZEN].signal("control", "CONT")?;
+        fleet.machines[FROZEN].signal("entry", "CONT")?;
         record.note(&format!("machine {} goes on", fleet.machines[FROZEN].name));
     }
     thread::sleep(JUDGED.1.saturating_sub(since.elapsed()));
--- a/review/stop_downloads.rs
+++ b/review/stop_downloads.rs
@@ -110,8 +110,8 @@
     let is_stopped = trouble();
     if is_stopped {
         record.note("SIGTERM to the machine that took the requests");
-        fleet.machines[stopped].signal("entry", "TERM");
-        fleet.machines[stopped].signal("control", "TERM");
+        fleet.machines[stopped].signal("entry", "TERM")?;
+        fleet.machines[stopped].signal("control", "TERM")?;
     }
     let since = Instant::now();
     let mut has_ended = false;
--- a/review/support_3.rs
+++ b/review/support_3.rs
@@ -278,13 +278,16 @@
     }
 
     /// Sends a signal, for example `TERM`, `KILL`, `STOP` or `CONT`, to a process of the machine.
-    pub fn signal(&mut self, role: &str, signal: &str) {
+    pub fn signal(&mut self, role: &str, signal: &str) -> Result<(), String> {
         if let Some(child) = self.children.get(role) {
-            let pid = child.id().to_string();
-            let _ = Command::new("kill")
-                .args([&format!("-{signal}"), &pid])
-                .status();
+            // The shell's own `kill` is there on any machine.
+            let command = format!("kill -{signal} {}", child.id());
+            let status = Command::new("sh").args(["-c", &command]).status();
+            if !status.is_ok_and(|s| s.success()) {
+                return Err(format!("{command} failed"));
+            }
         }
+        Ok(())
     }
 
     /// Returns the exit status of a process that has ended.
