--- a/review/early_start.rs
+++ b/review/early_start.rs
@@ -19,11 +19,11 @@
 const RESTARTED: u8 = 2;
 const SLOTS: u32 = 2;
 const WORK: Duration = Duration::from_millis(100);
-/// Jump of the clock, in milliseconds: the default of `clock_step`.
+/// Jump of the clock, in milliseconds: the default of `clock_step`. It lasts 5 s, from 4 s on.
 const STEP_MS: u64 = 2_000;
 /// When the workers begin to drain, when their clocks are right again, and the time that is judged.
 const DRAIN_AT: Duration = Duration::from_secs(5);
-const CLOCK_RIGHT_AT: Duration = Duration::from_secs(10);
+const CLOCK_RIGHT_AT: Duration = Duration::from_secs(9);
 const JUDGED: (Duration, Duration) = (Duration::from_secs(18), Duration::from_secs(30));
 /// Requests per second: two thirds of what four workers can do.
 const RATE: f64 = 54.0;
