--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,6 +3,6 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review-3
-for name in $(cd review && ls stop_downloads.rs early_start.rs 2>/dev/null); do
+for name in $(cd review && ls late_farewell.rs stop_downloads.rs early_start.rs 2>/dev/null); do
     rustc --edition 2024 -O "review/$name" -o "target/review-3/${name%.rs}"
 done
--- a/review/support_3.rs
+++ b/review/support_3.rs
@@ -500,11 +500,17 @@
         self.beat()
     }
 
-    /// Reports the end of the worker as `wire.json` shows it, without a body.
+    /// Reports the end of the worker as `fleetbench wire` shows it, without a body.
     pub fn depart(&self) -> bool {
         self.report("DELETE", b"", "farewell")
     }
 
+    /// As [`Worker::depart`], at the control address with this index first.
+    pub fn depart_at(&self, first: usize) -> bool {
+        self.sequence.store(first as u64, Ordering::SeqCst);
+        self.depart()
+    }
+
     /// Ends the run. Its connections are closed.
     pub fn stop(&self) {
         self.stopped.store(true, Ordering::SeqCst);
